core: lay out the workspace and the contracts between programs

Cause: nothing was there. The programs are built side by side, so the types that cross their borders come first: objects of the replicated state, messages between instances, the engine interface, settings samples, the link over QUIC. Ruled out: one module for all (the house style asks one for each program). Result: builds and lints clean; no program does anything yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,67 @@
+# Front door of the project. `make help` lists the targets.
+SHELL := /bin/bash
+GO ?= go
+BIN := $(CURDIR)/bin
+TOOLS := $(BIN)/tools
+MODULES := core entryd haven keepd stand trial
+PROGRAMS := entryd haven keepd stand trial
+LINT_VERSION := v2.15.0
+WIRE_VERSION := v0.7.0
+SEEDS ?= 20
+MINUTES ?= 5
+
+.DEFAULT_GOAL := help
+.PHONY: help build demo test unit race lint fmt generate check-generated trial soak bench fuzz clean tools
+
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | awk -F':.*## ' '{printf "%-18s %s\n", $$1, $$2}'
+
+build: ## build all programs into bin/
+	@mkdir -p $(BIN)
+	@for p in $(PROGRAMS); do $(GO) build -o $(BIN)/$$p ./$$p || exit 1; done
+
+demo: build ## run the main job end to end with separate processes
+	@$(BIN)/trial demo -bin $(BIN)
+
+test: lint check-generated race demo ## all that CI checks: linter, generated code, tests with the race detector, demo
+
+unit: ## tests without the race detector
+	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
+
+race: build ## tests with the race detector
+	@VERBENAHAVEN_BIN=$(BIN) $(GO) test -race $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+lint: $(TOOLS)/golangci-lint ## formatter and linter
+	@for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint run ./...) || exit 1; done
+
+fmt: $(TOOLS)/golangci-lint ## format all code
+	@for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint fmt ./...) || exit 1; done
+
+generate: $(TOOLS)/wire ## make the generated code anew
+	@for p in entryd keepd; do (cd $$p && $(TOOLS)/wire ./...) || exit 1; done
+
+check-generated: $(TOOLS)/wire ## fail if the generated code is out of date
+	@for p in entryd keepd; do (cd $$p && $(TOOLS)/wire diff ./...) || exit 1; done
+
+trial: build ## compare the policies under load; writes out/
+	@$(BIN)/trial run -bin $(BIN) -out $(CURDIR)/out
+
+soak: build ## long random runs: SEEDS of the consensus, MINUTES of real processes
+	@cd core && $(GO) test ./process/quorum -run TestSoak -soak.seeds $(SEEDS) -timeout 2h -v
+	@$(BIN)/trial soak -bin $(BIN) -minutes $(MINUTES)
+
+bench: build ## benchmarks for docs/MEASURES.md
+	@for m in $(MODULES); do (cd $$m && $(GO) test -run XXX -bench . -benchmem ./...) || exit 1; done
+
+clean: ## remove what was built and written
+	@rm -rf $(BIN) $(CURDIR)/out
+
+tools: $(TOOLS)/golangci-lint $(TOOLS)/wire ## install the linter and the generator
+
+$(TOOLS)/golangci-lint:
+	@mkdir -p $(TOOLS)
+	GOWORK=off GOFLAGS=-mod=mod GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+$(TOOLS)/wire:
+	@mkdir -p $(TOOLS)
+	GOWORK=off GOFLAGS=-mod=mod GOBIN=$(TOOLS) $(GO) install github.com/google/wire/cmd/wire@$(WIRE_VERSION)
--- /dev/null
+++ b/core/conn/keeper/keeper.go
@@ -0,0 +1,146 @@
+// Package keeper is the client of the instances that keep the state. It finds
+// the leader and follows it when it changes.
+package keeper
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"verbenahaven.example/core/conn/link"
+	"verbenahaven.example/core/conn/proto"
+)
+
+const (
+	tryTimeout = time.Second
+	pause      = 20 * time.Millisecond
+)
+
+// ErrNoLeader tells that no leader answered in time. A call that changes
+// state may have taken effect all the same; all such calls are idempotent.
+var ErrNoLeader = errors.New("no leader answered")
+
+// Client implements proto.Keeper.
+type Client struct {
+	order   []string
+	clients map[string]*link.Client
+
+	mutex  sync.Mutex
+	leader string
+	next   int
+}
+
+var _ proto.Keeper = (*Client)(nil)
+
+// New returns a client for the links of the keepers, by name, and its clean-up.
+func New(addresses map[string]string, config *tls.Config) (*Client, func()) {
+	c := &Client{clients: make(map[string]*link.Client)}
+	cleanups := make([]func(), 0, len(addresses))
+	for name, address := range addresses {
+		l, cleanup := link.NewClient(address, config)
+		c.clients[name] = l
+		c.order = append(c.order, name)
+		cleanups = append(cleanups, cleanup)
+	}
+	return c, func() {
+		for _, f := range cleanups {
+			f()
+		}
+	}
+}
+
+// Beat sends a heartbeat to the leader.
+func (c *Client) Beat(ctx context.Context, r proto.BeatRequest) (proto.BeatReply, error) {
+	return ask[proto.BeatRequest, proto.BeatReply](ctx, c, proto.KindBeat, r)
+}
+
+// Once takes a step of a run-once call at the leader.
+func (c *Client) Once(ctx context.Context, r proto.OnceRequest) (proto.OnceReply, error) {
+	return ask[proto.OnceRequest, proto.OnceReply](ctx, c, proto.KindOnce, r)
+}
+
+// Slice asks the leader for slices of limits.
+func (c *Client) Slice(ctx context.Context, r proto.SliceRequest) (proto.SliceReply, error) {
+	return ask[proto.SliceRequest, proto.SliceReply](ctx, c, proto.KindSlice, r)
+}
+
+// Strike records a strike at the leader.
+func (c *Client) Strike(ctx context.Context, r proto.StrikeRequest) (proto.StrikeReply, error) {
+	return ask[proto.StrikeRequest, proto.StrikeReply](ctx, c, proto.KindStrike, r)
+}
+
+// Watch asks any keeper for newer state.
+func (c *Client) Watch(ctx context.Context, r proto.WatchRequest) (proto.WatchReply, error) {
+	name := c.any()
+	ctx, cancel := context.WithTimeout(ctx, r.Wait+tryTimeout)
+	defer cancel()
+	reply, err := link.Call[proto.WatchRequest, proto.WatchReply](ctx, c.clients[name], proto.KindWatch, r)
+	if err != nil {
+		c.skip()
+		return reply, fmt.Errorf("watch %s: %w", name, err)
+	}
+	return reply, nil
+}
+
+func (c *Client) any() string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.order[c.next%len(c.order)]
+}
+
+func (c *Client) skip() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.next++
+}
+
+// pick returns the believed leader, or the next keeper to try.
+func (c *Client) pick() string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.leader != "" {
+		return c.leader
+	}
+	c.next++
+	return c.order[c.next%len(c.order)]
+}
+
+func (c *Client) believe(name string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if _, ok := c.clients[name]; !ok {
+		name = ""
+	}
+	c.leader = name
+}
+
+// ask sends an idempotent call to the leader until one answers or ctx ends.
+func ask[Q, A any](ctx context.Context, c *Client, kind string, request Q) (A, error) {
+	for {
+		name := c.pick()
+		try, cancel := context.WithTimeout(ctx, tryTimeout)
+		answer, err := link.Call[Q, A](try, c.clients[name], kind, request)
+		cancel()
+		if err == nil {
+			c.believe(name)
+			return answer, nil
+		}
+		var remote *link.Remote
+		switch {
+		case errors.As(err, &remote) && remote.Code == link.CodeNotLeader:
+			c.believe(remote.Detail)
+		case errors.As(err, &remote) && remote.Code != link.CodeInternal:
+			return answer, fmt.Errorf("ask %s: %w", name, err)
+		default:
+			c.believe("")
+		}
+		select {
+		case <-ctx.Done():
+			return answer, fmt.Errorf("ask %s: %w: %w", kind, ErrNoLeader, err)
+		case <-time.After(pause):
+		}
+	}
+}
--- /dev/null
+++ b/core/process/meter/meter.go
@@ -0,0 +1,76 @@
+// Package meter keeps the counters, gauges and timers of a process and serves
+// them over HTTP.
+package meter
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Registry holds the metrics of one process.
+type Registry struct {
+	registry metrics.Registry
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{registry: metrics.NewRegistry()}
+}
+
+// Count adds one to a counter. The name is made of its parts, joined by dots:
+// a refusal is counted as Count("refused", reason).
+func (r *Registry) Count(parts ...string) {
+	r.Add(1, parts...)
+}
+
+// Add adds n to a counter.
+func (r *Registry) Add(n int64, parts ...string) {
+	metrics.GetOrRegisterCounter(strings.Join(parts, "."), r.registry).Inc(n)
+}
+
+// Set sets a gauge.
+func (r *Registry) Set(v int64, parts ...string) {
+	metrics.GetOrRegisterGauge(strings.Join(parts, "."), r.registry).Update(v)
+}
+
+// Value returns the value of a counter or gauge, 0 if there is none.
+func (r *Registry) Value(parts ...string) int64 {
+	switch m := r.registry.Get(strings.Join(parts, ".")).(type) {
+	case metrics.Counter:
+		return m.Count()
+	case metrics.Gauge:
+		return m.Value()
+	default:
+		return 0
+	}
+}
+
+// WriteTo writes one line for each metric, sorted by name.
+func (r *Registry) WriteTo(w io.Writer) (int64, error) {
+	var lines []string
+	r.registry.Each(func(name string, m any) {
+		switch v := m.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d\n", name, v.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d\n", name, v.Value()))
+		}
+	})
+	sort.Strings(lines)
+	n, err := io.WriteString(w, strings.Join(lines, ""))
+	if err != nil {
+		return int64(n), fmt.Errorf("write metrics: %w", err)
+	}
+	return int64(n), nil
+}
+
+// ServeHTTP serves the metrics as text.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = r.WriteTo(w)
+}
--- /dev/null
+++ b/entryd/main.go
@@ -0,0 +1,5 @@
+// Command entryd is a program of verbenahaven.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/haven/main.go
@@ -0,0 +1,5 @@
+// Command haven is a program of verbenahaven.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/keepd/main.go
@@ -0,0 +1,5 @@
+// Command keepd is a program of verbenahaven.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/stand/main.go
@@ -0,0 +1,5 @@
+// Command stand is a program of verbenahaven.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/trial/main.go
@@ -0,0 +1,5 @@
+// Command trial is a program of verbenahaven.
+package main
+
+func main() {
+}
