--- /dev/null
+++ b/trial/caller/caller.go
@@ -0,0 +1,234 @@
+// Package caller makes calls as the users of the system do, and keeps what
+// they got so that it can be checked.
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"verbenahaven.example/core/conn/engine"
+)
+
+const (
+	maxLine    = 1 << 20
+	maxIdle    = 256
+	dataPrefix = "data:"
+)
+
+// ErrStream tells that an event could not be read.
+var ErrStream = errors.New("bad event in stream")
+
+// Caller makes calls under one account.
+type Caller struct {
+	token  string
+	client *http.Client
+}
+
+// New returns a caller with the bearer token of its account.
+func New(token string) *Caller {
+	t := &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
+	return &Caller{token: token, client: &http.Client{Transport: t}}
+}
+
+// Close closes idle connections.
+func (c *Caller) Close() {
+	c.client.CloseIdleConnections()
+}
+
+// Chat describes a streamed chat completion.
+type Chat struct {
+	Service  string
+	Prompt   string
+	Tokens   int // wanted length of the answer
+	Seed     int64
+	Deadline time.Duration // sent along if not 0
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	status   int
+	id       string
+	body     []byte
+	tokens   []string
+	places   []int
+	whole    bool
+	started  time.Time
+	arrivals []time.Time
+	ended    time.Time
+	code     string
+	ran      string
+	retry    time.Duration
+}
+
+// Status returns the HTTP status.
+func (a *Answer) Status() int { return a.status }
+
+// ID returns the request's identifier, for explain.
+func (a *Answer) ID() string { return a.id }
+
+// Body returns the body of an answer that was not a stream.
+func (a *Answer) Body() []byte { return a.body }
+
+// Tokens returns the text of the events in the order of their arrival.
+func (a *Answer) Tokens() []string { return a.tokens }
+
+// Places returns the position of each token as its event tells it.
+func (a *Answer) Places() []int { return a.places }
+
+// Whole tells whether the end mark came.
+func (a *Answer) Whole() bool { return a.whole }
+
+// First returns the time to the first token, 0 if there was none.
+func (a *Answer) First() time.Duration {
+	if len(a.arrivals) == 0 {
+		return 0
+	}
+	return a.arrivals[0].Sub(a.started)
+}
+
+// Arrivals returns when each token came.
+func (a *Answer) Arrivals() []time.Time { return a.arrivals }
+
+// Took returns the time to the end of the answer.
+func (a *Answer) Took() time.Duration { return a.ended.Sub(a.started) }
+
+// Code returns the code of the error body, "" if there is none.
+func (a *Answer) Code() string { return a.code }
+
+// Ran returns what the error body says of the call: not_run, ran or unknown.
+func (a *Answer) Ran() string { return a.ran }
+
+// Retry returns when the answer tells to come back.
+func (a *Answer) Retry() time.Duration { return a.retry }
+
+// Chat makes a streamed chat completion. The error tells of a broken
+// connection; what came before it is in the answer all the same.
+func (c *Caller) Chat(ctx context.Context, url string, chat Chat) (*Answer, error) {
+	body, err := json.Marshal(engine.Request{
+		Model:     chat.Service,
+		Messages:  []engine.Message{{Role: "user", Content: chat.Prompt}},
+		MaxTokens: chat.Tokens,
+		Stream:    true,
+		Seed:      chat.Seed,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode chat: %w", err)
+	}
+	header := http.Header{}
+	if chat.Deadline > 0 {
+		header.Set("Deadline", fmt.Sprint(chat.Deadline.Milliseconds()))
+	}
+	return c.send(ctx, url+engine.PathChat, header, body)
+}
+
+// Call describes a call of a plain service.
+type Call struct {
+	Service string
+	Path    string
+	Key     string // idempotency key, "" for none
+	Body    string
+}
+
+// Once calls a plain service.
+func (c *Caller) Once(ctx context.Context, url string, call Call) (*Answer, error) {
+	header := http.Header{}
+	if call.Key != "" {
+		header.Set("Idempotency-Key", call.Key)
+	}
+	return c.send(ctx, url+"/s/"+call.Service+"/"+call.Path, header, []byte(call.Body))
+}
+
+func (c *Caller) send(ctx context.Context, url string, header http.Header, body []byte) (*Answer, error) {
+	a := &Answer{started: time.Now()}
+	defer func() { a.ended = time.Now() }()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return a, fmt.Errorf("make request: %w", err)
+	}
+	r.Header = header
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Bearer "+c.token)
+	answer, err := c.client.Do(r)
+	if err != nil {
+		return a, fmt.Errorf("call %s: %w", url, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	a.status = answer.StatusCode
+	a.id = answer.Header.Get("Request-Id")
+	if strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
+		return a, a.readStream(answer.Body)
+	}
+	return a, a.readBody(answer.Body)
+}
+
+func (a *Answer) readBody(r io.Reader) error {
+	b, err := io.ReadAll(r)
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	a.body = b
+	a.whole = true
+	a.readError(b)
+	return nil
+}
+
+func (a *Answer) readError(b []byte) {
+	var body struct {
+		Error struct {
+			Code  string `json:"code"`
+			Ran   string `json:"ran"`
+			Retry int64  `json:"retry_after_ms"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(b, &body) != nil {
+		return
+	}
+	a.code, a.ran = body.Error.Code, body.Error.Ran
+	a.retry = time.Duration(body.Error.Retry) * time.Millisecond
+}
+
+func (a *Answer) readStream(r io.Reader) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		data, ok := strings.CutPrefix(s.Text(), dataPrefix)
+		if !ok {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == engine.Done {
+			a.whole = true
+			return nil
+		}
+		if err := a.readEvent([]byte(data)); err != nil {
+			return err
+		}
+	}
+	if err := s.Err(); err != nil {
+		return fmt.Errorf("read stream: %w", err)
+	}
+	return nil
+}
+
+func (a *Answer) readEvent(data []byte) error {
+	var e engine.Event
+	if err := json.Unmarshal(data, &e); err != nil {
+		return fmt.Errorf("%w: %w", ErrStream, err)
+	}
+	if len(e.Choices) == 0 {
+		a.readError(data)
+		return nil
+	}
+	a.tokens = append(a.tokens, e.Choices[0].Delta.Content)
+	a.places = append(a.places, e.Token)
+	a.arrivals = append(a.arrivals, time.Now())
+	return nil
+}
--- /dev/null
+++ b/trial/fleet/operate.go
@@ -0,0 +1,244 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"verbenahaven.example/core/conn/proto"
+)
+
+const poll = 20 * time.Millisecond
+
+// ErrRefused tells that an instance answered with another status than 200.
+var ErrRefused = errors.New("refused")
+
+// Run runs a text in the operators' language at the first keeper that takes
+// it, under a new number.
+func (f *Fleet) Run(ctx context.Context, text string) (proto.RunReply, error) {
+	f.number++
+	return f.RunAs(ctx, proto.RunRequest{Operator: "operator", Number: f.number, Text: text})
+}
+
+// RunAs runs a request as it is at the first keeper that takes it.
+func (f *Fleet) RunAs(ctx context.Context, r proto.RunRequest) (proto.RunReply, error) {
+	var errs []error
+	for _, p := range f.keepers {
+		if !p.Running() {
+			continue
+		}
+		reply, err := f.RunAt(ctx, p, r)
+		if err == nil {
+			return reply, nil
+		}
+		errs = append(errs, err)
+	}
+	return proto.RunReply{}, errors.Join(errs...)
+}
+
+// RunAt runs a request at one keeper.
+func (f *Fleet) RunAt(ctx context.Context, p *Process, r proto.RunRequest) (proto.RunReply, error) {
+	var reply proto.RunReply
+	err := f.post(ctx, p.url+"/run", f.token, r, &reply)
+	if err != nil {
+		return reply, fmt.Errorf("run at %s: %w", p.name, err)
+	}
+	return reply, nil
+}
+
+// Get reads JSON from a URL.
+func (f *Fleet) Get(ctx context.Context, url string, out any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	r.Header.Set("Authorization", "Bearer "+f.caller)
+	return f.do(r, out)
+}
+
+func (f *Fleet) post(ctx context.Context, url, token string, body, out any) error {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Bearer "+token)
+	return f.do(r, out)
+}
+
+func (f *Fleet) do(r *http.Request, out any) error {
+	answer, err := f.client.Do(r)
+	if err != nil {
+		return fmt.Errorf("call: %w", err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	b, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s %s: status %d %s: %w", r.Method, r.URL, answer.StatusCode, strings.TrimSpace(string(b)), ErrRefused)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return fmt.Errorf("decode answer of %s: %w", r.URL, err)
+	}
+	return nil
+}
+
+// Fault is an order to a stand-in to misbehave.
+type Fault struct {
+	Target string `json:"target"`
+	Kind   string `json:"kind"`
+	Value  string `json:"value,omitempty"`
+	Count  int    `json:"count,omitempty"`
+}
+
+// Fault injects a fault at the stand-in or proxy that it names.
+func (f *Fleet) Fault(ctx context.Context, fault Fault) error {
+	control, ok := f.controls[fault.Target]
+	if !ok {
+		return fmt.Errorf("no target %q: %w", fault.Target, ErrRefused)
+	}
+	return f.post(ctx, control+"/fault", f.token, fault, nil)
+}
+
+// Cut cuts an instance off from all keepers, or heals it: kind is cut,
+// cut_up, cut_down or heal. Up is towards the keepers.
+func (f *Fleet) Cut(ctx context.Context, name, kind string) error {
+	for target := range f.controls {
+		from, to, ok := strings.Cut(strings.TrimPrefix(target, "link-"), "-")
+		if !ok || !strings.HasPrefix(target, "link-") || (from != name && to != name) {
+			continue
+		}
+		k := kind
+		if to == name {
+			k = reverse(kind)
+		}
+		if err := f.Fault(ctx, Fault{Target: target, Kind: k}); err != nil {
+			return fmt.Errorf("cut %s: %w", target, err)
+		}
+	}
+	return nil
+}
+
+func reverse(kind string) string {
+	switch kind {
+	case "cut_up":
+		return "cut_down"
+	case "cut_down":
+		return "cut_up"
+	default:
+		return kind
+	}
+}
+
+// History reads what a stand-in recorded into out.
+func (f *Fleet) History(ctx context.Context, target string, out any) error {
+	return f.Get(ctx, f.controls[target]+"/history?target="+target, out)
+}
+
+// Wait polls until ready returns nil or the time is over.
+func Wait(ctx context.Context, limit time.Duration, ready func() error) error {
+	deadline := time.Now().Add(limit)
+	for {
+		err := ready()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return fmt.Errorf("%w: %w", ErrNotReady, err)
+		}
+		time.Sleep(poll)
+	}
+}
+
+// declare tells the fleet what it consists of.
+func (f *Fleet) declare(ctx context.Context) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "declare account caller digest %q\n", digest(f.caller))
+	models := make(map[string]bool)
+	for _, e := range f.options.Engines {
+		if !models[e.Model] {
+			models[e.Model] = true
+			fmt.Fprintf(&text, "declare model %s revision 1\n", e.Model)
+		}
+	}
+	for _, e := range f.options.Engines {
+		fmt.Fprintf(&text, "declare engine %s url %q centre %s role %s model %s revision 1 fenced %t\n",
+			e.Name, f.front(e.Name), e.Centre, e.Role, e.Model, e.Fenced)
+	}
+	text.WriteString(f.options.Declare + "\n")
+	for _, p := range f.options.Plains {
+		fmt.Fprintf(&text, "declare server %s url %q centre %s service %s\n", p.Name, f.front(p.Name), p.Centre, p.Service)
+	}
+	f.number++
+	r := proto.RunRequest{Operator: "operator", Number: f.number, Text: text.String()}
+	return Wait(ctx, readyWait, func() error {
+		_, err := f.RunAs(ctx, r)
+		return err
+	})
+}
+
+// waitEntries waits until each entry instance knows what was declared.
+func (f *Fleet) waitEntries(ctx context.Context) error {
+	for _, p := range f.entries {
+		if err := Wait(ctx, readyWait, func() error { return f.serves(ctx, p) }); err != nil {
+			return fmt.Errorf("wait for %s: %w", p.name, err)
+		}
+	}
+	return nil
+}
+
+// serves checks that an entry instance lists a model for each service and
+// gives addresses.
+func (f *Fleet) serves(ctx context.Context, p *Process) error {
+	var models struct {
+		Data []struct {
+			ID string `json:"id"`
+		} `json:"data"`
+	}
+	if err := f.Get(ctx, p.url+"/v1/models", &models); err != nil {
+		return err
+	}
+	if len(models.Data) == 0 && len(f.options.Engines) > 0 {
+		return fmt.Errorf("%s lists no model: %w", p.name, ErrNotReady)
+	}
+	addresses, err := f.Addresses(ctx, p)
+	if err != nil {
+		return err
+	}
+	if len(addresses) == 0 {
+		return fmt.Errorf("%s gives no address: %w", p.name, ErrNotReady)
+	}
+	return nil
+}
+
+// Addresses asks an entry instance which addresses callers should use.
+func (f *Fleet) Addresses(ctx context.Context, p *Process) ([]string, error) {
+	var answer struct {
+		Addresses []struct {
+			URL string `json:"url"`
+		} `json:"addresses"`
+	}
+	if err := f.Get(ctx, p.url+"/address", &answer); err != nil {
+		return nil, fmt.Errorf("ask %s for addresses: %w", p.name, err)
+	}
+	urls := make([]string, 0, len(answer.Addresses))
+	for _, a := range answer.Addresses {
+		urls = append(urls, a.URL)
+	}
+	return urls, nil
+}
--- /dev/null
+++ b/trial/fleet/settings.go
@@ -0,0 +1,209 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+func (f *Fleet) writeSettings() error {
+	backends := f.backendSettings()
+	if err := write(f.backends, backends); err != nil {
+		return err
+	}
+	proxies := f.proxyTables()
+	if f.proxies != nil {
+		if err := write(f.proxies, map[string]any{
+			"control": map[string]any{"http": host(f.proxies.url)},
+			"proxy":   proxies,
+		}); err != nil {
+			return err
+		}
+	}
+	for _, p := range f.keepers {
+		if err := write(p, f.keepSettings(p)); err != nil {
+			return err
+		}
+	}
+	for _, p := range f.entries {
+		if err := write(p, f.entrySettings(p)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func write(p *Process, settings map[string]any) error {
+	b, err := toml.Marshal(settings)
+	if err != nil {
+		return fmt.Errorf("encode settings of %s: %w", p.name, err)
+	}
+	if err := os.WriteFile(p.settings, b, 0o600); err != nil {
+		return fmt.Errorf("write settings of %s: %w", p.name, err)
+	}
+	return nil
+}
+
+func (f *Fleet) common(p *Process) map[string]any {
+	return map[string]any{
+		"name":   p.name,
+		"centre": p.centre,
+		"listen": map[string]any{"http": host(p.url), "link": p.link},
+		"keys": map[string]any{
+			"authority": f.path(filepath.Join("keys", "fleet.crt")),
+			"cert":      f.path(filepath.Join("keys", p.name+".crt")),
+			"key":       f.path(filepath.Join("keys", p.name+".key")),
+		},
+		"platform": map[string]any{"list": f.urls["list"] + "/instances"},
+	}
+}
+
+func (f *Fleet) keepSettings(p *Process) map[string]any {
+	s := f.common(p)
+	s["folder"] = p.folder
+	s["account"] = "operator"
+	s["digest"] = digest(f.token)
+	s["peers"] = f.peers(p)
+	voters, spares := []string{}, []string{}
+	for i, k := range f.keepers {
+		if i < f.options.Keepers {
+			voters = append(voters, k.name)
+		} else {
+			spares = append(spares, k.name)
+		}
+	}
+	s["group"] = map[string]any{"voters": voters, "spares": spares}
+	return overlay(s, f.options.Keep)
+}
+
+func (f *Fleet) entrySettings(p *Process) map[string]any {
+	s := f.common(p)
+	s["keepers"] = f.peers(p)
+	return overlay(s, f.options.Entry)
+}
+
+// peers maps each keeper to the address at which p reaches it.
+func (f *Fleet) peers(p *Process) map[string]any {
+	out := make(map[string]any)
+	for _, k := range f.keepers {
+		out[k.name] = k.link
+		if f.options.Links && k != p {
+			out[k.name] = f.urls[LinkName(p.name, k.name)]
+		}
+	}
+	return out
+}
+
+// LinkName names the proxy on the link from one instance to another.
+func LinkName(from, to string) string {
+	return "link-" + from + "-" + to
+}
+
+// WireName names the proxy before a backend server.
+func WireName(backend string) string {
+	return "wire-" + backend
+}
+
+func (f *Fleet) proxyTables() []map[string]any {
+	var tables []map[string]any
+	add := func(name, kind, target string) string {
+		address := f.ports.next()
+		tables = append(tables, map[string]any{"name": name, "kind": kind, "listen": address, "target": target})
+		f.controls[name] = f.proxies.url
+		return address
+	}
+	if f.options.Links {
+		for _, from := range append(append([]*Process{}, f.keepers...), f.entries...) {
+			for _, to := range f.keepers {
+				if from != to {
+					name := LinkName(from.name, to.name)
+					f.urls[name] = add(name, "udp", to.link)
+				}
+			}
+		}
+	}
+	if f.options.Wires {
+		for _, name := range f.backendNames() {
+			f.urls[WireName(name)] = "http://" + add(WireName(name), "tcp", host(f.urls[name]))
+		}
+	}
+	return tables
+}
+
+func (f *Fleet) backendNames() []string {
+	names := make([]string, 0, len(f.options.Engines)+len(f.options.Plains))
+	for _, e := range f.options.Engines {
+		names = append(names, e.Name)
+	}
+	for _, p := range f.options.Plains {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
+// backendSettings gives each backend server its address and returns the
+// settings of their stand-ins. Addresses are given once.
+func (f *Fleet) backendSettings() map[string]any {
+	engines := make([]map[string]any, 0, len(f.options.Engines))
+	plains := make([]map[string]any, 0, len(f.options.Plains))
+	for _, e := range f.options.Engines {
+		engines = append(engines, overlay(map[string]any{
+			"name": e.Name, "listen": f.backend(e.Name), "model": e.Model,
+			"role": string(e.Role), "fenced": e.Fenced,
+		}, e.Extra))
+	}
+	for _, p := range f.options.Plains {
+		plains = append(plains, overlay(map[string]any{
+			"name": p.Name, "listen": f.backend(p.Name), "service": p.Service,
+		}, p.Extra))
+	}
+	s := map[string]any{
+		"control": map[string]any{"http": host(f.backends.url)},
+		"list":    map[string]any{"listen": f.backend("list")},
+		"weights": map[string]any{"listen": f.backend("weights")},
+	}
+	if len(engines) > 0 {
+		s["engine"] = engines
+	}
+	if len(plains) > 0 {
+		s["plain"] = plains
+	}
+	return s
+}
+
+func (f *Fleet) backend(name string) string {
+	if f.urls[name] == "" {
+		f.urls[name] = "http://" + f.ports.next()
+		f.controls[name] = f.backends.url
+	}
+	return host(f.urls[name])
+}
+
+// front returns the URL at which the system reaches a backend server.
+func (f *Fleet) front(name string) string {
+	if f.options.Wires {
+		return f.urls[WireName(name)]
+	}
+	return f.urls[name]
+}
+
+func host(url string) string {
+	return strings.TrimPrefix(url, "http://")
+}
+
+// overlay copies over into base, table by table.
+func overlay(base, over map[string]any) map[string]any {
+	for k, v := range over {
+		table, ok := v.(map[string]any)
+		old, had := base[k].(map[string]any)
+		if ok && had {
+			base[k] = overlay(old, table)
+			continue
+		}
+		base[k] = v
+	}
+	return base
+}
