core/version/lang: parse and answer the operators' language

keepd has to take texts with several statements, turn changes into commands and answer questions from one version of the state. Each verb has its own small participle grammar, chosen by the first word: a single grammar for all verbs was tried first and reported its whole alternative list as what was expected, while a grammar per verb names the one thing that is missing. Columns have types, so that 9 sorts before 10 and a duration compares with a duration.

--- /dev/null
+++ b/core/version/lang/stmt.go
@@ -0,0 +1,119 @@
+package lang
+
+import (
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"verbenahaven.example/core/version/state"
+)
+
+const noLimit = -1
+
+// condition compares a column with a value.
+type condition struct {
+	column   string
+	operator string
+	text     string // as written
+	value    cell
+}
+
+// Statement is one question or change.
+type Statement struct {
+	verb   state.Verb
+	noun   state.Noun
+	name   string
+	target string
+	fields []state.Field
+
+	where      []condition
+	show       []string
+	sort       string
+	descending bool
+	limit      int
+	count      bool
+
+	pos lexer.Position
+}
+
+// Verb is what the statement does.
+func (s Statement) Verb() state.Verb { return s.verb }
+
+// Noun is the kind of object that the statement is about.
+func (s Statement) Noun() state.Noun { return s.noun }
+
+// Name is the name of the object; questions have none.
+func (s Statement) Name() string { return s.name }
+
+// Line is the line at which the statement starts, from 1.
+func (s Statement) Line() int { return s.pos.Line }
+
+// Change returns what the statement changes, or false if it changes nothing.
+func (s Statement) Change() (state.Change, bool) {
+	if s.verb == VerbAsk || s.verb == VerbExplain {
+		return state.Change{}, false
+	}
+	return state.Change{
+		Verb:   s.verb,
+		Noun:   s.noun,
+		Name:   s.name,
+		Target: s.target,
+		Fields: slices.Clone(s.fields),
+	}, true
+}
+
+// String writes the statement in its canonical form, which parses to an equal
+// statement.
+func (s Statement) String() string {
+	if s.verb == VerbAsk {
+		return s.askString()
+	}
+	words := []string{string(s.verb), string(s.noun), written(s.name)}
+	if s.target != "" {
+		words = append(words, "with", written(s.target))
+	}
+	for _, f := range s.fields {
+		words = append(words, f.Key, written(f.Value))
+	}
+	return strings.Join(words, " ")
+}
+
+func (s Statement) askString() string {
+	words := []string{string(s.verb), plural(s.noun)}
+	for i, c := range s.where {
+		lead := "and"
+		if i == 0 {
+			lead = "where"
+		}
+		words = append(words, lead, c.column, c.operator, written(c.text))
+	}
+	if len(s.show) > 0 {
+		words = append(words, "show", strings.Join(s.show, ", "))
+	}
+	if s.sort != "" {
+		words = append(words, "sort", "by", s.sort)
+	}
+	if s.descending {
+		words = append(words, "desc")
+	}
+	if s.limit != noLimit {
+		words = append(words, "limit", strconv.Itoa(s.limit))
+	}
+	if s.count {
+		words = append(words, "count")
+	}
+	return strings.Join(words, " ")
+}
+
+var bare = regexp.MustCompile(`^[^\s;,#"=!<>~]+$`)
+
+// written quotes a value unless it can stand as a bare word.
+func written(text string) string {
+	if bare.MatchString(text) {
+		return text
+	}
+	return strconv.Quote(text)
+}
--- /dev/null
+++ b/core/version/lang/words.go
@@ -0,0 +1,93 @@
+package lang
+
+import (
+	"sort"
+	"strings"
+
+	"verbenahaven.example/core/version/state"
+)
+
+// nouns lists the nouns of each verb.
+var nouns = map[state.Verb][]state.Noun{
+	VerbAsk: {
+		state.NounService, state.NounModel, state.NounEngine, state.NounServer, state.NounAccount,
+		state.NounMember, state.NounStrike, state.NounOrder, state.NounDecision,
+	},
+	VerbExplain: {state.NounEngine, state.NounOrder, state.NounDecision, state.NounCall},
+	state.VerbDeclare: {
+		state.NounService, state.NounModel, state.NounEngine, state.NounServer, state.NounAccount, state.NounMember,
+	},
+	state.VerbAssign: {state.NounEngine},
+	state.VerbDrain:  {state.NounEngine, state.NounServer, state.NounMember},
+	state.VerbWithdraw: {
+		state.NounService, state.NounModel, state.NounEngine, state.NounServer, state.NounAccount, state.NounMember,
+	},
+	state.VerbReplace: {state.NounEngine, state.NounServer, state.NounMember},
+}
+
+// declared lists the keys of each noun that an operator may declare.
+var declared = map[state.Noun][]string{
+	state.NounService: {"kind", "model", "adapter", "revision", "class", "deadline", "first", "once"},
+	state.NounModel:   {"revision", "adapters"},
+	state.NounEngine:  {"url", "centre", "role", "model", "adapter", "revision", "fenced"},
+	state.NounServer:  {"url", "centre", "service"},
+	state.NounAccount: {"digest", "tokens", "requests", "operator"},
+	state.NounMember:  {"kind", "url", "link", "centre"},
+}
+
+var assigned = []string{"role", "model", "adapter", "revision"}
+
+// keys lists the keys that a verb accepts for a noun.
+func keys(verb state.Verb, noun state.Noun) []string {
+	if verb == state.VerbAssign {
+		return assigned
+	}
+	return declared[noun]
+}
+
+// findNoun reads a noun in the singular or plural.
+func findNoun(verb state.Verb, w nounNode) (state.Noun, error) {
+	allowed := nouns[verb]
+	for _, n := range allowed {
+		if w.Text == string(n) || w.Text == plural(n) {
+			return n, nil
+		}
+	}
+	names := make([]string, len(allowed))
+	for i, n := range allowed {
+		names[i] = string(n)
+		if verb == VerbAsk {
+			names[i] = plural(n)
+		}
+	}
+	return "", at(w.Pos, string(verb)+" can't take "+quote(w.Text), oneOf(names))
+}
+
+func plural(n state.Noun) string {
+	return string(n) + "s"
+}
+
+func verbList() string {
+	list := make([]string, 0, len(rules))
+	for v := range rules {
+		list = append(list, v)
+	}
+	sort.Strings(list)
+	return oneOf(list)
+}
+
+func oneOf(list []string) string {
+	if len(list) == 1 {
+		return list[0]
+	}
+	return "one of " + strings.Join(list, ", ")
+}
+
+func contains(list []string, text string) bool {
+	for _, s := range list {
+		if s == text {
+			return true
+		}
+	}
+	return false
+}
