core/version: orders, slices, roster and the guarded writer; keepd: settings and duties

Decisions about open orders, leased slices and heartbeats are pure machines; keepd's duties carry them out. Each intent and each adoption gets a fencing number of its own: with the term as the number, two orders of one term would share it and a late copy of the first could pass. A leader's term is kept beside it, so that a new leader knows which orders to adopt.

--- a/core/conn/engine/engine.go
+++ b/core/conn/engine/engine.go
@@ -125,6 +125,13 @@
 	Reason   string `json:"reason,omitempty"` // old_fence, busy, unknown_model
 }
 
+// Reasons for which an engine refuses an order.
+const (
+	ReasonFence = "old_fence"
+	ReasonBusy  = "busy"
+	ReasonModel = "unknown_model"
+)
+
 // Status is the engine's own account of its orders.
 type Status struct {
 	Engine   string     `json:"engine"`
--- /dev/null
+++ b/core/conn/guard/guard.go
@@ -0,0 +1,172 @@
+// Package guard sends orders to engines under the leader's lease. An engine
+// that doesn't check fencing numbers obeys whatever reaches it, so no byte of
+// an order may leave, or wait in the kernel to be sent, after the lease.
+package guard
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// ErrLease tells that too little of the lease remained to write.
+var ErrLease = errors.New("the lease doesn't cover the write")
+
+// maxAnswer bounds the answer of an engine, in bytes.
+const maxAnswer = 1 << 20
+
+// Lease tells for how long this member is certain to lead.
+type Lease func() time.Duration
+
+// Writer sends one request on a connection of its own.
+type Writer struct {
+	lease  Lease
+	margin time.Duration
+	wait   time.Duration
+}
+
+// New returns a writer. Bytes that the engine hasn't acknowledged are given up
+// the margin before the lease ends, and none are written after that; wait
+// bounds one exchange.
+func New(lease Lease, margin, wait time.Duration) *Writer {
+	return &Writer{lease: lease, margin: margin, wait: wait}
+}
+
+// Post sends a JSON body and decodes the JSON answer. Wrote tells whether any
+// byte may have left.
+func (w *Writer) Post(ctx context.Context, url string, body, answer any) (wrote bool, err error) {
+	remaining := w.lease()
+	if remaining <= w.margin {
+		return false, ErrLease
+	}
+	b, err := json.Marshal(body)
+	if err != nil {
+		return false, fmt.Errorf("encode order: %w", err)
+	}
+	// The connection dies with the lease that was held before it was dialled.
+	ctx, cancel := context.WithTimeout(ctx, min(remaining-w.margin, w.wait))
+	defer cancel()
+	var written atomic.Bool
+	transport := &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return w.dial(ctx, network, address, &written)
+		},
+	}
+	defer transport.CloseIdleConnections()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return false, fmt.Errorf("make order request: %w", err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	err = exchange(transport, r, answer)
+	return written.Load(), err
+}
+
+func exchange(transport *http.Transport, r *http.Request, answer any) error {
+	reply, err := transport.RoundTrip(r)
+	if err != nil {
+		return fmt.Errorf("send order: %w", err)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("read answer to order: %w", err)
+	}
+	if reply.StatusCode >= http.StatusInternalServerError {
+		return fmt.Errorf("answer to order: status %d", reply.StatusCode)
+	}
+	if err := json.Unmarshal(b, answer); err != nil {
+		return fmt.Errorf("decode answer to order: %w", err)
+	}
+	return nil
+}
+
+func (w *Writer) dial(ctx context.Context, network, address string, written *atomic.Bool) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1}
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, fmt.Errorf("dial engine: %w", err)
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		_ = c.Close()
+		return nil, fmt.Errorf("dial engine: %T is no TCP connection", c)
+	}
+	// Closing drops what the kernel hasn't sent instead of sending it later.
+	if err := tcp.SetLinger(0); err != nil {
+		_ = c.Close()
+		return nil, fmt.Errorf("set linger: %w", err)
+	}
+	deadline, _ := ctx.Deadline()
+	g := &conn{TCPConn: tcp, writer: w, written: written}
+	g.timer = time.AfterFunc(time.Until(deadline), func() { _ = tcp.Close() })
+	return g, nil
+}
+
+// conn checks the lease immediately before each write.
+type conn struct {
+	*net.TCPConn
+	writer  *Writer
+	written *atomic.Bool
+	timer   *time.Timer
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	remaining := c.writer.lease()
+	if remaining <= c.writer.margin {
+		_ = c.Close()
+		return 0, ErrLease
+	}
+	if err := c.expire(remaining - c.writer.margin); err != nil {
+		_ = c.Close()
+		return 0, err
+	}
+	if c.writer.lease() <= c.writer.margin {
+		_ = c.Close()
+		return 0, ErrLease
+	}
+	c.written.Store(true)
+	n, err := c.TCPConn.Write(b)
+	if err != nil {
+		return n, fmt.Errorf("write order: %w", err)
+	}
+	return n, nil
+}
+
+// expire makes the kernel give up unacknowledged bytes after a time,
+// also while this process is stopped.
+func (c *conn) expire(left time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("reach socket: %w", err)
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, max(1, int(left.Milliseconds())))
+	})
+	if err = errors.Join(err, failed); err != nil {
+		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.timer.Stop()
+	if err := c.TCPConn.Close(); err != nil {
+		return fmt.Errorf("close connection to engine: %w", err)
+	}
+	return nil
+}
--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -65,6 +65,7 @@
 	Demand   []Demand          `cbor:"4,keyasint,omitempty"`
 	Reports  []Report          `cbor:"5,keyasint,omitempty"`
 	InFlight map[string]uint32 `cbor:"6,keyasint,omitempty"` // own requests by backend server, only those leaving or changing
+	Holder   string            `cbor:"7,keyasint,omitempty"` // as in OnceRequest: keeps the calls that it runs from being given up
 }
 
 // BeatReply confirms a heartbeat.
--- a/core/version/ledger/ledger.go
+++ b/core/version/ledger/ledger.go
@@ -57,6 +57,7 @@
 	stage       Stage
 	attempt     string // that was allowed to start
 	holder      string // that may send it
+	unsure      bool   // the holder itself can't tell whether it ran
 	closed      []string
 	status      int
 	kind        string
@@ -210,7 +211,7 @@
 		return proto.OnceReply{Verdict: proto.VerdictDone}
 	case q.Unknown || l.used+len(q.Body) > l.limit():
 		// Without room for the answer the call can't be replayed whole.
-		l.edit(r, func() { r.stage = StageUnknown })
+		l.edit(r, func() { r.stage, r.unsure = StageUnknown, true })
 		return proto.OnceReply{Verdict: proto.VerdictUnknown}
 	}
 	l.edit(r, func() {
@@ -219,15 +220,24 @@
 	return proto.OnceReply{Verdict: proto.VerdictDone}
 }
 
-// close promises that an attempt never starts, unless it already did.
+// close promises that an attempt never starts. An attempt that was told to
+// start is closed by its own holder only, which thereby tells that it sent
+// nothing: no other instance could have.
 func (l *Ledger) close(k key, q proto.OnceRequest) proto.OnceReply {
 	r, found := l.records[k]
 	if !found {
 		r = &record{key: k}
 	}
+	own := r.attempt == q.Attempt && (r.stage == StageStarted || r.stage == StageUnknown && !r.unsure)
 	switch {
 	case slices.Contains(r.closed, q.Attempt):
 		return proto.OnceReply{Verdict: proto.VerdictClosed}
+	case own && r.holder == q.Holder:
+		l.edit(r, func() {
+			r.stage, r.attempt, r.holder = StageIdle, "", ""
+			r.closed = append(r.closed, q.Attempt)
+		})
+		return proto.OnceReply{Verdict: proto.VerdictClosed}
 	case r.stage != StageIdle && r.attempt == q.Attempt:
 		return r.started()
 	case len(r.closed) >= maxClosed || l.used+r.bytes()+attemptBytes+len(q.Attempt) > l.limit():
@@ -239,11 +249,8 @@
 
 // started answers a close that comes too late.
 func (r *record) started() proto.OnceReply {
-	switch r.stage {
-	case StageStarted:
+	if r.stage == StageStarted {
 		return proto.OnceReply{Verdict: proto.VerdictStart}
-	case StageDone:
-		return r.answer(proto.VerdictDone)
 	}
 	return r.outcome()
 }
@@ -254,7 +261,7 @@
 	l.advance(now)
 	n := 0
 	for _, r := range sorted(l.holders[holder]) {
-		l.edit(r, func() { r.stage = StageUnknown })
+		l.edit(r, func() { r.stage, r.unsure = StageUnknown, false })
 		n++
 	}
 	return n
--- a/core/version/ledger/room.go
+++ b/core/version/ledger/room.go
@@ -90,6 +90,7 @@
 	Kind        string   `cbor:"10,keyasint,omitempty"`
 	Body        []byte   `cbor:"11,keyasint,omitempty"`
 	Until       int64    `cbor:"12,keyasint"`
+	Unsure      bool     `cbor:"13,keyasint,omitempty"`
 }
 
 type image struct {
@@ -109,7 +110,7 @@
 		i.Entries = append(i.Entries, entry{
 			Account: r.key.account, Service: r.key.service, Name: r.key.name, Fingerprint: r.fingerprint,
 			Stage: r.stage, Attempt: r.attempt, Holder: r.holder, Closed: r.closed,
-			Status: r.status, Kind: r.kind, Body: r.body, Until: r.until.UnixNano(),
+			Status: r.status, Kind: r.kind, Body: r.body, Until: r.until.UnixNano(), Unsure: r.unsure,
 		})
 	}
 	b, err := cbor.Marshal(i)
@@ -132,7 +133,7 @@
 	for _, e := range i.Entries {
 		l.insert(&record{
 			key: key{e.Account, e.Service, e.Name}, fingerprint: e.Fingerprint, stage: e.Stage, attempt: e.Attempt,
-			holder: e.Holder, closed: e.Closed, status: e.Status, kind: e.Kind, body: e.Body, until: time.Unix(0, e.Until).UTC(),
+			holder: e.Holder, closed: e.Closed, status: e.Status, kind: e.Kind, body: e.Body, until: time.Unix(0, e.Until).UTC(), unsure: e.Unsure,
 		})
 	}
 	return nil
--- /dev/null
+++ b/core/version/roster/roster.go
@@ -0,0 +1,152 @@
+// Package roster is what the leader knows of the entry instances from their
+// heartbeats: who is alive, whose requests still run on a backend server, and
+// the demand that arrived. It is a pure state machine of the leader; a new
+// leader starts it empty and gives each instance a whole lease to be heard.
+package roster
+
+import (
+	"slices"
+	"time"
+
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/version/state"
+)
+
+// Settings are the times after which silence means loss.
+type Settings struct {
+	Lease  time.Duration // of an entry instance
+	Holder time.Duration // of a holder of run-once calls
+}
+
+// beat is the last heartbeat of an instance.
+type beat struct {
+	heard    time.Duration
+	version  uint64
+	inFlight map[string]uint32
+	demand   []proto.Demand
+}
+
+// Roster holds the heartbeats. It isn't safe for concurrent use.
+type Roster struct {
+	settings Settings
+	began    time.Duration
+	beats    map[string]beat
+	holders  map[string]time.Duration // last heard
+	reports  map[string]proto.Report  // newest, by engine
+}
+
+// New returns the roster of a leader whose term began now.
+func New(now time.Duration, s Settings) *Roster {
+	return &Roster{
+		settings: s,
+		began:    now,
+		beats:    make(map[string]beat),
+		holders:  make(map[string]time.Duration),
+		reports:  make(map[string]proto.Report),
+	}
+}
+
+// Beat takes a heartbeat.
+func (r *Roster) Beat(now time.Duration, q proto.BeatRequest) {
+	r.beats[q.Member.Name] = beat{heard: now, version: q.Version, inFlight: q.InFlight, demand: q.Demand}
+	if q.Holder != "" {
+		r.holders[q.Holder] = now
+	}
+	for _, report := range q.Reports {
+		if old, found := r.reports[report.Engine]; !found || !report.At.Before(old.At) {
+			r.reports[report.Engine] = report
+		}
+	}
+}
+
+// Heard tells that a holder took a step of a call.
+func (r *Roster) Heard(now time.Duration, holder string) {
+	r.holders[holder] = now
+}
+
+// Lost returns the members whose lease has run out.
+func (r *Roster) Lost(now time.Duration, members []state.Member) []string {
+	var names []string
+	for _, m := range members {
+		if m.Kind == state.MemberEntry && m.Phase != state.PhaseLost && m.Phase != state.PhaseGone && !r.alive(now, m.Name) {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// alive counts a member that this leader never heard from the start of its
+// term.
+func (r *Roster) alive(now time.Duration, name string) bool {
+	return now-max(r.began, r.beats[name].heard) <= r.settings.Lease
+}
+
+// Vanished returns those of the holders that were not heard for their time,
+// and forgets the times of holders that hold nothing.
+func (r *Roster) Vanished(now time.Duration, holders []string) []string {
+	var names []string
+	for _, h := range holders {
+		if now-max(r.began, r.holders[h]) > r.settings.Holder {
+			names = append(names, h)
+		}
+	}
+	for h, heard := range r.holders {
+		if now-heard > r.settings.Holder && !slices.Contains(holders, h) {
+			delete(r.holders, h)
+		}
+	}
+	return names
+}
+
+// Settled tells whether no member sends requests to a backend server that was
+// marked at a version, or still has any running there. A member counts until
+// the leader has marked it as lost.
+func (r *Roster) Settled(members []state.Member, server string, version uint64) bool {
+	for _, m := range members {
+		if m.Kind != state.MemberEntry || m.Phase == state.PhaseLost || m.Phase == state.PhaseGone {
+			continue
+		}
+		b, found := r.beats[m.Name]
+		if !found || b.version < version || b.inFlight[server] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Demand sums what arrived at the live instances, by service.
+func (r *Roster) Demand(now time.Duration) map[string]proto.Demand {
+	total := make(map[string]proto.Demand)
+	for name, b := range r.beats {
+		if !r.alive(now, name) {
+			continue
+		}
+		for _, d := range b.demand {
+			t := total[d.Service]
+			t.Service = d.Service
+			t.Requests += d.Requests
+			t.Prefill += d.Prefill
+			t.Decode += d.Decode
+			t.Refused += d.Refused
+			total[d.Service] = t
+		}
+	}
+	return total
+}
+
+// Report returns the newest load report of an engine.
+func (r *Roster) Report(engine string) (proto.Report, bool) {
+	p, found := r.reports[engine]
+	return p, found
+}
+
+// Live counts the instances that were heard within their lease.
+func (r *Roster) Live(now time.Duration) int {
+	n := 0
+	for _, b := range r.beats {
+		if now-b.heard <= r.settings.Lease {
+			n++
+		}
+	}
+	return n
+}
--- a/core/version/state/change.go
+++ b/core/version/state/change.go
@@ -1,7 +1,7 @@
 package state
 
 // change executes one statement of an operator.
-func (s *State) change(c Change, fence uint64) error {
+func (s *State) change(c Change, term uint64) error {
 	if err := checkName(c.Noun, c.Name); err != nil {
 		return err
 	}
@@ -12,7 +12,7 @@
 	case VerbDeclare:
 		return s.declare(c)
 	case VerbAssign:
-		return s.assign(c, fence)
+		return s.assign(c, term)
 	case VerbDrain:
 		return s.drain(c)
 	case VerbWithdraw:
@@ -24,7 +24,7 @@
 }
 
 // assign opens an order that makes an engine run something else.
-func (s *State) assign(c Change, fence uint64) error {
+func (s *State) assign(c Change, term uint64) error {
 	if c.Noun != NounEngine {
 		return refuse(CodeInvalid, "assign %s: only engines are assigned", c.Noun)
 	}
@@ -32,7 +32,7 @@
 	if !found {
 		return refuse(CodeInvalid, "engine %s: unknown", c.Name)
 	}
-	o := Order{Engine: c.Name, Fence: fence, Role: e.Role, Model: e.Model, Adapter: e.Adapter, Revision: e.Revision, Reason: "operator"}
+	o := Order{Engine: c.Name, Term: term, Role: e.Role, Model: e.Model, Adapter: e.Adapter, Revision: e.Revision, Reason: "operator"}
 	r := &reader{noun: c.Noun, name: c.Name, fields: c.Fields}
 	choice(r, "role", &o.Role, RolePrefill, RoleDecode, RoleMixed)
 	r.word("model", &o.Model)
@@ -48,20 +48,20 @@
 	return err
 }
 
-// phase returns a pointer-free accessor pair for the objects that have one.
-func (s *State) phase(noun Noun, name string) (Phase, bool) {
+// Phase returns the phase of an object and the version that it has it since.
+func (s *State) Phase(noun Noun, name string) (Phase, uint64) {
 	switch noun {
 	case NounEngine:
-		e, found := s.engines.rows[name]
-		return e.Phase, found
+		e := s.engines.rows[name]
+		return e.Phase, e.Version
 	case NounServer:
-		v, found := s.servers.rows[name]
-		return v.Phase, found
+		v := s.servers.rows[name]
+		return v.Phase, v.Version
 	case NounMember:
-		m, found := s.members.rows[name]
-		return m.Phase, found
+		m := s.members.rows[name]
+		return m.Phase, m.Version
 	}
-	return "", false
+	return "", 0
 }
 
 func (s *State) setPhase(noun Noun, name string, p Phase) {
@@ -85,7 +85,7 @@
 	if c.Noun != NounEngine && c.Noun != NounServer && c.Noun != NounMember {
 		return refuse(CodeInvalid, "%s %s: only engines, servers and members are drained", c.Verb, c.Noun)
 	}
-	if _, found := s.phase(c.Noun, c.Name); !found {
+	if phase, _ := s.Phase(c.Noun, c.Name); phase == "" {
 		return refuse(CodeInvalid, "%s %s: unknown", c.Noun, c.Name)
 	}
 	return nil
@@ -100,7 +100,7 @@
 	n.Drained = true
 	edit(&n)
 	s.notes[k] = n
-	if p, _ := s.phase(noun, name); p == PhaseServing || p == PhaseLost {
+	if p, _ := s.Phase(noun, name); p == PhaseServing || p == PhaseLost {
 		s.setPhase(noun, name, PhaseLeaving)
 	}
 }
@@ -178,8 +178,8 @@
 	if c.Target == c.Name {
 		return refuse(CodeInvalid, "%s %s: can't replace itself", c.Noun, c.Name)
 	}
-	p, found := s.phase(c.Noun, c.Target)
-	if !found {
+	p, _ := s.Phase(c.Noun, c.Target)
+	if p == "" {
 		return refuse(CodeInvalid, "%s %s: unknown", c.Noun, c.Target)
 	}
 	if p == PhaseLeaving || p == PhaseGone {
--- a/core/version/state/object.go
+++ b/core/version/state/object.go
@@ -209,6 +209,7 @@
 	Reason   string    `cbor:"8,keyasint,omitempty" json:"reason,omitempty"`
 	Status   string    `cbor:"9,keyasint" json:"status"` // open, done, failed
 	At       time.Time `cbor:"10,keyasint" json:"at"`
+	Term     uint64    `cbor:"11,keyasint" json:"term"` // of the leader that answers for it
 }
 
 // Decision is a record of what the planner saw, weighed and chose.
--- a/core/version/state/operator.go
+++ b/core/version/state/operator.go
@@ -69,8 +69,8 @@
 }
 
 // Update applies a command of an operator once: the same command again gets
-// the first answer. The fencing number is the term of the proposer.
-func (s *State) Update(u Update, fence uint64) Outcome {
+// the first answer. The term is that of the proposer.
+func (s *State) Update(u Update, term uint64) Outcome {
 	digest := u.digest()
 	known := s.operators[u.Operator]
 	at, found := slices.BinarySearchFunc(known, u.Number, func(o outcome, number uint64) int {
@@ -88,7 +88,7 @@
 	if at == 0 && len(known) >= maxOutcomes {
 		return Outcome{Version: s.version, Code: CodeOld, Text: fmt.Sprintf("number %d is older than the last %d commands", u.Number, maxOutcomes)}
 	}
-	answer := s.execute(u, fence)
+	answer := s.execute(u, term)
 	known = slices.Insert(known, at, outcome{Number: u.Number, Digest: digest, Answer: answer})
 	if len(known) > maxOutcomes {
 		known = slices.Clone(known[1:])
@@ -106,7 +106,7 @@
 	return answer
 }
 
-func (s *State) execute(u Update, fence uint64) Outcome {
+func (s *State) execute(u Update, term uint64) Outcome {
 	if u.Expect != 0 && u.Expect != s.version {
 		return Outcome{Version: s.version, Code: CodeExpect, Text: fmt.Sprintf("expected version %d, the state is at %d", u.Expect, s.version)}
 	}
@@ -115,7 +115,7 @@
 		undo = s.clone()
 	}
 	for _, c := range u.Changes {
-		err := s.change(c, fence)
+		err := s.change(c, term)
 		if err == nil {
 			continue
 		}
--- a/core/version/state/order.go
+++ b/core/version/state/order.go
@@ -27,24 +27,30 @@
 		return Order{}, refuse(CodeInvalid, "engine %s: is %s", o.Engine, e.Phase)
 	}
 	s.orders++
-	s.fence = max(s.fence, o.Fence)
-	o.Number, o.Fence, o.Status, o.At = s.orders, s.fence, OrderOpen, s.now
+	o.Number, o.Fence, o.Status, o.At = s.orders, s.nextFence(), OrderOpen, s.now
 	s.open[o.Engine] = o
 	s.setPhase(NounEngine, o.Engine, PhaseChanging)
 	return o, nil
 }
 
-// Adopt raises the fencing number of an open order to that of a new leader.
-func (s *State) Adopt(number, fence uint64) (Order, error) {
+// nextFence makes each intent and each adoption a number of its own, so that
+// an engine that checks them refuses every late copy of an earlier order.
+func (s *State) nextFence() uint64 {
+	s.fence++
+	return s.fence
+}
+
+// Adopt hands an open order to the leader of a later term under a new
+// fencing number.
+func (s *State) Adopt(number, term uint64) (Order, error) {
 	for name, o := range s.open {
 		if o.Number != number {
 			continue
 		}
-		if fence < o.Fence {
-			return Order{}, refuse(CodeConflict, "order %d: fence %d is below %d", number, fence, o.Fence)
+		if term <= o.Term {
+			return Order{}, refuse(CodeConflict, "order %d: term %d answers for it, not %d", number, o.Term, term)
 		}
-		o.Fence = fence
-		s.fence = max(s.fence, fence)
+		o.Term, o.Fence = term, s.nextFence()
 		s.open[name] = o
 		return o, nil
 	}
@@ -150,9 +156,9 @@
 // removed, one whose replacement serves is withdrawn.
 func (s *State) Release(noun Noun, name string) error {
 	n, found := s.notes[removedKey{noun, name}]
-	p, known := s.phase(noun, name)
+	p, _ := s.Phase(noun, name)
 	switch {
-	case !found || !known:
+	case !found || p == "":
 		return refuse(CodeInvalid, "%s %s: nothing is pending", noun, name)
 	case n.Target != "":
 		s.leave(noun, name, func(n *note) { n.Target, n.Withdraw = "", true })
--- a/core/version/store/command.go
+++ b/core/version/store/command.go
@@ -17,7 +17,7 @@
 // Command is one entry of the log. Exactly one of its parts is set.
 type Command struct {
 	At     int64              `cbor:"1,keyasint"` // Unix nanoseconds at the proposer
-	Fence  uint64             `cbor:"2,keyasint,omitempty"`
+	Term   uint64             `cbor:"2,keyasint,omitempty"`
 	Update *state.Update      `cbor:"3,keyasint,omitempty"`
 	Join   *state.Member      `cbor:"4,keyasint,omitempty"`
 	Lose   *Named             `cbor:"5,keyasint,omitempty"`
@@ -53,7 +53,7 @@
 	Decision state.Decision `cbor:"3,keyasint"`
 }
 
-// Adoption takes over an open order under the fence of the command.
+// Adoption takes over an open order for the term of the command.
 type Adoption struct {
 	Number uint64 `cbor:"1,keyasint"`
 }
--- a/core/version/store/store.go
+++ b/core/version/store/store.go
@@ -72,7 +72,7 @@
 	case c.Vanish != nil:
 		return s.ledger.Lost(s.state.Now(), c.Vanish.Name)
 	case c.Update != nil:
-		return s.state.Update(*c.Update, c.Fence)
+		return s.state.Update(*c.Update, c.Term)
 	case c.Join != nil:
 		return either(s.state.Join(*c.Join))
 	case c.Lose != nil:
@@ -92,9 +92,9 @@
 func (s *Store) order(c Command) any {
 	switch {
 	case c.Intend != nil:
-		return s.intend(*c.Intend, c.Fence)
+		return s.intend(*c.Intend, c.Term)
 	case c.Adopt != nil:
-		return either(s.state.Adopt(c.Adopt.Number, c.Fence))
+		return either(s.state.Adopt(c.Adopt.Number, c.Term))
 	case c.Finish != nil:
 		return problem(s.state.Finish(c.Finish.Number, c.Finish.Status, c.Finish.Reason))
 	case c.Free != nil:
@@ -127,13 +127,13 @@
 }
 
 // intend opens the planner's order and records its decision.
-func (s *Store) intend(i Intent, fence uint64) any {
+func (s *Store) intend(i Intent, term uint64) any {
 	e, found := s.state.Engine(i.Engine)
 	if !found {
 		return fmt.Errorf("engine %s: unknown", i.Engine)
 	}
 	o, err := s.state.Intend(state.Order{
-		Engine: i.Engine, Fence: fence, Role: i.Role,
+		Engine: i.Engine, Term: term, Role: i.Role,
 		Model: e.Model, Adapter: e.Adapter, Revision: e.Revision, Reason: "planner",
 	})
 	if err != nil {
--- /dev/null
+++ b/keepd/lead/plan.go
@@ -0,0 +1,88 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"verbenahaven.example/core/version/ledger"
+	"verbenahaven.example/core/version/plan"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/store"
+)
+
+// runPlan lets the policy decide once a period while this member leads. The
+// policy starts anew with each term.
+func (l *Lead) runPlan(ctx context.Context) {
+	var term uint64
+	policy := l.policy()
+	every(ctx, time.Duration(l.settings.Plan.Period), func() {
+		now := l.leading()
+		if now == 0 {
+			return
+		}
+		if now != term {
+			term, policy = now, l.policy()
+		}
+		c, ok := policy.Decide(l.clock.Now(), l.planInput())
+		if ok {
+			l.intend(ctx, c)
+		}
+	})
+}
+
+func (l *Lead) policy() plan.Policy {
+	return plan.Fixed{}
+}
+
+// intend opens the order that a choice asks for.
+func (l *Lead) intend(ctx context.Context, c plan.Choice) {
+	l.meter.Count("plan", "chosen")
+	o, err := propose[state.Order](ctx, l, store.Command{Intend: &store.Intent{
+		Engine: c.Engine, Role: c.Role,
+		Decision: state.Decision{Engine: c.Engine, Saw: c.Saw, Weighed: c.Weighed, Chose: string(c.Role) + ": " + c.Reason},
+	}})
+	if err != nil {
+		l.meter.Count("plan", "refused")
+		klog.Warningf("role %s for engine %s: %v", c.Role, c.Engine, err)
+		return
+	}
+	klog.Infof("order %d: engine %s becomes %s", o.Number, o.Engine, o.Role)
+}
+
+func (l *Lead) planInput() plan.Input {
+	var in plan.Input
+	now := l.clock.Now()
+	l.read(func(s *state.State, _ *ledger.Ledger) {
+		v := s.View(0)
+		_ = l.hold(func(at time.Duration, _ uint64) {
+			for _, e := range v.Engines {
+				in.Engines = append(in.Engines, l.planEngine(now, e, s.Changed(e.Name)))
+			}
+			demand := l.roster.Demand(at)
+			for _, sv := range v.Services {
+				if sv.Kind != state.KindModel {
+					continue
+				}
+				d := demand[sv.Name]
+				in.Demand = append(in.Demand, plan.Demand{
+					Service: sv.Name, Model: sv.Model, Class: sv.Class, First: sv.First,
+					Requests: d.Requests, Prefill: d.Prefill, Decode: d.Decode, Refused: d.Refused,
+				})
+			}
+		})
+	})
+	return in
+}
+
+func (l *Lead) planEngine(now time.Time, e state.Engine, changed time.Time) plan.Engine {
+	p := plan.Engine{Name: e.Name, Centre: e.Centre, Model: e.Model, Role: e.Role, Phase: e.Phase, Changed: changed}
+	r, heard := l.roster.Report(e.Name)
+	if !heard {
+		return p
+	}
+	p.Alive, p.Running, p.Waiting, p.Queue = r.Alive, r.Running, r.Waiting, r.Queue
+	p.Used, p.Step, p.Age = r.Used, r.Step, now.Sub(r.At)
+	return p
+}
