--- /dev/null
+++ b/stand/gate/serve.go
@@ -0,0 +1,38 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"verbenahaven.example/core/process/boot"
+)
+
+const headerTimeout = 10 * time.Second
+
+// Serve starts an HTTP server on an address. The clean-up closes the listener
+// and all connections and waits.
+func Serve(ctx context.Context, address string, h http.Handler) (*Listener, func(), error) {
+	raw, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, nil, boot.Fail(boot.ExitAddress, fmt.Errorf("listen on %s: %w", address, err))
+	}
+	l := New(raw)
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, "server stopped", "address", address)
+		}
+	}()
+	return l, func() {
+		_ = s.Close()
+		<-done
+	}, nil
+}
