--- /dev/null
+++ b/trial/chaos/chaos_test.go
@@ -0,0 +1,52 @@
+package chaos
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func options() Options {
+	return Options{
+		Length: time.Minute, Gap: 300 * time.Millisecond, Longest: 3 * time.Second, Repair: 10 * time.Second,
+		Keepers: []string{"keep1", "keep2", "keep3"}, Entries: []string{"entry1", "entry2"},
+		Engines: []string{"engine1", "engine2"}, Plains: []string{"plain1"},
+	}
+}
+
+func TestSchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		faults := Schedule(seed, options())
+		if !slices.Equal(faults, Schedule(seed, options())) {
+			t.Fatal("the same seed gave another schedule")
+		}
+		until := make(map[string]time.Duration)
+		wiped := -time.Minute
+		for _, f := range faults {
+			if f.At() < until[f.Target()] {
+				t.Fatalf("%s: target is still under a fault", f)
+			}
+			until[f.Target()] = f.At() + f.For()
+			if f.At()+f.For() > options().Length-quiet+shortest {
+				t.Fatalf("%s: reaches into the quiet end", f)
+			}
+			if f.Kind() != WipeKeep {
+				continue
+			}
+			if f.At()-wiped < options().Repair {
+				t.Fatalf("%s: folders lost too close to each other", f)
+			}
+			wiped = f.At() + f.For()
+		}
+	})
+}
+
+func ExampleSchedule() {
+	faults := Schedule(1, options())
+	fmt.Println(len(faults) > 20, faults[0].Kind().Planned())
+	// Output: true false
+}
--- /dev/null
+++ b/trial/check/check_test.go
@@ -0,0 +1,98 @@
+package check
+
+import (
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/conn/stand"
+	"verbenahaven.example/core/version/state"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// good is a record without a violation.
+func good() *Record {
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	return &Record{
+		Force: 8 * time.Second,
+		Chats: []Chat{{
+			Entry: "entry1", At: at(0), End: at(1), Model: "m", Prompt: "p", Want: 2, Whole: true,
+			Tokens: []string{stand.Token("m", "p", 0, 0), stand.Token("m", "p", 0, 1)},
+		}},
+		Filings: []Filing{{Call: "a/k", Tries: []Try{
+			{Ran: "not_run"}, {Status: 200, Body: "done"}, {Status: 200, Body: "done"},
+		}}},
+		Sights:  []Sight{{Entry: "entry1", At: at(0), Version: 3}, {Entry: "entry1", At: at(20), Version: 9}},
+		Accepts: []Accept{{Operator: "o", Number: 1, Text: "t", At: at(5), Version: 9}, {Operator: "o", Number: 1, Text: "t", At: at(6), Version: 9}},
+		Engines: map[string][]stand.Record{"engine1": {
+			{Kind: stand.RecordOrder, Order: &state.Order{Number: 1}, Accepted: true},
+			{Kind: stand.RecordChanged, Order: &state.Order{Number: 1}},
+			{Kind: stand.RecordCrash},
+			{Kind: stand.RecordCut, Attempt: "x"},
+			{Kind: stand.RecordRevive},
+		}},
+		Plains: map[string][]stand.Record{"plain1": {{Kind: stand.RecordRun, Call: "a/k"}}},
+	}
+}
+
+// TestRules breaks one thing at a time and expects just its rule.
+func TestRules(t *testing.T) {
+	cases := map[string]struct {
+		rule  Rule
+		spoil func(r *Record)
+	}{
+		"good":           {"", func(*Record) {}},
+		"crossed token":  {RuleWhole, func(r *Record) { r.Chats[0].Tokens[1] = "w" }},
+		"missing token":  {RuleWhole, func(r *Record) { r.Chats[0].Tokens = r.Chats[0].Tokens[:1] }},
+		"untold break":   {RuleTold, func(r *Record) { r.Chats[0].Whole = false }},
+		"second run":     {RuleOnce, func(r *Record) { r.Plains["plain2"] = r.Plains["plain1"] }},
+		"other answer":   {RuleOnce, func(r *Record) { r.Filings[0].Tries[2].Body = "again" }},
+		"answer, no run": {RuleOnce, func(r *Record) { r.Plains["plain1"] = nil }},
+		"false not_run":  {RuleNotRun, func(r *Record) { r.Filings[0].Tries = r.Filings[0].Tries[:1] }},
+		"conflict":       {RuleConflict, func(r *Record) { r.Engines["engine1"][0].Conflict = true }},
+		"order twice": {RuleConflict, func(r *Record) {
+			r.Engines["engine1"] = append(r.Engines["engine1"], r.Engines["engine1"][1])
+		}},
+		"planned cut": {RulePlanned, func(r *Record) {
+			r.Engines["engine1"] = append(r.Engines["engine1"], stand.Record{Kind: stand.RecordCut})
+		}},
+		"revert":     {RuleRevert, func(r *Record) { r.Sights[0].Version = 10 }},
+		"not in use": {RuleForce, func(r *Record) { r.Sights[1].Version = 8 }},
+		"two texts":  {RuleNumber, func(r *Record) { r.Accepts[1].Text = "u" }},
+		"two versions": {RuleNumber, func(r *Record) {
+			r.Accepts[1].Version = 8
+		}},
+		"failure": {RuleFailed, func(r *Record) { r.Failures = []string{"exit 1"} }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := good()
+			c.spoil(r)
+			found := r.Violations()
+			if c.rule == "" {
+				if len(found) != 0 {
+					t.Fatalf("violations %v, want none", found)
+				}
+				return
+			}
+			if len(found) != 1 || found[0].Rule() != c.rule {
+				t.Fatalf("violations %v, want one of rule %s", found, c.rule)
+			}
+		})
+	}
+}
+
+// TestForceLetsOff expects that an instance under a fault is let off, and one
+// that recovered long ago is not.
+func TestForceLetsOff(t *testing.T) {
+	r := good()
+	r.Sights[1].Version = 8
+	r.Spans = []Span{{Name: "entry1", From: start.Add(15 * time.Second), To: start.Add(16 * time.Second)}}
+	if found := r.Violations(); len(found) != 0 {
+		t.Fatalf("violations %v, want none", found)
+	}
+	r.Spans[0].From, r.Spans[0].To = start, start.Add(time.Second)
+	if found := r.Violations(); len(found) != 1 {
+		t.Fatalf("violations %v, want one", found)
+	}
+}
