link: publish bytes and packets of all links

The counts come from the QUIC connections themselves. Ruled out: counting frames, which leaves out acknowledgements and keepalives, the larger part on an idle link.

--- a/core/conn/link/client.go
+++ b/core/conn/link/client.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w: %w", c.address, ErrUnsent, err)
 	}
+	traffic.track(conn)
 	c.conn = conn
 	return conn, nil
 }
--- a/core/conn/link/server.go
+++ b/core/conn/link/server.go
@@ -40,6 +40,7 @@
 	s.listener, s.stop = l, cancel
 	s.group.Add(1)
 	go s.accept(ctx)
+	s.group.Go(func() { publish(ctx, s.meter) })
 	return l.Addr(), s.close, nil
 }
 
@@ -64,6 +65,7 @@
 func (s *Server) serve(ctx context.Context, c *quic.Conn) {
 	defer s.group.Done()
 	defer func() { _ = c.CloseWithError(0, "closed") }()
+	traffic.track(c)
 	name := peer(c.ConnectionState().TLS)
 	for {
 		stream, err := c.AcceptStream(ctx)
