keepd: handlers for instances and operators

Every member serves the state; all else goes to the leader, which answers not_leader with its name. Texts of operators are forwarded over the link and their refusals say whether they ran.

--- a/core/version/state/view.go
+++ b/core/version/state/view.go
@@ -22,3 +22,25 @@
 func (s *State) Members() []Member {
 	return s.members.after(0)
 }
+
+// Knows returns what the state has of a member, and whether joining it again
+// would change nothing.
+func (s *State) Knows(m Member) (Member, bool) {
+	old, found := s.members.rows[m.Name]
+	if s.notes[removedKey{NounMember, m.Name}].Drained {
+		m.Phase = PhaseLeaving
+	}
+	m.Version = old.Version
+	return old, found && old == m
+}
+
+// Entries counts the entry instances.
+func (s *State) Entries() int {
+	n := 0
+	for _, m := range s.members.rows {
+		if m.Kind == MemberEntry {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/keepd/lead/handle.go
@@ -0,0 +1,136 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"verbenahaven.example/core/conn/link"
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/version/ledger"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/store"
+)
+
+// Bounds of messages from entry instances.
+const (
+	maxAnswer = 1 << 20 // bytes of a recorded answer
+	maxText   = 512     // bytes of a key or name
+	maxWatch  = 30 * time.Second
+)
+
+func (l *Lead) bad(reason string) error {
+	l.meter.Count("refused", "message", reason)
+	return &link.Remote{Code: link.CodeBad, Detail: reason}
+}
+
+// Watch serves the state to an instance. Any member serves it.
+func (l *Lead) Watch(ctx context.Context, _ string, q proto.WatchRequest) (proto.WatchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(q.Wait, maxWatch))
+	defer cancel()
+	view := l.store.Wait(ctx, q.Have)
+	status := l.log.Status()
+	return proto.WatchReply{View: view, Leader: status.Leader, Age: status.Heard}, nil
+}
+
+// Beat takes the heartbeat of an entry instance.
+func (l *Lead) Beat(ctx context.Context, peer string, q proto.BeatRequest) (proto.BeatReply, error) {
+	if peer != q.Member.Name || q.Member.Kind != state.MemberEntry {
+		return proto.BeatReply{}, l.bad("member")
+	}
+	if err := l.hold(func(now time.Duration, _ uint64) { l.roster.Beat(now, q) }); err != nil {
+		return proto.BeatReply{}, err
+	}
+	known, err := l.join(ctx, q.Member)
+	if err != nil {
+		return proto.BeatReply{}, err
+	}
+	return proto.BeatReply{
+		Version: l.store.View(0).Version,
+		Lease:   time.Duration(l.settings.Member.Lease),
+		Phase:   known.Phase,
+	}, nil
+}
+
+// join brings what a member tells of itself into the state, if it is news.
+func (l *Lead) join(ctx context.Context, m state.Member) (state.Member, error) {
+	var known state.Member
+	var same bool
+	l.read(func(s *state.State, _ *ledger.Ledger) { known, same = s.Knows(m) })
+	if same {
+		return known, nil
+	}
+	l.meter.Count("member", "joined")
+	joined, err := propose[state.Member](ctx, l, store.Command{Join: &m})
+	if err != nil {
+		return state.Member{}, err
+	}
+	return joined, nil
+}
+
+// Once takes a step of a run-once call.
+func (l *Lead) Once(ctx context.Context, _ string, q proto.OnceRequest) (proto.OnceReply, error) {
+	for _, text := range []string{q.Account, q.Service, q.Key, q.Fingerprint, q.Attempt, q.Holder, q.Type} {
+		if len(text) > maxText {
+			return proto.OnceReply{}, l.bad("text")
+		}
+	}
+	if len(q.Body) > maxAnswer || q.Key == "" || q.Attempt == "" && q.Step != proto.OnceLookup {
+		return proto.OnceReply{}, l.bad("once")
+	}
+	if err := l.hold(func(now time.Duration, _ uint64) { l.roster.Heard(now, q.Holder) }); err != nil {
+		return proto.OnceReply{}, err
+	}
+	if q.Step == proto.OnceLookup {
+		if err := l.log.Barrier(ctx); err != nil {
+			return proto.OnceReply{}, l.failed(err)
+		}
+		return l.store.Lookup(q), nil
+	}
+	r, err := propose[proto.OnceReply](ctx, l, store.Command{Once: &q})
+	if err != nil {
+		return proto.OnceReply{}, err
+	}
+	l.meter.Count("once", string(q.Step), string(r.Verdict))
+	return r, nil
+}
+
+// Slice leases slices of limits.
+func (l *Lead) Slice(_ context.Context, peer string, q proto.SliceRequest) (proto.SliceReply, error) {
+	if peer != q.Name {
+		return proto.SliceReply{}, l.bad("member")
+	}
+	accounts := make([]state.Account, len(q.Wants))
+	entries := 0
+	l.read(func(s *state.State, _ *ledger.Ledger) {
+		entries = s.Entries()
+		for i, w := range q.Wants {
+			accounts[i], _ = s.Account(w.Account)
+		}
+	})
+	var reply proto.SliceReply
+	err := l.hold(func(now time.Duration, _ uint64) {
+		for i, w := range q.Wants {
+			if accounts[i].Name == "" {
+				l.meter.Count("refused", "slice", "account")
+				continue
+			}
+			reply.Grants = append(reply.Grants, l.slices.Grant(now, q.Name, entries, w, accounts[i]))
+		}
+	})
+	return reply, err
+}
+
+// Strike records or clears a strike.
+func (l *Lead) Strike(ctx context.Context, _ string, q proto.StrikeRequest) (proto.StrikeReply, error) {
+	if q.Fingerprint == "" || len(q.Fingerprint) > maxText || len(q.Engine) > maxText {
+		return proto.StrikeReply{}, l.bad("strike")
+	}
+	s, err := propose[state.Strike](ctx, l, store.Command{Hit: &store.Hit{Fingerprint: q.Fingerprint, Engine: q.Engine, Clear: q.Clear}})
+	if err != nil {
+		return proto.StrikeReply{}, err
+	}
+	if !q.Clear {
+		l.meter.Count("strike", "recorded")
+	}
+	return proto.StrikeReply{Count: len(s.Engines), Until: s.Until}, nil
+}
--- /dev/null
+++ b/keepd/lead/run.go
@@ -0,0 +1,126 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"k8s.io/klog/v2"
+
+	"verbenahaven.example/core/conn/link"
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/version/lang"
+	"verbenahaven.example/core/version/ledger"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/store"
+)
+
+// CodeDenied refuses a text of someone who is no operator.
+const CodeDenied = "denied"
+
+// Run executes a text in the operators' language: its changes first, together
+// or not at all, then its questions.
+func (l *Lead) Run(ctx context.Context, peer string, q proto.RunRequest) (proto.RunReply, error) {
+	if _, keeper := l.settings.Peers[peer]; !keeper {
+		return proto.RunReply{}, l.bad("peer")
+	}
+	var operator state.Account
+	l.read(func(s *state.State, _ *ledger.Ledger) { operator, _ = s.Account(q.Operator) })
+	if !operator.Operator {
+		return proto.RunReply{}, &link.Remote{Code: CodeDenied, Detail: "no operator account"}
+	}
+	statements, err := lang.Parse(q.Text)
+	if err != nil {
+		return proto.RunReply{}, &link.Remote{Code: string(state.CodeInvalid), Detail: err.Error()}
+	}
+	outcome, err := l.update(ctx, q, statements)
+	if err != nil {
+		return proto.RunReply{}, err
+	}
+	return l.answer(ctx, statements, outcome)
+}
+
+func (l *Lead) update(ctx context.Context, q proto.RunRequest, statements []lang.Statement) (state.Outcome, error) {
+	u := state.Update{Operator: q.Operator, Number: q.Number, Expect: q.Expect}
+	for _, s := range statements {
+		if c, ok := s.Change(); ok {
+			u.Changes = append(u.Changes, c)
+		}
+	}
+	if len(u.Changes) == 0 {
+		return state.Outcome{}, nil
+	}
+	outcome, err := propose[state.Outcome](ctx, l, store.Command{Update: &u})
+	if err != nil {
+		return outcome, err
+	}
+	if outcome.Code != state.CodeAccepted {
+		l.meter.Count("run", "refused", string(outcome.Code))
+		return outcome, &link.Remote{Code: string(outcome.Code), Detail: outcome.Text}
+	}
+	if outcome.Repeat {
+		l.meter.Count("run", "repeated")
+		return outcome, nil
+	}
+	l.meter.Count("run", "accepted")
+	klog.Infof("command %d of %s made version %d", q.Number, q.Operator, outcome.Version)
+	return outcome, nil
+}
+
+// answer makes a table for each statement.
+func (l *Lead) answer(ctx context.Context, statements []lang.Statement, outcome state.Outcome) (proto.RunReply, error) {
+	if err := l.log.Barrier(ctx); err != nil {
+		if outcome.Version == 0 {
+			return proto.RunReply{}, l.failed(err)
+		}
+		// The changes are in force: only what the questions ask is missing.
+		return proto.RunReply{}, &link.Remote{Code: link.CodeInternal, Detail: "outcome unknown: " + err.Error()}
+	}
+	data := lang.Data{View: l.store.View(0)}
+	l.read(func(s *state.State, _ *ledger.Ledger) {
+		data.Orders = slices.Concat(s.Closed(), s.Open())
+		data.Decisions = s.Decisions()
+	})
+	reply := proto.RunReply{Version: data.View.Version}
+	if outcome.Version > 0 {
+		reply.Version = outcome.Version
+	}
+	for _, s := range statements {
+		t, err := l.table(data, s, outcome)
+		if err != nil {
+			return proto.RunReply{}, &link.Remote{Code: string(state.CodeInvalid), Detail: fmt.Sprintf("line %d: %v", s.Line(), err)}
+		}
+		reply.Tables = append(reply.Tables, t)
+	}
+	return reply, nil
+}
+
+func (l *Lead) table(data lang.Data, s lang.Statement, outcome state.Outcome) (proto.Table, error) {
+	if c, ok := s.Change(); ok {
+		return proto.Table{
+			Columns: []string{"verb", "noun", "name", "version"},
+			Rows:    [][]string{{string(c.Verb), string(c.Noun), c.Name, strconv.FormatUint(outcome.Version, 10)}},
+		}, nil
+	}
+	answer := lang.Ask
+	if s.Verb() == lang.VerbExplain {
+		answer = lang.Explain
+	}
+	t, err := answer(data, s)
+	if err != nil {
+		return t, fmt.Errorf("answer: %w", err)
+	}
+	return t, nil
+}
+
+// Refusal returns the code and text of an error of Run, or false when the
+// outcome is unknown.
+func Refusal(err error) (*link.Remote, bool) {
+	var r *link.Remote
+	if !errors.As(err, &r) {
+		return nil, false
+	}
+	return r, r.Code != link.CodeInternal
+}
--- a/keepd/main.go
+++ b/keepd/main.go
@@ -1,5 +1,48 @@
-// Command keepd is a program of verbenahaven.
+// Command keepd keeps the replicated state of a deployment: configuration,
+// leases, orders to engines and the ledger of run-once calls.
 package main
 
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/keepd/conf"
+)
+
 func main() {
+	os.Exit(execute())
+}
+
+func execute() int {
+	klog.InitFlags(nil)
+	path := flag.String("settings", "keepd.toml", "settings file")
+	flag.Parse()
+	defer klog.Flush()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := serveAll(ctx, *path); err != nil {
+		fmt.Fprintln(os.Stderr, "keepd:", err)
+		return boot.Code(err)
+	}
+	return boot.ExitOK
+}
+
+func serveAll(ctx context.Context, path string) error {
+	settings := conf.Default()
+	if err := boot.Load(path, settings); err != nil {
+		return err //nolint:wrapcheck // it names the file and carries the exit code
+	}
+	a, cleanup, err := setup(settings)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	return a.run(ctx)
 }
--- /dev/null
+++ b/keepd/provide.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"crypto/tls"
+	"fmt"
+	"time"
+
+	"verbenahaven.example/core/conn/link"
+	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/keys"
+	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/process/node"
+	"verbenahaven.example/core/version/store"
+	"verbenahaven.example/keepd/conf"
+	"verbenahaven.example/keepd/lead"
+	"verbenahaven.example/keepd/serve"
+)
+
+// tlsConfig is the TLS configuration of links.
+type tlsConfig = *tls.Config
+
+func loadKeys(s *conf.Settings) (tlsConfig, error) {
+	t, err := keys.Load(s.Keys)
+	if err != nil {
+		return nil, boot.Fail(boot.ExitSettings, err)
+	}
+	return t, nil
+}
+
+func newNode(s *conf.Settings, st *store.Store, server *link.Server, t tlsConfig, c clock.Clock, m *meter.Registry) (*node.Node, func(), error) {
+	n, cleanup, err := node.New(node.Settings{
+		Name:      s.Name,
+		Folder:    s.Folder,
+		Peers:     s.Peers,
+		Voters:    s.Group.Voters,
+		Spares:    s.Group.Spares,
+		Heartbeat: time.Duration(s.Group.Heartbeat),
+		Election:  time.Duration(s.Group.Election),
+		Replace:   time.Duration(s.Group.Replace),
+		Snapshot:  s.Group.Snapshot,
+	}, st, server, t, c, m)
+	if err != nil {
+		return nil, nil, folderError(fmt.Errorf("start member: %w", err))
+	}
+	return n, cleanup, nil
+}
+
+func newAPI(s *conf.Settings, n node.Log, st *store.Store, l *lead.Lead, m *meter.Registry, t tlsConfig) (*serve.API, func()) {
+	return serve.New(s, n, st, l, m, t)
+}
