--- /dev/null
+++ b/core/process/node/node_test.go
@@ -0,0 +1,92 @@
+package node_test
+
+import (
+	"context"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/process/node"
+)
+
+func TestCommitOnThree(t *testing.T) {
+	g := newGroup(t, 3, 0, nil)
+	g.start(g.names...)
+	for i := range uint64(50) {
+		g.add(i + 1)
+	}
+	g.settle(50, 50*51/2)
+	leader := g.members[g.leader()]
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	check(t, leader.node.Barrier(ctx))
+}
+
+func TestLeaderStopsAndReturns(t *testing.T) {
+	g := newGroup(t, 3, 0, nil)
+	g.start(g.names...)
+	g.add(1)
+	old := g.leader()
+	g.halt(old)
+	g.add(2)
+	g.start(old)
+	g.add(3)
+	g.settle(3, 6)
+}
+
+func TestAllRestart(t *testing.T) {
+	g := newGroup(t, 3, 0, func(s *node.Settings) { s.Snapshot = 100 })
+	g.start(g.names...)
+	for range 250 {
+		g.add(1)
+	}
+	for _, name := range g.names {
+		g.halt(name)
+	}
+	g.start(g.names...)
+	g.add(1)
+	g.settle(251, 251)
+}
+
+func TestLostFolderComesBackAsNewMember(t *testing.T) {
+	g := newGroup(t, 3, 0, func(s *node.Settings) { s.Snapshot = 100 })
+	g.start(g.names...)
+	for range 300 {
+		g.add(1)
+	}
+	victim := g.names[0]
+	if g.leader() == victim {
+		victim = g.names[1]
+	}
+	g.halt(victim)
+	check(t, os.RemoveAll(g.settings[victim].Folder))
+	g.start(victim)
+	g.add(1)
+	g.settle(301, 301)
+	g.wait("three voters again", func() bool { return slices.Equal(g.voters(), g.names) })
+}
+
+func TestSpareReplacesDeadVoter(t *testing.T) {
+	g := newGroup(t, 3, 1, nil)
+	g.start(g.names...)
+	g.add(1)
+	victim := g.names[0]
+	g.halt(victim)
+	g.wait("the spare to vote", func() bool { return slices.Equal(g.voters(), g.names[1:]) })
+	// A second loss right after the repair leaves a majority.
+	g.halt(g.leader())
+	g.add(2)
+	g.settle(2, 3)
+}
+
+func TestSingleMember(t *testing.T) {
+	g := newGroup(t, 1, 0, nil)
+	g.start(g.names...)
+	g.add(5)
+	g.settle(1, 5)
+	time.Sleep(g.settings["keep1"].Election)
+	if _, left := g.members["keep1"].node.Lease(); left <= 0 {
+		t.Fatal("a single member lost its lease")
+	}
+}
