keepd: run a member, its duties and interfaces

The program joins the log, the store, the leader's duties, links and HTTP by wire. Links close after the member has handed over leadership, since the transfer needs the answers of its peers.

--- a/keepd/app.go
+++ b/keepd/app.go
@@ -13,7 +13,6 @@
 
 	"k8s.io/klog/v2"
 
-	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/process/boot"
 	"verbenahaven.example/core/process/node"
 	"verbenahaven.example/keepd/conf"
@@ -34,24 +33,23 @@
 	http     *http.Server
 }
 
-// newApp binds the addresses: the links are served once the handlers are
-// there. The clean-up ends the links.
-func newApp(s *conf.Settings, server *link.Server, l *lead.Lead, n *node.Node, api *serve.API, t tlsConfig) (*app, func(), error) {
-	serve.Register(server, l)
-	_, closeLink, err := server.Listen(s.Listen.Link, t)
+// newApp binds the addresses. The links are served once all handlers are
+// there.
+func newApp(ctx context.Context, s *conf.Settings, k *links, l *lead.Lead, n *node.Node, api *serve.API, t tlsConfig) (*app, error) {
+	serve.Register(k.server, l)
+	_, closeLinks, err := k.server.Listen(s.Listen.Link, t)
 	if err != nil {
-		return nil, nil, boot.Fail(boot.ExitAddress, err)
+		return nil, boot.Fail(boot.ExitAddress, fmt.Errorf("serve links: %w", err))
 	}
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.Listen.HTTP)
+	k.close = closeLinks
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.HTTP)
 	if err != nil {
-		closeLink()
-		return nil, nil, boot.Fail(boot.ExitAddress, fmt.Errorf("listen on %s: %w", s.Listen.HTTP, err))
+		return nil, boot.Fail(boot.ExitAddress, fmt.Errorf("listen on %s: %w", s.Listen.HTTP, err))
 	}
-	a := &app{
+	return &app{
 		lead: l, member: n, listener: listener,
 		http: &http.Server{Handler: api.Handler(), ReadHeaderTimeout: headerTimeout},
-	}
-	return a, closeLink, nil
+	}, nil
 }
 
 // run serves until ctx ends or the member fails.
@@ -59,7 +57,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group sync.WaitGroup
-	group.Go(func() { a.lead.Run(ctx) })
+	group.Go(func() { a.lead.Serve(ctx) })
 	group.Go(func() {
 		if err := a.http.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
 			klog.Errorf("serve HTTP: %v", err)
--- a/keepd/lead/lead.go
+++ b/keepd/lead/lead.go
@@ -47,7 +47,7 @@
 	slices *slice.Allocator
 }
 
-// New returns the duties of a member. Run starts them.
+// New returns the duties of a member. Serve starts them.
 func New(s *conf.Settings, l node.Log, st *store.Store, c clock.Clock, m *meter.Registry) *Lead {
 	return &Lead{settings: s, log: l, store: st, clock: c, meter: m}
 }
@@ -111,13 +111,14 @@
 	if err != nil {
 		return result, l.failed(err)
 	}
+	if answer == nil {
+		return result, nil
+	}
 	switch v := answer.(type) {
 	case error:
 		return result, fmt.Errorf("execute: %w", v)
 	case R:
 		return v, nil
-	case nil:
-		return result, nil
 	}
 	panic(fmt.Sprintf("lead: command gave %T", answer))
 }
@@ -139,8 +140,8 @@
 	return &link.Remote{Code: link.CodeInternal, Detail: "outcome unknown: " + err.Error()}
 }
 
-// Run does all duties until ctx ends.
-func (l *Lead) Run(ctx context.Context) {
+// Serve does all duties until ctx ends.
+func (l *Lead) Serve(ctx context.Context) {
 	var group sync.WaitGroup
 	for _, duty := range []func(context.Context){l.runCare, l.runOrders, l.runPlan, l.runList} {
 		group.Go(func() { duty(ctx) })
--- a/keepd/main.go
+++ b/keepd/main.go
@@ -39,7 +39,7 @@
 	if err := boot.Load(path, settings); err != nil {
 		return err //nolint:wrapcheck // it names the file and carries the exit code
 	}
-	a, cleanup, err := setup(settings)
+	a, cleanup, err := setup(ctx, settings)
 	if err != nil {
 		return err
 	}
--- a/keepd/provide.go
+++ b/keepd/provide.go
@@ -17,6 +17,22 @@
 	"verbenahaven.example/keepd/serve"
 )
 
+// links is the server for other instances. It stays open until the member has
+// handed over, which needs the answers of its peers.
+type links struct {
+	server *link.Server
+	close  func()
+}
+
+func newLinks(m *meter.Registry) (*links, func()) {
+	l := &links{server: link.NewServer(m), close: func() {}}
+	return l, func() { l.close() }
+}
+
+func serverOf(l *links) *link.Server {
+	return l.server
+}
+
 // tlsConfig is the TLS configuration of links.
 type tlsConfig = *tls.Config
 
--- a/keepd/wire.go
+++ b/keepd/wire.go
@@ -3,25 +3,26 @@
 package main
 
 import (
+	"context"
+
 	"github.com/google/wire"
 
-	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/process/node"
 	"verbenahaven.example/core/version/store"
 	"verbenahaven.example/keepd/conf"
 	"verbenahaven.example/keepd/lead"
-	"verbenahaven.example/keepd/serve"
 )
 
-func setup(s *conf.Settings) (*app, func(), error) {
+func setup(ctx context.Context, s *conf.Settings) (*app, func(), error) {
 	wire.Build(
 		meter.New,
 		clock.System,
 		store.New,
 		loadKeys,
-		link.NewServer,
+		newLinks,
+		serverOf,
 		newNode,
 		wire.Bind(new(node.Log), new(*node.Node)),
 		lead.New,
