trial: measure what instances cost at rest by the size of the fleet

Cause: docs/CAPACITY.md asks for slopes that were measured. The command varies one quantity at a time and fits a line, and prints the largest distance of a point from it, so that a bad fit shows. Ruled out: one big run at the largest size, which gives no slope.

--- a/trial/fleet/operate.go
+++ b/trial/fleet/operate.go
@@ -242,3 +242,17 @@
 	}
 	return urls, nil
 }
+
+// InForce returns an error unless an entry instance has a version in force.
+func (f *Fleet) InForce(ctx context.Context, p *Process, version uint64) error {
+	var status struct {
+		Version uint64 `json:"version"`
+	}
+	if err := f.Get(ctx, p.url+"/status", &status); err != nil {
+		return fmt.Errorf("status of %s: %w", p.name, err)
+	}
+	if status.Version < version {
+		return fmt.Errorf("%s has version %d, want %d: %w", p.name, status.Version, version, ErrNotReady)
+	}
+	return nil
+}
--- /dev/null
+++ b/trial/size/size_test.go
@@ -0,0 +1,31 @@
+package size
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"testing"
+)
+
+func ExampleFit() {
+	s := Fit([]float64{1, 2, 3}, []float64{5, 7, 9})
+	fmt.Printf("%.0f + %.0f each, error %.0f\n", s.Base, s.Each, s.Error)
+	// Output: 3 + 2 each, error 0
+}
+
+func TestFitError(t *testing.T) {
+	s := Fit([]float64{0, 1, 2}, []float64{0, 3, 0})
+	if s.Each != 0 || s.Base != 1 || s.Error != 2 {
+		t.Fatalf("%+v, want base 1, each 0, error 2", s)
+	}
+	if s := Fit([]float64{2, 2}, []float64{1, 3}); s.Base != 2 || math.IsNaN(s.Each) {
+		t.Fatalf("%+v, want base 2 for a single size", s)
+	}
+}
+
+func TestProcess(t *testing.T) {
+	resident, _, err := process(os.Getpid())
+	if err != nil || resident < megabyte {
+		t.Fatalf("resident %g, error %v", resident, err)
+	}
+}
--- /dev/null
+++ b/trial/size/usage.go
@@ -0,0 +1,98 @@
+package size
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"verbenahaven.example/trial/fleet"
+)
+
+// usage sums what processes have used.
+type usage struct {
+	resident float64 // bytes
+	cpu      time.Duration
+	sent     float64 // bytes
+	packets  float64
+}
+
+var errProc = errors.New("can't read the process table")
+
+func total(ctx context.Context, processes []*fleet.Process) (usage, error) {
+	var sum usage
+	for _, p := range processes {
+		resident, cpu, err := process(p.PID())
+		if err != nil {
+			return sum, fmt.Errorf("usage of %s: %w", p.Name(), err)
+		}
+		sum.resident += resident
+		sum.cpu += cpu
+		gauges, err := metrics(ctx, p.URL())
+		if err != nil {
+			return sum, fmt.Errorf("metrics of %s: %w", p.Name(), err)
+		}
+		sum.sent += gauges["link.sent.bytes"]
+		sum.packets += gauges["link.sent.packets"]
+	}
+	return sum, nil
+}
+
+// Fields of /proc/PID/stat after the command's name, and its clock tick.
+const (
+	fieldUser   = 11
+	fieldSystem = 12
+	fieldPages  = 21
+	tick        = 10 * time.Millisecond
+)
+
+// process reads resident memory in bytes and processor time.
+func process(pid int) (float64, time.Duration, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0, fmt.Errorf("read stat: %w", err)
+	}
+	text := string(b)
+	fields := strings.Fields(text[strings.LastIndexByte(text, ')')+1:])
+	if len(fields) <= fieldPages {
+		return 0, 0, errProc
+	}
+	var numbers [3]int64
+	for i, n := range []int{fieldUser, fieldSystem, fieldPages} {
+		numbers[i], err = strconv.ParseInt(fields[n], 10, 64)
+		if err != nil {
+			return 0, 0, fmt.Errorf("parse stat: %w", err)
+		}
+	}
+	cpu := time.Duration(numbers[0]+numbers[1]) * tick
+	return float64(numbers[2]) * float64(os.Getpagesize()), cpu, nil
+}
+
+func metrics(ctx context.Context, url string) (map[string]float64, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/metrics", nil)
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, fmt.Errorf("get metrics: %w", err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	b, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return nil, fmt.Errorf("read metrics: %w", err)
+	}
+	out := make(map[string]float64)
+	for line := range strings.Lines(string(b)) {
+		name, value, ok := strings.Cut(strings.TrimSpace(line), " ")
+		if v, err := strconv.ParseFloat(value, 64); ok && err == nil {
+			out[name] = v
+		}
+	}
+	return out, nil
+}
