plan: decide on role changes by predicted goodput, or by thresholds

The goodput policy predicts with a fluid bound what a move gains until the horizon and orders it only when that exceeds the time away, the warm cache, the waiting clients and the price. A move must have been right in each slice of three quarters of the horizon, so no even swing shorter than the horizon is followed; smoothing by a mean alone was ruled out because it still follows swings near the horizon. Reports gain the prefill rate and the batch limit, which both policies need; fallbacks stand in while they are missing.

--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -55,6 +55,8 @@
 	Used    float64       `cbor:"7,keyasint"` // share of KV memory in use
 	Step    time.Duration `cbor:"8,keyasint"` // time between tokens
 	Alive   bool          `cbor:"9,keyasint"`
+	Prefill float64       `cbor:"10,keyasint,omitempty"` // prefill rate, prompt tokens a second
+	Batch   int           `cbor:"11,keyasint,omitempty"` // largest decode batch
 }
 
 // BeatRequest is the heartbeat of an entry instance.
--- a/core/version/plan/plan.go
+++ b/core/version/plan/plan.go
@@ -3,6 +3,8 @@
 package plan
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
 	"verbenahaven.example/core/version/state"
@@ -23,6 +25,8 @@
 	Used    float64       // share of KV memory in use
 	Step    time.Duration // time between tokens
 	Age     time.Duration // of the report
+	Prefill float64       // prefill rate, prompt tokens a second; 0 if not reported
+	Batch   int           // largest decode batch; 0 if not reported
 }
 
 // Demand is what arrived for one service in the last interval.
@@ -69,6 +73,30 @@
 	Reserve int           // engines of each role that always stay
 }
 
+// Names of the policies.
+const (
+	NameGoodput   = "goodput"
+	NameThreshold = "threshold"
+	NameFixed     = "fixed"
+)
+
+// ErrUnknown tells that there is no policy of a name.
+var ErrUnknown = errors.New("no such policy")
+
+// New returns the policy of a name.
+func New(name string, s Settings) (Policy, error) {
+	switch name {
+	case NameGoodput:
+		return &checked{s, newGoodput(s)}, nil
+	case NameThreshold:
+		return &checked{s, newThreshold(s)}, nil
+	case NameFixed:
+		return Fixed{}, nil
+	default:
+		return nil, fmt.Errorf("policy %q: %w", name, ErrUnknown)
+	}
+}
+
 // Fixed is the policy that never changes a role.
 type Fixed struct{}
 
--- /dev/null
+++ b/core/version/plan/plan_test.go
@@ -0,0 +1,208 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"verbenahaven.example/core/version/state"
+)
+
+const (
+	testPrefill = 20000.0
+	testAway    = 3 * time.Second
+)
+
+// bench drives a policy with a fleet whose reports follow the demand.
+type bench struct {
+	settings Settings
+	policy   Policy
+	now      time.Time
+	engines  []Engine
+	back     map[string]time.Time
+	changes  []Choice
+}
+
+func newBench(name string, s Settings, prefill, decode int) *bench {
+	p, err := New(name, s)
+	if err != nil {
+		panic(err)
+	}
+	b := &bench{settings: s, policy: p, now: time.Unix(1000, 0), back: make(map[string]time.Time)}
+	for i := range prefill + decode {
+		e := Engine{
+			Name: fmt.Sprintf("engine%02d", i), Model: "spec", Role: state.RolePrefill, Phase: state.PhaseServing,
+			Alive: true, Prefill: testPrefill, Batch: 64, Step: 10 * time.Millisecond,
+		}
+		if i >= prefill {
+			e.Role = state.RoleDecode
+		}
+		b.engines = append(b.engines, e)
+	}
+	return b
+}
+
+// step runs one period with a demand in prompt and output tokens a second.
+func (b *bench) step(prefill, decode float64) {
+	b.now = b.now.Add(b.settings.Period)
+	for i := range b.engines {
+		e := &b.engines[i]
+		if at, ok := b.back[e.Name]; ok && !b.now.Before(at) {
+			delete(b.back, e.Name)
+			e.Phase, e.Changed = state.PhaseServing, b.now
+		}
+		n := min(64, int(decode/float64(max(1, b.count(state.RoleDecode)))*0.02))
+		e.Running, e.Step = n, 10*time.Millisecond+time.Duration(n)*200*time.Microsecond
+		if e.Role == state.RolePrefill {
+			e.Running, e.Queue = 1, int(prefill/float64(max(1, b.count(state.RolePrefill))))
+		}
+	}
+	demand := []Demand{
+		{Service: "dossier", Model: "spec", Class: state.ClassBatch, Requests: prefill / 20000, Prefill: prefill, Decode: 5 * prefill / 1000},
+		{Service: "letter", Model: "spec", Class: state.ClassBatch, Requests: decode / 500, Prefill: decode / 10, Decode: decode},
+	}
+	c, ok := b.policy.Decide(b.now, Input{Engines: append([]Engine{}, b.engines...), Demand: demand})
+	if !ok {
+		return
+	}
+	b.changes = append(b.changes, c)
+	for i := range b.engines {
+		if b.engines[i].Name == c.Engine {
+			b.engines[i].Phase, b.engines[i].Role = state.PhaseChanging, c.Role
+			b.back[c.Engine] = b.now.Add(testAway)
+		}
+	}
+}
+
+func (b *bench) count(r state.Role) int {
+	n := 0
+	for _, e := range b.engines {
+		if e.Role == r && usable(e) {
+			n++
+		}
+	}
+	return n
+}
+
+func settings() Settings {
+	return Settings{
+		Price: 0.2, Dwell: 10 * time.Second, Horizon: 40 * time.Second,
+		Period: time.Second, Moving: 1, Reserve: 2,
+	}
+}
+
+// Demand of 4 prefill and 8 decode engines, and the other way round.
+const (
+	lowPrefill, highDecode = 0.8 * 4 * testPrefill, 15000.0
+	highPrefill, lowDecode = 0.8 * 8 * testPrefill, 4000.0
+)
+
+func TestStepIsFollowed(t *testing.T) {
+	b := newBench(NameGoodput, settings(), 4, 8)
+	for range 60 {
+		b.step(lowPrefill, highDecode)
+	}
+	if len(b.changes) != 0 {
+		t.Fatalf("changed under a demand that fits: %+v", b.changes)
+	}
+	for range 120 {
+		b.step(highPrefill, lowDecode)
+	}
+	if n := b.count(state.RolePrefill); n < 7 {
+		t.Fatalf("%d prefill engines after a step that needs 8: %+v", n, b.changes)
+	}
+	for _, c := range b.changes {
+		if c.Saw == "" || c.Weighed == "" || c.Reason == "" {
+			t.Fatalf("choice without reasons: %+v", c)
+		}
+	}
+}
+
+func TestSwingShorterThanHorizonIsNotFollowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := settings()
+		period := rapid.IntRange(2, int(s.Horizon/time.Second)).Draw(t, "period")
+		b := newBench(NameGoodput, s, 6, 6)
+		for i := range 400 {
+			if i%period < period/2 {
+				b.step(lowPrefill, highDecode)
+			} else {
+				b.step(highPrefill, lowDecode)
+			}
+		}
+		if len(b.changes) > 1 {
+			t.Fatalf("%d changes under a swing of %d s", len(b.changes), period)
+		}
+	})
+}
+
+func TestPriceHoldsChangesBack(t *testing.T) {
+	changes := func(price float64) int {
+		s := settings()
+		s.Price = price
+		b := newBench(NameGoodput, s, 4, 8)
+		for i := range 600 {
+			if i/150%2 == 0 {
+				b.step(lowPrefill, highDecode)
+			} else {
+				b.step(highPrefill, lowDecode)
+			}
+		}
+		return len(b.changes)
+	}
+	if low, high := changes(0.1), changes(10); low <= high {
+		t.Fatalf("%d changes at a low price, %d at a high one", low, high)
+	}
+}
+
+// TestBounds drives all policies with random demand and losses of engines.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := settings()
+		s.Moving = rapid.IntRange(1, 3).Draw(t, "moving")
+		s.Reserve = rapid.IntRange(1, 4).Draw(t, "reserve")
+		s.Price = 0
+		name := rapid.SampledFrom([]string{NameGoodput, NameThreshold}).Draw(t, "policy")
+		b := newBench(name, s, 6, 6)
+		for range rapid.IntRange(1, 20).Draw(t, "phases") {
+			prefill := rapid.Float64Range(0, 12*testPrefill).Draw(t, "prefill")
+			decode := rapid.Float64Range(0, 30000).Draw(t, "decode")
+			lost := rapid.IntRange(0, len(b.engines)-1).Draw(t, "lost")
+			b.engines[lost].Alive = rapid.Bool().Draw(t, "alive")
+			for range rapid.IntRange(1, 60).Draw(t, "seconds") {
+				before := [2]int{b.count(state.RolePrefill), b.count(state.RoleDecode)}
+				changes := len(b.changes)
+				b.step(prefill, decode)
+				if len(b.changes) == changes {
+					continue
+				}
+				if len(b.back) > s.Moving {
+					t.Fatalf("%d engines in transition", len(b.back))
+				}
+				from := other(b.changes[changes].Role)
+				if b.count(from) < s.Reserve {
+					t.Fatalf("%d engines left for %s, had %v", b.count(from), from, before)
+				}
+			}
+		}
+	})
+}
+
+func TestUnknownPolicyIsRefused(t *testing.T) {
+	if _, err := New("guess", settings()); err == nil {
+		t.Fatal("an unknown policy was accepted")
+	}
+}
+
+func ExampleNew() {
+	p, err := New(NameFixed, Settings{})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	_, change := p.Decide(time.Unix(0, 0), Input{})
+	fmt.Println(change)
+	// Output: false
+}
