--- a/core/version/lang/words.go
+++ b/core/version/lang/words.go
@@ -22,7 +22,7 @@
 	state.VerbWithdraw: {
 		state.NounService, state.NounModel, state.NounEngine, state.NounServer, state.NounAccount, state.NounMember,
 	},
-	state.VerbReplace: {state.NounEngine, state.NounServer, state.NounMember},
+	state.VerbReplace: {state.NounEngine, state.NounServer},
 }
 
 // declared lists the keys of each noun that an operator may declare.
@@ -31,8 +31,8 @@
 	state.NounModel:   {"revision", "adapters"},
 	state.NounEngine:  {"url", "centre", "role", "model", "adapter", "revision", "fenced"},
 	state.NounServer:  {"url", "centre", "service"},
-	state.NounAccount: {"digest", "tokens", "requests", "operator"},
-	state.NounMember:  {"kind", "url", "link", "centre"},
+	state.NounAccount: {"digest", "token", "tokens", "requests", "operator"},
+	state.NounMember:  {}, // members join by themselves; declare takes a drain back
 }
 
 var assigned = []string{"role", "model", "adapter", "revision"}
@@ -77,7 +77,10 @@
 }
 
 func oneOf(list []string) string {
-	if len(list) == 1 {
+	switch len(list) {
+	case 0:
+		return "the end of the statement"
+	case 1:
 		return list[0]
 	}
 	return "one of " + strings.Join(list, ", ")
--- /dev/null
+++ b/haven/drain.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"verbenahaven.example/core/version/lang"
+	"verbenahaven.example/core/version/state"
+)
+
+func init() {
+	register(&drainCmd{})
+}
+
+var errStillThere = errors.New("still there")
+
+// drainPoll is the time between looks at an object that is being drained.
+const drainPoll = 500 * time.Millisecond
+
+// drainCmd takes new work away from an object and waits.
+type drainCmd struct {
+	keeperFlags
+	commandFlags
+	wait time.Duration
+}
+
+func (*drainCmd) Name() string     { return "drain" }
+func (*drainCmd) Synopsis() string { return "drain an engine, server or member and wait" }
+func (*drainCmd) Usage() string {
+	return `haven drain [flags] engine|server|member NAME
+
+Marks the object as leaving, so that it gets no new work, and with -wait waits
+until an engine or server is out of service or a member is gone. The command
+"declare" takes a drain back.
+
+Examples:
+  haven drain engine e1
+  haven drain -wait 2m member entry1
+
+Flags:
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *drainCmd) SetFlags(f *flag.FlagSet) {
+	c.keeperFlags.set(f)
+	c.commandFlags.set(f)
+	f.DurationVar(&c.wait, "wait", 0, "longest time to wait; 0 doesn't wait")
+}
+
+// Execute implements subcommands.Command.
+func (c *drainCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return finish(c.run(ctx, f))
+}
+
+func (c *drainCmd) run(ctx context.Context, f *flag.FlagSet) error {
+	if f.NArg() != len([]string{"noun", "name"}) {
+		return usage("a noun and a name are needed")
+	}
+	s, err := lang.ParseOne("drain " + f.Arg(0) + " " + f.Arg(1))
+	if err != nil {
+		return usage("%v", err)
+	}
+	if err := c.change(ctx, &c.keeperFlags, s.String()); err != nil {
+		return err
+	}
+	if c.wait == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.wait)
+	defer cancel()
+	return c.watch(ctx, s)
+}
+
+// watch looks at the object until it has left.
+func (c *drainCmd) watch(ctx context.Context, s lang.Statement) error {
+	last := ""
+	for {
+		phase, err := c.phase(ctx, s)
+		if err != nil {
+			return err
+		}
+		if phase != last {
+			fmt.Fprintf(os.Stderr, "haven: %s %s is %s\n", s.Noun(), s.Name(), phase)
+			last = phase
+		}
+		if left(s.Noun(), state.Phase(phase)) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s %s: %w: %s", s.Noun(), s.Name(), errStillThere, phase)
+		case <-time.After(drainPoll):
+		}
+	}
+}
+
+func left(noun state.Noun, p state.Phase) bool {
+	return p == state.PhaseGone || noun != state.NounMember && p == state.PhaseLeaving
+}
+
+func (c *drainCmd) phase(ctx context.Context, s lang.Statement) (string, error) {
+	text := fmt.Sprintf("ask %ss where name = %s show phase", s.Noun(), s.Name())
+	reply, err := c.query(ctx, text, 0, 0)
+	if err != nil {
+		return "", err
+	}
+	if len(reply.Tables) != 1 || len(reply.Tables[0].Rows) == 0 {
+		return string(state.PhaseGone), nil
+	}
+	return reply.Tables[0].Rows[0][0], nil
+}
--- /dev/null
+++ b/haven/exit.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/haven/client"
+)
+
+var errUsage = errors.New("bad arguments")
+
+func usage(format string, args ...any) error {
+	return boot.Fail(boot.ExitUsage, fmt.Errorf("%w: %s", errUsage, fmt.Sprintf(format, args...)))
+}
+
+// finish reports err and returns the exit code of the command.
+func finish(err error) subcommands.ExitStatus {
+	if err == nil {
+		return subcommands.ExitSuccess
+	}
+	fmt.Fprintln(os.Stderr, "haven:", err)
+	return subcommands.ExitStatus(exitCode(err))
+}
+
+func exitCode(err error) int {
+	var refused *client.Refused
+	switch {
+	case errors.Is(err, client.ErrUnknown):
+		return boot.ExitUnknown
+	case errors.As(err, &refused), errors.Is(err, client.ErrNotTaken):
+		return boot.ExitRefused
+	default:
+		return boot.Code(err)
+	}
+}
--- /dev/null
+++ b/haven/run.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"verbenahaven.example/core/version/lang"
+	"verbenahaven.example/haven/client"
+	"verbenahaven.example/haven/memo"
+)
+
+func init() {
+	register(&runCmd{})
+}
+
+// runCmd runs commands and questions.
+type runCmd struct {
+	keeperFlags
+	commandFlags
+	file string
+}
+
+func (*runCmd) Name() string     { return "run" }
+func (*runCmd) Synopsis() string { return "run commands that change the state" }
+func (*runCmd) Usage() string {
+	return `haven run [flags] [TEXT]
+
+Sends commands and questions. The text comes from the arguments, from -file, or
+from standard input. All changes of a text take effect together or not at all.
+Each text with changes has a number, which is printed. When an answer is lost
+(exit code 7), the same command line sends the text again under the same
+number, so that it takes effect once.
+
+Examples:
+  haven run 'declare service verdict model spec class batch deadline 30s'
+  haven run -expect 812 'assign engine e1 role decode'
+  haven run -number 1788000000000042 'drain engine e1'
+  haven run -file fleet.txt
+
+Flags:
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *runCmd) SetFlags(f *flag.FlagSet) {
+	c.keeperFlags.set(f)
+	c.commandFlags.set(f)
+	f.StringVar(&c.file, "file", "", "file with the text; - is standard input")
+}
+
+// Execute implements subcommands.Command.
+func (c *runCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return finish(c.run(ctx, f))
+}
+
+func (c *runCmd) run(ctx context.Context, f *flag.FlagSet) error {
+	text, list, err := textOf(f, c.file)
+	if err != nil {
+		return err
+	}
+	if !changing(list) {
+		return c.send(ctx, text, 0, c.expect)
+	}
+	return c.change(ctx, &c.keeperFlags, text)
+}
+
+func changing(list []lang.Statement) bool {
+	for _, s := range list {
+		if _, changes := s.Change(); changes {
+			return true
+		}
+	}
+	return false
+}
+
+// commandFlags are the flags of texts that change the state.
+type commandFlags struct {
+	number uint64
+	expect uint64
+	fresh  bool
+}
+
+func (c *commandFlags) set(f *flag.FlagSet) {
+	f.Uint64Var(&c.number, "number", 0, "number of the command, unique for the operator; 0 makes one")
+	f.Uint64Var(&c.expect, "expect", 0, "version that the state must have; 0 for any")
+	f.BoolVar(&c.fresh, "fresh", false, "make a new number even if an earlier copy has no answer")
+}
+
+// change sends a text with changes under its number and prints the answer.
+func (c *commandFlags) change(ctx context.Context, k *keeperFlags, text string) error {
+	if c.number != 0 {
+		fmt.Fprintln(os.Stderr, "haven: command number", c.number)
+		return k.send(ctx, text, c.number, c.expect)
+	}
+	folder, err := memoryFolder()
+	if err != nil {
+		return err
+	}
+	m, err := memo.New(folder, k.operator, time.Now)
+	if err != nil {
+		return fmt.Errorf("remember commands: %w", err)
+	}
+	p, err := m.Begin(text, c.expect, c.fresh)
+	if err != nil {
+		return fmt.Errorf("remember command: %w", err)
+	}
+	note := ""
+	if p.Again() {
+		note = fmt.Sprintf(" again: it was sent %s ago and has no answer yet", p.Age().Round(time.Second))
+	}
+	fmt.Fprintf(os.Stderr, "haven: command number %d%s\n", p.Number(), note)
+	err = k.send(ctx, text, p.Number(), c.expect)
+	if errors.Is(err, client.ErrUnknown) {
+		return err
+	}
+	return errors.Join(err, p.Done())
+}
