stand: fill in settings that are left out, answer faults with 200

Settings without a rate of the weight store were refused although the sample gives one. The swing test passed with its guard taken out, since the price alone held changes back; it now draws a price of 0 too, and fails without the guard.

--- a/core/version/plan/plan_test.go
+++ b/core/version/plan/plan_test.go
@@ -123,6 +123,7 @@
 func TestSwingShorterThanHorizonIsNotFollowed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := settings()
+		s.Price = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "price")
 		period := rapid.IntRange(2, int(s.Horizon/time.Second)).Draw(t, "period")
 		b := newBench(NameGoodput, s, 6, 6)
 		for i := range 400 {
--- a/stand/config/config.go
+++ b/stand/config/config.go
@@ -85,7 +85,10 @@
 	ProxyUDP = "udp"
 )
 
-const modelBytes = 10_000_000
+const (
+	modelBytes = 10_000_000
+	weightRate = 100_000_000 // bytes a second
+)
 
 var (
 	errEmpty  = errors.New("must be set")
@@ -100,10 +103,10 @@
 	if s.Control.HTTP == "" {
 		return "control.http", errEmpty
 	}
-	if s.Weights.Bytes == 0 {
-		s.Weights.Bytes = modelBytes
-	}
-	if s.Weights.Listen != "" && s.Weights.Rate <= 0 {
+	fill(&s.Weights.Bytes, modelBytes)
+	fill(&s.Weights.Rate, weightRate)
+	fill(&s.List.Lag, boot.Duration(time.Second))
+	if s.Weights.Rate < 0 {
 		return "weights.rate", fmt.Errorf("%w: above 0", errRange)
 	}
 	names := make(map[string]bool)
--- a/stand/control.go
+++ b/stand/control.go
@@ -70,7 +70,7 @@
 		fail(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	w.WriteHeader(http.StatusNoContent)
+	_ = w.WriteAsJson(f)
 }
 
 func (c *control) records(r *restful.Request, w *restful.Response) {
