--- a/core/version/plan/plan_test.go
+++ b/core/version/plan/plan_test.go
@@ -120,21 +120,25 @@
 	}
 }
 
+// TestSwingShorterThanHorizonIsNotFollowed swings around a mean that fits the
+// roles as they are, so that any change would follow the swing.
 func TestSwingShorterThanHorizonIsNotFollowed(t *testing.T) {
+	const meanPrefill, meanDecode = 0.65 * 6 * testPrefill, 11000.0
 	rapid.Check(t, func(t *rapid.T) {
 		s := settings()
 		s.Price = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "price")
-		period := rapid.IntRange(2, int(s.Horizon/time.Second)).Draw(t, "period")
+		swing := rapid.Float64Range(0.2, 1).Draw(t, "swing")
+		half := rapid.IntRange(1, int(s.Horizon/time.Second)/2).Draw(t, "half")
 		b := newBench(NameGoodput, s, 6, 6)
-		for i := range 400 {
-			if i%period < period/2 {
-				b.step(lowPrefill, highDecode)
-			} else {
-				b.step(highPrefill, lowDecode)
+		for i := range 300 {
+			sign := 1.0
+			if i/half%2 == 0 {
+				sign = -1
 			}
+			b.step(meanPrefill*(1+sign*swing), meanDecode*(1-sign*swing))
 		}
 		if len(b.changes) > 1 {
-			t.Fatalf("%d changes under a swing of %d s", len(b.changes), period)
+			t.Fatalf("%d changes under a swing of %d s", len(b.changes), 2*half)
 		}
 	})
 }
