guard: carry the deadline into the dial

The transport dials under a context without its deadline, so the close at the end of the lease fired at once and no order left. The deadline is passed by hand now; a refused write is told as ErrLease, whatever error the transport makes of it. The guard's tests fail without either.

--- a/core/conn/guard/guard.go
+++ b/core/conn/guard/guard.go
@@ -56,11 +56,13 @@
 	// The connection dies with the lease that was held before it was dialled.
 	ctx, cancel := context.WithTimeout(ctx, min(remaining-w.margin, w.wait))
 	defer cancel()
-	var written atomic.Bool
+	deadline, _ := ctx.Deadline()
+	var p progress
 	transport := &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return w.dial(ctx, network, address, &written)
+			// The transport dials under a context without the deadline.
+			return w.dial(ctx, network, address, time.Until(deadline), &p)
 		},
 	}
 	defer transport.CloseIdleConnections()
@@ -70,7 +72,16 @@
 	}
 	r.Header.Set("Content-Type", "application/json")
 	err = exchange(transport, r, answer)
-	return written.Load(), err
+	if p.refused.Load() {
+		err = ErrLease
+	}
+	return p.written.Load(), err
+}
+
+// progress is what became of the writes of one exchange.
+type progress struct {
+	written atomic.Bool // bytes may have left
+	refused atomic.Bool // the lease didn't cover a write
 }
 
 func exchange(transport *http.Transport, r *http.Request, answer any) error {
@@ -92,7 +103,7 @@
 	return nil
 }
 
-func (w *Writer) dial(ctx context.Context, network, address string, written *atomic.Bool) (net.Conn, error) {
+func (w *Writer) dial(ctx context.Context, network, address string, left time.Duration, p *progress) (net.Conn, error) {
 	d := net.Dialer{KeepAlive: -1}
 	c, err := d.DialContext(ctx, network, address)
 	if err != nil {
@@ -108,36 +119,32 @@
 		_ = c.Close()
 		return nil, fmt.Errorf("set linger: %w", err)
 	}
-	deadline, _ := ctx.Deadline()
-	g := &conn{TCPConn: tcp, writer: w, written: written}
-	g.timer = time.AfterFunc(time.Until(deadline), func() { _ = tcp.Close() })
+	g := &conn{TCPConn: tcp, writer: w, progress: p}
+	g.timer = time.AfterFunc(left, func() { _ = tcp.Close() })
 	return g, nil
 }
 
 // conn checks the lease immediately before each write.
 type conn struct {
 	*net.TCPConn
-	writer  *Writer
-	written *atomic.Bool
-	timer   *time.Timer
+	writer   *Writer
+	progress *progress
+	timer    *time.Timer
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	remaining := c.writer.lease()
 	if remaining <= c.writer.margin {
-		_ = c.Close()
-		return 0, ErrLease
+		return 0, c.refuse()
 	}
 	if err := c.expire(remaining - c.writer.margin); err != nil {
-		_ = c.Close()
 		return 0, err
 	}
 	if c.writer.lease() <= c.writer.margin {
-		_ = c.Close()
-		return 0, ErrLease
+		return 0, c.refuse()
 	}
-	c.written.Store(true)
+	c.progress.written.Store(true)
 	n, err := c.TCPConn.Write(b)
 	if err != nil {
 		return n, fmt.Errorf("write order: %w", err)
@@ -145,6 +152,11 @@
 	return n, nil
 }
 
+func (c *conn) refuse() error {
+	c.progress.refused.Store(true)
+	return ErrLease
+}
+
 // expire makes the kernel give up unacknowledged bytes after a time,
 // also while this process is stopped.
 func (c *conn) expire(left time.Duration) error {
