--- /dev/null
+++ b/entryd/app.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"verbenahaven.example/core/conn/link"
+	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/entryd/beat"
+	"verbenahaven.example/entryd/front"
+	"verbenahaven.example/entryd/infer"
+	"verbenahaven.example/entryd/poll"
+	"verbenahaven.example/entryd/quota"
+	"verbenahaven.example/entryd/setup"
+	"verbenahaven.example/entryd/watch"
+)
+
+const (
+	// leaveWait is the longest wait for the state to say that this instance
+	// is leaving.
+	leaveWait = 2 * time.Second
+	// spread is the time after which the other instances know it too.
+	spread    = time.Second
+	leavePoll = 20 * time.Millisecond
+)
+
+// app is one entry instance.
+type app struct {
+	settings *setup.Settings
+	front    *front.Front
+	watch    *watch.Watch
+	beat     *beat.Beat
+	poll     *poll.Poll
+	quota    *quota.Quota
+	infer    *infer.Server
+	strikes  *infer.Strikes
+	link     *link.Server
+}
+
+// run serves until ctx ends, then shuts down gracefully.
+func (a *app) run(ctx context.Context) error {
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", a.settings.Listen.HTTP)
+	if err != nil {
+		return boot.Fail(boot.ExitAddress, fmt.Errorf("listen.http: %w", err))
+	}
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer stop()
+	for _, f := range []func(context.Context){
+		a.watch.Run, a.beat.Run, a.poll.Run, a.quota.Run, a.infer.Run, a.strikes.Run,
+	} {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			f(duties)
+		}()
+	}
+	server := a.front.Server()
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(l) }()
+	klog.InfoS("serving", "name", a.settings.Name, "http", l.Addr().String())
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve callers: %w", err)
+	case <-ctx.Done():
+	}
+	return a.stop(context.WithoutCancel(ctx), server)
+}
+
+// stop leaves the address answers, serves until the cached ones have run out,
+// and finishes what is in progress.
+func (a *app) stop(ctx context.Context, server *http.Server) error {
+	klog.InfoS("leaving", "name", a.settings.Name)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(a.settings.Stop.Grace))
+	defer cancel()
+	a.beat.Leave()
+	a.front.Leave()
+	a.left(ctx)
+	wait(ctx, spread+time.Duration(a.settings.Address.Life))
+	err := server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		_ = server.Close()
+		return fmt.Errorf("requests were cut at the end of stop.grace: %w", err)
+	}
+	if err != nil {
+		return fmt.Errorf("stop serving: %w", err)
+	}
+	klog.InfoS("stopped", "name", a.settings.Name)
+	return nil
+}
+
+// left waits until the state says that this instance is leaving.
+func (a *app) left(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveWait)
+	defer cancel()
+	for ctx.Err() == nil && a.beat.Phase() != state.PhaseLeaving {
+		wait(ctx, leavePoll)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/entryd/beat/beat.go
@@ -0,0 +1,131 @@
+// Package beat sends an entry instance's heartbeats.
+package beat
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/view"
+	"verbenahaven.example/entryd/guide"
+	"verbenahaven.example/entryd/watch"
+)
+
+const (
+	period  = 500 * time.Millisecond
+	hurried = 100 * time.Millisecond // while a change waits for requests here
+	timeout = time.Second
+)
+
+// Beat sends heartbeats.
+type Beat struct {
+	keeper proto.Keeper
+	guide  *guide.Guide
+	watch  *watch.Watch
+	store  *view.Store
+	meter  *meter.Registry
+	clock  clock.Clock
+	now    chan struct{}
+
+	mutex  sync.Mutex
+	member state.Member
+	phase  state.Phase // as the state has it
+	last   time.Duration
+	up     bool
+}
+
+// New returns heartbeats for a member.
+func New(
+	m state.Member, k proto.Keeper, g *guide.Guide, w *watch.Watch, v *view.Store, r *meter.Registry, c clock.Clock,
+) *Beat {
+	return &Beat{
+		keeper: k, guide: g, watch: w, store: v, meter: r, clock: c, member: m, now: make(chan struct{}, 1), last: c.Elapsed(),
+	}
+}
+
+// Leave makes all further heartbeats say that the instance is leaving.
+func (b *Beat) Leave() {
+	b.mutex.Lock()
+	b.member.Phase = state.PhaseLeaving
+	b.mutex.Unlock()
+	select {
+	case b.now <- struct{}{}:
+	default:
+	}
+}
+
+// Phase is the phase that the state last gave this instance.
+func (b *Beat) Phase() state.Phase {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.phase
+}
+
+// Run sends heartbeats until ctx ends: regularly, and at once when another
+// version has come into force, since a planned change waits for that.
+func (b *Beat) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := b.store.Changed()
+		b.guide.Sweep(b.clock.Now())
+		wait := b.send(ctx)
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-b.now:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// send sends one heartbeat and returns the time until the next.
+func (b *Beat) send(ctx context.Context) time.Duration {
+	r := b.request()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	reply, err := b.keeper.Beat(ctx, r)
+	b.note(err)
+	if err != nil {
+		return hurried
+	}
+	b.watch.Told(reply.Version)
+	b.mutex.Lock()
+	b.phase = reply.Phase
+	b.mutex.Unlock()
+	if r.Settled < r.Version || len(r.InFlight) > 0 {
+		return hurried
+	}
+	return period
+}
+
+func (b *Beat) request() proto.BeatRequest {
+	b.mutex.Lock()
+	m := b.member
+	passed := b.clock.Elapsed() - b.last
+	b.last += passed
+	b.mutex.Unlock()
+	r := proto.BeatRequest{Member: m}
+	r.Version, r.Settled = b.guide.Versions()
+	r.InFlight = b.guide.InFlight()
+	r.Demand, r.Reports = b.guide.Digest(passed)
+	return r
+}
+
+func (b *Beat) note(err error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if err != nil {
+		b.meter.Count("beat", "failed")
+	}
+	if up := err == nil; up != b.up {
+		b.up = up
+		klog.InfoS("control connection", "up", up, "err", err)
+	}
+}
--- /dev/null
+++ b/entryd/front/chat.go
@@ -0,0 +1,183 @@
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"verbenahaven.example/core/conn/engine"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/view"
+	"verbenahaven.example/entryd/fault"
+	"verbenahaven.example/entryd/infer"
+	"verbenahaven.example/entryd/trail"
+)
+
+const (
+	maxOutput        = 1 << 20 // tokens
+	fingerprintBytes = 16
+)
+
+func (f *Front) chat(r *restful.Request, w *restful.Response) {
+	f.infers(r.Request, w.ResponseWriter, engine.PathChat)
+}
+
+func (f *Front) complete(r *restful.Request, w *restful.Response) {
+	f.infers(r.Request, w.ResponseWriter, engine.PathComplete)
+}
+
+func (f *Front) infers(r *http.Request, w http.ResponseWriter, path string) {
+	record := &trail.Record{Request: f.newID(), At: f.clock.Now()}
+	w.Header().Set("Request-Id", record.Request)
+	f.meter.Count("request", "model")
+	sink := newSink(w, record.Request, path)
+	err := f.infering(r, w, path, record, sink)
+	if err != nil {
+		record.Refused = err.Error()
+	}
+	f.trail.Add(record)
+	if err == nil {
+		return
+	}
+	if !sink.begun {
+		fault.Write(w, f.meter, err)
+		return
+	}
+	// The status is out. The caller sees the error as an event and a stream
+	// without its end mark.
+	f.meter.Count("stream", "given_up", string(fault.From(err).Code()))
+	sink.fail(err)
+	panic(http.ErrAbortHandler)
+}
+
+func (f *Front) infering(r *http.Request, w http.ResponseWriter, path string, record *trail.Record, sink *sink) error {
+	v, end := f.guide.Begin()
+	defer end()
+	record.Version = v.Version()
+	if err := f.ready(v); err != nil {
+		return err
+	}
+	who, err := account(r, v)
+	if err != nil {
+		return err
+	}
+	record.Account = who.Name
+	body, err := f.body(w, r)
+	if err != nil {
+		return err
+	}
+	request, err := Decode(body, path)
+	if err != nil {
+		return err
+	}
+	service, err := resolve(v, request.Model)
+	if err != nil {
+		return err
+	}
+	record.Service = service.Name
+	deadline, err := left(r, f.clock.Now())
+	if err != nil {
+		return err
+	}
+	if err := f.quota.Take(who, infer.Expected(&request)); err != nil {
+		return err //nolint:wrapcheck // a refusal
+	}
+	sink.begin(&request)
+	call := &infer.Call{
+		ID:          record.Request,
+		Service:     service,
+		Request:     request,
+		Path:        path,
+		Fingerprint: fingerprint(who.Name, &request),
+		Limit:       shorter(service.First, deadline),
+		Left:        shorter(service.Deadline, deadline),
+		Repeated:    repeated(r),
+		Record:      record,
+	}
+	call.Request.Model = service.Model
+	ctx, stop := f.bounded(r, deadline, sink)
+	defer stop()
+	return f.infer.Complete(ctx, call, sink) //nolint:wrapcheck // refusals carry their own words
+}
+
+// bounded ends a call at the caller's deadline unless its answer has begun: an
+// answer under way is never cut.
+func (f *Front) bounded(r *http.Request, deadline time.Duration, s *sink) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(r.Context())
+	if deadline == 0 {
+		return ctx, func() { cancel(nil) }
+	}
+	t := time.AfterFunc(deadline, func() {
+		if !s.delivered.Load() {
+			cancel(context.DeadlineExceeded)
+		}
+	})
+	return ctx, func() {
+		t.Stop()
+		cancel(nil)
+	}
+}
+
+// Decode reads the public part of a completion request.
+func Decode(body []byte, path string) (engine.Request, error) {
+	var in struct {
+		Model     string           `json:"model"`
+		Messages  []engine.Message `json:"messages"`
+		Prompt    string           `json:"prompt"`
+		MaxTokens int              `json:"max_tokens"`
+		Stream    bool             `json:"stream"`
+		Seed      int64            `json:"seed"`
+	}
+	if err := json.Unmarshal(body, &in); err != nil {
+		return engine.Request{}, fault.New(fault.CodeJSON, err.Error())
+	}
+	r := engine.Request{
+		Model: in.Model, Messages: in.Messages, Prompt: in.Prompt, MaxTokens: in.MaxTokens, Stream: in.Stream, Seed: in.Seed,
+	}
+	switch {
+	case r.Model == "":
+		return r, fault.New(fault.CodeRequest, "model is missing")
+	case path == engine.PathChat && len(r.Messages) == 0:
+		return r, fault.New(fault.CodeRequest, "messages are missing")
+	case path == engine.PathComplete && r.Prompt == "":
+		return r, fault.New(fault.CodeRequest, "prompt is missing")
+	case r.MaxTokens < 0 || r.MaxTokens > maxOutput:
+		return r, fault.New(fault.CodeRequest, "max_tokens is out of range")
+	}
+	if path == engine.PathChat {
+		r.Prompt = ""
+	} else {
+		r.Messages = nil
+	}
+	return r, nil
+}
+
+// resolve finds the service that a request names. A model name stands for a
+// batch service of that model.
+func resolve(v *view.Snapshot, name string) (state.Service, error) {
+	if s, ok := v.Service(name); ok && s.Kind == state.KindModel {
+		return s, nil
+	}
+	if m, ok := v.Model(name); ok {
+		return state.Service{Name: m.Name, Kind: state.KindModel, Model: m.Name, Class: state.ClassBatch}, nil
+	}
+	return state.Service{}, fault.New(fault.CodeModel, "no service or model has the name "+name)
+}
+
+// fingerprint tells equal requests of one account.
+func fingerprint(account string, r *engine.Request) string {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic("front: request can't be encoded: " + err.Error())
+	}
+	h := sha256.New()
+	h.Write([]byte(account))
+	h.Write([]byte{0})
+	h.Write(b)
+	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+}
--- /dev/null
+++ b/entryd/front/fake_test.go
@@ -0,0 +1,262 @@
+package front_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/conn/engine"
+	"verbenahaven.example/core/conn/pool"
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/conn/stream"
+	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/retry"
+	"verbenahaven.example/core/request/route"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/view"
+	"verbenahaven.example/entryd/front"
+	"verbenahaven.example/entryd/guide"
+	"verbenahaven.example/entryd/infer"
+	"verbenahaven.example/entryd/plain"
+	"verbenahaven.example/entryd/quota"
+	"verbenahaven.example/entryd/trail"
+	"verbenahaven.example/entryd/watch"
+)
+
+const token = "secret"
+
+// fakeKeeper keeps the ledger and the strikes in memory.
+type fakeKeeper struct {
+	mutex   sync.Mutex
+	calls   map[string]proto.OnceRequest
+	strikes map[string]map[string]bool
+	away    bool // fails everything
+	view    state.View
+}
+
+func newKeeper() *fakeKeeper {
+	return &fakeKeeper{calls: map[string]proto.OnceRequest{}, strikes: map[string]map[string]bool{}}
+}
+
+func (k *fakeKeeper) Watch(ctx context.Context, r proto.WatchRequest) (proto.WatchReply, error) {
+	if r.Have < k.view.Version {
+		return proto.WatchReply{View: k.view}, nil
+	}
+	select {
+	case <-ctx.Done():
+		return proto.WatchReply{}, ctx.Err()
+	case <-time.After(r.Wait):
+		return proto.WatchReply{View: state.View{Version: k.view.Version, Since: k.view.Version}}, nil
+	}
+}
+
+func (k *fakeKeeper) Beat(context.Context, proto.BeatRequest) (proto.BeatReply, error) {
+	return proto.BeatReply{}, context.DeadlineExceeded
+}
+
+func (k *fakeKeeper) Slice(context.Context, proto.SliceRequest) (proto.SliceReply, error) {
+	return proto.SliceReply{}, context.DeadlineExceeded
+}
+
+func (k *fakeKeeper) Strike(_ context.Context, r proto.StrikeRequest) (proto.StrikeReply, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.away {
+		return proto.StrikeReply{}, context.DeadlineExceeded
+	}
+	if r.Clear {
+		delete(k.strikes, r.Fingerprint)
+		return proto.StrikeReply{}, nil
+	}
+	if k.strikes[r.Fingerprint] == nil {
+		k.strikes[r.Fingerprint] = map[string]bool{}
+	}
+	k.strikes[r.Fingerprint][r.Engine] = true
+	return proto.StrikeReply{Count: len(k.strikes[r.Fingerprint])}, nil
+}
+
+func (k *fakeKeeper) Once(_ context.Context, r proto.OnceRequest) (proto.OnceReply, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.away {
+		return proto.OnceReply{}, context.DeadlineExceeded
+	}
+	old, ok := k.calls[r.Key]
+	switch r.Step {
+	case proto.OnceBegin:
+		switch {
+		case !ok:
+			k.calls[r.Key] = r
+			return proto.OnceReply{Verdict: proto.VerdictStart}, nil
+		case old.Fingerprint != r.Fingerprint:
+			return proto.OnceReply{Verdict: proto.VerdictConflict}, nil
+		case old.Step == proto.OnceFinish && !old.Unknown:
+			return proto.OnceReply{Verdict: proto.VerdictReplay, Status: old.Status, Type: old.Type, Body: old.Body}, nil
+		case old.Step == proto.OnceFinish:
+			return proto.OnceReply{Verdict: proto.VerdictUnknown}, nil
+		}
+		return proto.OnceReply{Verdict: proto.VerdictBusy}, nil
+	case proto.OnceFinish:
+		k.calls[r.Key] = r
+		return proto.OnceReply{Verdict: proto.VerdictDone}, nil
+	default:
+		delete(k.calls, r.Key)
+		return proto.OnceReply{Verdict: proto.VerdictClosed}, nil
+	}
+}
+
+// fakeEngine answers with the numbers of its tokens. Faults are applied to
+// the first answers, one for each.
+type fakeEngine struct {
+	*httptest.Server
+	mutex  sync.Mutex
+	faults []fault
+	seen   []engine.Request
+}
+
+type fault func(i int, e *engine.Event, w http.ResponseWriter) bool // false drops the event
+
+const tokens = 20
+
+func newEngine(t *testing.T, faults ...fault) *fakeEngine {
+	f := &fakeEngine{faults: faults}
+	mux := http.NewServeMux()
+	mux.HandleFunc(engine.PathState, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{}")) })
+	mux.HandleFunc(engine.PathCancel, func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc(engine.PathPrefill, func(w http.ResponseWriter, r *http.Request) {
+		q := f.take(r)
+		_ = json.NewEncoder(w).Encode(engine.Prefilled{Attempt: q.Attempt, Handle: "h-" + q.Attempt})
+	})
+	mux.HandleFunc(engine.PathChat, f.chat)
+	f.Server = httptest.NewServer(mux)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fakeEngine) take(r *http.Request) engine.Request {
+	var q engine.Request
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		panic(err)
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.seen = append(f.seen, q)
+	return q
+}
+
+func (f *fakeEngine) fault() fault {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if len(f.faults) == 0 {
+		return nil
+	}
+	one := f.faults[0]
+	f.faults = f.faults[1:]
+	return one
+}
+
+func (f *fakeEngine) chat(w http.ResponseWriter, r *http.Request) {
+	q := f.take(r)
+	bad := f.fault()
+	for i := q.Resume; i < tokens; i++ {
+		e := engine.Event{ID: "x", Attempt: q.Attempt, Token: i, Choices: []engine.Choice{{Delta: engine.Message{Content: fmt.Sprintf("%d ", i)}}}}
+		if i == tokens-1 {
+			e.Choices[0].Finish = "stop"
+		}
+		if bad != nil && !bad(i, &e, w) {
+			continue
+		}
+		b, _ := json.Marshal(e)
+		_, _ = w.Write(stream.Append(nil, b))
+		_ = http.NewResponseController(w).Flush()
+		if r.Context().Err() != nil {
+			return
+		}
+	}
+	if bad != nil && !bad(tokens, nil, w) {
+		return
+	}
+	_, _ = w.Write(stream.Append(nil, []byte(engine.Done)))
+}
+
+// bench is one entry instance in this process.
+type bench struct {
+	*httptest.Server
+	keeper *fakeKeeper
+	guide  *guide.Guide
+	store  *view.Store
+	meter  *meter.Registry
+}
+
+func newBench(t *testing.T, v state.View) *bench {
+	sum := sha256.Sum256([]byte(token))
+	v.Version = 1
+	v.Accounts = append(v.Accounts, state.Account{Name: "desk", Digest: hex.EncodeToString(sum[:])})
+	k, m, c := newKeeper(), meter.New(), clock.System()
+	k.view = v
+	b := &bench{keeper: k, guide: guide.New("entry1", "north", route.PolicyCache), store: view.New(), meter: m}
+	w, cleanWatch := watch.New(watch.Settings{Name: "entry1", Fanout: 2, Stale: time.Minute}, b.store, k, b.guide, nil, m, c)
+	p, cleanPool := pool.New()
+	policy := retry.NewPolicy(0.1, time.Millisecond)
+	i := infer.New(infer.Settings{Silence: 200 * time.Millisecond, Retry: policy}, b.guide, p, infer.NewStrikes(k, m, 2), m, c)
+	s, cleanPlain := plain.New(plain.Settings{Holder: "entry1/1", Retry: policy}, b.guide, p, k, m, c)
+	f := front.New(front.Settings{
+		Name: "entry1", Centre: "north", Life: time.Second, Count: 2, Bytes: 1 << 16, Header: 1 << 14, Read: 200 * time.Millisecond,
+	}, b.guide, w, i, s, quota.New("entry1", k, b.guide, m, c), trail.New(), m, c)
+	b.Server = httptest.NewUnstartedServer(nil)
+	b.Config = f.Server()
+	b.Start()
+	t.Cleanup(func() {
+		b.Close()
+		cleanPlain()
+		cleanPool()
+		cleanWatch()
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	for changed := b.store.Changed(); b.guide.Snapshot().Version() == 0; {
+		select {
+		case <-changed:
+			runtime.Gosched()
+		case <-time.After(5 * time.Second):
+			t.Fatal("no state in force")
+		}
+	}
+	return b
+}
+
+func (b *bench) ask(t *testing.T, method, path, body string, headers ...string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, b.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = a.Body.Close() })
+	return a
+}
--- /dev/null
+++ b/entryd/front/front_test.go
@@ -0,0 +1,298 @@
+package front_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/conn/engine"
+	"verbenahaven.example/core/conn/stream"
+	"verbenahaven.example/core/version/state"
+)
+
+const chat = `{"model":"counter","messages":[{"role":"user","content":"Which panel?"}],"stream":true,"max_tokens":20}`
+
+func models(engines ...state.Engine) state.View {
+	return state.View{
+		Services: []state.Service{{Name: "counter", Kind: state.KindModel, Model: "spec", Class: state.ClassFirst}},
+		Engines:  engines,
+	}
+}
+
+func at(name, url string, role state.Role) state.Engine {
+	return state.Engine{Name: name, URL: url, Centre: "north", Role: role, Model: "spec", Phase: state.PhaseServing}
+}
+
+// read returns the text of a stream and checks that it is whole.
+func read(t *testing.T, a *http.Response) string {
+	t.Helper()
+	if a.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(a.Body)
+		t.Fatalf("status %d: %s", a.StatusCode, b)
+	}
+	var text strings.Builder
+	r := stream.NewReader(a.Body)
+	for next := 0; ; next++ {
+		data, err := r.Next()
+		if err != nil {
+			t.Fatalf("stream broke after %d tokens: %v", next, err)
+		}
+		if string(data) == engine.Done {
+			return text.String()
+		}
+		var e engine.Event
+		if err := json.Unmarshal(data, &e); err != nil {
+			t.Fatal(err)
+		}
+		if e.Token != next || e.Attempt != "" {
+			t.Fatalf("token %d of attempt %q where token %d was due", e.Token, e.Attempt, next)
+		}
+		text.WriteString(e.Choices[0].Delta.Content)
+	}
+}
+
+func whole() string {
+	var b strings.Builder
+	for i := range tokens {
+		fmt.Fprintf(&b, "%d ", i)
+	}
+	return b.String()
+}
+
+func TestStreamsThroughPrefillAndDecode(t *testing.T) {
+	p, d := newEngine(t), newEngine(t)
+	b := newBench(t, models(at("p", p.URL, state.RolePrefill), at("d", d.URL, state.RoleDecode)))
+	long := strings.Replace(chat, "Which", strings.Repeat("Which ", 1000), 1)
+	if got := read(t, b.ask(t, http.MethodPost, "/v1/chat/completions", long)); got != whole() {
+		t.Fatalf("got %q", got)
+	}
+	if len(p.seen) != 1 || len(d.seen) != 1 {
+		t.Fatalf("prefill engine saw %d requests, decode engine %d", len(p.seen), len(d.seen))
+	}
+	if q := d.seen[0]; q.Source != p.URL || q.Handle != "h-"+q.Attempt {
+		t.Fatalf("decode request has source %q and handle %q", q.Source, q.Handle)
+	}
+}
+
+func TestWholeAnswer(t *testing.T) {
+	e := newEngine(t)
+	b := newBench(t, models(at("m", e.URL, state.RoleMixed)))
+	a := b.ask(t, http.MethodPost, "/v1/chat/completions", strings.Replace(chat, `"stream":true`, `"stream":false`, 1))
+	var got struct {
+		Choices []struct{ Message engine.Message }
+		Usage   struct {
+			Completion int `json:"completion_tokens"`
+		}
+	}
+	if err := json.NewDecoder(a.Body).Decode(&got); err != nil {
+		t.Fatal(err)
+	}
+	if got.Choices[0].Message.Content != whole() || got.Usage.Completion != tokens {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+// abort breaks the connection at one token.
+func abort(at int) fault {
+	return func(i int, _ *engine.Event, _ http.ResponseWriter) bool {
+		if i == at {
+			panic(http.ErrAbortHandler)
+		}
+		return true
+	}
+}
+
+func TestOneWholeStreamWhateverAnEngineDoes(t *testing.T) {
+	cases := map[string]fault{
+		"breaks at once":  abort(0),
+		"breaks midway":   abort(7),
+		"loses end mark":  func(i int, _ *engine.Event, _ http.ResponseWriter) bool { return i != tokens },
+		"loses last":      func(i int, _ *engine.Event, _ http.ResponseWriter) bool { return i != tokens-1 },
+		"loses one":       func(i int, _ *engine.Event, _ http.ResponseWriter) bool { return i != 5 },
+		"repeats one":     func(i int, e *engine.Event, _ http.ResponseWriter) bool { return again(i, e, 9) },
+		"crosses answers": func(i int, e *engine.Event, _ http.ResponseWriter) bool { return cross(i, e, 4) },
+		"goes silent": func(i int, _ *engine.Event, _ http.ResponseWriter) bool {
+			if i == 6 {
+				time.Sleep(400 * time.Millisecond)
+				panic(http.ErrAbortHandler)
+			}
+			return true
+		},
+		"sends garbage": func(i int, _ *engine.Event, w http.ResponseWriter) bool {
+			if i == 3 {
+				_, _ = w.Write([]byte("data: {\n\n"))
+			}
+			return true
+		},
+	}
+	for name, f := range cases {
+		t.Run(name, func(t *testing.T) {
+			one, two := newEngine(t, f), newEngine(t, f)
+			b := newBench(t, models(at("one", one.URL, state.RoleMixed), at("two", two.URL, state.RoleMixed)))
+			if got := read(t, b.ask(t, http.MethodPost, "/v1/chat/completions", chat)); got != whole() {
+				t.Fatalf("got %q", got)
+			}
+		})
+	}
+}
+
+func again(i int, e *engine.Event, at int) bool {
+	if i == at {
+		e.Token--
+		e.Choices[0].Delta.Content = "repeated"
+	}
+	return true
+}
+
+func cross(i int, e *engine.Event, at int) bool {
+	if i == at {
+		e.Attempt = "other"
+		e.Choices[0].Delta.Content = "crossed"
+	}
+	return true
+}
+
+func TestRunsOnce(t *testing.T) {
+	var ran atomic.Int32
+	var id atomic.Value
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id.Store(r.Header.Get("Call-Id"))
+		w.Header().Set("Content-Type", "text/plain")
+		_, _ = fmt.Fprintf(w, "stamp %d at %s", ran.Add(1), r.URL.RequestURI())
+	}))
+	t.Cleanup(s.Close)
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	b := newBench(t, state.View{
+		Services: []state.Service{{Name: "permit", Kind: state.KindPlain, Once: true}},
+		Servers: []state.Server{
+			{Name: "s1", URL: s.URL, Centre: "north", Service: "permit", Phase: state.PhaseServing},
+			{Name: "s2", URL: gone.URL, Centre: "north", Service: "permit", Phase: state.PhaseServing},
+		},
+	})
+	for range 5 {
+		a := b.ask(t, http.MethodPost, "/s/permit/stamps/7?x=1", "{}", "Idempotency-Key", "k1")
+		body, _ := io.ReadAll(a.Body)
+		if string(body) != "stamp 1 at /stamps/7?x=1" {
+			t.Fatalf("status %d: %s", a.StatusCode, body)
+		}
+	}
+	if id.Load() != "desk/k1" {
+		t.Fatalf("call id %v", id.Load())
+	}
+	if a := b.ask(t, http.MethodPost, "/s/permit/stamps/8", "{}", "Idempotency-Key", "k1"); a.StatusCode != http.StatusConflict {
+		t.Fatalf("status %d for another request under the same key", a.StatusCode)
+	}
+}
+
+func TestBrokenCallIsUnknownAndNeverSentAgain(t *testing.T) {
+	var ran atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		ran.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(s.Close)
+	b := newBench(t, state.View{
+		Services: []state.Service{{Name: "permit", Kind: state.KindPlain, Once: true}},
+		Servers:  []state.Server{{Name: "s1", URL: s.URL, Centre: "north", Service: "permit", Phase: state.PhaseServing}},
+	})
+	for range 3 {
+		a := b.ask(t, http.MethodPost, "/s/permit/stamps", "{}", "Idempotency-Key", "k1")
+		if body, _ := io.ReadAll(a.Body); !strings.Contains(string(body), `"ran":"unknown"`) {
+			t.Fatalf("status %d: %s", a.StatusCode, body)
+		}
+	}
+	if n := ran.Load(); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	e := newEngine(t)
+	v := models(at("m", e.URL, state.RoleMixed))
+	v.Services = append(v.Services, state.Service{Name: "permit", Kind: state.KindPlain, Once: true},
+		state.Service{Name: "away", Kind: state.KindModel, Model: "other"})
+	v.Members = []state.Member{
+		{Name: "entry1", Kind: state.MemberEntry, URL: "http://a", Centre: "north", Phase: state.PhaseServing},
+		{Name: "entry2", Kind: state.MemberEntry, URL: "http://b", Centre: "south", Phase: state.PhaseLeaving},
+	}
+	b := newBench(t, v)
+	const path = "/v1/chat/completions"
+	cases := []struct {
+		code    string
+		path    string
+		body    string
+		headers []string
+	}{
+		{"bad_json", path, "{", nil},
+		{"bad_request", path, `{"model":"counter"}`, nil},
+		{"unknown_model", path, `{"model":"x","messages":[{"role":"user"}]}`, nil},
+		{"no_backend", path, `{"model":"away","messages":[{"role":"user"}]}`, nil},
+		{"body_too_large", path, strings.Repeat(" ", 1<<16+1), nil},
+		{"not_authenticated", path, chat, []string{"Authorization", "Bearer other"}},
+		{"bad_request", path, chat, []string{"Deadline", "soon"}},
+		{"deadline", path, chat, []string{"Deadline", "2001-01-01T00:00:00Z"}},
+		{"missing_key", "/s/permit/x", "{}", nil},
+		{"unsent", "/s/permit/x", "{}", []string{"Idempotency-Key", "k"}},
+		{"unknown_service", "/s/other/x", "{}", nil},
+		{"unknown_path", "/v2", "", nil},
+		{"bad_method", "/address", "", nil},
+	}
+	for _, c := range cases {
+		t.Run(c.code, func(t *testing.T) {
+			a := b.ask(t, http.MethodPost, c.path, c.body, c.headers...)
+			var got struct {
+				Error struct {
+					Code  string
+					Ran   string
+					Retry int64 `json:"retry_after_ms"`
+				}
+			}
+			if err := json.NewDecoder(a.Body).Decode(&got); err != nil {
+				t.Fatal(err)
+			}
+			if got.Error.Code != c.code || got.Error.Ran != "not_run" || a.StatusCode < 400 {
+				t.Fatalf("got status %d, %+v", a.StatusCode, got)
+			}
+			if (a.Header.Get("Retry-After") != "") != (got.Error.Retry > 0) {
+				t.Fatalf("Retry-After is %q, body has %d ms", a.Header.Get("Retry-After"), got.Error.Retry)
+			}
+			if b.meter.Value("refused", c.code) == 0 {
+				t.Fatal("not counted")
+			}
+		})
+	}
+	a := b.ask(t, http.MethodGet, "/address", "")
+	if body, _ := io.ReadAll(a.Body); !strings.Contains(string(body), `[{"url":"http://a","centre":"north"}],"life_ms":1000`) {
+		t.Fatalf("address answer %s", body)
+	}
+}
+
+func TestSlowBodyIsRefused(t *testing.T) {
+	b := newBench(t, models())
+	r, w := io.Pipe()
+	defer w.Close()
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, b.URL+"/v1/chat/completions", r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set("Authorization", "Bearer "+token)
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		t.Fatal(err)
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusRequestTimeout {
+		t.Fatalf("status %d", a.StatusCode)
+	}
+}
--- /dev/null
+++ b/entryd/front/info.go
@@ -0,0 +1,142 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/entryd/fault"
+)
+
+func (f *Front) write(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		f.meter.Count("answer", "unwritten")
+	}
+}
+
+// address tells callers which instances to use, and for how long.
+func (f *Front) address(_ *restful.Request, w *restful.Response) {
+	v := f.guide.Snapshot()
+	if err := f.ready(v); err != nil {
+		fault.Write(w, f.meter, err)
+		return
+	}
+	type address struct {
+		URL    string `json:"url"`
+		Centre string `json:"centre"`
+	}
+	var answer struct {
+		Addresses []address `json:"addresses"`
+		Life      int64     `json:"life_ms"`
+	}
+	skip := ""
+	if f.leaving.Load() {
+		skip = f.settings.Name
+	}
+	for _, m := range Spread(v.Entries(), f.settings.Centre, skip, f.settings.Count, f.turn.Add(1)) {
+		answer.Addresses = append(answer.Addresses, address{URL: m.URL, Centre: m.Centre})
+	}
+	answer.Life = f.settings.Life.Milliseconds()
+	f.write(w, answer)
+}
+
+// Spread chooses the instances of an address answer: those of the data centre
+// first, each part turned by one from answer to answer, so that each instance
+// comes first equally often.
+func Spread(members []state.Member, centre, skip string, count int, turn uint64) []state.Member {
+	var near, far []state.Member
+	for _, m := range members {
+		switch {
+		case m.Phase != state.PhaseServing || m.Name == skip || m.URL == "":
+		case m.Centre == centre:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	list := append(rotate(near, turn), rotate(far, turn)...)
+	return list[:min(count, len(list))]
+}
+
+func rotate(list []state.Member, turn uint64) []state.Member {
+	if len(list) == 0 {
+		return nil
+	}
+	n := int(turn % uint64(len(list)))
+	return append(append([]state.Member{}, list[n:]...), list[:n]...)
+}
+
+func (f *Front) models(r *restful.Request, w *restful.Response) {
+	v := f.guide.Snapshot()
+	if _, err := account(r.Request, v); err != nil {
+		fault.Write(w, f.meter, err)
+		return
+	}
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+		Owner  string `json:"owned_by"`
+	}
+	list := []model{}
+	for _, s := range v.Services() {
+		if s.Kind == state.KindModel {
+			list = append(list, model{ID: s.Name, Object: "model", Owner: s.Model})
+		}
+	}
+	for _, m := range v.Models() {
+		list = append(list, model{ID: m.Name, Object: "model", Owner: m.Name})
+	}
+	f.write(w, struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", list})
+}
+
+func (f *Front) health(_ *restful.Request, w *restful.Response) {
+	if err := f.ready(f.guide.Snapshot()); err != nil {
+		fault.Write(w, f.meter, err)
+		return
+	}
+	f.write(w, struct {
+		Status string `json:"status"`
+	}{"ok"})
+}
+
+func (f *Front) metrics(r *restful.Request, w *restful.Response) {
+	f.meter.ServeHTTP(w.ResponseWriter, r.Request)
+}
+
+func (f *Front) status(_ *restful.Request, w *restful.Response) {
+	version, settled := f.guide.Versions()
+	phase := state.PhaseServing
+	if f.leaving.Load() {
+		phase = state.PhaseLeaving
+	}
+	f.write(w, struct {
+		Name     string      `json:"name"`
+		Centre   string      `json:"centre"`
+		Phase    state.Phase `json:"phase"`
+		Version  uint64      `json:"version"`
+		Settled  uint64      `json:"settled"`
+		Age      int64       `json:"age_ms"`
+		Stale    bool        `json:"stale"`
+		Isolated bool        `json:"isolated"`
+		Leader   string      `json:"leader"`
+		Source   string      `json:"source"`
+	}{
+		f.settings.Name, f.settings.Centre, phase, version, settled, f.watch.Age().Milliseconds(), f.watch.Stale(),
+		f.watch.Isolated(f.clock.Elapsed()), f.watch.Leader(), f.watch.Source(),
+	})
+}
+
+func (f *Front) explain(r *restful.Request, w *restful.Response) {
+	record, ok := f.trail.Find(r.QueryParameter("request"))
+	if !ok {
+		fault.Write(w, f.meter, fault.New(fault.CodeNoDecision, "no record of this request is kept here"))
+		return
+	}
+	f.write(w, record)
+}
--- /dev/null
+++ b/entryd/front/plain.go
@@ -0,0 +1,105 @@
+package front
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/entryd/fault"
+	"verbenahaven.example/entryd/plain"
+	"verbenahaven.example/entryd/trail"
+)
+
+const maxKey = 256 // bytes of an idempotency key
+
+func (f *Front) call(r *restful.Request, w *restful.Response) {
+	record := &trail.Record{Request: f.newID(), At: f.clock.Now()}
+	w.Header().Set("Request-Id", record.Request)
+	f.meter.Count("request", "plain")
+	a, err := f.calling(r, w.ResponseWriter, record)
+	if err != nil {
+		record.Refused = err.Error()
+	}
+	f.trail.Add(record)
+	if err != nil {
+		fault.Write(w, f.meter, err)
+		return
+	}
+	if a.Type != "" {
+		w.Header().Set("Content-Type", a.Type)
+	}
+	if a.Replayed {
+		w.Header().Set("Replayed", "true")
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+func (f *Front) calling(r *restful.Request, w http.ResponseWriter, record *trail.Record) (plain.Answer, error) {
+	v, end := f.guide.Begin()
+	defer end()
+	record.Version = v.Version()
+	if err := f.ready(v); err != nil {
+		return plain.Answer{}, err
+	}
+	who, err := account(r.Request, v)
+	if err != nil {
+		return plain.Answer{}, err
+	}
+	record.Account = who.Name
+	name := r.PathParameter("service")
+	service, ok := v.Service(name)
+	if !ok || service.Kind != state.KindPlain {
+		return plain.Answer{}, fault.New(fault.CodeService, "no plain service has the name "+name)
+	}
+	record.Service = name
+	key := r.HeaderParameter("Idempotency-Key")
+	if service.Once && r.Request.Method != http.MethodGet && key == "" {
+		return plain.Answer{}, fault.New(fault.CodeKey, "calls of "+name+" need an Idempotency-Key")
+	}
+	if len(key) > maxKey {
+		return plain.Answer{}, fault.New(fault.CodeRequest, "the Idempotency-Key is too long")
+	}
+	deadline, err := left(r.Request, f.clock.Now())
+	if err != nil {
+		return plain.Answer{}, err
+	}
+	body, err := f.body(w, r.Request)
+	if err != nil {
+		return plain.Answer{}, err
+	}
+	if err := f.quota.Take(who, 0); err != nil {
+		return plain.Answer{}, err //nolint:wrapcheck // a refusal
+	}
+	if r.Request.Method == http.MethodGet {
+		service.Once = false
+	}
+	return f.plain.Do(r.Request.Context(), &plain.Call{ //nolint:wrapcheck // refusals carry their own words
+		ID:       record.Request,
+		Account:  who.Name,
+		Service:  service,
+		Key:      key,
+		Method:   r.Request.Method,
+		Target:   target(r.Request, name),
+		Type:     r.Request.Header.Get("Content-Type"),
+		Body:     body,
+		Left:     shorter(service.Deadline, deadline),
+		Repeated: repeated(r.Request),
+		Record:   record,
+	})
+}
+
+// target is the path and query at the backend server, as the caller wrote
+// them.
+func target(r *http.Request, service string) string {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/s/"+service)
+	if path == "" {
+		path = "/"
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
--- /dev/null
+++ b/entryd/front/read.go
@@ -0,0 +1,123 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/view"
+	"verbenahaven.example/entryd/fault"
+)
+
+const (
+	bearer    = "Bearer "
+	staleWait = time.Second
+	idBase    = 36
+)
+
+func startMark(now time.Time) string {
+	return strconv.FormatInt(now.UnixNano(), idBase)
+}
+
+func (f *Front) newID() string {
+	return f.settings.Name + "-" + f.start + "-" + strconv.FormatUint(f.serial.Add(1), idBase)
+}
+
+// account finds who asks.
+func account(r *http.Request, v *view.Snapshot) (state.Account, error) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+	if !ok || token == "" {
+		return state.Account{}, fault.New(fault.CodeAuth, "a bearer token is needed")
+	}
+	a, ok := v.Account(token)
+	if !ok {
+		return state.Account{}, fault.New(fault.CodeAuth, "unknown token")
+	}
+	return a, nil
+}
+
+// ready refuses while no version is in force, or while this instance can't
+// know whether backend servers are leaving.
+func (f *Front) ready(v *view.Snapshot) error {
+	if v.Version() == 0 {
+		return fault.New(fault.CodeStale, "no configuration has arrived yet").Retry(staleWait)
+	}
+	if f.watch.Isolated(f.clock.Elapsed()) {
+		return fault.New(fault.CodeStale, "this instance is cut off from all others; use another").Retry(staleWait)
+	}
+	if f.watch.Stale() {
+		f.meter.Count("served", "stale")
+	}
+	return nil
+}
+
+// body reads the body of a request within its bounds.
+func (f *Front) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	// Only real connections have deadlines.
+	_ = control.SetReadDeadline(f.clock.Now().Add(f.settings.Read))
+	if r.ContentLength > f.settings.Bytes {
+		return nil, tooLarge(f.settings.Bytes)
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.settings.Bytes))
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		_ = control.SetReadDeadline(time.Time{})
+		return b, nil
+	case errors.As(err, &large):
+		return nil, tooLarge(f.settings.Bytes)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, fault.New(fault.CodeSlow, "the body didn't arrive in time")
+	default:
+		return nil, fault.New(fault.CodeRequest, "the body broke off: "+err.Error())
+	}
+}
+
+func tooLarge(limit int64) error {
+	return fault.New(fault.CodeBody, "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+}
+
+// left returns the time that the caller gives, 0 without a bound. The header
+// has milliseconds from now, or an absolute time.
+func left(r *http.Request, now time.Time) (time.Duration, error) {
+	text := r.Header.Get("Deadline")
+	if text == "" {
+		return 0, nil
+	}
+	d := time.Duration(0)
+	if n, err := strconv.ParseInt(text, 10, 64); err == nil && n > 0 && n < int64(time.Duration(1<<62)/time.Millisecond) {
+		d = time.Duration(n) * time.Millisecond
+	} else if at, err := time.Parse(time.RFC3339Nano, text); err == nil {
+		d = at.Sub(now)
+	} else {
+		return 0, fault.New(fault.CodeRequest, "Deadline is neither milliseconds nor an RFC 3339 time")
+	}
+	if d <= 0 {
+		return 0, fault.New(fault.CodeDeadline, "the deadline has passed")
+	}
+	return d, nil
+}
+
+// repeated reports whether the caller's library says that this is a retry.
+func repeated(r *http.Request) bool {
+	for _, name := range []string{"Retry-Count", "X-Stainless-Retry-Count"} {
+		if n, err := strconv.Atoi(r.Header.Get(name)); err == nil && n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// shorter returns the smaller bound; 0 is none.
+func shorter(a, b time.Duration) time.Duration {
+	if a == 0 || (b != 0 && b < a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/entryd/infer/carry.go
@@ -0,0 +1,273 @@
+package infer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"verbenahaven.example/core/request/admit"
+	"verbenahaven.example/core/request/answer"
+	"verbenahaven.example/core/request/once"
+	"verbenahaven.example/core/request/retry"
+	"verbenahaven.example/core/request/route"
+	"verbenahaven.example/core/request/strike"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/entryd/fault"
+	"verbenahaven.example/entryd/guide"
+	"verbenahaven.example/entryd/trail"
+)
+
+const (
+	maxAttempts   = 6
+	probeTimeout  = 500 * time.Millisecond
+	suspectRetry  = time.Second
+	backendRetry  = 500 * time.Millisecond
+	defaultOutput = 256
+)
+
+// carrying is the state of one call on its way.
+type carrying struct {
+	*Server
+	call     *Call
+	sink     Sink
+	ask      route.Ask
+	assembly answer.Assembly
+	serial   int  // of the attempt
+	number   int  // of attempts since the last that was moved
+	suspect  bool // an engine was lost, or may have been
+	pledged  string
+}
+
+// Complete carries a call. An error before the first token is a refusal that
+// can still be answered with a status.
+func (s *Server) Complete(ctx context.Context, call *Call, sink Sink) error {
+	c := &carrying{Server: s, call: call, sink: sink}
+	text := Prompt(&call.Request)
+	c.ask = route.Ask{
+		Request:     call.ID,
+		Model:       call.Service.Model,
+		Adapter:     call.Service.Adapter,
+		Revision:    call.Service.Revision,
+		Fingerprint: call.Fingerprint,
+		First:       call.Service.Class == state.ClassFirst,
+		Pieces:      route.Pieces(call.Service.Model, text),
+		Tokens:      route.Tokens(text),
+		Output:      call.Request.MaxTokens,
+	}
+	if c.ask.Output == 0 {
+		c.ask.Output = defaultOutput
+	}
+	if err := c.judge(); err != nil {
+		return err
+	}
+	if err := c.admit(); err != nil {
+		s.guide.Demand(call.Service.Name, 0, 0, true)
+		return err
+	}
+	return c.loop(ctx)
+}
+
+// judge refuses a request that has cost too many engines, at once and for
+// good.
+func (c *carrying) judge() error {
+	now := c.clock.Now()
+	verdict, until := c.strikes.Judge(now, c.call.Fingerprint, c.guide.Snapshot())
+	switch verdict {
+	case strike.Out:
+		return struckOut(until.Sub(now))
+	case strike.Trial:
+		return fault.New(fault.CodeSuspect, "another copy of this request is being tried after an engine was lost").Retry(suspectRetry)
+	case strike.Suspect:
+		c.suspect = true
+	}
+	return nil
+}
+
+func struckOut(left time.Duration) error {
+	return fault.New(fault.CodeStrikes, "engines were lost while they ran this request; it is refused until the strikes run out").
+		Retry(left).Ran(once.RanYes)
+}
+
+// admit refuses at once what can't make its deadline.
+func (c *carrying) admit() error {
+	l, err := c.guide.Weigh(c.clock.Now(), &c.ask)
+	c.call.Record.Decisions = append(c.call.Record.Decisions, l.Decision)
+	if err != nil {
+		return noEngine(err)
+	}
+	reason, wait := admit.Decide(admit.Case{
+		Class:   c.call.Service.Class,
+		First:   l.Plan.First,
+		Step:    l.Step,
+		Output:  c.ask.Output,
+		Limit:   c.call.Limit,
+		Left:    c.call.Left,
+		Streams: l.Streams,
+		Room:    l.Room,
+	})
+	switch reason {
+	case admit.ReasonDeadline:
+		return fault.New(fault.CodeDeadline, fmt.Sprintf("expected first token in %v", l.Plan.First.Round(time.Millisecond))).Retry(wait)
+	case admit.ReasonRoom:
+		return fault.New(fault.CodeRoom, "the room left is reserved for the first class").Retry(wait)
+	}
+	c.guide.Demand(c.call.Service.Name, max(c.ask.Tokens-l.Plan.Cached, 0), c.ask.Output, false)
+	return nil
+}
+
+func noEngine(err error) error {
+	if errors.Is(err, route.ErrNone) {
+		return fault.New(fault.CodeBackend, err.Error()).Retry(backendRetry)
+	}
+	return err
+}
+
+func (c *carrying) loop(ctx context.Context) error {
+	for {
+		c.number++
+		c.serial++
+		l, err := c.choose(ctx)
+		if err != nil {
+			if c.number == 1 || !c.again(ctx, c.number) {
+				return err
+			}
+			continue
+		}
+		step := trail.Step{
+			Attempt: c.attemptID(), At: c.clock.Now(), Prefill: l.Plan.Prefill.Name, Server: l.Plan.Decode.Name, Tokens: c.assembly.Next(),
+		}
+		f := c.attempt(ctx, l, step.Attempt)
+		step.End = "done"
+		if f != nil {
+			step.End = string(f.reason) + ": " + f.err.Error()
+		}
+		c.call.Record.Steps = append(c.call.Record.Steps, step)
+		if f == nil {
+			c.finish(l)
+			return nil
+		}
+		if err := c.failed(ctx, f); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *carrying) attemptID() string {
+	return c.call.ID + "-" + strconv.Itoa(c.serial)
+}
+
+func (c *carrying) finish(l *guide.Lease) {
+	c.success(l.Plan.Prefill.Name, l.Plan.Decode.Name)
+	if c.suspect || c.pledged != "" {
+		c.strikes.Clear(c.call.Fingerprint)
+	}
+}
+
+// choose picks engines; a suspect needs a pledge for them.
+func (c *carrying) choose(ctx context.Context) (*guide.Lease, error) {
+	c.ask.Request = c.attemptID()
+	l, err := c.guide.Weigh(c.clock.Now(), &c.ask)
+	if c.serial > 1 {
+		c.call.Record.Decisions = append(c.call.Record.Decisions, l.Decision)
+	}
+	if err != nil {
+		// Engines that failed this request before are better than none.
+		if len(c.ask.Avoid) > 0 && !c.suspect {
+			c.ask.Avoid = nil
+		}
+		return nil, noEngine(err)
+	}
+	if !c.suspect && !l.Plan.Strayed {
+		return l, nil
+	}
+	target := l.Plan.Decode.Name
+	if l.Plan.Split() {
+		target = l.Plan.Prefill.Name + "+" + target
+	}
+	if target == c.pledged {
+		return l, nil
+	}
+	if !c.strikes.Pledge(ctx, c.clock.Now(), c.call.Fingerprint, target) {
+		return nil, fault.New(fault.CodeSuspect, "another copy of this request is being tried after an engine was lost").
+			Retry(suspectRetry).Ran(c.ran())
+	}
+	c.pledged = target
+	return l, nil
+}
+
+// again waits before another choice, and reports whether there is one.
+func (c *carrying) again(ctx context.Context, number int) bool {
+	return number < maxAttempts && c.wait(ctx, number) == nil
+}
+
+// failed decides what follows a failed attempt. It returns the error that
+// ends the call, or nil for another attempt.
+func (c *carrying) failed(ctx context.Context, f *failure) error {
+	c.meter.Count("attempt", "failed", string(f.reason))
+	if ctx.Err() != nil {
+		return c.cancelled(ctx)
+	}
+	if f.final {
+		return f.err
+	}
+	if f.reason == retry.ReasonMoved {
+		c.meter.Count("stream", "moved")
+		c.number = 0
+		return nil
+	}
+	lost := c.probe(ctx, f)
+	c.ask.Avoid = append(c.ask.Avoid, f.server.Name)
+	if lost && f.aboard {
+		c.strikes.Lost(ctx, c.clock.Now(), c.call.Fingerprint, f.server.Name)
+		c.suspect = true
+		if verdict, until := c.strikes.Judge(c.clock.Now(), c.call.Fingerprint, c.guide.Snapshot()); verdict == strike.Out {
+			return struckOut(until.Sub(c.clock.Now()))
+		}
+	}
+	// Work that a lost engine had taken isn't added load elsewhere: only
+	// failures of live engines spend from the budget.
+	if c.number >= maxAttempts || (!lost && c.assembly.Next() == 0 && !c.spend(f.server.Name, c.call.Repeated)) {
+		c.meter.Count("retry", "refused", string(f.reason))
+		return fault.New(fault.CodeBroken, f.err.Error()).Ran(c.ran()).Retry(backendRetry)
+	}
+	c.meter.Count("retry", string(f.reason))
+	if c.assembly.Next() > 0 {
+		c.meter.Count("stream", "resumed")
+		return nil
+	}
+	if err := c.wait(ctx, c.number); err != nil {
+		return c.cancelled(ctx)
+	}
+	return nil
+}
+
+// probe finds out whether the engine of a failed attempt is lost.
+func (c *carrying) probe(ctx context.Context, f *failure) bool {
+	switch f.reason {
+	case retry.ReasonStatus, retry.ReasonRefused, retry.ReasonGap:
+		return false
+	case retry.ReasonSilent:
+		c.pool.Discard(host(f.server.URL))
+	}
+	if c.alive(ctx, f.server.URL) {
+		return false
+	}
+	c.guide.Probe(f.server.Name, false)
+	return true
+}
+
+func (c *carrying) ran() once.Ran {
+	if c.serial > 1 || c.assembly.Next() > 0 {
+		return once.RanYes
+	}
+	return once.RanNot
+}
+
+func (c *carrying) cancelled(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return fault.New(fault.CodeDeadline, "no answer before the deadline").Ran(once.RanYes)
+	}
+	return fault.New(fault.CodeCancelled, "the caller went away").Ran(once.RanYes)
+}
--- /dev/null
+++ b/entryd/infer/strikes.go
@@ -0,0 +1,110 @@
+package infer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/strike"
+	"verbenahaven.example/core/version/view"
+)
+
+const (
+	strikeLife    = 10 * time.Minute
+	strikeTimeout = 1500 * time.Millisecond
+	clearRoom     = 1024
+)
+
+// Strikes shares strikes with the other instances. Where the shared record
+// can't be reached, the own record decides, so that a lost control plane
+// doesn't keep answers from being resumed.
+type Strikes struct {
+	keeper proto.Keeper
+	meter  *meter.Registry
+	limit  int
+	clears chan string
+
+	mutex sync.Mutex
+	table *strike.Table
+}
+
+// NewStrikes returns an empty record.
+func NewStrikes(k proto.Keeper, m *meter.Registry, limit int) *Strikes {
+	return &Strikes{
+		keeper: k,
+		meter:  m,
+		limit:  limit,
+		clears: make(chan string, clearRoom),
+		table:  strike.NewTable(limit, strikeLife),
+	}
+}
+
+// Judge tells what a request may do now, and until when.
+func (s *Strikes) Judge(now time.Time, fingerprint string, v *view.Snapshot) (strike.Verdict, time.Time) {
+	shared, known := v.Strike(fingerprint)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.table.Judge(now, fingerprint, shared, known)
+}
+
+// Lost records that an engine was lost with the request aboard.
+func (s *Strikes) Lost(ctx context.Context, now time.Time, fingerprint, engine string) {
+	s.meter.Count("strike", "lost")
+	s.record(ctx, now, fingerprint, engine)
+}
+
+// Pledge records an engine before a suspect goes to it, and reports whether
+// the suspect may go.
+func (s *Strikes) Pledge(ctx context.Context, now time.Time, fingerprint, engine string) bool {
+	s.meter.Count("strike", "pledge")
+	return strike.Allowed(s.record(ctx, now, fingerprint, strike.Pledge(engine)), s.limit)
+}
+
+func (s *Strikes) record(ctx context.Context, now time.Time, fingerprint, engine string) int {
+	s.mutex.Lock()
+	own := s.table.Add(now, fingerprint, engine)
+	s.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, strikeTimeout)
+	defer cancel()
+	r, err := s.keeper.Strike(ctx, proto.StrikeRequest{Fingerprint: fingerprint, Engine: engine})
+	if err != nil {
+		s.meter.Count("strike", "own_record")
+		return own
+	}
+	return max(own, r.Count)
+}
+
+// Clear forgets the strikes of a request that succeeded.
+func (s *Strikes) Clear(fingerprint string) {
+	s.mutex.Lock()
+	s.table.Clear(fingerprint)
+	s.mutex.Unlock()
+	select {
+	case s.clears <- fingerprint:
+	default:
+		// The shared record runs out by itself.
+		s.meter.Count("strike", "clear_dropped")
+	}
+}
+
+// Run sends the shared record's clears until ctx ends.
+func (s *Strikes) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-s.clears:
+			try, cancel := context.WithTimeout(ctx, strikeTimeout)
+			_, err := s.keeper.Strike(try, proto.StrikeRequest{Fingerprint: f, Clear: true})
+			cancel()
+			if err != nil {
+				s.meter.Count("strike", "clear_failed")
+				klog.V(1).InfoS("strikes not cleared", "fingerprint", f, "err", err)
+			}
+		}
+	}
+}
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -1,5 +1,48 @@
-// Command entryd is a program of verbenahaven.
+// Command entryd is an entry instance: it takes callers' requests and carries
+// them to engines and plain services.
 package main
 
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/entryd/setup"
+)
+
 func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	flags := flag.NewFlagSet("entryd", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	path := flags.String("config", "entryd.toml", "settings file")
+	if err := flags.Parse(args); err != nil {
+		return boot.ExitUsage
+	}
+	defer klog.Flush()
+	s := setup.Defaults()
+	if err := boot.Load(*path, s); err != nil {
+		klog.ErrorS(err, "start")
+		return boot.Code(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	a, cleanup, err := build(s)
+	if err != nil {
+		klog.ErrorS(err, "start")
+		return boot.Code(err)
+	}
+	defer cleanup()
+	if err := a.run(ctx); err != nil {
+		klog.ErrorS(err, "run")
+		return boot.Code(err)
+	}
+	return boot.ExitOK
 }
--- /dev/null
+++ b/entryd/plain/once.go
@@ -0,0 +1,200 @@
+package plain
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/request/once"
+	"verbenahaven.example/entryd/fault"
+)
+
+const (
+	ledgerTimeout = 2500 * time.Millisecond
+	recordTimeout = 20 * time.Second
+	busyWait      = 50 * time.Millisecond
+)
+
+// onceCall drives the state machine of one run-once call.
+type onceCall struct {
+	*Server
+	call  *Call
+	state *once.Call
+	base  proto.OnceRequest
+}
+
+func (s *Server) once(ctx context.Context, c *Call) (Answer, error) {
+	o := &onceCall{Server: s, call: c, state: once.New(), base: proto.OnceRequest{
+		Account:     c.Account,
+		Service:     c.Service.Name,
+		Key:         c.Key,
+		Fingerprint: fingerprint(c),
+		Attempt:     c.ID,
+		Holder:      s.settings.Holder,
+	}}
+	action := once.Begin
+	for action != once.Answer {
+		action = o.act(ctx, action)
+	}
+	return o.answer()
+}
+
+func (o *onceCall) act(ctx context.Context, action once.Action) once.Action {
+	switch action {
+	case once.Begin:
+		return o.begin(ctx)
+	case once.Wait:
+		if ctx.Err() != nil {
+			return o.state.GaveUp()
+		}
+		o.sleep(ctx, busyWait)
+		return once.Begin
+	case once.Send:
+		return o.sendOne(ctx)
+	case once.Finish:
+		return o.finish(ctx)
+	case once.Close:
+		return o.close(ctx)
+	default:
+		panic("plain: unknown action " + string(action))
+	}
+}
+
+// ledger takes a step at the ledger. Steps can be repeated safely.
+func (o *onceCall) ledger(ctx context.Context, step proto.OnceStep, limit time.Duration) (proto.OnceReply, error) {
+	r := o.base
+	r.Step = step
+	if step == proto.OnceFinish {
+		v := o.state.Result()
+		r.Unknown, r.Status, r.Type, r.Body = o.state.Unknown(), v.Status, v.Type, v.Body
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	reply, err := o.keeper.Once(ctx, r)
+	if err != nil {
+		o.meter.Count("once", string(step), "failed")
+		return reply, err //nolint:wrapcheck // only counted and classified
+	}
+	o.meter.Count("once", string(step), string(reply.Verdict))
+	return reply, nil
+}
+
+func (o *onceCall) begin(ctx context.Context) once.Action {
+	r, err := o.ledger(ctx, proto.OnceBegin, ledgerTimeout)
+	if err != nil {
+		return o.state.BeginFailed()
+	}
+	return o.state.Begun(r)
+}
+
+// sendOne sends the call over a connection of its own: a connection that was
+// lost unnoticed would leave the outcome unknown.
+func (o *onceCall) sendOne(ctx context.Context) once.Action {
+	number := o.state.Sends() + 1
+	if ctx.Err() != nil {
+		return o.state.Abandon(once.ReasonDeadline)
+	}
+	if number > maxAttempts {
+		return o.state.Abandon(once.ReasonUnsent)
+	}
+	v, back, err := o.guide.Server(o.clock.Now(), o.call.Service.Name, nil)
+	if err != nil {
+		return o.state.Abandon(once.ReasonUnsent)
+	}
+	defer back()
+	written := false
+	r, answered, err := o.send(ctx, o.call, v, number, func(r *http.Request) (*http.Response, error) {
+		a, w, err := o.pool.Fresh(r)
+		written = w
+		return a, err //nolint:wrapcheck // wrapped by the pool
+	})
+	o.call.Record.Steps = append(o.call.Record.Steps, o.step(o.call, v, number, err))
+	switch {
+	case err == nil:
+		return o.state.Sent(once.SentAnswered, r)
+	case written || answered:
+		o.meter.Count("once", "broken")
+		return o.state.Sent(once.SentBroken, once.Result{})
+	default:
+		o.meter.Count("retry", "unsent")
+		o.guide.Failed(o.clock.Now(), v.Name)
+		action := o.state.Sent(once.SentNothing, once.Result{})
+		o.pause(ctx, number)
+		return action
+	}
+}
+
+// finish records the outcome. If the ledger is away for longer, recording
+// goes on after the caller got its answer.
+func (o *onceCall) finish(ctx context.Context) once.Action {
+	ctx = context.WithoutCancel(ctx)
+	if _, err := o.ledger(ctx, proto.OnceFinish, ledgerTimeout); err != nil {
+		o.group.Add(1)
+		go func() {
+			defer o.group.Done()
+			if _, err := o.ledger(ctx, proto.OnceFinish, recordTimeout); err != nil {
+				o.meter.Count("once", "unrecorded")
+			}
+		}()
+	}
+	return o.state.Finished()
+}
+
+func (o *onceCall) close(ctx context.Context) once.Action {
+	r, err := o.ledger(context.WithoutCancel(ctx), proto.OnceClose, ledgerTimeout)
+	if err != nil {
+		return o.state.CloseFailed()
+	}
+	return o.state.Closed(r)
+}
+
+var codes = map[once.Reason]fault.Code{
+	once.ReasonBusy:     fault.CodeBusy,
+	once.ReasonConflict: fault.CodeConflict,
+	once.ReasonFull:     fault.CodeFull,
+	once.ReasonLost:     fault.CodeLost,
+	once.ReasonLedger:   fault.CodeLedger,
+	once.ReasonUnsent:   fault.CodeUnsent,
+	once.ReasonDeadline: fault.CodeDeadline,
+	once.ReasonClosed:   fault.CodeUnsent,
+}
+
+func (o *onceCall) answer() (Answer, error) {
+	ran, reason, result := o.state.Outcome()
+	if reason == once.ReasonNone {
+		return Answer{Result: result, Replayed: o.state.Replayed()}, nil
+	}
+	code, ok := codes[reason]
+	if !ok {
+		panic("plain: no code for reason " + string(reason))
+	}
+	wait := o.state.Retry()
+	if wait == 0 && code != fault.CodeConflict {
+		wait = backendRetry
+	}
+	return Answer{}, fault.New(code, "the call ended: "+string(reason)).Ran(ran).Retry(wait)
+}
+
+// fingerprint tells whether a key is used again for another request.
+func fingerprint(c *Call) string {
+	h := sha256.New()
+	for _, part := range []string{c.Method, c.Target, c.Type} {
+		_, _ = io.WriteString(h, part)
+		h.Write([]byte{0})
+	}
+	h.Write(c.Body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func host(raw string) string {
+	u, err := url.Parse(raw)
+	if err != nil {
+		return raw
+	}
+	return u.Host
+}
--- /dev/null
+++ b/entryd/provide.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"crypto/tls"
+	"fmt"
+	"strconv"
+	"time"
+
+	"verbenahaven.example/core/conn/keeper"
+	"verbenahaven.example/core/conn/link"
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/keys"
+	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/retry"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/entryd/front"
+	"verbenahaven.example/entryd/guide"
+	"verbenahaven.example/entryd/infer"
+	"verbenahaven.example/entryd/plain"
+	"verbenahaven.example/entryd/poll"
+	"verbenahaven.example/entryd/quota"
+	"verbenahaven.example/entryd/setup"
+	"verbenahaven.example/entryd/watch"
+)
+
+func provideTLS(s *setup.Settings) (*tls.Config, error) {
+	c, err := keys.Load(s.Keys)
+	if err != nil {
+		return nil, boot.Fail(boot.ExitSettings, fmt.Errorf("keys: %w", err))
+	}
+	return c, nil
+}
+
+func provideKeeper(s *setup.Settings, c *tls.Config) (proto.Keeper, func()) {
+	return keeper.New(s.Keepers, c)
+}
+
+func provideGuide(s *setup.Settings) *guide.Guide {
+	return guide.New(s.Name, s.Centre, s.Route.Policy)
+}
+
+func provideStrikes(s *setup.Settings, k proto.Keeper, m *meter.Registry) *infer.Strikes {
+	return infer.NewStrikes(k, m, s.Strike.Limit)
+}
+
+func provideRetry(s *setup.Settings) retry.Policy {
+	return retry.NewPolicy(s.Retry.Share, time.Duration(s.Retry.Backoff))
+}
+
+func provideInfer(s *setup.Settings, r retry.Policy) infer.Settings {
+	return infer.Settings{Silence: time.Duration(s.Retry.Silence), Retry: r}
+}
+
+// providePlain names the holder of run-once calls by instance and start: an
+// instance that was started again isn't the holder of its earlier calls.
+func providePlain(s *setup.Settings, r retry.Policy, c clock.Clock) plain.Settings {
+	return plain.Settings{Holder: s.Name + "/" + strconv.FormatInt(c.Now().UnixNano(), 36), Retry: r}
+}
+
+func provideFront(s *setup.Settings) front.Settings {
+	return front.Settings{
+		Name:   s.Name,
+		Centre: s.Centre,
+		Life:   time.Duration(s.Address.Life),
+		Count:  s.Address.Count,
+		Bytes:  s.Body.Bytes,
+		Header: s.Body.Header,
+		Read:   time.Duration(s.Body.Read),
+	}
+}
+
+func provideWatch(s *setup.Settings) watch.Settings {
+	return watch.Settings{Name: s.Name, Fanout: s.Route.Fanout, Stale: time.Duration(s.Route.Stale)}
+}
+
+func providePoll(s *setup.Settings) poll.Settings {
+	return poll.Settings{Period: time.Duration(s.Route.Report), Timeout: time.Duration(s.Retry.Silence), Policy: s.Route.Policy}
+}
+
+func provideQuota(
+	s *setup.Settings, k proto.Keeper, g *guide.Guide, m *meter.Registry, c clock.Clock,
+) *quota.Quota {
+	return quota.New(s.Name, k, g, m, c)
+}
+
+func provideMember(s *setup.Settings) state.Member {
+	return state.Member{
+		Name:   s.Name,
+		Kind:   state.MemberEntry,
+		URL:    "http://" + s.Listen.HTTP,
+		Link:   s.Listen.Link,
+		Centre: s.Centre,
+		Phase:  state.PhaseServing,
+	}
+}
+
+// provideLink listens for other instances.
+func provideLink(s *setup.Settings, c *tls.Config, w *watch.Watch, m *meter.Registry) (*link.Server, func(), error) {
+	l := link.NewServer(m)
+	w.Register(l)
+	_, cleanup, err := l.Listen(s.Listen.Link, c)
+	if err != nil {
+		return nil, nil, boot.Fail(boot.ExitAddress, fmt.Errorf("listen.link: %w", err))
+	}
+	return l, cleanup, nil
+}
