entryd: take the settings file by -settings, rebuild a prefix index after a gap

All programs name the flag alike. After a gap the index now asks for the whole content instead of building up from later events alone: those never tell of pieces that stay cached. Prompts that no engine can hold are refused at once.

--- a/core/request/route/prefix.go
+++ b/core/request/route/prefix.go
@@ -53,8 +53,9 @@
 // Size is the number of pieces known.
 func (p *Prefixes) Size() int { return len(p.pieces) }
 
-// Take applies a page of events. After a gap everything known is dropped: a
-// piece whose removal was missed must not attract requests.
+// Take applies a page of events. After a gap everything known is dropped, and
+// Seq asks for the whole content anew: a piece whose removal was missed must
+// not attract requests.
 func (p *Prefixes) Take(page engine.CacheEvents) {
 	if page.Whole || page.Seq < p.seq {
 		p.pieces = nil
@@ -69,19 +70,22 @@
 			continue
 		}
 		if e.Seq != p.seq+1 && p.seq != 0 {
-			p.pieces = nil
-			p.gaps++
+			p.gap()
+			return
 		}
 		p.seq = e.Seq
 		p.apply(e)
 	}
 	if page.Seq > p.seq {
-		p.pieces = nil
-		p.gaps++
-		p.seq = page.Seq
+		p.gap()
 	}
 }
 
+func (p *Prefixes) gap() {
+	p.pieces, p.seq = nil, 0
+	p.gaps++
+}
+
 func (p *Prefixes) apply(e engine.CacheEvent) {
 	if !e.Added {
 		delete(p.pieces, e.Piece)
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -200,10 +200,10 @@
 		server: server,
 		err:    fmt.Errorf("%w: %s: %s", errStatus, a.Status, strings.TrimSpace(string(detail))),
 	}
-	if a.StatusCode == http.StatusBadRequest || a.StatusCode == http.StatusUnprocessableEntity {
+	switch a.StatusCode {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		f.final, f.err = true, fault.New(fault.CodeRequest, f.err.Error())
-	}
-	if a.StatusCode == http.StatusTooManyRequests || a.StatusCode == http.StatusServiceUnavailable {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		f.reason = retry.ReasonRefused
 	}
 	return nil, f
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -22,7 +22,7 @@
 func run(args []string) int {
 	flags := flag.NewFlagSet("entryd", flag.ContinueOnError)
 	klog.InitFlags(flags)
-	path := flags.String("config", "entryd.toml", "settings file")
+	path := flags.String("settings", "entryd.toml", "settings file")
 	if err := flags.Parse(args); err != nil {
 		return boot.ExitUsage
 	}
