trial: let the demo's first prompt be long enough for a hand-over

Cause: the demo failed with only a decode engine taking part. Ruled out: a fault in the hand-over (engine1 to engine4 with 6,000 words). Before: demo failed at the hand-over.

--- a/trial/demo.go
+++ b/trial/demo.go
@@ -22,6 +22,8 @@
 	demoLimit = 55 * time.Second
 	stopLimit = 20 * time.Second
 	demoDrain = 10 * time.Second
+
+	dossierWords = 6000
 )
 
 var errDemo = errors.New("not as expected")
@@ -145,7 +147,7 @@
 }
 
 func (d *demo) chat(ctx context.Context) error {
-	answer, err := d.caller.Chat(ctx, d.urls[0], caller.Chat{Service: "counter", Prompt: "Which panel systems are approved for a school roof?", Tokens: 12, Seed: 7})
+	answer, err := d.caller.Chat(ctx, d.urls[0], caller.Chat{Service: "counter", Prompt: dossier(), Tokens: 12, Seed: 7})
 	if err != nil {
 		return fmt.Errorf("chat: %w", err)
 	}
@@ -161,6 +163,11 @@
 	return nil
 }
 
+// dossier is a prompt long enough to be prefilled on an engine of its own.
+func dossier() string {
+	return "Which panel systems are approved for a school roof? " + strings.Repeat("clause ", dossierWords)
+}
+
 // servedBy finds which engines took part, by their own histories.
 func (d *demo) servedBy(ctx context.Context) (map[state.Role]string, error) {
 	served := make(map[state.Role]string)
