trial: ask the demo's question with a prompt that needs a prefill engine

The demo checks that both a prefill and a decode engine take part. A prompt of thirteen tokens is now prefilled by the decode engine itself, within its budget, so the check failed (engines that took part: map[decode:engine4]). The check stays as it was; the prompt is 1,300 tokens long.

--- a/trial/demo.go
+++ b/trial/demo.go
@@ -145,7 +145,7 @@
 }
 
 func (d *demo) chat(ctx context.Context) error {
-	answer, err := d.caller.Chat(ctx, d.urls[0], caller.Chat{Service: "counter", Prompt: "Which panel systems are approved for a school roof?", Tokens: 12, Seed: 7})
+	answer, err := d.caller.Chat(ctx, d.urls[0], caller.Chat{Service: "counter", Prompt: demoPrompt(), Tokens: 12, Seed: 7})
 	if err != nil {
 		return fmt.Errorf("chat: %w", err)
 	}
@@ -161,6 +161,11 @@
 	return nil
 }
 
+// demoPrompt is long enough that a decode engine doesn't prefill it itself.
+func demoPrompt() string {
+	return strings.Repeat("Which panel systems are approved for a school roof? ", 100)
+}
+
 // servedBy finds which engines took part, by their own histories.
 func (d *demo) servedBy(ctx context.Context) (map[state.Role]string, error) {
 	served := make(map[state.Role]string)
