--- /dev/null
+++ b/core/request/retry/retry_test.go
@@ -0,0 +1,45 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"verbenahaven.example/core/request/retry"
+)
+
+func TestRetriesStayAShareOfSuccesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		b := retry.NewBudgets(retry.NewPolicy(share, time.Millisecond))
+		successes, retries := 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "success") {
+				successes++
+				b.Success("e1")
+				continue
+			}
+			if b.Spend("e1", false) {
+				retries++
+			}
+			if b.Spend("e1", true) {
+				t.Fatal("a retry was retried")
+			}
+		}
+		if float64(retries) > 3+share*float64(successes)+1e-6 {
+			t.Fatalf("%d retries after %d successes with a share of %f", retries, successes, share)
+		}
+	})
+}
+
+func TestWaitsGrowWithinBounds(t *testing.T) {
+	p := retry.NewPolicy(0.1, 10*time.Millisecond)
+	for number := 1; number < 20; number++ {
+		low, high := p.Wait(number, 0), p.Wait(number, 0.999)
+		full := 10 * time.Millisecond << min(number-1, 8)
+		if low != full/2 || high > full || high < low {
+			t.Fatalf("wait %d lies between %v and %v", number, low, high)
+		}
+	}
+}
--- a/core/request/route/choice.go
+++ b/core/request/route/choice.go
@@ -10,7 +10,7 @@
 // by the fingerprint of the request, so that copies of one request which come
 // through several instances at once meet the same two engines: a request that
 // crashes engines can't cost more. With a cached prefix the engine that holds
-// the longest replaces the second.
+// the longest replaces the second, but not for a suspect.
 //
 // Engines that are out of use keep their place in the draw for the same
 // reason. Only when both are out of use are others drawn; strayed is set if
@@ -68,7 +68,7 @@
 
 // warmest returns the usable host with the longest cached prefix, if any.
 func (r *Router) warmest(hosts []*host, a *Ask) *host {
-	if r.policy != PolicyCache || len(a.Pieces) == 0 {
+	if r.policy != PolicyCache || len(a.Pieces) == 0 || a.Suspect {
 		return nil
 	}
 	var best *host
--- a/core/request/route/route.go
+++ b/core/request/route/route.go
@@ -57,6 +57,7 @@
 	Tokens      int
 	Output      int
 	Avoid       []string // engines that failed this request
+	Suspect     bool     // an engine was lost while it ran this request
 }
 
 func (a *Ask) output() int {
--- /dev/null
+++ b/core/request/route/route_test.go
@@ -0,0 +1,228 @@
+package route_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"verbenahaven.example/core/conn/engine"
+	"verbenahaven.example/core/request/route"
+	"verbenahaven.example/core/version/state"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func engines(count int, role func(i int) state.Role) []state.Engine {
+	list := make([]state.Engine, count)
+	for i := range list {
+		list[i] = state.Engine{
+			Name: fmt.Sprintf("e%03d", i), URL: fmt.Sprint("http://", i), Centre: []string{"north", "south"}[i%2],
+			Role: role(i), Model: "spec", Phase: state.PhaseServing,
+		}
+	}
+	return list
+}
+
+func mixed(int) state.Role { return state.RoleMixed }
+
+func split(i int) state.Role {
+	return []state.Role{state.RolePrefill, state.RoleDecode}[i%2]
+}
+
+// A choice never names an engine that isn't serving, is dead, or is to be
+// avoided, whatever the router went through; and it is found if there is one.
+func TestPickKeepsToUsableEngines(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := route.New("entry1", "north", route.PolicyCache)
+		list := engines(rapid.IntRange(1, 40).Draw(t, "engines"), mixed)
+		r.Update(list)
+		dead := map[string]bool{}
+		now, serial := start, 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(list)-1).Draw(t, "engine")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				list[i].Phase = rapid.SampledFrom([]state.Phase{state.PhaseServing, state.PhaseLeaving, state.PhaseChanging}).Draw(t, "phase")
+				r.Update(list)
+			case 1:
+				dead[list[i].Name] = rapid.Bool().Draw(t, "dead")
+				r.Probe(list[i].Name, !dead[list[i].Name])
+			case 2:
+				r.Report(list[i].Name, engine.Load{At: now, Queue: rapid.IntRange(0, 1e6).Draw(t, "queue"), Batch: 4})
+			default:
+				serial++
+				ask := route.Ask{Model: "spec", Fingerprint: fmt.Sprint(serial), Tokens: 100, Avoid: []string{list[i].Name}}
+				usable := func(e state.Engine) bool {
+					return e.Phase == state.PhaseServing && !dead[e.Name] && e.Name != list[i].Name
+				}
+				p, d, err := r.Pick(now, &ask)
+				if err != nil {
+					if len(list) <= route.Subset && len(r.Used()) > 0 && slices.ContainsFunc(list, usable) {
+						t.Fatalf("none found: %+v", d)
+					}
+					continue
+				}
+				j := slices.IndexFunc(list, func(e state.Engine) bool { return e.Name == p.Decode.Name })
+				if !usable(list[j]) || d.Decode != p.Decode.Name {
+					t.Fatalf("chose %+v", list[j])
+				}
+				r.Sent(now, fmt.Sprint(serial), &ask, &p)
+			}
+		}
+	})
+}
+
+// Copies of one request that come through different instances, with whatever
+// load these have seen, meet no more than two engines of a role.
+func TestCopiesMeetTwoEngines(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := engines(rapid.IntRange(2, 20).Draw(t, "engines"), mixed)
+		ask := route.Ask{Model: "spec", Fingerprint: rapid.String().Draw(t, "fingerprint"), Tokens: 10}
+		met := map[string]bool{}
+		for i := range 8 {
+			r := route.New(fmt.Sprint("entry", i), "north", route.PolicyCache)
+			r.Update(list)
+			for _, e := range list {
+				r.Report(e.Name, engine.Load{At: start, Queue: rapid.IntRange(0, 1e6).Draw(t, "queue")})
+			}
+			p, _, err := r.Pick(start, &ask)
+			if err != nil {
+				t.Fatal(err)
+			}
+			met[p.Decode.Name] = true
+		}
+		if len(met) > 2 {
+			t.Fatalf("met %v", met)
+		}
+	})
+}
+
+func TestOwnSendsCountUntilAReportHasThem(t *testing.T) {
+	r := route.New("entry1", "north", route.PolicyLoad)
+	r.Update(engines(2, mixed))
+	ask := route.Ask{Model: "spec", Fingerprint: "x", Tokens: 10_000}
+	first, _, _ := r.Pick(start, &ask)
+	r.Sent(start, "a", &ask, &first)
+	second, _, _ := r.Pick(start, &ask)
+	if second.Decode.Name == first.Decode.Name {
+		t.Fatal("the own send doesn't count")
+	}
+	r.Report(first.Decode.Name, engine.Load{At: start.Add(time.Second)})
+	r.Report(second.Decode.Name, engine.Load{At: start.Add(time.Second), Queue: 5000})
+	if third, _, _ := r.Pick(start.Add(time.Second), &ask); third.Decode.Name != first.Decode.Name {
+		t.Fatal("the send still counts after a report that has it")
+	}
+}
+
+func TestLongPromptsAreSplitAndFollowTheCache(t *testing.T) {
+	r := route.New("entry1", "north", route.PolicyCache)
+	r.Update(engines(20, split))
+	text := strings.Repeat("facade cladding ", 4000)
+	pieces := route.Pieces("spec", text)
+	if len(pieces) != len(text)/route.TokenBytes/engine.PieceTokens {
+		t.Fatalf("%d pieces", len(pieces))
+	}
+	r.Cache("e006", engine.CacheEvents{Seq: 1, Whole: true, Events: added(0, pieces[:5]...)})
+	ask := route.Ask{Model: "spec", Fingerprint: "x", Tokens: route.Tokens(text), Pieces: pieces}
+	p, d, err := r.Pick(start, &ask)
+	if err != nil || p.Prefill.Name != "e006" || p.Cached != 5*engine.PieceTokens || p.Decode.Role != state.RoleDecode {
+		t.Fatalf("plan %+v, decision %+v, %v", p, d, err)
+	}
+	short := route.Ask{Model: "spec", Fingerprint: "y", Tokens: 100}
+	if p, _, _ = r.Pick(start, &short); p.Split() {
+		t.Fatal("a short prompt went to a prefill engine")
+	}
+}
+
+// The budget for short prompts on decode engines runs out.
+func TestShortPromptsKeepWithinTheirBudget(t *testing.T) {
+	r := route.New("entry1", "north", route.PolicyCache)
+	r.Update(engines(2, split))
+	alone := 0
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		p, _, err := r.Pick(now, &route.Ask{Model: "spec", Fingerprint: fmt.Sprint(i), Tokens: 500})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !p.Split() {
+			alone++
+		}
+	}
+	// 2,000 tokens a second for one second, and the burst of 1,400.
+	if alone < 5 || alone > 7 {
+		t.Fatalf("%d of 100 short prompts on the decode engine", alone)
+	}
+}
+
+func added(first uint64, pieces ...string) []engine.CacheEvent {
+	list := make([]engine.CacheEvent, 0, len(pieces))
+	for i, p := range pieces {
+		list = append(list, engine.CacheEvent{Seq: first + uint64(i) + 1, Added: true, Piece: p})
+	}
+	return list
+}
+
+// With events lost anywhere the index never claims a piece that the cache
+// doesn't hold at the time of the newest event read.
+func TestPrefixesNeverClaimWhatWasRemoved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p route.Prefixes
+		held := map[string]bool{}
+		var log []engine.CacheEvent
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			piece := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "piece")
+			held[piece] = !held[piece]
+			log = append(log, engine.CacheEvent{Seq: uint64(len(log) + 1), Added: held[piece], Piece: piece})
+			if !rapid.Bool().Draw(t, "read") {
+				continue
+			}
+			page := engine.CacheEvents{Seq: uint64(len(log))}
+			if p.Seq() == 0 {
+				page.Whole = true
+				for name, in := range held {
+					if in {
+						page.Events = append(page.Events, engine.CacheEvent{Seq: page.Seq, Added: true, Piece: name})
+					}
+				}
+			} else {
+				for _, e := range log[p.Seq():] {
+					if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
+						page.Events = append(page.Events, e)
+					}
+				}
+			}
+			p.Take(page)
+			for name, in := range held {
+				if p.Cached([]string{name}) == 1 && !in {
+					t.Fatalf("claims %s, which was removed", name)
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 100, 910} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := route.New("entry1", "north", route.PolicyCache)
+			r.Update(engines(n, split))
+			asks := make([]route.Ask, 1000)
+			pieces := route.Pieces("spec", strings.Repeat("facade cladding ", 4000))
+			for i := range asks {
+				asks[i] = route.Ask{Model: "spec", Fingerprint: fmt.Sprint(i), Tokens: 2000, Pieces: pieces}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if _, _, err := r.Pick(start, &asks[i%len(asks)]); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/request/strike/strike_test.go
@@ -0,0 +1,107 @@
+package strike_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"verbenahaven.example/core/request/strike"
+	"verbenahaven.example/core/version/state"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// A request that crashes every engine is sent through many instances, whose
+// steps interleave in any order and who know the shared record only from
+// their own writes. Whoever sends it meets one of the same two engines, as the
+// choice of engines has it; a suspect goes to the one that wasn't lost under
+// it, and finds out there if that one is lost too. No more engines are lost
+// than the limit, and nobody else runs it after that.
+func TestEnginesLostAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit, instances = 2, 6
+		var shared []string
+		record := func(name string) int {
+			if !slices.Contains(shared, name) {
+				shared = append(shared, name)
+			}
+			return len(shared)
+		}
+		lost := map[string]bool{}
+		tables := make([]*strike.Table, instances)
+		met := make([]string, instances) // engine lost under the instance's copy
+		for i := range tables {
+			tables[i] = strike.NewTable(limit, time.Minute)
+		}
+		aboard := map[int]string{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, instances-1).Draw(t, "instance")
+			if engine, ok := aboard[i]; ok {
+				delete(aboard, i)
+				lost[engine], met[i] = true, engine
+				record(engine)
+				tables[i].Add(start, "f", engine)
+				continue
+			}
+			target := fmt.Sprint("e", rapid.IntRange(0, 1).Draw(t, "drawn"))
+			switch verdict, _ := tables[i].Judge(start, "f", state.Strike{}, false); verdict {
+			case strike.Free:
+			case strike.Suspect:
+				if target = "e0"; met[i] == "e0" {
+					target = "e1"
+				}
+				tables[i].Add(start, "f", strike.Pledge(target))
+				if !strike.Allowed(record(strike.Pledge(target)), limit) {
+					continue
+				}
+			default:
+				continue
+			}
+			if !lost[target] {
+				aboard[i] = target
+			}
+		}
+		for _, engine := range aboard {
+			lost[engine] = true
+		}
+		if len(lost) > limit {
+			t.Fatalf("lost %v", lost)
+		}
+	})
+}
+
+func TestVerdicts(t *testing.T) {
+	until := start.Add(time.Minute)
+	cases := []struct {
+		engines []string
+		now     time.Time
+		want    strike.Verdict
+	}{
+		{nil, start, strike.Free},
+		{[]string{"e1"}, start, strike.Suspect},
+		{[]string{"e1", strike.Pledge("e2")}, start, strike.Trial},
+		{[]string{"e1", "e2"}, start, strike.Out},
+		{[]string{"e1", strike.Pledge("e2"), "e2"}, start, strike.Out},
+		{[]string{"e1", "e2"}, until, strike.Free},
+	}
+	for _, c := range cases {
+		s := state.Strike{Fingerprint: "f", Engines: c.engines, Until: until}
+		if got := strike.Judge(s, true, 2, c.now); got != c.want {
+			t.Errorf("%v at %v: %s, want %s", c.engines, c.now, got, c.want)
+		}
+		table := strike.NewTable(2, time.Minute)
+		for _, e := range c.engines {
+			table.Add(start, "f", e)
+		}
+		if got, _ := table.Judge(c.now, "f", state.Strike{}, false); got != c.want {
+			t.Errorf("own record of %v: %s, want %s", c.engines, got, c.want)
+		}
+		table.Clear("f")
+		if got, _ := table.Judge(c.now, "f", state.Strike{}, false); got != strike.Free {
+			t.Errorf("after a success: %s", got)
+		}
+	}
+}
--- a/entryd/infer/carry.go
+++ b/entryd/infer/carry.go
@@ -167,7 +167,7 @@
 
 // choose picks engines; a suspect needs a pledge for them.
 func (c *carrying) choose(ctx context.Context) (*guide.Lease, error) {
-	c.ask.Request = c.attemptID()
+	c.ask.Request, c.ask.Suspect = c.attemptID(), c.suspect
 	l, err := c.guide.Weigh(c.clock.Now(), &c.ask)
 	if c.serial > 1 {
 		c.call.Record.Decisions = append(c.call.Record.Decisions, l.Decision)
