core/conn/link, core/process/keys: refuse by reason, follow key files, leave silent connections

Refused handshakes had no counter, keys could only change with a restart, and a call that timed out kept its connection until the idle timeout of ten seconds, even when the path had lost track of it. Verification now runs in VerifyConnection at both ends: it follows the authority file and knows its reason, which the server counts as link.refused.tls_none, _expired, _fleet, _name and _bad. GetConfigForClient was ruled out, since clients have nothing like it and their authorities would have stayed fixed. Dials are shared and hold up nobody beyond their own time. Streams per connection, calls and bytes per server are bounded, and kinds can be limited to named peers (link.refused.peer).

Tests with the guard taken out: without the silence check the call after the silent one times out as well; without the chain's verification strangers are answered; without the peer list entry1 gets a vote.

--- /dev/null
+++ b/core/conn/link/frame_test.go
@@ -0,0 +1,63 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"testing"
+
+	"verbenahaven.example/core/process/meter"
+)
+
+// FuzzFrame reads frames from arbitrary bytes and hands their bodies to a
+// handler: neither may panic, and what was read must be written the same.
+func FuzzFrame(f *testing.F) {
+	whole := func(e envelope) []byte {
+		var b bytes.Buffer
+		if err := writeFrame(&b, e); err != nil {
+			f.Fatal(err)
+		}
+		return b.Bytes()
+	}
+	frame := whole(envelope{Kind: "raft", Body: []byte{0x83, 1, 2, 3}})
+	f.Add(frame)
+	f.Add(frame[:len(frame)-1])
+	f.Add(whole(envelope{Kind: "x", Err: &Remote{Code: CodeFull, Detail: "y"}}))
+	f.Add([]byte{0, 0, 0, 0})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{0x04, 0, 0, 0, 1})
+	f.Add([]byte{0, 0, 0, 2, 0xbf, 0xff})
+	s := NewServer(meter.New())
+	Handle(s, "raft", func(_ context.Context, _ string, list []int) (int, error) { return len(list), nil })
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e, err := readFrame(bytes.NewReader(b), unbounded)
+		if err != nil {
+			return
+		}
+		_, _ = s.handlers["raft"](t.Context(), "keep1", e.Body)
+		var again bytes.Buffer
+		if err := writeFrame(&again, e); err != nil {
+			t.Fatalf("write again: %v", err)
+		}
+		second, err := readFrame(&again, unbounded)
+		if err != nil || second.Kind != e.Kind || !bytes.Equal(second.Body, e.Body) {
+			t.Fatalf("%+v became %+v, %v", e, second, err)
+		}
+	})
+}
+
+// TestFrameRoom checks that the size of a frame is judged by its header alone,
+// before any of its bytes are read.
+func TestFrameRoom(t *testing.T) {
+	largest := binary.BigEndian.AppendUint32(nil, MaxFrame)
+	r := bytes.NewReader(append(largest, 1, 2, 3))
+	_, err := readFrame(r, func(n int) bool { return n < MaxFrame })
+	if !errors.Is(err, errNoRoom) || r.Len() != 3 {
+		t.Errorf("got %v with %d bytes unread", err, r.Len())
+	}
+	above := binary.BigEndian.AppendUint32(nil, MaxFrame+1)
+	if _, err := readFrame(bytes.NewReader(above), unbounded); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("got %v, want %v", err, ErrTooLarge)
+	}
+}
--- a/core/conn/link/link.go
+++ b/core/conn/link/link.go
@@ -22,6 +22,7 @@
 	idleTimeout = 10 * time.Second
 	keepAlive   = 3 * time.Second
 	headerBytes = 4
+	maxStreams  = 1024 // calls at once on one connection; further ones wait
 )
 
 // Typed failures of calls.
@@ -54,6 +55,7 @@
 	CodeKind      = "unknown_kind"
 	CodeBad       = "bad_message"
 	CodeFull      = "full"
+	CodeDenied    = "not_allowed"
 )
 
 type envelope struct {
@@ -66,7 +68,7 @@
 	return &quic.Config{
 		MaxIdleTimeout:     idleTimeout,
 		KeepAlivePeriod:    keepAlive,
-		MaxIncomingStreams: 4096,
+		MaxIncomingStreams: maxStreams,
 	}
 }
 
@@ -86,7 +88,13 @@
 	return nil
 }
 
-func readFrame(r io.Reader) (envelope, error) {
+var errNoRoom = errors.New("no room for the frame")
+
+// unbounded admits every frame.
+func unbounded(int) bool { return true }
+
+// readFrame reads one frame whose size admit accepts.
+func readFrame(r io.Reader, admit func(bytes int) bool) (envelope, error) {
 	var e envelope
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
@@ -96,6 +104,9 @@
 	if n > MaxFrame {
 		return e, fmt.Errorf("%d bytes: %w", n, ErrTooLarge)
 	}
+	if !admit(int(n)) {
+		return e, fmt.Errorf("%d bytes: %w", n, errNoRoom)
+	}
 	// The limit reader grows with what arrives: a false length costs nothing.
 	body, err := io.ReadAll(io.LimitReader(r, int64(n)))
 	if err != nil {
--- /dev/null
+++ b/core/conn/link/link_test.go
@@ -0,0 +1,408 @@
+package link_test
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"verbenahaven.example/core/conn/link"
+	"verbenahaven.example/core/process/keys"
+	"verbenahaven.example/core/process/meter"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+type ping struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+// fleet makes the keys of a fleet with one instance of each name.
+func fleet(t *testing.T, names ...string) string {
+	t.Helper()
+	folder := t.TempDir()
+	from := time.Now().Add(-time.Hour)
+	if err := keys.MakeFleet(folder, "test", from, 2*time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range names {
+		instance(t, folder, n, from, 2*time.Hour)
+	}
+	return folder
+}
+
+func instance(t *testing.T, folder, name string, from time.Time, life time.Duration) {
+	t.Helper()
+	if err := keys.MakeInstance(folder, name, from, life); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func config(t *testing.T, folder, name string) *tls.Config {
+	t.Helper()
+	c, err := keys.Load(keys.Files{
+		Authority: filepath.Join(folder, keys.AuthorityCert),
+		Cert:      filepath.Join(folder, name+".crt"),
+		Key:       filepath.Join(folder, name+".key"),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// serve starts a server that echoes; it tells its caller's name, too.
+func serve(t *testing.T, c *tls.Config) (string, *meter.Registry) {
+	t.Helper()
+	m := meter.New()
+	s := link.NewServer(m)
+	link.Handle(s, "echo", func(_ context.Context, peer string, p ping) (ping, error) {
+		return ping{Text: peer + " " + p.Text}, nil
+	})
+	link.Handle(s, "hang", func(ctx context.Context, _ string, _ ping) (ping, error) {
+		<-ctx.Done()
+		return ping{}, &link.Remote{Code: link.CodeInternal}
+	})
+	link.Handle(s, "vote", func(context.Context, string, ping) (ping, error) { return ping{Text: "yes"}, nil })
+	s.Allow("vote", "keep1", "keep2")
+	address, cleanup, err := s.Listen("127.0.0.1:0", c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanup)
+	return address.String(), m
+}
+
+func call(address string, c *tls.Config, kind, text string) (string, error) {
+	l, cleanup := link.NewClient(address, c)
+	defer cleanup()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	reply, err := link.Call[ping, ping](ctx, l, kind, ping{Text: text})
+	return reply.Text, err
+}
+
+func TestMutualTLS(t *testing.T) {
+	folder := fleet(t, "keep1", "entry1")
+	address, m := serve(t, config(t, folder, "keep1"))
+	text, err := call(address, config(t, folder, "entry1"), "echo", "hello")
+	if err != nil || text != "entry1 hello" {
+		t.Fatalf("got %q, %v", text, err)
+	}
+
+	now := time.Now()
+	instance(t, folder, "expired", now.Add(-2*time.Hour), time.Hour)
+	instance(t, folder, "early", now.Add(time.Hour), time.Hour)
+	instance(t, folder, "", now.Add(-time.Hour), 2*time.Hour)
+	nameless := config(t, folder, "entry1")
+	nameless.GetClientCertificate = config(t, folder, "").GetClientCertificate
+	mute := config(t, folder, "entry1")
+	mute.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &tls.Certificate{}, nil }
+	strange := config(t, folder, "entry1")
+	strange.GetClientCertificate = config(t, fleet(t, "entry1"), "entry1").GetClientCertificate
+	for _, c := range []struct {
+		reason string
+		config *tls.Config
+	}{
+		{"tls_expired", config(t, folder, "expired")},
+		{"tls_expired", config(t, folder, "early")},
+		{"tls_none", mute},
+		{"tls_fleet", strange},
+		{"tls_name", nameless},
+	} {
+		before := m.Value("link", "refused", c.reason)
+		if text, err := call(address, c.config, "echo", "hello"); err == nil {
+			t.Errorf("%s: was answered %q", c.reason, text)
+		}
+		if got := m.Value("link", "refused", c.reason) - before; got != 1 {
+			t.Errorf("%s: counted %d times, want once", c.reason, got)
+		}
+	}
+}
+
+// TestClientChecksServer checks that a caller refuses a server of another
+// fleet, and one whose key is expired, before it sends anything.
+func TestClientChecksServer(t *testing.T) {
+	folder := fleet(t, "keep1", "entry1")
+	instance(t, folder, "expired", time.Now().Add(-2*time.Hour), time.Hour)
+	for name, c := range map[string]*tls.Config{
+		"other fleet": config(t, fleet(t, "keep1"), "keep1"),
+		"expired":     config(t, folder, "expired"),
+	} {
+		address, m := serve(t, c)
+		_, err := call(address, config(t, folder, "entry1"), "echo", "hello")
+		if !errors.Is(err, link.ErrUnsent) {
+			t.Errorf("%s: got %v, want %v", name, err, link.ErrUnsent)
+		}
+		if m.Value("link", "refused", "kind") != 0 {
+			t.Errorf("%s: the server saw the call", name)
+		}
+	}
+}
+
+func TestRefusedKinds(t *testing.T) {
+	folder := fleet(t, "keep1", "keep2", "entry1")
+	address, m := serve(t, config(t, folder, "keep1"))
+	if text, err := call(address, config(t, folder, "keep2"), "vote", ""); err != nil || text != "yes" {
+		t.Errorf("vote of keep2: %q, %v", text, err)
+	}
+	for _, c := range []struct{ kind, counter, code string }{
+		{"vote", "peer", link.CodeDenied},
+		{"nonsense", "kind", link.CodeKind},
+	} {
+		_, err := call(address, config(t, folder, "entry1"), c.kind, "")
+		var remote *link.Remote
+		if !errors.As(err, &remote) || remote.Code != c.code {
+			t.Errorf("%s: got %v, want code %s", c.kind, err, c.code)
+		}
+		if got := m.Value("link", "refused", c.counter); got != 1 {
+			t.Errorf("%s: counted %d times, want once", c.kind, got)
+		}
+	}
+}
+
+func TestTooLarge(t *testing.T) {
+	folder := fleet(t, "keep1", "entry1")
+	address, _ := serve(t, config(t, folder, "keep1"))
+	_, err := call(address, config(t, folder, "entry1"), "echo", strings.Repeat("x", link.MaxFrame))
+	if !errors.Is(err, link.ErrTooLarge) {
+		t.Errorf("got %v, want %v", err, link.ErrTooLarge)
+	}
+}
+
+// relay forwards datagrams to a server until it is told to lose those of the
+// connections that it knows.
+type relay struct {
+	conn   net.PacketConn
+	target *net.UDPAddr
+	mutex  sync.Mutex
+	peers  map[string]*net.UDPConn
+	silent map[string]bool
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	address, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{conn: conn, target: address, peers: make(map[string]*net.UDPConn), silent: make(map[string]bool)}
+	var group sync.WaitGroup
+	group.Go(func() { r.forward(&group) })
+	t.Cleanup(func() {
+		conn.Close()
+		r.mutex.Lock()
+		for _, p := range r.peers {
+			p.Close()
+		}
+		r.mutex.Unlock()
+		group.Wait()
+	})
+	return r
+}
+
+func (r *relay) forward(group *sync.WaitGroup) {
+	b := make([]byte, 64<<10)
+	for {
+		n, from, err := r.conn.ReadFrom(b)
+		if err != nil {
+			return
+		}
+		r.mutex.Lock()
+		p := r.peers[from.String()]
+		if p == nil {
+			if p, err = net.DialUDP("udp", nil, r.target); err != nil {
+				panic(err)
+			}
+			r.peers[from.String()] = p
+			group.Go(func() { r.back(p, from) })
+		}
+		lost := r.silent[from.String()]
+		r.mutex.Unlock()
+		if !lost {
+			p.Write(b[:n])
+		}
+	}
+}
+
+func (r *relay) back(p *net.UDPConn, to net.Addr) {
+	b := make([]byte, 64<<10)
+	for {
+		n, err := p.Read(b)
+		if err != nil {
+			return
+		}
+		r.mutex.Lock()
+		lost := r.silent[to.String()]
+		r.mutex.Unlock()
+		if !lost {
+			r.conn.WriteTo(b[:n], to)
+		}
+	}
+}
+
+// mute loses all datagrams of the connections known now; new ones work.
+func (r *relay) mute() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for p := range r.peers {
+		r.silent[p] = true
+	}
+}
+
+func (r *relay) count() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.peers)
+}
+
+// TestSilentConnection checks that the call after a timeout on a silent
+// connection uses a new one, long before the idle timeout.
+func TestSilentConnection(t *testing.T) {
+	folder := fleet(t, "keep1", "entry1")
+	address, _ := serve(t, config(t, folder, "keep1"))
+	r := newRelay(t, address)
+	l, cleanup := link.NewClient(r.conn.LocalAddr().String(), config(t, folder, "entry1"))
+	defer cleanup()
+	try := func(limit time.Duration, kind string) error {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		_, err := link.Call[ping, ping](ctx, l, kind, ping{})
+		return err
+	}
+	if err := try(5*time.Second, "echo"); err != nil {
+		t.Fatal(err)
+	}
+	// A slow handler isn't silence: the connection stays.
+	if err := try(600*time.Millisecond, "hang"); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("hang: %v", err)
+	}
+	if n := r.count(); n != 1 {
+		t.Fatalf("%d connections after a slow handler, want 1", n)
+	}
+	r.mute()
+	if err := try(600*time.Millisecond, "echo"); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("on the silent connection: %v", err)
+	}
+	if err := try(5*time.Second, "echo"); err != nil {
+		t.Fatalf("after the silent connection: %v", err)
+	}
+}
+
+// TestSharedDial checks that calls don't wait for a dial beyond their time.
+func TestSharedDial(t *testing.T) {
+	folder := fleet(t, "entry1")
+	hole, err := net.ListenPacket("udp", "127.0.0.1:0") // answers nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hole.Close()
+	l, cleanup := link.NewClient(hole.LocalAddr().String(), config(t, folder, "entry1"))
+	defer cleanup()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	var group sync.WaitGroup
+	for range 20 {
+		group.Go(func() {
+			_, err := link.Call[ping, ping](ctx, l, "echo", ping{})
+			if !errors.Is(err, link.ErrUnsent) || !errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// TestRotation replaces all keys of a running fleet without a call refused
+// that should pass, and without a restart.
+func TestRotation(t *testing.T) {
+	folder := fleet(t, "keep1", "entry1")
+	server, client := config(t, folder, "keep1"), config(t, folder, "entry1")
+	address, m := serve(t, server)
+	ok := func(step string) {
+		t.Helper()
+		if _, err := call(address, client, "echo", step); err != nil {
+			t.Fatalf("%s: %v", step, err)
+		}
+	}
+	ok("before")
+	from := time.Now().Add(-time.Hour)
+	if err := keys.Rotate(folder, from, 2*time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	stale := filepath.Join(t.TempDir(), "old.crt")
+	copyFile(t, filepath.Join(folder, "entry1.crt"), stale)
+	copyFile(t, filepath.Join(folder, "entry1.key"), stale+".key")
+	ok("two authorities, old keys")
+	instance(t, folder, "keep1", from, 2*time.Hour)
+	ok("server has a new key")
+	instance(t, folder, "entry1", from, 2*time.Hour)
+	ok("both have new keys")
+	if err := keys.Retire(folder); err != nil {
+		t.Fatal(err)
+	}
+	ok("one authority")
+	old, err := keys.Load(keys.Files{Authority: filepath.Join(folder, keys.AuthorityCert), Cert: stale, Key: stale + ".key"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := call(address, old, "echo", "old"); err == nil || m.Value("link", "refused", "tls_fleet") != 1 {
+		t.Errorf("a key of the retired authority: %v, counted %d", err, m.Value("link", "refused", "tls_fleet"))
+	}
+}
+
+func copyFile(t *testing.T, from, to string) {
+	t.Helper()
+	b, err := os.ReadFile(from)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(to, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func Example() {
+	folder, err := os.MkdirTemp("", "keys-")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder)
+	from := time.Now().Add(-time.Minute)
+	_ = keys.MakeFleet(folder, "example", from, time.Hour)
+	_ = keys.MakeInstance(folder, "keep1", from, time.Hour)
+	config, err := keys.Load(keys.Files{
+		Authority: filepath.Join(folder, "fleet.crt"),
+		Cert:      filepath.Join(folder, "keep1.crt"),
+		Key:       filepath.Join(folder, "keep1.key"),
+	})
+	if err != nil {
+		panic(err)
+	}
+	server := link.NewServer(meter.New())
+	link.Handle(server, "double", func(_ context.Context, _ string, n int) (int, error) { return 2 * n, nil })
+	address, stop, err := server.Listen("127.0.0.1:0", config)
+	if err != nil {
+		panic(err)
+	}
+	defer stop()
+	client, closeClient := link.NewClient(address.String(), config)
+	defer closeClient()
+	fmt.Println(link.Call[int, int](context.Background(), client, "double", 21))
+	// Output: 42 <nil>
+}
--- a/core/process/keys/keys.go
+++ b/core/process/keys/keys.go
@@ -1,138 +1,128 @@
 // Package keys makes and loads the TLS keys of a fleet. Each fleet has its own
-// certificate authority; each instance has a key signed by it.
+// certificate authority; each instance has a key signed by it. Key files may
+// be replaced while a process runs: the next handshake uses the new ones.
 package keys
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"errors"
 	"fmt"
-	"math/big"
-	"os"
-	"path/filepath"
-	"time"
 )
 
 // Protocol is the ALPN name of links between instances.
 const Protocol = "verbenahaven/1"
 
-// ErrNoAuthority tells that a file holds no certificate.
-var ErrNoAuthority = errors.New("no certificate in file")
-
-// File names in a key folder.
-const (
-	AuthorityCert = "fleet.crt"
-	AuthorityKey  = "fleet.key"
-)
-
-const fileMode = 0o600
+// ServerName is the DNS name in every instance certificate. Instances are
+// known by the common name in their certificate, not by address.
+const ServerName = "verbenahaven.internal"
 
 // Files names the key files of an instance.
 type Files struct {
-	Authority string `toml:"authority"` // certificate of the fleet
+	Authority string `toml:"authority"` // certificates of the fleet's authorities; more than one during a rotation
 	Cert      string `toml:"cert"`
 	Key       string `toml:"key"`
 }
 
 // Load returns the TLS configuration for links: both ends show a certificate
-// that the fleet's authority signed.
+// that an authority of the fleet signed. All files must be usable at the
+// start; later a set that can't be loaded leaves the one before in force.
 func Load(f Files) (*tls.Config, error) {
-	pair, err := tls.LoadX509KeyPair(f.Cert, f.Key)
-	if err != nil {
-		return nil, fmt.Errorf("load key pair: %w", err)
-	}
-	b, err := os.ReadFile(f.Authority)
+	s, err := newStore(f)
 	if err != nil {
-		return nil, fmt.Errorf("read authority: %w", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(b) {
-		return nil, fmt.Errorf("read authority %s: %w", f.Authority, ErrNoAuthority)
+		return nil, err
 	}
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{pair},
-		RootCAs:      pool,
-		ClientCAs:    pool,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		NextProtos:   []string{Protocol},
-		// Instances are known by the name in their certificate, not by address.
-		ServerName: ServerName,
+		MinVersion:           tls.VersionTLS13,
+		GetCertificate:       func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return s.certificate(), nil },
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return s.certificate(), nil },
+		NextProtos:           []string{Protocol},
+		ServerName:           ServerName,
+		// The library checks against one fixed set of authorities. To follow
+		// the file, and to know the reason of a refusal, verify does the
+		// whole check at both ends; a session is never resumed without it.
+		InsecureSkipVerify:     true, //nolint:gosec // VerifyConnection verifies the chain, its dates, use and name
+		ClientAuth:             tls.RequestClientCert,
+		VerifyConnection:       s.verify,
+		SessionTicketsDisabled: true,
 	}, nil
 }
 
-// ServerName is the DNS name in every instance certificate.
-const ServerName = "verbenahaven.internal"
+// Reason tells why a peer was refused, in one word for a counter.
+type Reason string
 
-// MakeFleet writes a new authority into folder.
-func MakeFleet(folder, fleet string, from time.Time, life time.Duration) error {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		return fmt.Errorf("generate fleet key: %w", err)
-	}
-	t := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		Subject:               pkix.Name{CommonName: fleet},
-		NotBefore:             from,
-		NotAfter:              from.Add(life),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		KeyUsage:              x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
-	if err != nil {
-		return fmt.Errorf("sign fleet certificate: %w", err)
-	}
-	return write(folder, AuthorityCert, AuthorityKey, der, key)
+// Reasons of refusals.
+const (
+	ReasonNone    Reason = "none"    // no certificate
+	ReasonExpired Reason = "expired" // out of its dates, or not yet in them
+	ReasonFleet   Reason = "fleet"   // signed by no authority of this fleet
+	ReasonName    Reason = "name"    // no certificate of an instance
+	ReasonBad     Reason = "bad"     // anything else
+)
+
+// Refused is the error of a peer that failed verification.
+type Refused struct {
+	reason Reason
+	peer   string
+	err    error
 }
 
-// MakeInstance writes NAME.crt and NAME.key, signed by the authority in folder.
-func MakeInstance(folder, name string, from time.Time, life time.Duration) error {
-	pair, err := tls.LoadX509KeyPair(filepath.Join(folder, AuthorityCert), filepath.Join(folder, AuthorityKey))
-	if err != nil {
-		return fmt.Errorf("load fleet key: %w", err)
+// Error implements error.
+func (r *Refused) Error() string {
+	return fmt.Sprintf("peer %q refused: %s: %v", r.peer, r.reason, r.err)
+}
+
+// Unwrap returns the cause.
+func (r *Refused) Unwrap() error { return r.err }
+
+// Reason tells why.
+func (r *Refused) Reason() Reason { return r.reason }
+
+var (
+	errNoCertificate = errors.New("no certificate")
+	errNoName        = errors.New("no name in certificate")
+)
+
+// verify checks the certificate of the other end against the authorities that
+// are in force now.
+func (s *store) verify(c tls.ConnectionState) error {
+	if len(c.PeerCertificates) == 0 {
+		return &Refused{reason: ReasonNone, err: errNoCertificate}
 	}
-	authority, err := x509.ParseCertificate(pair.Certificate[0])
-	if err != nil {
-		return fmt.Errorf("parse fleet certificate: %w", err)
+	leaf := c.PeerCertificates[0]
+	peer := leaf.Subject.CommonName
+	between := x509.NewCertPool()
+	for _, other := range c.PeerCertificates[1:] {
+		between.AddCert(other)
 	}
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	_, err := leaf.Verify(x509.VerifyOptions{
+		Roots:         s.authorities(),
+		Intermediates: between,
+		DNSName:       ServerName,
+		CurrentTime:   s.now(),
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
+	})
 	if err != nil {
-		return fmt.Errorf("generate instance key: %w", err)
-	}
-	t := &x509.Certificate{
-		SerialNumber: big.NewInt(from.UnixNano()),
-		Subject:      pkix.Name{CommonName: name},
-		DNSNames:     []string{ServerName},
-		NotBefore:    from,
-		NotAfter:     from.Add(life),
-		KeyUsage:     x509.KeyUsageDigitalSignature,
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+		return &Refused{reason: reasonOf(err), peer: peer, err: err}
 	}
-	der, err := x509.CreateCertificate(rand.Reader, t, authority, &key.PublicKey, pair.PrivateKey)
-	if err != nil {
-		return fmt.Errorf("sign instance certificate: %w", err)
+	if peer == "" {
+		return &Refused{reason: ReasonName, err: errNoName}
 	}
-	return write(folder, name+".crt", name+".key", der, key)
+	return nil
 }
 
-func write(folder, certName, keyName string, der []byte, key *ecdsa.PrivateKey) error {
-	b, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		return fmt.Errorf("encode key: %w", err)
-	}
-	keyPEM := pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: b})
-	if err := os.WriteFile(filepath.Join(folder, keyName), keyPEM, fileMode); err != nil {
-		return fmt.Errorf("write key: %w", err)
+func reasonOf(err error) Reason {
+	var invalid x509.CertificateInvalidError
+	var unknown x509.UnknownAuthorityError
+	var name x509.HostnameError
+	switch {
+	case errors.As(err, &invalid) && invalid.Reason == x509.Expired:
+		return ReasonExpired
+	case errors.As(err, &unknown):
+		return ReasonFleet
+	case errors.As(err, &name):
+		return ReasonName
+	default:
+		return ReasonBad
 	}
-	certPEM := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
-	if err := os.WriteFile(filepath.Join(folder, certName), certPEM, fileMode); err != nil {
-		return fmt.Errorf("write certificate: %w", err)
-	}
-	return nil
 }
--- /dev/null
+++ b/core/process/keys/make.go
@@ -0,0 +1,201 @@
+package keys
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"io/fs"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// File names in a key folder.
+const (
+	AuthorityCert = "fleet.crt"
+	AuthorityKey  = "fleet.key"
+)
+
+const (
+	fileMode = 0o600
+	typeCert = "CERTIFICATE"
+	typeKey  = "PRIVATE KEY"
+)
+
+// Failures of making keys.
+var (
+	// ErrExists tells that the folder has an authority already.
+	ErrExists = errors.New("the folder has an authority already")
+	// ErrRotating tells that the folder has two authorities already.
+	ErrRotating = errors.New("a rotation is under way already")
+	// ErrNotRotating tells that the folder has only one authority.
+	ErrNotRotating = errors.New("no rotation is under way")
+)
+
+// MakeFleet writes a new authority into folder, which must not have one.
+func MakeFleet(folder, fleet string, from time.Time, life time.Duration) error {
+	_, err := os.Stat(filepath.Join(folder, AuthorityKey))
+	if err == nil {
+		return fmt.Errorf("%s: %w", folder, ErrExists)
+	}
+	if !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("look for authority: %w", err)
+	}
+	cert, key, err := makeAuthority(fleet, from, life)
+	if err != nil {
+		return err
+	}
+	return writePair(folder, AuthorityCert, AuthorityKey, cert, key)
+}
+
+// Rotate adds a second authority to folder. It signs the keys made from then
+// on, while both are accepted by every instance that has the new fleet.crt.
+func Rotate(folder string, from time.Time, life time.Duration) error {
+	list, err := Authorities(filepath.Join(folder, AuthorityCert))
+	if err != nil {
+		return err
+	}
+	if len(list) > 1 {
+		return fmt.Errorf("%s: %w", folder, ErrRotating)
+	}
+	cert, key, err := makeAuthority(list[0].Subject.CommonName, from, life)
+	if err != nil {
+		return err
+	}
+	return writePair(folder, AuthorityCert, AuthorityKey, append(cert, encodeCert(list[0].Raw)...), key)
+}
+
+// Retire drops the older authority from folder.
+func Retire(folder string) error {
+	list, err := Authorities(filepath.Join(folder, AuthorityCert))
+	if err != nil {
+		return err
+	}
+	if len(list) == 1 {
+		return fmt.Errorf("%s: %w", folder, ErrNotRotating)
+	}
+	return replace(filepath.Join(folder, AuthorityCert), encodeCert(list[0].Raw))
+}
+
+// Authorities reads the certificates of a file, the newest first.
+func Authorities(path string) ([]*x509.Certificate, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read certificates: %w", err)
+	}
+	var list []*x509.Certificate
+	for {
+		var block *pem.Block
+		block, b = pem.Decode(b)
+		if block == nil {
+			break
+		}
+		if block.Type != typeCert {
+			continue
+		}
+		c, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, fmt.Errorf("parse certificate in %s: %w", path, err)
+		}
+		list = append(list, c)
+	}
+	if len(list) == 0 {
+		return nil, fmt.Errorf("read certificates %s: %w", path, ErrNoAuthority)
+	}
+	return list, nil
+}
+
+// MakeInstance writes NAME.crt and NAME.key, signed by the newest authority in
+// folder.
+func MakeInstance(folder, name string, from time.Time, life time.Duration) error {
+	pair, err := tls.LoadX509KeyPair(filepath.Join(folder, AuthorityCert), filepath.Join(folder, AuthorityKey))
+	if err != nil {
+		return fmt.Errorf("load fleet key: %w", err)
+	}
+	authority, err := x509.ParseCertificate(pair.Certificate[0])
+	if err != nil {
+		return fmt.Errorf("parse fleet certificate: %w", err)
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return fmt.Errorf("generate instance key: %w", err)
+	}
+	t := &x509.Certificate{
+		SerialNumber: big.NewInt(from.UnixNano()),
+		Subject:      pkix.Name{CommonName: name},
+		DNSNames:     []string{ServerName},
+		NotBefore:    from,
+		NotAfter:     from.Add(life),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, authority, &key.PublicKey, pair.PrivateKey)
+	if err != nil {
+		return fmt.Errorf("sign instance certificate: %w", err)
+	}
+	return writePair(folder, name+".crt", name+".key", encodeCert(der), key)
+}
+
+// makeAuthority returns a certificate that signed itself, as PEM, and its key.
+func makeAuthority(fleet string, from time.Time, life time.Duration) ([]byte, *ecdsa.PrivateKey, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, fmt.Errorf("generate fleet key: %w", err)
+	}
+	t := &x509.Certificate{
+		SerialNumber:          big.NewInt(from.UnixNano()),
+		Subject:               pkix.Name{CommonName: fleet},
+		NotBefore:             from,
+		NotAfter:              from.Add(life),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	if err != nil {
+		return nil, nil, fmt.Errorf("sign fleet certificate: %w", err)
+	}
+	return encodeCert(der), key, nil
+}
+
+func encodeCert(der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: typeCert, Bytes: der})
+}
+
+func writePair(folder, certName, keyName string, cert []byte, key *ecdsa.PrivateKey) error {
+	b, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return fmt.Errorf("encode key: %w", err)
+	}
+	keyPEM := pem.EncodeToMemory(&pem.Block{Type: typeKey, Bytes: b})
+	if err := replace(filepath.Join(folder, keyName), keyPEM); err != nil {
+		return err
+	}
+	return replace(filepath.Join(folder, certName), cert)
+}
+
+// replace writes a file as a whole, so that a process that follows it never
+// reads half of it.
+func replace(path string, b []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), ".new-")
+	if err != nil {
+		return fmt.Errorf("write %s: %w", path, err)
+	}
+	_, err = bytes.NewReader(b).WriteTo(f)
+	err = errors.Join(err, f.Chmod(fileMode), f.Sync(), f.Close())
+	if err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		return fmt.Errorf("write %s: %w", path, errors.Join(err, os.Remove(f.Name())))
+	}
+	return nil
+}
