--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -55,6 +55,8 @@
 	Used    float64       `cbor:"7,keyasint"` // share of KV memory in use
 	Step    time.Duration `cbor:"8,keyasint"` // time between tokens
 	Alive   bool          `cbor:"9,keyasint"`
+	Prefill float64       `cbor:"10,keyasint,omitempty"` // prefill rate, prompt tokens a second
+	Batch   int           `cbor:"11,keyasint,omitempty"` // largest decode batch
 }
 
 // BeatRequest is the heartbeat of an entry instance.
@@ -65,6 +67,7 @@
 	Demand   []Demand          `cbor:"4,keyasint,omitempty"`
 	Reports  []Report          `cbor:"5,keyasint,omitempty"`
 	InFlight map[string]uint32 `cbor:"6,keyasint,omitempty"` // own requests by backend server, only those leaving or changing
+	Holder   string            `cbor:"7,keyasint,omitempty"` // as in OnceRequest: keeps the calls that it runs from being given up
 }
 
 // BeatReply confirms a heartbeat.
