--- a/core/process/boot/boot.go
+++ b/core/process/boot/boot.go
@@ -89,6 +89,9 @@
 
 // Parse reads settings from b; name stands for the file in errors.
 func Parse(name string, b []byte, settings Checker) error {
+	if key, row := bareDuration(b, settings); key != "" {
+		return Fail(ExitSettings, fmt.Errorf("%s:%d: %s: %w", name, row, key, errUnit))
+	}
 	decoder := toml.NewDecoder(bytes.NewReader(b))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(settings); err != nil {
@@ -109,7 +112,7 @@
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
 		row, _ := decode.Position()
-		return fmt.Errorf("%s:%d: %w", name, row, err)
+		return fmt.Errorf("%s:%d: %w", name, row, &wrongValue{decode})
 	}
 	return fmt.Errorf("%s: %w", name, err)
 }
--- a/core/process/boot/line.go
+++ b/core/process/boot/line.go
@@ -1,31 +1,73 @@
 package boot
 
 import (
-	"bytes"
+	"regexp"
+	"slices"
 	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
 )
 
 func dotted(key []string) string {
 	return strings.Join(key, ".")
 }
 
-// line finds the line that sets a dotted key, 1 if the file leaves it out.
-func line(b []byte, key string) int {
-	table, name := "", key
-	if i := strings.LastIndexByte(key, '.'); i >= 0 {
-		table, name = key[:i], key[i+1:]
+// wrongValue is an error of the decoder in the words of a settings file.
+type wrongValue struct {
+	err *toml.DecodeError
+}
+
+var goType = regexp.MustCompile(`into struct field \S+ of type`)
+
+// Error implements error.
+func (w *wrongValue) Error() string {
+	text := strings.TrimPrefix(w.err.Error(), "toml: ")
+	text = goType.ReplaceAllString(text, "into")
+	if key := dotted(w.err.Key()); key != "" {
+		return key + ": " + text
 	}
-	current := ""
-	for i, raw := range bytes.Split(b, []byte("\n")) {
-		text := strings.TrimSpace(string(raw))
-		if strings.HasPrefix(text, "[") {
-			current = strings.Trim(strings.SplitN(text, "#", 2)[0], "[] \t")
+	return text
+}
+
+// Unwrap returns the cause.
+func (w *wrongValue) Unwrap() error { return w.err }
+
+// line finds the line that sets a dotted key, or the inline table that holds
+// it; 1 if the file leaves it out.
+func line(b []byte, key string) int {
+	var p unstable.Parser
+	p.Reset(b)
+	var table []string
+	best := 1
+	for p.NextExpression() {
+		e := p.Expression()
+		parts, offset := path(e.Key())
+		if e.Kind != unstable.KeyValue {
+			table = parts
 			continue
 		}
-		set, _, found := strings.Cut(text, "=")
-		if found && current == table && strings.TrimSpace(set) == name {
-			return i + 1
+		set := dotted(slices.Concat(table, parts))
+		if set == key {
+			return row(b, offset)
+		}
+		if strings.HasPrefix(key, set+".") {
+			best = row(b, offset)
+		}
+	}
+	return best
+}
+
+// path returns the parts of a key and where it starts.
+func path(i unstable.Iterator) ([]string, int) {
+	var parts []string
+	offset := -1
+	for i.Next() {
+		n := i.Node()
+		if offset < 0 {
+			offset = int(n.Raw.Offset)
 		}
+		parts = append(parts, string(n.Data))
 	}
-	return 1
+	return parts, max(offset, 0)
 }
