trial: let the soak's callers follow address answers, operators use own accounts

Entry3 exited with code 4 after a graceful stop outlasted its schedule and a second fault started it twice. A caller that ignores address answers met a port that was closed as planned. Ruled out: faults of the system in all three, by the logs of entry3 and the answers of keepd. A folder in use is refused now, since its keys would not fit the data in it.

--- a/trial/fleet/fleet.go
+++ b/trial/fleet/fleet.go
@@ -22,11 +22,16 @@
 	keyLife    = 24 * time.Hour
 	folderMode = 0o755
 	tokenBytes = 16
+	// operator is the account that the settings of keepd name.
+	operator = "operator"
 	// readyWait bounds how long the fleet may take to elect a leader and to
 	// answer callers.
 	readyWait = 20 * time.Second
 )
 
+// ErrUsed tells that the folder holds the settings of another deployment.
+var ErrUsed = errors.New("folder is not empty")
+
 // ErrNotReady tells that the fleet did not answer in time.
 var ErrNotReady = errors.New("not ready in time")
 
@@ -62,6 +67,8 @@
 	// Declare is a text in the operators' language that is run once the fleet
 	// answers, after the engines and plain servers were declared.
 	Declare string
+	// Operators names further operator accounts.
+	Operators []string
 	// Links puts a UDP proxy on each link between two instances.
 	Links bool
 	// Wires puts a TCP proxy before each backend server.
@@ -77,6 +84,7 @@
 	ports     *ports
 	token     string
 	caller    string
+	operators map[string]string // token by operator account
 	client    *http.Client
 	processes map[string]*Process
 	keepers   []*Process
@@ -102,9 +110,14 @@
 		caller:    newToken(),
 		client:    &http.Client{Timeout: 10 * time.Second},
 		processes: make(map[string]*Process),
+		operators: make(map[string]string),
 		urls:      make(map[string]string),
 		controls:  make(map[string]string),
 	}
+	f.operators[operator] = f.token
+	for _, name := range o.Operators {
+		f.operators[name] = newToken()
+	}
 	cleanup := func() {
 		f.killAll()
 		f.client.CloseIdleConnections()
@@ -118,6 +131,9 @@
 }
 
 func (f *Fleet) start(ctx context.Context) error {
+	if old, err := os.ReadDir(f.options.Folder); err == nil && len(old) > 0 {
+		return fmt.Errorf("use folder %s: %w", f.options.Folder, ErrUsed)
+	}
 	for _, d := range []string{f.options.Folder, f.path("keys"), f.path("data")} {
 		if err := os.MkdirAll(d, folderMode); err != nil {
 			return fmt.Errorf("make folder: %w", err)
@@ -209,7 +225,8 @@
 	return hex.EncodeToString(b)
 }
 
-func digest(token string) string {
+// Digest returns the digest of a token, as accounts are declared with it.
+func Digest(token string) string {
 	sum := sha256.Sum256([]byte(token))
 	return hex.EncodeToString(sum[:])
 }
--- a/trial/fleet/operate.go
+++ b/trial/fleet/operate.go
@@ -23,7 +23,7 @@
 // it, under a new number.
 func (f *Fleet) Run(ctx context.Context, text string) (proto.RunReply, error) {
 	f.number++
-	return f.RunAs(ctx, proto.RunRequest{Operator: "operator", Number: f.number, Text: text})
+	return f.RunAs(ctx, proto.RunRequest{Operator: operator, Number: f.number, Text: text})
 }
 
 // RunAs runs a request as it is at the first keeper that takes it.
@@ -45,7 +45,7 @@
 // RunAt runs a request at one keeper.
 func (f *Fleet) RunAt(ctx context.Context, p *Process, r proto.RunRequest) (proto.RunReply, error) {
 	var reply proto.RunReply
-	err := f.post(ctx, p.url+"/run", f.token, r, &reply)
+	err := f.post(ctx, p.url+"/run", f.operators[r.Operator], r, &reply)
 	if err != nil {
 		return reply, fmt.Errorf("run at %s: %w", p.name, err)
 	}
@@ -168,7 +168,10 @@
 // declare tells the fleet what it consists of.
 func (f *Fleet) declare(ctx context.Context) error {
 	var text strings.Builder
-	fmt.Fprintf(&text, "declare account caller digest %q\n", digest(f.caller))
+	fmt.Fprintf(&text, "declare account caller digest %q\n", Digest(f.caller))
+	for _, name := range f.options.Operators {
+		fmt.Fprintf(&text, "declare account %s digest %q operator true\n", name, Digest(f.operators[name]))
+	}
 	models := make(map[string]bool)
 	for _, e := range f.options.Engines {
 		if !models[e.Model] {
@@ -178,14 +181,14 @@
 	}
 	for _, e := range f.options.Engines {
 		fmt.Fprintf(&text, "declare engine %s url %q centre %s role %s model %s revision 1 fenced %t\n",
-			e.Name, f.front(e.Name), e.Centre, e.Role, e.Model, e.Fenced)
+			e.Name, f.Front(e.Name), e.Centre, e.Role, e.Model, e.Fenced)
 	}
 	text.WriteString(f.options.Declare + "\n")
 	for _, p := range f.options.Plains {
-		fmt.Fprintf(&text, "declare server %s url %q centre %s service %s\n", p.Name, f.front(p.Name), p.Centre, p.Service)
+		fmt.Fprintf(&text, "declare server %s url %q centre %s service %s\n", p.Name, f.Front(p.Name), p.Centre, p.Service)
 	}
 	f.number++
-	r := proto.RunRequest{Operator: "operator", Number: f.number, Text: text.String()}
+	r := proto.RunRequest{Operator: operator, Number: f.number, Text: text.String()}
 	return Wait(ctx, readyWait, func() error {
 		_, err := f.RunAs(ctx, r)
 		return err
--- a/trial/fleet/settings.go
+++ b/trial/fleet/settings.go
@@ -64,8 +64,8 @@
 func (f *Fleet) keepSettings(p *Process) map[string]any {
 	s := f.common(p)
 	s["folder"] = p.folder
-	s["account"] = "operator"
-	s["digest"] = digest(f.token)
+	s["account"] = operator
+	s["digest"] = Digest(f.token)
 	s["peers"] = f.peers(p)
 	voters, spares := []string{}, []string{}
 	for i, k := range f.keepers {
@@ -182,8 +182,8 @@
 	return host(f.urls[name])
 }
 
-// front returns the URL at which the system reaches a backend server.
-func (f *Fleet) front(name string) string {
+// Front returns the URL at which the system reaches a backend server.
+func (f *Fleet) Front(name string) string {
 	if f.options.Wires {
 		return f.urls[WireName(name)]
 	}
--- a/trial/size/size.go
+++ b/trial/size/size.go
@@ -105,7 +105,7 @@
 	for from := 0; from < n; from += accountsChunk {
 		var text strings.Builder
 		for i := from; i < min(from+accountsChunk, n); i++ {
-			fmt.Fprintf(&text, "declare account client%d tokens 1000 requests 10\n", i)
+			fmt.Fprintf(&text, "declare account client%d digest %q tokens 1000 requests 10\n", i, fleet.Digest("client"))
 		}
 		if _, err := f.Run(ctx, text.String()); err != nil {
 			return fmt.Errorf("declare accounts: %w", err)
@@ -150,7 +150,7 @@
 func changes(ctx context.Context, f *fleet.Fleet, n int) (time.Duration, error) {
 	times := make([]time.Duration, 0, n)
 	for i := range n {
-		reply, err := f.Run(ctx, fmt.Sprintf("declare account spread tokens %d", i+1))
+		reply, err := f.Run(ctx, fmt.Sprintf("declare account spread digest %q tokens %d", fleet.Digest("spread"), i+1))
 		if err != nil {
 			return 0, fmt.Errorf("change configuration: %w", err)
 		}
--- a/trial/soak.go
+++ b/trial/soak.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/google/subcommands"
@@ -100,6 +101,9 @@
 	filings, answered := r.Filings()
 	fmt.Printf("soak: seed %d, %s: %d of %d chats whole, %d of %d filings answered, %d commands, faults %s\n",
 		r.Seed(), r.Length().Round(time.Second), whole, chats, answered, filings, r.Commands(), counts(r.Faults()))
+	for answer, n := range r.Refused() {
+		fmt.Printf("soak: seed %d: refused %d times: %s\n", r.Seed(), n, strings.Join(strings.Fields(answer), " "))
+	}
 	for _, v := range r.Violations() {
 		fmt.Printf("soak: seed %d: violation: %s\n", r.Seed(), v)
 	}
--- a/trial/soak/deploy.go
+++ b/trial/soak/deploy.go
@@ -61,6 +61,7 @@
 	return fleet.Options{
 		Bin: o.Bin, Folder: o.Folder, Keepers: keepers, Spares: spares, Entries: entries,
 		Centres: centres(), Engines: engines(), Plains: plains(), Links: true, Wires: true,
+		Operators: []string{steady, planner, racer},
 		Declare: fmt.Sprintf("declare service %s kind model model %s revision 1 class first deadline 20s first 5s\n", service, model) +
 			fmt.Sprintf("declare service %s kind plain class first deadline 5s once true\n", permit),
 		Keep: map[string]any{
@@ -71,7 +72,7 @@
 			"plan":   map[string]any{"policy": "goodput", "dwell": "3s", "horizon": "10s", "period": "500ms"},
 		},
 		Entry: map[string]any{
-			"address": map[string]any{"life": "1s"},
+			"address": map[string]any{"life": addressLife.String()},
 			"retry":   map[string]any{"silence": "1s"},
 		},
 	}
--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -20,12 +20,10 @@
 // inject waits for the time of a fault, brings it about and heals it.
 func (r *run) inject(ctx context.Context, f chaos.Fault) {
 	pause(ctx, time.Until(r.started.Add(f.At())))
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || !r.take(f) {
 		return
 	}
-	r.mutex.Lock()
-	r.faults[f.Kind()]++
-	r.mutex.Unlock()
+	defer r.give(f)
 	from := time.Now()
 	r.begin(ctx, f)
 	pause(ctx, f.For())
@@ -36,6 +34,25 @@
 	r.span(f, from)
 }
 
+// take claims the target of a fault and counts the fault. It fails while an
+// earlier one goes on: a graceful stop may take longer than was scheduled.
+func (r *run) take(f chaos.Fault) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.taken[f.Target()] {
+		return false
+	}
+	r.taken[f.Target()] = true
+	r.faults[f.Kind()]++
+	return true
+}
+
+func (r *run) give(f chaos.Fault) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.taken, f.Target())
+}
+
 // span notes when an instance was under a fault. Planned stops are none until
 // the process has ended; then its restart is.
 func (r *run) span(f chaos.Fault, from time.Time) {
@@ -77,9 +94,9 @@
 	case chaos.Cross, chaos.Late, chaos.Twice, chaos.Short, chaos.Lose:
 		r.fault(ctx, f.Target(), string(f.Kind()), "")
 	case chaos.Drain:
-		r.command(ctx, "planner", r.serial(f), "drain engine "+f.Target())
+		r.command(ctx, planner, r.serial(f), "drain engine "+f.Target())
 	case chaos.Assign:
-		r.command(ctx, "planner", r.serial(f), fmt.Sprintf("assign engine %s role %s", f.Target(), otherRole(f)))
+		r.command(ctx, planner, r.serial(f), fmt.Sprintf("assign engine %s role %s", f.Target(), otherRole(f)))
 	case chaos.Race:
 		r.race(ctx, uint64(f.At()))
 	}
@@ -106,7 +123,7 @@
 	case chaos.Silence, chaos.CutWire:
 		r.fault(ctx, fleet.WireName(f.Target()), "heal", "")
 	case chaos.Drain:
-		r.command(ctx, "planner", r.serial(f)+1, "declare engine "+f.Target()+" phase serving")
+		r.command(ctx, planner, r.serial(f)+1, fmt.Sprintf("declare engine %s url %q", f.Target(), r.fleet.Front(f.Target())))
 	}
 }
 
--- a/trial/soak/load.go
+++ b/trial/soak/load.go
@@ -40,8 +40,9 @@
 	random := r.source(streamChat, i)
 	c := caller.New(r.fleet.CallerToken())
 	defer c.Close()
+	book := &addresses{fleet: r.fleet}
 	for n := 0; ctx.Err() == nil; n++ {
-		p := r.fleet.Entries()[random.IntN(len(r.fleet.Entries()))]
+		p := book.pick(ctx, random)
 		prompt := fmt.Sprintf("caller %d question %d", i, n)
 		for range random.IntN(longPrompt) {
 			prompt += " panel"
@@ -78,12 +79,13 @@
 	random := r.source(streamFile, i)
 	c := caller.New(r.fleet.CallerToken())
 	defer c.Close()
+	book := &addresses{fleet: r.fleet}
 	for n := 0; ctx.Err() == nil; n++ {
 		key := fmt.Sprintf("permit-%d-%d", i, n)
 		call := caller.Call{Service: permit, Path: "stamps", Key: key, Body: fmt.Sprintf(`{"key":%q}`, key)}
 		f := check.Filing{Call: "caller/" + key}
 		for range tries {
-			p := r.fleet.Entries()[random.IntN(len(r.fleet.Entries()))]
+			p := book.pick(ctx, random)
 			t := try(ctx, c, p, call)
 			f.Tries = append(f.Tries, t)
 			if t.Status == statusOK || ctx.Err() != nil {
--- a/trial/soak/operate.go
+++ b/trial/soak/operate.go
@@ -2,27 +2,37 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/trial/check"
+	"verbenahaven.example/trial/fleet"
 )
 
 const (
 	commandPause = 500 * time.Millisecond
 	commandWait  = 4 * time.Second
 	resends      = 4
+	clients      = 200     // accounts that commands declare
+	raced        = 7       // accounts that raced commands declare
+	maxTokens    = 10000   // a second
 	raceBase     = 1 << 32 // numbers of raced commands
+
+	steady  = "steady"  // operator of a command now and then
+	planner = "planner" // operator of planned changes
+	racer   = "racer"   // account that two operators share
 )
 
 // operate makes a change of configuration every now and then.
 func (r *run) operate(ctx context.Context) {
 	random := r.source(streamOperate, 0)
 	for n := uint64(1); ctx.Err() == nil; n++ {
-		text := fmt.Sprintf("declare account client%d tokens %d requests %d", random.IntN(200), random.IntN(10000)+1, random.IntN(100)+1)
-		r.command(ctx, "steady", n, text)
+		text := fmt.Sprintf("declare account client%d digest %q tokens %d", random.IntN(clients), fleet.Digest("client"), random.IntN(maxTokens)+1)
+		r.command(ctx, steady, n, text)
 		pause(ctx, commandPause)
 	}
 }
@@ -41,7 +51,24 @@
 		if ctx.Err() != nil {
 			return
 		}
+		r.refuse(text, err)
+	}
+}
+
+// refuse counts a command that was not accepted, by what was answered.
+func (r *run) refuse(text string, err error) {
+	if !errors.Is(err, fleet.ErrRefused) {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.refused == nil {
+		r.refused = make(map[string]int)
 	}
+	verb, _, _ := strings.Cut(text, " ")
+	_, code, _ := strings.Cut(err.Error(), `"code": "`)
+	code, _, _ = strings.Cut(code, `"`)
+	r.refused[verb+": "+code]++
 }
 
 func (r *run) accept(a check.Accept) {
@@ -55,10 +82,10 @@
 func (r *run) race(ctx context.Context, number uint64) {
 	var group sync.WaitGroup
 	for i := range 2 {
-		text := fmt.Sprintf("declare account raced%d tokens %d", number%7, i+1)
+		text := fmt.Sprintf("declare account raced%d digest %q tokens %d", number%raced, fleet.Digest("raced"), i+1)
 		group.Go(func() {
 			for range 2 {
-				r.command(ctx, "racer", raceBase+number, text)
+				r.command(ctx, racer, raceBase+number, text)
 			}
 		})
 	}
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -35,6 +35,7 @@
 	filings    int
 	filed      int
 	commands   int
+	refused    map[string]int
 	violations []check.Violation
 }
 
@@ -56,6 +57,9 @@
 // Commands returns how many commands of operators were accepted.
 func (r *Report) Commands() int { return r.commands }
 
+// Refused returns how often each answer refused a command.
+func (r *Report) Refused() map[string]int { return r.refused }
+
 // Violations returns what must never happen and did.
 func (r *Report) Violations() []check.Violation { return r.violations }
 
@@ -77,7 +81,10 @@
 	mutex  sync.Mutex
 	record check.Record
 	lives  map[string]int
+	taken  map[string]bool // targets under a fault
 	faults map[chaos.Kind]int
+
+	refused map[string]int // answers to commands that were not accepted
 }
 
 // Run runs one seed.
@@ -87,7 +94,10 @@
 		return nil, fmt.Errorf("start fleet: %w", err)
 	}
 	defer cleanup()
-	r := &run{options: o, fleet: f, started: time.Now(), lives: make(map[string]int), faults: make(map[chaos.Kind]int)}
+	r := &run{
+		options: o, fleet: f, started: time.Now(),
+		lives: make(map[string]int), taken: make(map[string]bool), faults: make(map[chaos.Kind]int),
+	}
 	r.record.Force = forceLimit
 	r.load(ctx)
 	if err := r.collect(ctx); err != nil {
@@ -165,7 +175,7 @@
 func (r *run) report() *Report {
 	report := &Report{
 		seed: r.options.Seed, length: time.Since(r.started), faults: r.faults,
-		chats: len(r.record.Chats), filings: len(r.record.Filings), commands: len(r.record.Accepts),
+		chats: len(r.record.Chats), filings: len(r.record.Filings), commands: len(r.record.Accepts), refused: r.refused,
 		violations: r.record.Violations(),
 	}
 	for _, c := range r.record.Chats {
--- /dev/null
+++ b/trial/soak/soak_test.go
@@ -0,0 +1,34 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"verbenahaven.example/trial/fleet"
+)
+
+// TestSoak runs one short fixed seed, as CI does. Longer runs: make soak.
+func TestSoak(t *testing.T) {
+	bin, err := fleet.Programs(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Run(t.Context(), Options{
+		Bin: bin, Folder: t.TempDir(), Seed: 1, Length: 25 * time.Second, Gap: 400 * time.Millisecond, Callers: 6, Filers: 2,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Violations() {
+		t.Error(v)
+	}
+	if _, whole := r.Chats(); whole == 0 {
+		t.Error("no completion came whole")
+	}
+	if _, filed := r.Filings(); filed == 0 {
+		t.Error("no run-once call was answered")
+	}
+	if r.Commands() == 0 {
+		t.Error("no command was accepted")
+	}
+}
