quorum: joint replacement of voters, and seeded simulation of the group

The simulation found four faults. A voter was replaced by promoting first and removing then: if the new voter was lost in between, a group of three stood still with two of four. Replacement is now one joint step that needs neither the lost voter nor the new one. A member whose own removal wasn't committed never campaigned, though it alone had the newest log. A founder that crashed between hard state and first entry could never found again.

--- a/core/process/quorum/core.go
+++ b/core/process/quorum/core.go
@@ -49,6 +49,11 @@
 type placedConfig struct {
 	index  uint64
 	config Config
+	sets   voterSets
+}
+
+func place(index uint64, config Config) placedConfig {
+	return placedConfig{index: index, config: config, sets: config.sets()}
 }
 
 // Core is the state machine of one member.
@@ -112,7 +117,6 @@
 // faults takes out single guards, so that tests can show that each is needed.
 type faults struct {
 	noPreVote    bool // campaign with a new term at once
-	noIdentity   bool // accept messages meant for another identity
 	sendEarly    bool // send before the state is durable
 	noMargin     bool // ignore the clocks' rate error in the lease
 	noVoteLease  bool // grant votes while the leader is fresh
@@ -138,8 +142,13 @@
 		peers:    make(map[string]*progress),
 		strange:  make(map[string]seen),
 	}
+	if c.hard.Group == s.Identity && len(stored.Entries) == 0 && stored.Snapshot.Index == 0 {
+		// A crash came while founding, before the first entry was durable:
+		// nothing was promised to anyone.
+		c.hard = HardState{}
+	}
 	c.log.reset(stored.Snapshot.Index, stored.Snapshot.Term)
-	c.configs = []placedConfig{{stored.Snapshot.Index, stored.Snapshot.Config}}
+	c.configs = []placedConfig{place(stored.Snapshot.Index, stored.Snapshot.Config)}
 	for _, e := range stored.Entries {
 		if e.Index > stored.Snapshot.Index {
 			c.addEntry(e)
@@ -280,7 +289,7 @@
 func (c *Core) addEntry(e Entry) {
 	c.log.append(e)
 	if e.Kind == EntryConfig && e.Config != nil {
-		c.configs = append(c.configs, placedConfig{e.Index, *e.Config})
+		c.configs = append(c.configs, place(e.Index, *e.Config))
 	}
 }
 
@@ -310,6 +319,11 @@
 	return c.configs[len(c.configs)-1].config
 }
 
+// sets are the voters of the newest configuration.
+func (c *Core) sets() voterSets {
+	return c.configs[len(c.configs)-1].sets
+}
+
 func (c *Core) configIndex() uint64 {
 	return c.configs[len(c.configs)-1].index
 }
--- a/core/process/quorum/elect.go
+++ b/core/process/quorum/elect.go
@@ -21,7 +21,7 @@
 func (c *Core) timeout() {
 	c.leader = ""
 	c.resetDeadline()
-	if !c.config().Voter(c.settings.Identity) {
+	if !c.electable() {
 		c.role = RoleFollower
 		return
 	}
@@ -32,6 +32,20 @@
 	c.preVote()
 }
 
+// electable tells whether this member may campaign. One whose removal isn't
+// committed must: it may alone have the newest log, the removal included.
+func (c *Core) electable() bool {
+	for i := len(c.configs) - 1; i >= 0; i-- {
+		if c.configs[i].config.Voter(c.settings.Identity) {
+			return true
+		}
+		if c.configs[i].index <= c.commit {
+			break
+		}
+	}
+	return false
+}
+
 // preVote asks whether an election could be won, without a new term: a member
 // that was cut off must not disturb the others when it returns.
 func (c *Core) preVote() {
@@ -61,7 +75,7 @@
 
 func (c *Core) askVotes(kind MessageKind, term uint64) {
 	for _, m := range c.config().Members {
-		if !m.Voter || m.Identity == c.settings.Identity {
+		if (!m.Voter && !m.Outgoing) || m.Identity == c.settings.Identity {
 			continue
 		}
 		c.send(m, Message{
@@ -76,14 +90,7 @@
 
 // wins tells whether a majority of the voters granted.
 func (c *Core) wins() bool {
-	n := 0
-	config := c.config()
-	for _, m := range config.Members {
-		if m.Voter && c.votes[m.Identity] {
-			n++
-		}
-	}
-	return n >= config.Quorum()
+	return c.sets().majority(func(identity string) bool { return c.votes[identity] })
 }
 
 // bound tells whether this member must not vote because a leader may hold a
@@ -209,7 +216,7 @@
 
 // takeOver campaigns at once because the leader gave up its lease.
 func (c *Core) takeOver(m Message) {
-	if m.Term != c.hard.Term || m.FromIdentity != c.leader || !c.config().Voter(c.settings.Identity) {
+	if m.Term != c.hard.Term || m.FromIdentity != c.leader || !c.electable() {
 		return
 	}
 	c.campaign(true)
--- a/core/process/quorum/follow.go
+++ b/core/process/quorum/follow.go
@@ -57,6 +57,10 @@
 func (c *Core) refuse(m Message) {
 	hint := min(m.Index, c.log.last())
 	term, _ := c.log.term(hint)
+	for hint > c.commit && term > m.LogTerm {
+		hint--
+		term, _ = c.log.term(hint)
+	}
 	c.reply(m, Message{
 		Kind:    MessageAppendReply,
 		Reject:  true,
--- a/core/process/quorum/lead.go
+++ b/core/process/quorum/lead.go
@@ -1,10 +1,6 @@
 package quorum
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // propose appends commands to the leader's log.
 func (c *Core) propose(commands []Command) {
@@ -195,7 +191,7 @@
 		return
 	}
 	hint := min(m.Index, m.Tried)
-	for hint > c.log.baseIndex {
+	for hint >= c.log.baseIndex {
 		if term, ok := c.log.term(hint); ok && term <= m.LogTerm {
 			break
 		}
@@ -208,26 +204,7 @@
 // advanceCommit moves the commit index to what a majority made durable.
 // Entries of older terms are only committed along with one of this term.
 func (c *Core) advanceCommit() {
-	config := c.config()
-	matches := make([]uint64, 0, len(config.Members))
-	for _, m := range config.Members {
-		if !m.Voter {
-			continue
-		}
-		switch p := c.peers[m.Identity]; {
-		case m.Identity == c.settings.Identity:
-			matches = append(matches, c.ownMatch())
-		case p != nil:
-			matches = append(matches, p.match)
-		default:
-			matches = append(matches, 0)
-		}
-	}
-	if len(matches) == 0 {
-		return
-	}
-	slices.Sort(matches)
-	index := matches[len(matches)-config.Quorum()]
+	index := reached(c.sets(), c.matchOf)
 	if index <= c.commit {
 		return
 	}
@@ -242,33 +219,35 @@
 	}
 }
 
-func (c *Core) ownMatch() uint64 {
-	if c.faults.sendEarly {
+// matchOf is the index up to which the log is known to be durable at a member.
+func (c *Core) matchOf(identity string) uint64 {
+	switch p := c.peers[identity]; {
+	case identity == c.settings.Identity && c.faults.sendEarly:
 		return c.log.last()
+	case identity == c.settings.Identity:
+		return c.durable
+	case p != nil:
+		return p.match
+	default:
+		return 0
 	}
-	return c.durable
 }
 
 // quorumSent returns the newest time such that a majority answered messages
 // sent at it or later.
 func (c *Core) quorumSent() (time.Duration, bool) {
-	config := c.config()
-	times := make([]time.Duration, 0, len(config.Members))
-	for _, m := range config.Members {
-		if !m.Voter {
-			continue
-		}
-		p := c.peers[m.Identity]
-		switch {
-		case m.Identity == c.settings.Identity:
-			times = append(times, c.now)
+	sent := reached(c.sets(), func(identity string) time.Duration {
+		switch p := c.peers[identity]; {
+		case identity == c.settings.Identity:
+			return c.now
 		case p != nil && p.answered:
-			times = append(times, p.acked)
+			return p.acked
+		default:
+			return unanswered
 		}
-	}
-	if len(times) < config.Quorum() {
-		return 0, false
-	}
-	slices.SortFunc(times, func(a, b time.Duration) int { return cmp.Compare(b, a) })
-	return times[config.Quorum()-1], true
+	})
+	return sent, sent > unanswered
 }
+
+// unanswered stands for no time at all.
+const unanswered = time.Duration(-1)
--- a/core/process/quorum/member.go
+++ b/core/process/quorum/member.go
@@ -9,9 +9,19 @@
 // as caught up.
 const catchUpLag = 64
 
-// MaxMembers bounds a group.
+// MaxMembers bounds the instances of a group. A lost folder of an instance
+// that comes back with a new one doesn't count.
 const MaxMembers = 7
 
+// room tells whether an instance may join.
+func (c Config) room(name string) bool {
+	names := map[string]bool{name: true}
+	for _, m := range c.Members {
+		names[m.Name] = true
+	}
+	return len(names) <= MaxMembers
+}
+
 // change starts a membership change for an operator.
 func (c *Core) change(e Change) {
 	next, err := c.changed(e.Kind, e.Name)
@@ -47,7 +57,7 @@
 	if c.faults.openChange {
 		return true
 	}
-	return c.configIndex() <= c.commit && c.commit >= c.first
+	return c.configIndex() <= c.commit && c.commit >= c.first && !c.config().Joint()
 }
 
 func (c *Core) appendConfig(next Config) uint64 {
@@ -59,7 +69,7 @@
 
 func (c *Core) withLearner(name string) (Config, error) {
 	config := c.config()
-	if len(config.Members) >= MaxMembers {
+	if !config.room(name) {
 		return config, ErrFull
 	}
 	for _, identity := range c.strangers() {
@@ -144,11 +154,16 @@
 	return p != nil && c.now-p.heard < c.settings.Election && p.match+catchUpLag >= c.log.last() && p.match >= c.first
 }
 
-// repair makes the one next change that brings the group back to strength: a
-// caught-up learner is promoted before the lost voter is removed, so the
-// majority never counts on a member that lags.
+// repair makes the one next change that brings the group back to strength.
 func (c *Core) repair() {
-	if c.settings.Replace <= 0 || !c.mayChange() || c.transfer.asked {
+	if c.transfer.asked {
+		return
+	}
+	if c.config().Joint() {
+		c.finishReplacement()
+		return
+	}
+	if c.settings.Replace <= 0 || !c.mayChange() {
 		return
 	}
 	next, what, ok := c.nextRepair()
@@ -159,11 +174,15 @@
 	c.appendConfig(next)
 }
 
+// finishReplacement leaves a joint configuration that is committed.
+func (c *Core) finishReplacement() {
+	if c.configIndex() <= c.commit && c.commit >= c.first {
+		c.appendConfig(c.config().final())
+	}
+}
+
 func (c *Core) nextRepair() (Config, string, bool) {
 	config := c.config()
-	if next, what, ok := c.finishReplacement(config); ok {
-		return next, what, true
-	}
 	if next, what, ok := c.startReplacement(config); ok {
 		return next, what, true
 	}
@@ -173,30 +192,16 @@
 	return c.admit(config)
 }
 
-// finishReplacement removes a voter once the one promoted for it holds the
-// log up to its promotion.
-func (c *Core) finishReplacement(config Config) (Config, string, bool) {
-	for _, m := range config.Members {
-		old, listed := config.Find(m.Replaces)
-		if m.Voter && listed && old.Identity != c.settings.Identity && c.caughtUp(m.Identity) {
-			return config.without(old.Identity), "remove " + old.Name + " in favour of " + m.Name, true
-		}
-	}
-	return config, "", false
-}
-
-// startReplacement promotes a caught-up learner for a lost voter.
+// startReplacement puts a caught-up learner in the place of a lost voter.
 func (c *Core) startReplacement(config Config) (Config, string, bool) {
 	for _, lost := range config.Members {
 		if !lost.Voter || !c.lost(lost) {
 			continue
 		}
 		for _, m := range config.Members {
-			if m.Voter || c.lost(m) || !c.caughtUp(m.Identity) {
-				continue
+			if !m.Voter && !c.lost(m) && c.caughtUp(m.Identity) {
+				return config.replace(lost.Identity, m.Identity), "replace " + lost.Name + " by " + m.Name, true
 			}
-			m.Voter, m.Replaces = true, lost.Identity
-			return config.with(m), "promote " + m.Name + " for " + lost.Name, true
 		}
 	}
 	return config, "", false
@@ -214,12 +219,10 @@
 
 // admit adds an instance of the settings that made itself known.
 func (c *Core) admit(config Config) (Config, string, bool) {
-	if len(config.Members) >= MaxMembers {
-		return config, "", false
-	}
 	for _, identity := range c.strangers() {
 		s := c.strange[identity]
-		if slices.Contains(c.settings.Voters, s.name) || slices.Contains(c.settings.Spares, s.name) {
+		known := slices.Contains(c.settings.Voters, s.name) || slices.Contains(c.settings.Spares, s.name)
+		if known && config.room(s.name) {
 			return config.with(Member{Name: s.name, Identity: identity}), "add " + s.name + " as learner", true
 		}
 	}
--- /dev/null
+++ b/core/process/quorum/quorum_test.go
@@ -0,0 +1,64 @@
+package quorum
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var soakSeeds = flag.Int("soak.seeds", 0, "seeds of the soak run, 0 for a short one")
+
+// shapes are the groups that the runs use.
+func shapes() []options {
+	return []options{usual(3, 0), usual(3, 2), usual(5, 0), usual(5, 2), usual(7, 0)}
+}
+
+// TestRandomFaults lets rapid choose shape, seed and schedule, and shrink the
+// schedule of a failure.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		o := rapid.SampledFrom(shapes()).Draw(r, "shape")
+		o.length = 6 * time.Second
+		n := o.voters + o.spares
+		troubles := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) trouble {
+			return trouble{
+				at:     time.Duration(rapid.IntRange(300, 6000).Draw(r, "at")) * time.Millisecond,
+				kind:   troubleKind(rapid.IntRange(0, int(troubleKinds)-1).Draw(r, "kind")),
+				member: rapid.IntRange(0, n-1).Draw(r, "member"),
+				other:  rapid.IntRange(0, n-1).Draw(r, "other"),
+				length: time.Duration(rapid.IntRange(1, 1500).Draw(r, "length")) * time.Millisecond,
+			}
+		}), 0, 40).Draw(r, "troubles")
+		seed := rapid.Uint64().Draw(r, "seed")
+		if v, _ := run(o, seed, troubles); v != "" {
+			r.Fatal(v)
+		}
+	})
+}
+
+// TestSoak runs long schedules from consecutive seeds.
+func TestSoak(t *testing.T) {
+	seeds := *soakSeeds
+	if seeds == 0 {
+		seeds = 10
+	}
+	total, start := 0, time.Now()
+	for seed := 1; seed <= seeds; seed++ {
+		o := shapes()[seed%len(shapes())]
+		o.length = 30 * time.Second
+		r := rand.New(rand.NewPCG(uint64(seed), 3))
+		p := schedule{
+			gap:    time.Duration(50+r.IntN(400)) * time.Millisecond,
+			length: time.Duration(100+r.IntN(2000)) * time.Millisecond,
+		}
+		v, steps := run(o, uint64(seed), p.draw(r, o))
+		total += steps
+		if v != "" {
+			t.Errorf("seed %d, %d voters, %d spares, step %d: %s", seed, o.voters, o.spares, steps, v)
+		}
+	}
+	t.Logf("%d seeds, %d steps, %s", seeds, total, time.Since(start).Round(time.Millisecond))
+}
--- a/core/process/quorum/read.go
+++ b/core/process/quorum/read.go
@@ -51,13 +51,8 @@
 }
 
 func (c *Core) confirmed(round uint64) bool {
-	n := 0
-	config := c.config()
-	for _, m := range config.Members {
-		p := c.peers[m.Identity]
-		if m.Voter && (m.Identity == c.settings.Identity || (p != nil && p.round >= round)) {
-			n++
-		}
-	}
-	return n >= config.Quorum()
+	return c.sets().majority(func(identity string) bool {
+		p := c.peers[identity]
+		return identity == c.settings.Identity || (p != nil && p.round >= round)
+	})
 }
--- a/core/process/quorum/send.go
+++ b/core/process/quorum/send.go
@@ -28,7 +28,7 @@
 		c.greeted(m)
 		return
 	}
-	if m.ToIdentity != c.settings.Identity && !c.faults.noIdentity {
+	if m.ToIdentity != c.settings.Identity {
 		return
 	}
 	if m.Group == "" || !c.join(m) {
--- a/core/process/quorum/snap.go
+++ b/core/process/quorum/snap.go
@@ -127,7 +127,7 @@
 		panic(fmt.Sprintf("quorum: snapshot %d behind the commit %d", s.Meta.Index, c.commit))
 	}
 	c.log.reset(s.Meta.Index, s.Meta.Term)
-	c.configs = []placedConfig{{s.Meta.Index, s.Meta.Config}}
+	c.configs = []placedConfig{place(s.Meta.Index, s.Meta.Config)}
 	c.snapshot = s.Meta
 	c.commit, c.applied, c.durable = s.Meta.Index, s.Meta.Index, s.Meta.Index
 	for i := range c.persists {
--- a/core/process/quorum/types.go
+++ b/core/process/quorum/types.go
@@ -44,10 +44,12 @@
 	Name     string `cbor:"1,keyasint"`
 	Identity string `cbor:"2,keyasint"`
 	Voter    bool   `cbor:"3,keyasint,omitempty"`
-	Replaces string `cbor:"4,keyasint,omitempty"` // identity of the voter that this one was promoted for
+	Outgoing bool   `cbor:"4,keyasint,omitempty"` // voter of the configuration that a joint one leaves
 }
 
-// Config is the membership of a group.
+// Config is the membership of a group. While a voter is replaced it is joint:
+// a majority of the voters and one of the outgoing voters are both needed, so
+// that neither the lost voter nor the new one has to take part.
 type Config struct {
 	Members []Member `cbor:"1,keyasint"`
 }
@@ -65,10 +67,15 @@
 // Voter tells whether an identity may vote.
 func (c Config) Voter(identity string) bool {
 	m, ok := c.Find(identity)
-	return ok && m.Voter
+	return ok && (m.Voter || m.Outgoing)
 }
 
-// Voters counts the voters.
+// Joint tells whether a voter is being replaced.
+func (c Config) Joint() bool {
+	return slices.ContainsFunc(c.Members, func(m Member) bool { return m.Outgoing })
+}
+
+// Voters counts the voters, outgoing ones left out.
 func (c Config) Voters() int {
 	n := 0
 	for _, m := range c.Members {
@@ -79,9 +86,31 @@
 	return n
 }
 
-// Quorum is the least majority of the voters.
-func (c Config) Quorum() int {
-	return c.Voters()/2 + 1
+// replace returns the joint configuration in which a learner takes the place
+// of a voter.
+func (c Config) replace(lost, learner string) Config {
+	next := Config{Members: slices.Clone(c.Members)}
+	for i := range next.Members {
+		m := &next.Members[i]
+		m.Outgoing = m.Voter
+		switch m.Identity {
+		case lost:
+			m.Voter = false
+		case learner:
+			m.Voter = true
+		}
+	}
+	return next
+}
+
+// final returns what a joint configuration leads to.
+func (c Config) final() Config {
+	next := Config{Members: slices.Clone(c.Members)}
+	next.Members = slices.DeleteFunc(next.Members, func(m Member) bool { return m.Outgoing && !m.Voter })
+	for i := range next.Members {
+		next.Members[i].Outgoing = false
+	}
+	return next
 }
 
 // with returns a copy in which m replaces or joins the members.
