--- /dev/null
+++ b/core/version/state/view.go
@@ -0,0 +1,46 @@
+package state
+
+// Engine returns an engine by name.
+func (s *State) Engine(name string) (Engine, bool) {
+	e, found := s.engines.rows[name]
+	return e, found
+}
+
+// Account returns an account by name.
+func (s *State) Account(name string) (Account, bool) {
+	a, found := s.accounts.rows[name]
+	return a, found
+}
+
+// Member returns a member by name.
+func (s *State) Member(name string) (Member, bool) {
+	m, found := s.members.rows[name]
+	return m, found
+}
+
+// Members returns all members by name.
+func (s *State) Members() []Member {
+	return s.members.after(0)
+}
+
+// Knows returns what the state has of a member, and whether joining it again
+// would change nothing.
+func (s *State) Knows(m Member) (Member, bool) {
+	old, found := s.members.rows[m.Name]
+	if s.notes[removedKey{NounMember, m.Name}].Drained {
+		m.Phase = PhaseLeaving
+	}
+	m.Version = old.Version
+	return old, found && old == m
+}
+
+// Entries counts the entry instances.
+func (s *State) Entries() int {
+	n := 0
+	for _, m := range s.members.rows {
+		if m.Kind == MemberEntry {
+			n++
+		}
+	}
+	return n
+}
