--- a/core/version/order/sim_test.go
+++ b/core/version/order/sim_test.go
@@ -137,7 +137,7 @@
 		r.Failed = true
 	case 1: // stuck, delivered late; the sender hears nothing
 		r.Failed = true
-		late := time.Duration(w.random.IntN(int(flight-tick)))
+		late := time.Duration(w.random.IntN(int(flight - tick)))
 		w.wire = append(w.wire, packet{a.Order, w.now + late})
 	default:
 		w.deliver(a.Order)
--- a/core/version/roster/roster.go
+++ b/core/version/roster/roster.go
@@ -75,10 +75,14 @@
 	return names
 }
 
-// alive counts a member that this leader never heard from the start of its
-// term.
+// Silent tells for how long a member wasn't heard. One that this leader never
+// heard counts from the start of its term.
+func (r *Roster) Silent(now time.Duration, name string) time.Duration {
+	return now - max(r.began, r.beats[name].heard)
+}
+
 func (r *Roster) alive(now time.Duration, name string) bool {
-	return now-max(r.began, r.beats[name].heard) <= r.settings.Lease
+	return r.Silent(now, name) <= r.settings.Lease
 }
 
 // Vanished returns those of the holders that were not heard for their time,
--- a/core/version/state/member.go
+++ b/core/version/state/member.go
@@ -83,10 +83,7 @@
 func (s *State) Decide(d Decision) Decision {
 	s.decided++
 	d.Number, d.At = s.decided, s.now
-	s.decisions = append(s.decisions, d)
-	if len(s.decisions) > maxDecisions {
-		s.decisions = slices.Clone(s.decisions[1:])
-	}
+	s.decisions = bound(append(s.decisions, d), maxDecisions)
 	return d
 }
 
--- a/core/version/state/operator.go
+++ b/core/version/state/operator.go
@@ -90,13 +90,16 @@
 	}
 	answer := s.execute(u, term)
 	known = slices.Insert(known, at, outcome{Number: u.Number, Digest: digest, Answer: answer})
-	if len(known) > maxOutcomes {
-		known = slices.Clone(known[1:])
-	}
-	s.operators[u.Operator] = known
+	s.operators[u.Operator] = bound(known, maxOutcomes)
 	return answer
 }
 
+// bound drops the oldest entries. The room before them goes when the list
+// grows next, so that a drop costs no copy.
+func bound[T any](list []T, limit int) []T {
+	return list[max(0, len(list)-limit):]
+}
+
 func repeat(o outcome, digest, number uint64) Outcome {
 	if o.Digest != digest {
 		return Outcome{Version: o.Answer.Version, Code: CodeConflict, Text: fmt.Sprintf("number %d was used by another command", number)}
--- a/core/version/state/order.go
+++ b/core/version/state/order.go
@@ -79,10 +79,7 @@
 	if reason != "" {
 		o.Reason = reason
 	}
-	s.closed = append(s.closed, o)
-	if len(s.closed) > maxClosed {
-		s.closed = slices.Clone(s.closed[1:])
-	}
+	s.closed = bound(append(s.closed, o), maxClosed)
 	s.settle(name, o)
 	return nil
 }
--- a/core/version/store/store.go
+++ b/core/version/store/store.go
@@ -217,6 +217,13 @@
 	return s.ledger.Lookup(q)
 }
 
+// Version returns the version of the state.
+func (s *Store) Version() uint64 {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.state.Version()
+}
+
 // View returns what changed after a version. The lists in it are shared.
 func (s *Store) View(since uint64) state.View {
 	s.mutex.Lock()
--- a/entryd/beat/beat.go
+++ b/entryd/beat/beat.go
@@ -23,6 +23,10 @@
 	timeout = time.Second
 )
 
+// Holder names this start of the instance. Heartbeats carry it, so that the
+// run-once calls of an earlier start are known to be lost.
+type Holder string
+
 // Beat sends heartbeats.
 type Beat struct {
 	keeper proto.Keeper
@@ -33,6 +37,8 @@
 	clock  clock.Clock
 	now    chan struct{}
 
+	holder Holder
+
 	mutex  sync.Mutex
 	member state.Member
 	phase  state.Phase // as the state has it
@@ -42,10 +48,10 @@
 
 // New returns heartbeats for a member.
 func New(
-	m state.Member, k proto.Keeper, g *guide.Guide, w *watch.Watch, v *view.Store, r *meter.Registry, c clock.Clock,
+	m state.Member, h Holder, k proto.Keeper, g *guide.Guide, w *watch.Watch, v *view.Store, r *meter.Registry, c clock.Clock,
 ) *Beat {
 	return &Beat{
-		keeper: k, guide: g, watch: w, store: v, meter: r, clock: c, member: m, now: make(chan struct{}, 1), last: c.Elapsed(),
+		keeper: k, guide: g, watch: w, store: v, meter: r, clock: c, holder: h, member: m, now: make(chan struct{}, 1), last: c.Elapsed(),
 	}
 }
 
@@ -111,7 +117,7 @@
 	passed := b.clock.Elapsed() - b.last
 	b.last += passed
 	b.mutex.Unlock()
-	r := proto.BeatRequest{Member: m}
+	r := proto.BeatRequest{Member: m, Holder: string(b.holder)}
 	r.Version, r.Settled = b.guide.Versions()
 	r.InFlight = b.guide.InFlight()
 	r.Demand, r.Reports = b.guide.Digest(passed)
--- a/entryd/provide.go
+++ b/entryd/provide.go
@@ -15,6 +15,7 @@
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/entryd/beat"
 	"verbenahaven.example/entryd/front"
 	"verbenahaven.example/entryd/guide"
 	"verbenahaven.example/entryd/infer"
@@ -53,10 +54,14 @@
 	return infer.Settings{Silence: time.Duration(s.Retry.Silence), Retry: r}
 }
 
-// providePlain names the holder of run-once calls by instance and start: an
+// provideHolder names the holder of run-once calls by instance and start: an
 // instance that was started again isn't the holder of its earlier calls.
-func providePlain(s *setup.Settings, r retry.Policy, c clock.Clock) plain.Settings {
-	return plain.Settings{Holder: s.Name + "/" + strconv.FormatInt(c.Now().UnixNano(), 36), Retry: r}
+func provideHolder(s *setup.Settings, c clock.Clock) beat.Holder {
+	return beat.Holder(s.Name + "/" + strconv.FormatInt(c.Now().UnixNano(), 36))
+}
+
+func providePlain(h beat.Holder, r retry.Policy) plain.Settings {
+	return plain.Settings{Holder: string(h), Retry: r}
 }
 
 func provideFront(s *setup.Settings) front.Settings {
--- a/entryd/wire.go
+++ b/entryd/wire.go
@@ -23,7 +23,7 @@
 func build(s *setup.Settings) (*app, func(), error) {
 	wire.Build(
 		clock.System, meter.New, view.New, trail.New, pool.New,
-		provideTLS, provideKeeper, provideGuide, provideStrikes, provideRetry, provideInfer, providePlain,
+		provideTLS, provideKeeper, provideGuide, provideStrikes, provideRetry, provideInfer, provideHolder, providePlain,
 		provideFront, provideWatch, providePoll, provideQuota, provideMember, provideLink,
 		infer.New, plain.New, watch.New, beat.New, poll.New, front.New,
 		wire.Struct(new(app), "*"),
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -45,7 +45,7 @@
 		return proto.BeatReply{}, err
 	}
 	return proto.BeatReply{
-		Version: l.store.View(0).Version,
+		Version: l.store.Version(),
 		Lease:   time.Duration(l.settings.Member.Lease),
 		Phase:   known.Phase,
 	}, nil
--- a/keepd/lead/plan.go
+++ b/keepd/lead/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,14 +17,19 @@
 // policy starts anew with each term.
 func (l *Lead) runPlan(ctx context.Context) {
 	var term uint64
-	policy := l.policy()
+	policy, err := l.policy()
+	if err != nil {
+		klog.Errorf("no planner: %v", err)
+		return
+	}
 	every(ctx, time.Duration(l.settings.Plan.Period), func() {
 		now := l.leading()
 		if now == 0 {
 			return
 		}
 		if now != term {
-			term, policy = now, l.policy()
+			term = now
+			policy, _ = l.policy() // the name was good before
 		}
 		c, ok := policy.Decide(l.clock.Now(), l.planInput())
 		if ok {
@@ -32,8 +38,20 @@
 	})
 }
 
-func (l *Lead) policy() plan.Policy {
-	return plan.Fixed{}
+func (l *Lead) policy() (plan.Policy, error) {
+	s := l.settings.Plan
+	p, err := plan.New(s.Policy, plan.Settings{
+		Price:   s.Price,
+		Dwell:   time.Duration(s.Dwell),
+		Horizon: time.Duration(s.Horizon),
+		Period:  time.Duration(s.Period),
+		Moving:  s.Moving,
+		Reserve: s.Reserve,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("make policy: %w", err)
+	}
+	return p, nil
 }
 
 // intend opens the order that a choice asks for.
