--- a/keepd/app.go
+++ b/keepd/app.go
@@ -4,15 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/boot"
 	"verbenahaven.example/core/process/node"
 	"verbenahaven.example/keepd/conf"
@@ -37,6 +40,9 @@
 // there.
 func newApp(ctx context.Context, s *conf.Settings, k *links, l *lead.Lead, n *node.Node, api *serve.API, t tlsConfig) (*app, error) {
 	serve.Register(k.server, l)
+	peers := slices.Sorted(maps.Keys(s.Peers))
+	k.server.Allow(proto.KindRaft, peers...)
+	k.server.Allow(proto.KindRun, peers...)
 	_, closeLinks, err := k.server.Listen(s.Listen.Link, t)
 	if err != nil {
 		return nil, boot.Fail(boot.ExitAddress, fmt.Errorf("serve links: %w", err))
