haven: withdraw from drain, and wait for what the state shows

drain -wait waited for a member to be gone, which never happens while its process runs, and for engines it waited for nothing. It now waits until the object is leaving, and with -withdraw until it is removed, which the state does once nothing runs on it. keepd answered a text whose changes were in force and whose question failed as refused and not run; it now returns the versions and puts the error in the question's table.

--- a/haven/drain.go
+++ b/haven/drain.go
@@ -27,7 +27,8 @@
 type drainCmd struct {
 	keeperFlags
 	commandFlags
-	wait time.Duration
+	wait     time.Duration
+	withdraw bool
 }
 
 func (*drainCmd) Name() string     { return "drain" }
@@ -35,13 +36,14 @@
 func (*drainCmd) Usage() string {
 	return `haven drain [flags] engine|server|member NAME
 
-Marks the object as leaving, so that it gets no new work, and with -wait waits
-until an engine or server is out of service or a member is gone. The command
-"declare" takes a drain back.
+Marks the object as leaving, so that it gets no new work. With -withdraw it is
+also removed from the state: an engine or server once nothing runs on it, a
+member once its process has stopped. With -wait the command waits for that. The
+command "declare" takes a drain back.
 
 Examples:
   haven drain engine e1
-  haven drain -wait 2m member entry1
+  haven drain -withdraw -wait 2m engine e1
 
 Flags:
 `
@@ -52,6 +54,7 @@
 	c.keeperFlags.set(f)
 	c.commandFlags.set(f)
 	f.DurationVar(&c.wait, "wait", 0, "longest time to wait; 0 doesn't wait")
+	f.BoolVar(&c.withdraw, "withdraw", false, "remove the object once nothing runs on it")
 }
 
 // Execute implements subcommands.Command.
@@ -63,7 +66,11 @@
 	if f.NArg() != len([]string{"noun", "name"}) {
 		return usage("a noun and a name are needed")
 	}
-	s, err := lang.ParseOne("drain " + f.Arg(0) + " " + f.Arg(1))
+	verb := state.VerbDrain
+	if c.withdraw {
+		verb = state.VerbWithdraw
+	}
+	s, err := lang.ParseOne(string(verb) + " " + f.Arg(0) + " " + f.Arg(1))
 	if err != nil {
 		return usage("%v", err)
 	}
@@ -90,7 +97,7 @@
 			fmt.Fprintf(os.Stderr, "haven: %s %s is %s\n", s.Noun(), s.Name(), phase)
 			last = phase
 		}
-		if left(s.Noun(), state.Phase(phase)) {
+		if c.done(state.Phase(phase)) {
 			return nil
 		}
 		select {
@@ -101,8 +108,8 @@
 	}
 }
 
-func left(noun state.Noun, p state.Phase) bool {
-	return p == state.PhaseGone || noun != state.NounMember && p == state.PhaseLeaving
+func (c *drainCmd) done(p state.Phase) bool {
+	return p == state.PhaseGone || p == state.PhaseLeaving && !c.withdraw
 }
 
 func (c *drainCmd) phase(ctx context.Context, s lang.Statement) (string, error) {
--- a/haven/explain.go
+++ b/haven/explain.go
@@ -35,7 +35,7 @@
 
 Engines, orders and decisions are explained by the instances that keep the
 state; a call by the entry instance that served it. The ID of a call is in the
-X-Request-Id header of its answer.
+Request-Id header of its answer.
 
 Examples:
   haven explain engine e1
--- a/haven/main_test.go
+++ b/haven/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,7 +32,7 @@
 		Dir:  "testdata",
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits},
 		Setup: func(e *testscript.Env) error {
-			for name, fault := range map[string]string{"KEEPER": "", "BAD": "no_leader", "LOSSY": "lost", "SILENT": "silent"} {
+			for name, fault := range map[string]string{"KEEPER": "", "BAD": "no_leader", "LOSSY": "lost", "SILENT": "silent", "STUCK": "stuck"} {
 				k := newKeeper(fault)
 				e.Defer(k.server.Close)
 				e.Setenv(name, k.server.URL)
@@ -78,7 +79,7 @@
 // keeper is a stand-in for an instance that keeps the state.
 type keeper struct {
 	server *httptest.Server
-	fault  string // no_leader refuses all; lost drops the first answer of each number; silent drops all
+	fault  string // no_leader refuses all; lost drops the first answer of each number; silent drops all; stuck drains nothing
 
 	mutex   sync.Mutex
 	version uint64
@@ -141,7 +142,7 @@
 	for _, s := range list {
 		if c, changes := s.Change(); changes && !again {
 			k.version++
-			k.drain(c)
+			k.change(c)
 			continue
 		}
 		if s.Verb() == lang.VerbAsk {
@@ -159,11 +160,14 @@
 	_ = json.NewEncoder(w).Encode(reply)
 }
 
-func (k *keeper) drain(c state.Change) {
-	for i := range k.engines {
-		if c.Verb == state.VerbDrain && strings.EqualFold(k.engines[i].Name, c.Name) {
-			k.engines[i].Phase = state.PhaseLeaving
-		}
+func (k *keeper) change(c state.Change) {
+	i := slices.IndexFunc(k.engines, func(e state.Engine) bool { return e.Name == c.Name })
+	switch {
+	case i < 0 || k.fault == "stuck":
+	case c.Verb == state.VerbDrain:
+		k.engines[i].Phase = state.PhaseLeaving
+	case c.Verb == state.VerbWithdraw:
+		k.engines = slices.Delete(k.engines, i, i+1)
 	}
 }
 
--- a/keepd/lead/run.go
+++ b/keepd/lead/run.go
@@ -89,9 +89,13 @@
 	}
 	for _, s := range statements {
 		t, err := l.table(data, s, outcome)
-		if err != nil {
+		if err != nil && outcome.Version == 0 {
 			return proto.RunReply{}, &link.Remote{Code: string(state.CodeInvalid), Detail: fmt.Sprintf("line %d: %v", s.Line(), err)}
 		}
+		if err != nil {
+			// The changes of the text are in force: this is no refusal.
+			t = proto.Table{Columns: []string{"error"}, Rows: [][]string{{err.Error()}}}
+		}
 		reply.Tables = append(reply.Tables, t)
 	}
 	return reply, nil
