entryd: wait until all know before the listener closes at a planned stop

Entry3 was told to stop while the group had no leader for 4 s. It waited 2 s for the state, 1 s for the others and the life of an answer, all counted from its own clock; the others learned of it only when a leader was back, and gave its address meanwhile. Ruled out: the callers (they kept to the life of their answers), the restart (the port was refused before the process ended). Change: the heartbeat's answer says whether the phase is in force on all live instances; the countdown starts then, within half of the grace. An instance without a lease, for which nobody waits, gives only its own address. The fake lease's test fails with the filter taken out of the address answer.

--- a/entryd/app.go
+++ b/entryd/app.go
@@ -13,7 +13,6 @@
 
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/process/boot"
-	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/entryd/beat"
 	"verbenahaven.example/entryd/front"
 	"verbenahaven.example/entryd/infer"
@@ -24,12 +23,10 @@
 )
 
 const (
-	// leaveWait is the longest wait for the state to say that this instance
-	// is leaving.
-	leaveWait = 2 * time.Second
-	// spread is the time after which the other instances know it too.
-	spread    = time.Second
 	leavePoll = 20 * time.Millisecond
+	// leaveShare is the share of the grace that may pass until the others
+	// know that this instance is leaving; the rest is for its requests.
+	leaveShare = 0.5
 )
 
 // app is one entry instance.
@@ -85,7 +82,7 @@
 	a.beat.Leave()
 	a.front.Leave()
 	a.left(ctx)
-	wait(ctx, spread+time.Duration(a.settings.Address.Life))
+	wait(ctx, time.Duration(a.settings.Address.Life))
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		_ = server.Close()
@@ -98,11 +95,11 @@
 	return nil
 }
 
-// left waits until the state says that this instance is leaving.
+// left waits until no other instance gives this one's address any more.
 func (a *app) left(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveWait)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(a.settings.Stop.Grace)*leaveShare))
 	defer cancel()
-	for ctx.Err() == nil && a.beat.Phase() != state.PhaseLeaving {
+	for ctx.Err() == nil && !a.beat.Left() {
 		wait(ctx, leavePoll)
 	}
 }
--- a/entryd/beat/beat.go
+++ b/entryd/beat/beat.go
@@ -41,7 +41,8 @@
 
 	mutex  sync.Mutex
 	member state.Member
-	phase  state.Phase // as the state has it
+	left   bool          // all live instances know that this one is leaving
+	until  time.Duration // end of the lease, on the clock
 	last   time.Duration
 	up     bool
 }
@@ -66,11 +67,20 @@
 	}
 }
 
-// Phase is the phase that the state last gave this instance.
-func (b *Beat) Phase() state.Phase {
+// Left tells whether all live instances know that this one is leaving, so that
+// none gives its address any more.
+func (b *Beat) Left() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.phase
+	return b.left
+}
+
+// Current tells whether this instance holds its lease. Without it, the others
+// may leave without waiting for this one to know.
+func (b *Beat) Current() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.clock.Elapsed() < b.until
 }
 
 // Run sends heartbeats until ctx ends: regularly, and at once when another
@@ -96,6 +106,7 @@
 	r := b.request()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	sent := b.clock.Elapsed()
 	reply, err := b.keeper.Beat(ctx, r)
 	b.note(err)
 	if err != nil {
@@ -103,7 +114,8 @@
 	}
 	b.watch.Told(reply.Version)
 	b.mutex.Lock()
-	b.phase = reply.Phase
+	b.left = reply.Phase == state.PhaseLeaving && reply.Settled
+	b.until = sent + reply.Lease
 	b.mutex.Unlock()
 	if r.Settled < r.Version || len(r.InFlight) > 0 {
 		return hurried
--- a/entryd/front/fake_test.go
+++ b/entryd/front/fake_test.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -196,8 +197,14 @@
 	guide  *guide.Guide
 	store  *view.Store
 	meter  *meter.Registry
+	lease  fakeLease
 }
 
+// fakeLease is held until it is dropped.
+type fakeLease struct{ dropped atomic.Bool }
+
+func (l *fakeLease) Current() bool { return !l.dropped.Load() }
+
 func newBench(t *testing.T, v state.View) *bench {
 	sum := sha256.Sum256([]byte(token))
 	v.Version = 1
@@ -212,7 +219,7 @@
 	s, cleanPlain := plain.New(plain.Settings{Holder: "entry1/1", Retry: policy}, b.guide, p, k, m, c)
 	f := front.New(front.Settings{
 		Name: "entry1", Centre: "north", Life: time.Second, Count: 2, Bytes: 1 << 16, Header: 1 << 14, Read: 200 * time.Millisecond,
-	}, b.guide, w, i, s, quota.New("entry1", k, b.guide, m, c), trail.New(), m, c)
+	}, b.guide, w, i, s, quota.New("entry1", k, b.guide, m, c), trail.New(), m, c, &b.lease)
 	b.Server = httptest.NewUnstartedServer(nil)
 	b.Config = f.Server()
 	b.Start()
--- a/entryd/front/front.go
+++ b/entryd/front/front.go
@@ -36,8 +36,15 @@
 	Read   time.Duration // to read a request
 }
 
+// Lease tells whether the other instances wait for this one to know of a
+// change. Without it, what this one knows of them may have passed.
+type Lease interface {
+	Current() bool
+}
+
 // Front serves callers.
 type Front struct {
+	lease    Lease
 	settings Settings
 	guide    *guide.Guide
 	watch    *watch.Watch
@@ -56,9 +63,10 @@
 // New returns the interface.
 func New(
 	s Settings, g *guide.Guide, w *watch.Watch, i *infer.Server, p *plain.Server,
-	q *quota.Quota, t *trail.Trail, m *meter.Registry, c clock.Clock,
+	q *quota.Quota, t *trail.Trail, m *meter.Registry, c clock.Clock, l Lease,
 ) *Front {
 	return &Front{
+		lease:    l,
 		settings: s, guide: g, watch: w, infer: i, plain: p, quota: q, trail: t, meter: m, clock: c,
 		start: startMark(c.Now()),
 	}
--- a/entryd/front/front_test.go
+++ b/entryd/front/front_test.go
@@ -296,3 +296,30 @@
 		t.Fatalf("status %d", a.StatusCode)
 	}
 }
+
+// TestAddressesWithoutLease expects an instance that lost its lease to give
+// only its own address, since the others may have left.
+func TestAddressesWithoutLease(t *testing.T) {
+	v := models()
+	v.Members = []state.Member{
+		{Name: "entry1", Kind: state.MemberEntry, URL: "http://a", Centre: "north", Phase: state.PhaseServing},
+		{Name: "entry2", Kind: state.MemberEntry, URL: "http://b", Centre: "north", Phase: state.PhaseServing},
+	}
+	b := newBench(t, v)
+	for _, c := range []struct {
+		dropped bool
+		both    bool
+	}{{false, true}, {true, false}} {
+		b.lease.dropped.Store(c.dropped)
+		body, err := io.ReadAll(b.ask(t, http.MethodGet, "/address", "").Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !strings.Contains(string(body), "http://a") || strings.Contains(string(body), "http://b") != c.both {
+			t.Fatalf("lease dropped %t: address answer %s", c.dropped, body)
+		}
+	}
+	if b.meter.Value("address", "alone") != 1 {
+		t.Fatal("not counted")
+	}
+}
--- a/entryd/front/info.go
+++ b/entryd/front/info.go
@@ -36,13 +36,28 @@
 	if f.leaving.Load() {
 		skip = f.settings.Name
 	}
-	for _, m := range Spread(v.Entries(), f.settings.Centre, skip, f.settings.Count, f.turn.Add(1)) {
+	for _, m := range Spread(f.known(v.Entries()), f.settings.Centre, skip, f.settings.Count, f.turn.Add(1)) {
 		answer.Addresses = append(answer.Addresses, address{URL: m.URL, Centre: m.Centre})
 	}
 	answer.Life = f.settings.Life.Milliseconds()
 	f.write(w, answer)
 }
 
+// known leaves only this instance while it has no lease: the others may have
+// left since it last heard of them.
+func (f *Front) known(members []state.Member) []state.Member {
+	if f.lease.Current() {
+		return members
+	}
+	f.meter.Count("address", "alone")
+	for _, m := range members {
+		if m.Name == f.settings.Name {
+			return []state.Member{m}
+		}
+	}
+	return nil
+}
+
 // Spread chooses the instances of an address answer: those of the data centre
 // first, each part turned by one from answer to answer, so that each instance
 // comes first equally often.
--- a/entryd/wire.go
+++ b/entryd/wire.go
@@ -26,6 +26,7 @@
 		provideTLS, provideKeeper, provideGuide, provideStrikes, provideRetry, provideInfer, provideHolder, providePlain,
 		provideFront, provideWatch, providePoll, provideQuota, provideMember, provideLink,
 		infer.New, plain.New, watch.New, beat.New, poll.New, front.New,
+		wire.Bind(new(front.Lease), new(*beat.Beat)),
 		wire.Struct(new(app), "*"),
 	)
 	return nil, nil, nil
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -44,13 +44,27 @@
 	if err != nil {
 		return proto.BeatReply{}, err
 	}
+	settled, err := l.everywhere(known.Version)
+	if err != nil {
+		return proto.BeatReply{}, err
+	}
 	return proto.BeatReply{
 		Version: l.store.Version(),
 		Lease:   time.Duration(l.settings.Member.Lease),
 		Phase:   known.Phase,
+		Settled: settled,
 	}, nil
 }
 
+// everywhere tells whether a version is in force on all live entry instances.
+func (l *Lead) everywhere(version uint64) (bool, error) {
+	var members []state.Member
+	l.read(func(s *state.State, _ *ledger.Ledger) { members = s.Members() })
+	var settled bool
+	err := l.hold(func(time.Duration, uint64) { settled = l.roster.Settled(members, "", version) })
+	return settled, err
+}
+
 // join brings what a member tells of itself into the state, if it is news.
 func (l *Lead) join(ctx context.Context, m state.Member) (state.Member, error) {
 	var known state.Member
