--- a/core/process/disk/log.go
+++ b/core/process/disk/log.go
@@ -202,6 +202,9 @@
 		return fmt.Errorf("no segment: %w", ErrDamaged)
 	}
 	synced := s.readMark()
+	if newest := numbers[len(numbers)-1]; synced.Number > newest {
+		return fmt.Errorf("segment %d is missing: %w", synced.Number, ErrDamaged)
+	}
 	var r replay
 	for i, n := range numbers {
 		if n != numbers[0]+uint64(i) {
