--- a/trial/proof/order_setup_test.go
+++ b/trial/proof/order_setup_test.go
@@ -39,12 +39,7 @@
 
 func startGroup(t *testing.T, o fleet.Options) *group {
 	t.Helper()
-	folder, err := os.MkdirTemp("", "verbenahaven-proof-")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = os.RemoveAll(folder) })
-	bin, err := fleet.Programs(t.Context(), folder)
+	bin, err := fleet.Programs(t.Context(), t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
