--- a/trial/proof/once_test.go
+++ b/trial/proof/once_test.go
@@ -131,7 +131,7 @@
 func TestOnceHolderKilled(t *testing.T) {
 	f := startFiler(t, false)
 	e := f.Entries()
-	var all []*filing
+	all := make([]*filing, 0, 80)
 	for round := range 2 {
 		all = append(all, f.burst(fmt.Sprint("kill", round), 40, 200*time.Millisecond, e[0], e[1], e[0].Kill)...)
 		if err := e[0].Start(); err != nil {
@@ -212,7 +212,7 @@
 func TestOnceHolderCutOff(t *testing.T) {
 	f := startFiler(t, true)
 	e := f.Entries()
-	var all []*filing
+	all := make([]*filing, 0, 90)
 	for _, kind := range []stand.Kind{stand.Cut, stand.CutUp, stand.CutDown} {
 		all = append(all, f.burst(string(kind), 30, 200*time.Millisecond, e[0], e[1], func() {
 			if err := f.Cut(t.Context(), e[0].Name(), string(kind)); err != nil {
