entryd: bound what a crashing request costs without cutting those beside it

A pledge for an engine that was then lost under it counted twice, so a request that had cost one engine was refused as suspect for ten minutes; and a bystander that was moved to the very engine where the culprit was tried next lost two engines and was cut. Now losses and pledges of one engine count once, for which the reply to a strike lists the engines.

An answer that has begun waits up to 20 s for an engine instead of being cut after 1.5 s.

--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -158,8 +158,9 @@
 
 // StrikeReply tells how many engines the request has cost.
 type StrikeReply struct {
-	Count int       `cbor:"1,keyasint"`
-	Until time.Time `cbor:"2,keyasint"`
+	Count   int       `cbor:"1,keyasint"`
+	Until   time.Time `cbor:"2,keyasint"`
+	Engines []string  `cbor:"3,keyasint,omitempty"` // lost, and pledged before a try
 }
 
 // RunRequest is a text in the operators' language. It is also the JSON body
--- a/core/request/route/choice.go
+++ b/core/request/route/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"verbenahaven.example/core/version/state"
 )
@@ -14,8 +15,8 @@
 //
 // Engines that are out of use keep their place in the draw for the same
 // reason. Only when both are out of use are others drawn; strayed is set if
-// one of the two was lost.
-func (r *Router) candidates(a *Ask, role state.Role, d *Decision) (list []*host, strayed bool) {
+// one of the two was lost just now.
+func (r *Router) candidates(now time.Time, a *Ask, role state.Role, d *Decision) (list []*host, strayed bool) {
 	g := r.groups[groupKey{model: a.Model, role: role}]
 	if g == nil {
 		return nil, false
@@ -29,7 +30,7 @@
 			continue
 		}
 		if reason := h.usable(a); reason != "" {
-			strayed = strayed || !h.alive || h.engine.Phase == state.PhaseLost
+			strayed = strayed || (!h.lost.IsZero() && now.Sub(h.lost) < recent)
 			d.Weighed = append(d.Weighed, Weighed{Engine: h.engine.Name, Reason: reason})
 			continue
 		}
--- a/core/request/route/host.go
+++ b/core/request/route/host.go
@@ -14,6 +14,10 @@
 	defaultBatch   = 32
 	defaultOutput  = 256       // tokens of an answer without a bound
 	transferRate   = 2_000_000 // KV tokens a second between engines
+
+	// recent is the time after the loss of an engine in which strikes for it
+	// may not have reached all instances.
+	recent = 3 * time.Second
 )
 
 // send is own work at an engine, known exactly.
@@ -28,6 +32,7 @@
 type host struct {
 	engine   state.Engine
 	alive    bool
+	lost     time.Time // when it was last found dead
 	heard    bool
 	load     engine.Load
 	sends    map[string]send
--- a/core/request/route/route.go
+++ b/core/request/route/route.go
@@ -74,8 +74,8 @@
 	Decode  state.Engine
 	First   time.Duration // expected time to the first token
 	Cached  int           // prompt tokens expected in the cache
-	// Strayed tells that both engines that the fingerprint names first were
-	// out of use: another instance may know why.
+	// Strayed tells that none of the engines that the fingerprint draws first
+	// could be used, and one was lost just now: perhaps by this request.
 	Strayed bool
 }
 
@@ -210,7 +210,7 @@
 
 // Probe takes the result of an own probe. An engine that died has lost its
 // cache.
-func (r *Router) Probe(name string, alive bool) {
+func (r *Router) Probe(now time.Time, name string, alive bool) {
 	h := r.hosts[name]
 	if h == nil {
 		return
@@ -218,6 +218,9 @@
 	if !alive {
 		h.prefixes = Prefixes{}
 	}
+	if h.alive && !alive {
+		h.lost = now
+	}
 	h.alive = alive
 }
 
@@ -264,7 +267,7 @@
 func (r *Router) Pick(now time.Time, a *Ask) (Plan, Decision, error) {
 	d := Decision{At: now, Policy: r.policy, Tokens: a.Tokens}
 	best := Plan{First: -1}
-	mixed, strayed := r.candidates(a, state.RoleMixed, &d)
+	mixed, strayed := r.candidates(now, a, state.RoleMixed, &d)
 	for _, h := range mixed {
 		cached := h.cached(a, r.policy)
 		cost := h.prefillTime(a, cached) + h.decodeWait(a) + r.distance(h)
@@ -297,7 +300,7 @@
 // pickSplit looks at a prefill and a decode engine, and at a decode engine
 // alone for short prompts.
 func (r *Router) pickSplit(now time.Time, a *Ask, d *Decision, best *Plan) {
-	decode, strayed := r.candidates(a, state.RoleDecode, d)
+	decode, strayed := r.candidates(now, a, state.RoleDecode, d)
 	if len(decode) == 0 {
 		return
 	}
@@ -314,7 +317,7 @@
 			best.better(Plan{Decode: h.engine, First: cost + h.prefillTime(a, cached), Cached: cached, Strayed: strayed})
 		}
 	}
-	prefill, strayedToo := r.candidates(a, state.RolePrefill, d)
+	prefill, strayedToo := r.candidates(now, a, state.RolePrefill, d)
 	transfer := time.Duration(a.Tokens) * time.Second / transferRate
 	for _, h := range prefill {
 		cached := h.cached(a, r.policy)
--- a/core/request/route/route_test.go
+++ b/core/request/route/route_test.go
@@ -51,7 +51,7 @@
 				r.Update(list)
 			case 1:
 				dead[list[i].Name] = rapid.Bool().Draw(t, "dead")
-				r.Probe(list[i].Name, !dead[list[i].Name])
+				r.Probe(now, list[i].Name, !dead[list[i].Name])
 			case 2:
 				r.Report(list[i].Name, engine.Load{At: now, Queue: rapid.IntRange(0, 1e6).Draw(t, "queue"), Batch: 4})
 			default:
--- a/core/request/strike/strike.go
+++ b/core/request/strike/strike.go
@@ -11,13 +11,17 @@
 package strike
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"verbenahaven.example/core/version/state"
 )
 
-const pledgeMark = "pledge:"
+const (
+	pledgeMark      = "pledge:"
+	pledgeSeparator = "+"
+)
 
 // Verdict is what a request may do.
 type Verdict string
@@ -31,9 +35,26 @@
 )
 
 // Pledge is the name under which an engine is recorded before a suspect goes
-// to it.
-func Pledge(engine string) string {
-	return pledgeMark + engine
+// to it. Of several engines that share one try only one can be lost, so they
+// make one pledge.
+func Pledge(engines ...string) string {
+	return pledgeMark + strings.Join(engines, pledgeSeparator)
+}
+
+// Cost returns how many engines were lost, and how many more are pledged. A
+// pledge of which an engine was lost counts as that loss.
+func Cost(engines []string) (lost, pledged int) {
+	for _, name := range engines {
+		list, ok := strings.CutPrefix(name, pledgeMark)
+		if !ok {
+			lost++
+			continue
+		}
+		if !slices.ContainsFunc(strings.Split(list, pledgeSeparator), func(e string) bool { return slices.Contains(engines, e) }) {
+			pledged++
+		}
+	}
+	return lost, pledged
 }
 
 // Judge tells what a request with the given record may do now.
@@ -41,26 +62,22 @@
 	if !known || len(s.Engines) == 0 || !now.Before(s.Until) {
 		return Free
 	}
-	struck := 0
-	for _, name := range s.Engines {
-		if !strings.HasPrefix(name, pledgeMark) {
-			struck++
-		}
-	}
+	lost, pledged := Cost(s.Engines)
 	switch {
-	case struck >= limit:
+	case lost >= limit:
 		return Out
-	case len(s.Engines) >= limit && struck < len(s.Engines):
+	case pledged > 0 && lost+pledged >= limit:
 		return Trial
 	default:
 		return Suspect
 	}
 }
 
-// Allowed reports whether a suspect may run after its pledge was recorded and
-// the set of engines then had count members.
-func Allowed(count, limit int) bool {
-	return count <= limit
+// Allowed reports whether a suspect may run after its pledge was recorded
+// among engines.
+func Allowed(engines []string, limit int) bool {
+	lost, pledged := Cost(engines)
+	return lost+pledged <= limit
 }
 
 // Table is the strikes that an instance knows itself. It decides where the
@@ -76,20 +93,16 @@
 	return &Table{limit: limit, life: life, strikes: make(map[string]state.Strike)}
 }
 
-// Add records that an engine was lost or pledged and returns the size of the
-// set.
-func (t *Table) Add(now time.Time, fingerprint, engine string) int {
+// Add records that an engine was lost or pledged and returns all of them.
+func (t *Table) Add(now time.Time, fingerprint, engine string) []string {
 	t.expire(now)
 	s := t.strikes[fingerprint]
 	s.Fingerprint, s.Until = fingerprint, now.Add(t.life)
-	for _, name := range s.Engines {
-		if name == engine {
-			return len(s.Engines)
-		}
+	if !slices.Contains(s.Engines, engine) {
+		s.Engines = append(slices.Clone(s.Engines), engine)
 	}
-	s.Engines = append(s.Engines[:len(s.Engines):len(s.Engines)], engine)
 	t.strikes[fingerprint] = s
-	return len(s.Engines)
+	return s.Engines
 }
 
 // Clear forgets the strikes of a request that succeeded.
--- a/core/request/strike/strike_test.go
+++ b/core/request/strike/strike_test.go
@@ -24,11 +24,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const limit, instances = 2, 6
 		var shared []string
-		record := func(name string) int {
+		record := func(name string) []string {
 			if !slices.Contains(shared, name) {
 				shared = append(shared, name)
 			}
-			return len(shared)
+			return shared
 		}
 		lost := map[string]bool{}
 		tables := make([]*strike.Table, instances)
@@ -83,6 +83,9 @@
 		{nil, start, strike.Free},
 		{[]string{"e1"}, start, strike.Suspect},
 		{[]string{"e1", strike.Pledge("e2")}, start, strike.Trial},
+		{[]string{"e1", strike.Pledge("e1")}, start, strike.Suspect},
+		{[]string{"e1", strike.Pledge("e0", "e1")}, start, strike.Suspect},
+		{[]string{strike.Pledge("e1"), strike.Pledge("e2")}, start, strike.Trial},
 		{[]string{"e1", "e2"}, start, strike.Out},
 		{[]string{"e1", strike.Pledge("e2"), "e2"}, start, strike.Out},
 		{[]string{"e1", "e2"}, until, strike.Free},
--- a/entryd/guide/guide.go
+++ b/entryd/guide/guide.go
@@ -324,11 +324,11 @@
 }
 
 // Probe takes the result of an own probe of an engine.
-func (g *Guide) Probe(name string, alive bool) (changed bool) {
+func (g *Guide) Probe(now time.Time, name string, alive bool) (changed bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	changed = g.router.Alive(name) != alive
-	g.router.Probe(name, alive)
+	g.router.Probe(now, name, alive)
 	return changed
 }
 
--- a/entryd/infer/carry.go
+++ b/entryd/infer/carry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -20,9 +21,20 @@
 )
 
 const (
-	maxAttempts   = 6
-	probeTimeout  = 500 * time.Millisecond
-	suspectRetry  = time.Second
+	maxAttempts  = 6
+	maxWaits     = 200
+	waitEach     = 100 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
+	suspectRetry = time.Second
+	// progress is the number of tokens from an engine that was lost then
+	// which show that the request is hardly the cause.
+	progress = 8
+	// maxLost bounds the engines lost with one call aboard, progress or not.
+	maxLost = 4
+	// suspectWait is the least time before a suspect without progress is tried
+	// again, and the range of a random part added to it: those with progress
+	// must have shown more of it on their next engines by then.
+	suspectWait   = 400 * time.Millisecond
 	backendRetry  = 500 * time.Millisecond
 	defaultOutput = 256
 )
@@ -37,6 +49,11 @@
 	serial   int  // of the attempt
 	number   int  // of attempts since the last that was moved
 	suspect  bool // an engine was lost, or may have been
+	proved   bool // it made progress on the engine that was lost
+	waited   bool
+	waits    int // for an engine, in the middle of the answer
+	lost     int // engines
+	begun    int // tokens delivered when the attempt began
 	pledged  string
 }
 
@@ -95,7 +112,7 @@
 	l, err := c.guide.Weigh(c.clock.Now(), &c.ask)
 	c.call.Record.Decisions = append(c.call.Record.Decisions, l.Decision)
 	if err != nil {
-		return noEngine(err)
+		return refusal(err)
 	}
 	reason, wait := admit.Decide(admit.Case{
 		Class:   c.call.Service.Class,
@@ -117,7 +134,7 @@
 	return nil
 }
 
-func noEngine(err error) error {
+func refusal(err error) error {
 	if errors.Is(err, route.ErrNone) {
 		return fault.New(fault.CodeBackend, err.Error()).Retry(backendRetry)
 	}
@@ -130,14 +147,15 @@
 		c.serial++
 		l, err := c.choose(ctx)
 		if err != nil {
-			if c.number == 1 || !c.again(ctx, c.number) {
-				return err
+			if !errors.Is(err, route.ErrNone) || !c.again(ctx) {
+				return refusal(err)
 			}
 			continue
 		}
 		step := trail.Step{
 			Attempt: c.attemptID(), At: c.clock.Now(), Prefill: l.Plan.Prefill.Name, Server: l.Plan.Decode.Name, Tokens: c.assembly.Next(),
 		}
+		c.begun = c.assembly.Next()
 		f := c.attempt(ctx, l, step.Attempt)
 		step.End = "done"
 		if f != nil {
@@ -177,29 +195,62 @@
 		if len(c.ask.Avoid) > 0 && !c.suspect {
 			c.ask.Avoid = nil
 		}
-		return nil, noEngine(err)
+		return nil, err //nolint:wrapcheck // told apart by the caller
 	}
-	if !c.suspect && !l.Plan.Strayed {
-		return l, nil
+	if c.suspect || l.Plan.Strayed {
+		err = c.pledge(ctx, l)
 	}
-	target := l.Plan.Decode.Name
+	return l, err
+}
+
+// pledge records the engines of a plan before a suspect goes there.
+func (c *carrying) pledge(ctx context.Context, l *guide.Lease) error {
+	if !c.suspect && !c.waited {
+		// Perhaps a copy of this request was the cause. Its strikes will have
+		// arrived after the wait.
+		c.waited = true
+		if err := c.pause(ctx); err != nil {
+			return c.cancelled(ctx)
+		}
+		if err := c.judge(); err != nil {
+			return err
+		}
+	}
+	engines := []string{l.Plan.Decode.Name}
 	if l.Plan.Split() {
-		target = l.Plan.Prefill.Name + "+" + target
+		engines = []string{l.Plan.Prefill.Name, l.Plan.Decode.Name}
 	}
+	target := strike.Pledge(engines...)
 	if target == c.pledged {
-		return l, nil
-	}
-	if !c.strikes.Pledge(ctx, c.clock.Now(), c.call.Fingerprint, target) {
-		return nil, fault.New(fault.CodeSuspect, "another copy of this request is being tried after an engine was lost").
-			Retry(suspectRetry).Ran(c.ran())
+		return nil
 	}
 	c.pledged = target
-	return l, nil
+	if c.strikes.Pledge(ctx, c.clock.Now(), c.call.Fingerprint, engines...) || c.proved {
+		return nil
+	}
+	return fault.New(fault.CodeSuspect, "another copy of this request is being tried after an engine was lost").
+		Retry(suspectRetry).Ran(c.ran())
 }
 
-// again waits before another choice, and reports whether there is one.
-func (c *carrying) again(ctx context.Context, number int) bool {
-	return number < maxAttempts && c.wait(ctx, number) == nil
+// pause waits before a suspect is tried.
+func (c *carrying) pause(ctx context.Context) error {
+	return c.sleep(ctx, suspectWait+rand.N(suspectWait))
+}
+
+// again waits before another choice when no engine could be chosen, and
+// reports whether there is one. An answer that has begun waits longer: engines
+// come back from a change of role within seconds.
+func (c *carrying) again(ctx context.Context) bool {
+	if c.serial == 1 {
+		return false
+	}
+	if c.assembly.Next() == 0 {
+		return c.number < maxAttempts && c.wait(ctx, c.number) == nil
+	}
+	c.number--
+	c.waits++
+	c.meter.Count("stream", "waits")
+	return c.waits <= maxWaits && c.sleep(ctx, waitEach) == nil
 }
 
 // failed decides what follows a failed attempt. It returns the error that
@@ -220,10 +271,8 @@
 	lost := c.probe(ctx, f)
 	c.ask.Avoid = append(c.ask.Avoid, f.server.Name)
 	if lost && f.aboard {
-		c.strikes.Lost(ctx, c.clock.Now(), c.call.Fingerprint, f.server.Name)
-		c.suspect = true
-		if verdict, until := c.strikes.Judge(c.clock.Now(), c.call.Fingerprint, c.guide.Snapshot()); verdict == strike.Out {
-			return struckOut(until.Sub(c.clock.Now()))
+		if err := c.struck(ctx, f); err != nil {
+			return err
 		}
 	}
 	// Work that a lost engine had taken isn't added load elsewhere: only
@@ -243,6 +292,26 @@
 	return nil
 }
 
+// struck records a strike. A request that was making progress goes on at once;
+// one that wasn't waits, so that it doesn't meet those on their next engine.
+func (c *carrying) struck(ctx context.Context, f *failure) error {
+	now := c.clock.Now()
+	c.strikes.Lost(ctx, now, c.call.Fingerprint, f.server.Name)
+	c.suspect = true
+	c.lost++
+	c.proved = c.assembly.Next()-c.begun >= progress && c.lost < maxLost
+	if c.proved {
+		return nil
+	}
+	if verdict, until := c.strikes.Judge(now, c.call.Fingerprint, c.guide.Snapshot()); verdict == strike.Out {
+		return struckOut(until.Sub(now))
+	}
+	if err := c.pause(ctx); err != nil {
+		return c.cancelled(ctx)
+	}
+	return nil
+}
+
 // probe finds out whether the engine of a failed attempt is lost.
 func (c *carrying) probe(ctx context.Context, f *failure) bool {
 	switch f.reason {
@@ -254,7 +323,7 @@
 	if c.alive(ctx, f.server.URL) {
 		return false
 	}
-	c.guide.Probe(f.server.Name, false)
+	c.guide.Probe(c.clock.Now(), f.server.Name, false)
 	return true
 }
 
--- a/entryd/infer/infer.go
+++ b/entryd/infer/infer.go
@@ -143,7 +143,11 @@
 }
 
 func (s *Server) wait(ctx context.Context, number int) error {
-	t := time.NewTimer(s.settings.Retry.Wait(number, rand.Float64()))
+	return s.sleep(ctx, s.settings.Retry.Wait(number, rand.Float64()))
+}
+
+func (s *Server) sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/entryd/infer/strikes.go
+++ b/entryd/infer/strikes.go
@@ -57,25 +57,26 @@
 	s.record(ctx, now, fingerprint, engine)
 }
 
-// Pledge records an engine before a suspect goes to it, and reports whether
+// Pledge records engines before a suspect goes to them, and reports whether
 // the suspect may go.
-func (s *Strikes) Pledge(ctx context.Context, now time.Time, fingerprint, engine string) bool {
+func (s *Strikes) Pledge(ctx context.Context, now time.Time, fingerprint string, engines ...string) bool {
 	s.meter.Count("strike", "pledge")
-	return strike.Allowed(s.record(ctx, now, fingerprint, strike.Pledge(engine)), s.limit)
+	own, shared := s.record(ctx, now, fingerprint, strike.Pledge(engines...))
+	return strike.Allowed(own, s.limit) && strike.Allowed(shared, s.limit)
 }
 
-func (s *Strikes) record(ctx context.Context, now time.Time, fingerprint, engine string) int {
+func (s *Strikes) record(ctx context.Context, now time.Time, fingerprint, engine string) (own, shared []string) {
 	s.mutex.Lock()
-	own := s.table.Add(now, fingerprint, engine)
+	own = s.table.Add(now, fingerprint, engine)
 	s.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, strikeTimeout)
 	defer cancel()
 	r, err := s.keeper.Strike(ctx, proto.StrikeRequest{Fingerprint: fingerprint, Engine: engine})
 	if err != nil {
 		s.meter.Count("strike", "own_record")
-		return own
+		return own, nil
 	}
-	return max(own, r.Count)
+	return own, r.Engines
 }
 
 // Clear forgets the strikes of a request that succeeded.
--- a/entryd/poll/poll.go
+++ b/entryd/poll/poll.go
@@ -18,6 +18,7 @@
 	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/conn/stream"
+	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/request/route"
 	"verbenahaven.example/core/version/state"
@@ -42,12 +43,13 @@
 	guide    *guide.Guide
 	pool     *pool.Pool
 	meter    *meter.Registry
+	clock    clock.Clock
 	group    sync.WaitGroup
 }
 
 // New returns polls that don't run yet.
-func New(s Settings, g *guide.Guide, p *pool.Pool, m *meter.Registry) *Poll {
-	return &Poll{settings: s, guide: g, pool: p, meter: m}
+func New(s Settings, g *guide.Guide, p *pool.Pool, m *meter.Registry, c clock.Clock) *Poll {
+	return &Poll{settings: s, guide: g, pool: p, meter: m, clock: c}
 }
 
 // Run reads reports until ctx ends.
@@ -118,7 +120,7 @@
 }
 
 func (p *Poll) probe(e state.Engine, alive bool) {
-	if p.guide.Probe(e.Name, alive) {
+	if p.guide.Probe(p.clock.Now(), e.Name, alive) {
 		klog.InfoS("engine", "name", e.Name, "alive", alive)
 	}
 }
--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -50,7 +50,7 @@
 	member := provideMember(s)
 	beatBeat := beat.New(member, keeper, guide, watchWatch, store, registry, clockClock)
 	pollSettings := providePoll(s)
-	pollPoll := poll.New(pollSettings, guide, poolPool, registry)
+	pollPoll := poll.New(pollSettings, guide, poolPool, registry, clockClock)
 	linkServer, cleanup5, err := provideLink(s, config, watchWatch, registry)
 	if err != nil {
 		cleanup4()
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -132,5 +132,5 @@
 	if !q.Clear {
 		l.meter.Count("strike", "recorded")
 	}
-	return proto.StrikeReply{Count: len(s.Engines), Until: s.Until}, nil
+	return proto.StrikeReply{Count: len(s.Engines), Until: s.Until, Engines: s.Engines}, nil
 }
