--- a/entryd/infer/carry.go
+++ b/entryd/infer/carry.go
@@ -51,6 +51,7 @@
 	suspect  bool // an engine was lost, or may have been
 	proved   bool // it made progress on the engine that was lost
 	waited   bool
+	aboard   bool // an engine may have begun to work on it
 	waits    int // for an engine, in the middle of the answer
 	lost     int // engines
 	begun    int // tokens delivered when the attempt began
@@ -257,6 +258,7 @@
 // ends the call, or nil for another attempt.
 func (c *carrying) failed(ctx context.Context, f *failure) error {
 	c.meter.Count("attempt", "failed", string(f.reason))
+	c.aboard = c.aboard || f.aboard
 	if ctx.Err() != nil {
 		return c.cancelled(ctx)
 	}
@@ -328,7 +330,7 @@
 }
 
 func (c *carrying) ran() once.Ran {
-	if c.serial > 1 || c.assembly.Next() > 0 {
+	if c.aboard || c.assembly.Next() > 0 {
 		return once.RanYes
 	}
 	return once.RanNot
