trial: cut the root of the tree off in the proof of leaving servers

The instance that was cut off had a parent in the tree of watches and learnt of the leaving server there, so the proof passed also without the question to peers. The root has no parent.

--- a/trial/proof/stop_test.go
+++ b/trial/proof/stop_test.go
@@ -204,7 +204,8 @@
 
 // P7: a server that leaves gets no new work after a few seconds, also from an
 // instance that is cut off from control. While others can be asked, it goes
-// on serving; when it hears nobody, it refuses as not run.
+// on serving; when it hears nobody, it refuses as not run. The instance is
+// the root of the tree, which has no parent to learn from.
 func TestStopReachesAnInstanceThatIsCutOff(t *testing.T) {
 	s := startSite(t, fleet.Options{
 		Entries: 2,
@@ -218,27 +219,27 @@
 		}
 		return a
 	}
-	if err := s.Cut(t.Context(), "entry2", "cut"); err != nil {
+	if err := s.Cut(t.Context(), "entry1", "cut"); err != nil {
 		t.Fatal(err)
 	}
 	s.run(t, "drain server lookup1")
 	time.Sleep(3 * time.Second)
 	begin := time.Now()
 	for range 20 {
-		if a := ask(1); a.Status() != 200 {
+		if a := ask(0); a.Status() != 200 {
 			t.Fatalf("with another instance to ask: status %d, %s", a.Status(), a.Body())
 		}
 	}
-	s.Entries()[0].Pause()
+	s.Entries()[1].Pause()
 	s.run(t, "drain server lookup2")
 	time.Sleep(5 * time.Second)
 	after := time.Now()
 	for range 5 {
-		if a := ask(1); a.Code() != "stale" || a.Ran() != "not_run" {
+		if a := ask(0); a.Code() != "stale" || a.Ran() != "not_run" {
 			t.Errorf("with nobody to ask: status %d, code %q, %s", a.Status(), a.Code(), strings.TrimSpace(string(a.Body())))
 		}
 	}
-	s.Entries()[0].Resume()
+	s.Entries()[1].Resume()
 	if n := s.count(t, "lookup1", stand.RecordRun, begin); n > 0 {
 		t.Errorf("a server that left ran %d calls", n)
 	}
