--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -51,7 +51,7 @@
 	beatBeat := beat.New(member, holder, keeper, guide, watchWatch, store, registry, clockClock)
 	frontFront := front.New(settings, guide, watchWatch, server, plainServer, quota, trailTrail, registry, clockClock, beatBeat)
 	pollSettings := providePoll(s)
-	pollPoll := poll.New(pollSettings, guide, poolPool, registry)
+	pollPoll := poll.New(pollSettings, guide, poolPool, registry, clockClock)
 	linkServer, cleanup5, err := provideLink(s, config, watchWatch, registry)
 	if err != nil {
 		cleanup4()
