--- /dev/null
+++ b/haven/docs_test.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/process/boot"
+)
+
+func page(t *testing.T, name string) string {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join("..", "docs", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+// leaf is one key of a program's settings with its default.
+type leaf struct {
+	key   string
+	value reflect.Value
+}
+
+func leaves(v reflect.Value, prefix string) []leaf {
+	switch v.Kind() {
+	case reflect.Pointer:
+		return leaves(v.Elem(), prefix)
+	case reflect.Slice:
+		if v.Type().Elem().Kind() == reflect.Struct {
+			return leaves(reflect.New(v.Type().Elem()).Elem(), prefix)
+		}
+	case reflect.Struct:
+		var all []leaf
+		for i := range v.NumField() {
+			key := v.Type().Field(i).Tag.Get("toml")
+			all = append(all, leaves(v.Field(i), strings.TrimPrefix(prefix+"."+key, "."))...)
+		}
+		return all
+	}
+	return []leaf{{prefix, v}}
+}
+
+// written is a default as the page writes it.
+func written(v reflect.Value, cell string) bool {
+	if v.Type() == reflect.TypeFor[boot.Duration]() {
+		d, err := time.ParseDuration(cell)
+		return err == nil && d == time.Duration(v.Int())
+	}
+	if v.Kind() == reflect.Float64 {
+		f, err := strconv.ParseFloat(cell, 64)
+		return err == nil && f == v.Float()
+	}
+	return fmt.Sprint(v.Interface()) == cell
+}
+
+// TestConfigPage compares docs/CONFIG.md with the settings: each key has one
+// row, each default is the one in force, and no row is left over.
+func TestConfigPage(t *testing.T) {
+	sections := strings.Split(page(t, "CONFIG.md"), "\n## ")
+	row := regexp.MustCompile("(?m)^\\| `([a-z.]+)` \\|[^|]+\\|[^|]*\\| ([^|]+) \\|[^|]*\\|$")
+	for name, p := range programs {
+		rows := make(map[string]string)
+		for _, s := range sections {
+			if strings.HasPrefix(s, name+"\n") {
+				for _, m := range row.FindAllStringSubmatch(s, -1) {
+					rows[m[1]] = strings.Trim(m[2], "`")
+				}
+			}
+		}
+		for _, l := range leaves(reflect.ValueOf(p.settings()), "") {
+			cell, found := rows[l.key]
+			delete(rows, l.key)
+			if !found {
+				t.Errorf("%s: no row for %s", name, l.key)
+			} else if !l.value.IsZero() && !written(l.value, cell) {
+				t.Errorf("%s: %s is %v by default, the page says %s", name, l.key, l.value, cell)
+			}
+		}
+		for key := range rows {
+			t.Errorf("%s: no such key: %s", name, key)
+		}
+	}
+}
+
+// counters finds the names of all counters and gauges in the code of the
+// programs; parts that aren't constant are written as REASON.
+func counters(t *testing.T) map[string]string {
+	t.Helper()
+	found := make(map[string]string)
+	for _, root := range []string{"../core", "../entryd", "../keepd"} {
+		err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.Contains(path, "/meter/") {
+				return err
+			}
+			f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			if err != nil {
+				return err
+			}
+			ast.Inspect(f, func(n ast.Node) bool {
+				if name := counter(n); name != "" {
+					found[name] = path
+				}
+				return true
+			})
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return found
+}
+
+// counter returns the name that a call of a meter counts under.
+func counter(n ast.Node) string {
+	call, ok := n.(*ast.CallExpr)
+	if !ok {
+		return ""
+	}
+	method, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok || !isMeter(method.X) {
+		return ""
+	}
+	args := call.Args
+	switch method.Sel.Name {
+	case "Count":
+	case "Add", "Set":
+		args = args[1:]
+	default:
+		return ""
+	}
+	parts := make([]string, len(args))
+	for i, a := range args {
+		parts[i] = "REASON"
+		if b, ok := a.(*ast.BasicLit); ok {
+			parts[i], _ = strconv.Unquote(b.Value)
+		}
+	}
+	return strings.Join(parts, ".")
+}
+
+// isMeter recognises the expressions that hold a meter: fields called meter,
+// and the parameters that functions call m or r.
+func isMeter(x ast.Expr) bool {
+	switch v := x.(type) {
+	case *ast.SelectorExpr:
+		return v.Sel.Name == "meter"
+	case *ast.Ident:
+		return v.Name == "m" || v.Name == "r" || v.Name == "meter"
+	}
+	return false
+}
+
+// TestCounterPage checks that docs/OPERATE.md lists each counter in the code
+// and no other.
+func TestCounterPage(t *testing.T) {
+	listed := make(map[string]bool)
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-zA-Z_.]+)` \\| (?:counter|gauge) ").FindAllStringSubmatch(page(t, "OPERATE.md"), -1) {
+		listed[m[1]] = true
+	}
+	for name, path := range counters(t) {
+		if !listed[name] {
+			t.Errorf("%s counts %s, which the page doesn't list", path, name)
+		}
+		delete(listed, name)
+	}
+	for name := range listed {
+		t.Errorf("the page lists %s, which nothing counts", name)
+	}
+}
+
+// TestCodePage checks that docs/OPERATE.md lists the codes of refused calls.
+func TestCodePage(t *testing.T) {
+	text := page(t, "OPERATE.md")
+	for _, path := range []string{"../entryd/fault/fault.go", "../core/version/state/operator.go", "../keepd/lead/lead.go"} {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range regexp.MustCompile(`(?m)^\tCode\w+ .*= "([a-z_]+)"`).FindAllStringSubmatch(string(b), -1) {
+			if !strings.Contains(text, "| `"+m[1]+"` |") {
+				t.Errorf("code %s of %s isn't listed", m[1], path)
+			}
+		}
+	}
+}
--- a/haven/keys.go
+++ b/haven/keys.go
@@ -94,7 +94,7 @@
 	case "show":
 		return c.show()
 	case "token":
-		return token()
+		return makeToken()
 	default:
 		return usage("one of fleet, instance, rotate, retire, show, token is needed")
 	}
@@ -171,7 +171,7 @@
 	}
 }
 
-func token() error {
+func makeToken() error {
 	b := make([]byte, tokenBytes)
 	if _, err := rand.Read(b); err != nil {
 		return fmt.Errorf("make token: %w", err)
--- a/keepd/conf/conf.go
+++ b/keepd/conf/conf.go
@@ -163,7 +163,7 @@
 }
 
 func within[T int | uint64 | float64](v, low, high T) error {
-	if v < low || v > high {
+	if v != v || v < low || v > high { //nolint:gocritic,staticcheck // NaN is out of range
 		return fmt.Errorf("%v is not in %v to %v", v, low, high)
 	}
 	return nil
