keepd: let only the leader call an operator's token wrong

Ruled out: a wrong token (the same token was accepted elsewhere before). Change: a member without the leader's lease answers no_leader with a time to come back when it doesn't know a token.

--- a/keepd/serve/serve.go
+++ b/keepd/serve/serve.go
@@ -102,6 +102,11 @@
 	case !known:
 		a.refuse(w, http.StatusServiceUnavailable, "no_leader", "not_run", "the state isn't there yet")
 		return
+	case account.Name == "" && !a.current():
+		// The account may have been declared since this member last heard.
+		w.AddHeader("Retry-After", strconv.Itoa(retrySeconds))
+		a.refuse(w, http.StatusServiceUnavailable, "no_leader", "not_run", "the token isn't known here; only the leader can refuse it")
+		return
 	case account.Name == "":
 		a.refuse(w, http.StatusUnauthorized, "unauthorized", "not_run", "unknown token")
 		return
@@ -135,6 +140,13 @@
 	return account, len(v.Accounts) > 0
 }
 
+// current tells whether this member holds the leader's lease, so that what it
+// doesn't know isn't there.
+func (a *API) current() bool {
+	_, remaining := a.log.Lease()
+	return remaining > 0
+}
+
 // forward runs a text at the leader, wherever it is.
 func (a *API) forward(ctx context.Context, r proto.RunRequest) (proto.RunReply, error) {
 	leader := a.log.Status().Leader
--- a/trial/fleet/operate.go
+++ b/trial/fleet/operate.go
@@ -259,3 +259,13 @@
 	}
 	return nil
 }
+
+// AddOperator declares one more operator account.
+func (f *Fleet) AddOperator(ctx context.Context, name string) error {
+	token := newToken()
+	if _, err := f.Run(ctx, fmt.Sprintf("declare account %s digest %q operator true", name, Digest(token))); err != nil {
+		return fmt.Errorf("declare operator: %w", err)
+	}
+	f.operators[name] = token
+	return nil
+}
