--- a/core/process/node/api.go
+++ b/core/process/node/api.go
@@ -34,7 +34,7 @@
 		term:      term,
 		leader:    n.core.Leader(),
 		committed: n.core.Commit(),
-		config:    n.core.Config(),
+		config:    n.core.Committed(),
 		identity:  n.store.Identity(),
 		lease:     until,
 		heard:     n.core.Heard(),
@@ -167,7 +167,8 @@
 		s.Role = RoleLeader
 	}
 	for _, m := range v.config.Members {
-		if m.Voter {
+		// While a voter is replaced, the group still depends on it.
+		if m.Voter || m.Outgoing {
 			s.Voters = append(s.Voters, m.Name)
 		} else {
 			s.Learners = append(s.Learners, m.Name)
--- a/core/process/quorum/view.go
+++ b/core/process/quorum/view.go
@@ -23,6 +23,16 @@
 // Config returns the newest configuration, committed or not.
 func (c *Core) Config() Config { return c.config() }
 
+// Committed returns the newest configuration that is committed.
+func (c *Core) Committed() Config {
+	for i := len(c.configs) - 1; i > 0; i-- {
+		if c.configs[i].index <= c.commit {
+			return c.configs[i].config
+		}
+	}
+	return c.configs[0].config
+}
+
 // Leader returns the name of the leader, "" while unknown.
 func (c *Core) Leader() string {
 	if c.role == RoleLeader {
