--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -75,6 +75,7 @@
 	Version uint64        `cbor:"1,keyasint"`
 	Lease   time.Duration `cbor:"2,keyasint"` // how long the member counts as alive
 	Phase   state.Phase   `cbor:"3,keyasint"` // the phase the state gives this member
+	Settled bool          `cbor:"4,keyasint"` // that phase is in force on all live members
 }
 
 // OnceStep is a step of a call that must run at most once.
@@ -158,8 +159,9 @@
 
 // StrikeReply tells how many engines the request has cost.
 type StrikeReply struct {
-	Count int       `cbor:"1,keyasint"`
-	Until time.Time `cbor:"2,keyasint"`
+	Count   int       `cbor:"1,keyasint"`
+	Until   time.Time `cbor:"2,keyasint"`
+	Engines []string  `cbor:"3,keyasint,omitempty"` // lost, and pledged before a try
 }
 
 // RunRequest is a text in the operators' language. It is also the JSON body
