--- /dev/null
+++ b/trial/proof/once_bench_test.go
@@ -0,0 +1,76 @@
+package proof_test
+
+import (
+	"fmt"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/conn/keeper"
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/keys"
+	"verbenahaven.example/trial/fleet"
+)
+
+// BenchmarkOnce takes both ledger steps of run-once calls at three keepers
+// with their own data folders. One caller shows the price of a commit of its
+// own, 64 show what group commit saves.
+func BenchmarkOnce(b *testing.B) {
+	bin, err := fleet.Programs(b.Context(), b.TempDir())
+	if err != nil {
+		b.Fatal(err)
+	}
+	folder := b.TempDir()
+	f, cleanup, err := fleet.Start(b.Context(), fleet.Options{Bin: bin, Folder: folder, Keepers: 3, Centres: []string{"north"}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer cleanup()
+	if err := keys.MakeInstance(filepath.Join(folder, "keys"), "entry1", time.Now().Add(-time.Hour), 2*time.Hour); err != nil {
+		b.Fatal(err)
+	}
+	config, err := keys.Load(keys.Files{
+		Authority: filepath.Join(folder, "keys", keys.AuthorityCert),
+		Cert:      filepath.Join(folder, "keys", "entry1.crt"), Key: filepath.Join(folder, "keys", "entry1.key"),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	addresses := make(map[string]string)
+	for _, p := range f.Keepers() {
+		addresses[p.Name()] = p.Link()
+	}
+	k, closeKeeper := keeper.New(addresses, config)
+	defer closeKeeper()
+	var number atomic.Int64
+	for _, callers := range []int{1, 8, 64, 256} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			var group sync.WaitGroup
+			left := int64(b.N)
+			start := time.Now()
+			for range callers {
+				group.Go(func() {
+					for atomic.AddInt64(&left, -1) >= 0 {
+						record(b, k, fmt.Sprint("key", number.Add(1)))
+					}
+				})
+			}
+			group.Wait()
+			b.ReportMetric(float64(b.N)/time.Since(start).Seconds(), "calls/s")
+		})
+	}
+}
+
+func record(b *testing.B, k proto.Keeper, key string) {
+	q := proto.OnceRequest{Step: proto.OnceBegin, Account: "a", Service: "s", Key: key, Fingerprint: "f", Attempt: key, Holder: "entry1/1"}
+	r, err := k.Once(b.Context(), q)
+	if err != nil || r.Verdict != proto.VerdictStart {
+		b.Errorf("begin: %s %v", r.Verdict, err)
+	}
+	q.Step, q.Status, q.Body = proto.OnceFinish, 200, []byte(`{"permit":4711}`)
+	if r, err = k.Once(b.Context(), q); err != nil || r.Verdict != proto.VerdictDone {
+		b.Errorf("finish: %s %v", r.Verdict, err)
+	}
+}
