entryd, keepd: let the planner see refused demand and engine rates

Requests refused for lack of room were reported without their tokens, so the planner saw less demand the more was refused, and moved no engine when it was needed most. Demand now counts what arrived. Reports carry the prefill rate and batch limit, which the policies guessed before.

--- a/entryd/guide/guide.go
+++ b/entryd/guide/guide.go
@@ -346,7 +346,8 @@
 	return g.router.Used()
 }
 
-// Demand adds to what a service was asked for.
+// Demand adds to what a service was asked for. What is refused counts too: the
+// planner must see what is wanted, not what there is room for.
 func (g *Guide) Demand(service string, prefill, decode int, refused bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -357,7 +358,6 @@
 	}
 	if refused {
 		d.Refused++
-		return
 	}
 	d.Requests++
 	d.Prefill += float64(prefill)
@@ -382,7 +382,7 @@
 		l, _ := g.router.Load(e.Name)
 		r := proto.Report{
 			Engine: e.Name, At: l.At, Role: l.Role, Running: l.Running, Waiting: l.Waiting, Queue: l.Queue, Step: l.Step,
-			Alive: g.router.Alive(e.Name),
+			Alive: g.router.Alive(e.Name), Prefill: l.Prefill, Batch: l.Batch,
 		}
 		if l.Total > 0 {
 			r.Used = float64(l.Used) / float64(l.Total)
--- a/entryd/infer/carry.go
+++ b/entryd/infer/carry.go
@@ -63,7 +63,6 @@
 		return err
 	}
 	if err := c.admit(); err != nil {
-		s.guide.Demand(call.Service.Name, 0, 0, true)
 		return err
 	}
 	return c.loop(ctx)
@@ -95,6 +94,7 @@
 	l, err := c.guide.Weigh(c.clock.Now(), &c.ask)
 	c.call.Record.Decisions = append(c.call.Record.Decisions, l.Decision)
 	if err != nil {
+		c.guide.Demand(c.call.Service.Name, c.ask.Tokens, c.ask.Output, true)
 		return noEngine(err)
 	}
 	reason, wait := admit.Decide(admit.Case{
@@ -107,13 +107,13 @@
 		Streams: l.Streams,
 		Room:    l.Room,
 	})
+	c.guide.Demand(c.call.Service.Name, max(c.ask.Tokens-l.Plan.Cached, 0), c.ask.Output, reason != "")
 	switch reason {
 	case admit.ReasonDeadline:
 		return fault.New(fault.CodeDeadline, fmt.Sprintf("expected first token in %v", l.Plan.First.Round(time.Millisecond))).Retry(wait)
 	case admit.ReasonRoom:
 		return fault.New(fault.CodeRoom, "the room left is reserved for the first class").Retry(wait)
 	}
-	c.guide.Demand(c.call.Service.Name, max(c.ask.Tokens-l.Plan.Cached, 0), c.ask.Output, false)
 	return nil
 }
 
--- a/keepd/lead/plan.go
+++ b/keepd/lead/plan.go
@@ -102,5 +102,6 @@
 	}
 	p.Alive, p.Running, p.Waiting, p.Queue = r.Alive, r.Running, r.Waiting, r.Queue
 	p.Used, p.Step, p.Age = r.Used, r.Step, now.Sub(r.At)
+	p.Prefill, p.Batch = r.Prefill, r.Batch
 	return p
 }
