--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -47,11 +47,11 @@
 	plainServer, cleanup4 := plain.New(plainSettings, guide, poolPool, keeper, registry, clockClock)
 	quota := provideQuota(s, keeper, guide, registry, clockClock)
 	trailTrail := trail.New()
-	frontFront := front.New(settings, guide, watchWatch, server, plainServer, quota, trailTrail, registry, clockClock)
 	member := provideMember(s)
 	beatBeat := beat.New(member, holder, keeper, guide, watchWatch, store, registry, clockClock)
+	frontFront := front.New(settings, guide, watchWatch, server, plainServer, quota, trailTrail, registry, clockClock, beatBeat)
 	pollSettings := providePoll(s)
-	pollPoll := poll.New(pollSettings, guide, poolPool, registry)
+	pollPoll := poll.New(pollSettings, guide, poolPool, registry, clockClock)
 	linkServer, cleanup5, err := provideLink(s, config, watchWatch, registry)
 	if err != nil {
 		cleanup4()
