--- a/core/process/quorum/types.go
+++ b/core/process/quorum/types.go
@@ -48,8 +48,9 @@
 }
 
 // Config is the membership of a group. While a voter is replaced it is joint:
-// a majority of the voters and one of the outgoing voters are both needed, so
-// that neither the lost voter nor the new one has to take part.
+// a majority of the new voters and a majority of the outgoing ones are both
+// needed. The voters that stay form both, so that neither the lost voter nor
+// the one that takes its place has to take part.
 type Config struct {
 	Members []Member `cbor:"1,keyasint"`
 }
--- a/trial/soak.go
+++ b/trial/soak.go
@@ -99,8 +99,8 @@
 func (c *soakCmd) print(r *soak.Report) {
 	chats, whole := r.Chats()
 	filings, answered := r.Filings()
-	fmt.Printf("soak: seed %d, %s: %d of %d chats whole, %d of %d filings answered, %d commands, faults %s\n",
-		r.Seed(), r.Length().Round(time.Second), whole, chats, answered, filings, r.Commands(), counts(r.Faults()))
+	fmt.Printf("soak: seed %d, %s: %d of %d chats whole, %d of %d filings answered, %d commands, %d orders, faults %s\n",
+		r.Seed(), r.Length().Round(time.Second), whole, chats, answered, filings, r.Commands(), r.Orders(), counts(r.Faults()))
 	for answer, n := range r.Refused() {
 		fmt.Printf("soak: seed %d: refused %d times: %s\n", r.Seed(), n, strings.Join(strings.Fields(answer), " "))
 	}
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -36,6 +36,7 @@
 	filed      int
 	commands   int
 	refused    map[string]int
+	orders     int
 	violations []check.Violation
 }
 
@@ -60,6 +61,9 @@
 // Refused returns how often each answer refused a command.
 func (r *Report) Refused() map[string]int { return r.refused }
 
+// Orders returns how many orders the engines executed.
+func (r *Report) Orders() int { return r.orders }
+
 // Violations returns what must never happen and did.
 func (r *Report) Violations() []check.Violation { return r.violations }
 
@@ -178,6 +182,13 @@
 		chats: len(r.record.Chats), filings: len(r.record.Filings), commands: len(r.record.Accepts), refused: r.refused,
 		violations: r.record.Violations(),
 	}
+	for _, records := range r.record.Engines {
+		for _, v := range records {
+			if v.Kind == stand.RecordChanged {
+				report.orders++
+			}
+		}
+	}
 	for _, c := range r.record.Chats {
 		if c.Whole {
 			report.whole++
