node, quorum: bound commands and waiting bytes, publish a given-up lease first

A proposer could fill the memory of the leader: only the number of entries that wait for commit was bounded, not their bytes, and a command larger than a frame of the links would have been replicated for ever without arriving. Both are now refused with a typed error and a counter. The view that others read is published before the messages of a step leave, so that a lease given up for a handover isn't seen after the successor was asked. Waiting out the lease before a handover was ruled out: a graceful stop would then cost as much as a crash.

--- a/core/process/node/api.go
+++ b/core/process/node/api.go
@@ -43,6 +43,10 @@
 
 // Propose implements Log.
 func (n *Node) Propose(ctx context.Context, command []byte) (any, error) {
+	if len(command) > MaxCommand {
+		n.meter.Count("raft", "refused", "too_large")
+		return nil, fmt.Errorf("propose %d bytes: %w", len(command), ErrTooLarge)
+	}
 	result, err := n.ask(ctx, func(id uint64) quorum.Event {
 		return quorum.Propose{Commands: []quorum.Command{{ID: id, Data: command}}}
 	})
--- a/core/process/node/loop.go
+++ b/core/process/node/loop.go
@@ -36,7 +36,6 @@
 		case e := <-n.inbox:
 			n.drain(ctx, e)
 		}
-		n.publish()
 	}
 }
 
@@ -73,7 +72,10 @@
 }
 
 func (n *Node) step(ctx context.Context, e quorum.Event) {
-	for _, a := range n.core.Step(n.clock.Elapsed(), e) {
+	actions := n.core.Step(n.clock.Elapsed(), e)
+	// Before anything leaves: a lease given up must not be seen any more.
+	n.publish()
+	for _, a := range actions {
 		n.act(ctx, a)
 	}
 }
--- a/core/process/node/member.go
+++ b/core/process/node/member.go
@@ -182,6 +182,7 @@
 		Batch:     quorum.DefaultBatch,
 		Window:    quorum.DefaultWindow,
 		Pending:   quorum.DefaultPending,
+		Waiting:   quorum.DefaultWaiting,
 		Piece:     quorum.DefaultPiece,
 	}
 }
--- a/core/process/node/node.go
+++ b/core/process/node/node.go
@@ -18,10 +18,15 @@
 	ErrLost = errors.New("leadership lost, outcome unknown")
 	// ErrFull tells that too many commands wait; nothing was taken up.
 	ErrFull = errors.New("too many commands wait")
+	// ErrTooLarge tells that a command is larger than MaxCommand.
+	ErrTooLarge = errors.New("command too large")
 	// ErrStopped tells that the member is shutting down.
 	ErrStopped = errors.New("stopped")
 )
 
+// MaxCommand bounds a command, in bytes.
+const MaxCommand = 16 << 20
+
 // Machine is the replicated state machine. All calls come from one goroutine.
 type Machine interface {
 	// Apply executes a committed command and returns its result, which goes
@@ -67,7 +72,8 @@
 	Status() Status
 	// Lease tells the term, and for how long this member is certain that no
 	// other leads; 0 or less if it isn't certain. It reads the clock that
-	// runs while the machine sleeps.
+	// runs while the machine sleeps. The clean-up of the member hands over at
+	// once: whoever acts under the lease must have stopped before.
 	Lease() (term uint64, remaining time.Duration)
 	// Change makes one membership change at a time: add a learner, promote a
 	// caught-up learner, or remove a member.
--- a/core/process/node/sender.go
+++ b/core/process/node/sender.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 
 	"verbenahaven.example/core/conn/link"
+	"verbenahaven.example/core/process/disk"
 	"verbenahaven.example/core/process/quorum"
 )
 
@@ -63,7 +65,11 @@
 	}
 	data, err := s.node.store.Piece(*m.Meta, m.Offset)
 	if err != nil {
-		s.node.meter.Count("raft", "dropped", "piece_gone")
+		reason := "piece_gone"
+		if errors.Is(err, disk.ErrDamaged) {
+			reason = "piece_damaged"
+		}
+		s.node.meter.Count("raft", "dropped", reason)
 		return false
 	}
 	m.Data = data
--- a/core/process/quorum/core.go
+++ b/core/process/quorum/core.go
@@ -97,6 +97,7 @@
 	reads    []read
 	waiting  []read // until this term has a committed entry
 	first    uint64 // index of the empty entry of this term
+	open     int    // bytes of entries not yet committed
 	transfer transfer
 
 	// Collected during a step.
@@ -282,9 +283,21 @@
 	if index > c.log.last() {
 		panic(fmt.Sprintf("quorum: commit %d past the log's end %d", index, c.log.last()))
 	}
+	if c.role == RoleLeader {
+		c.open -= size(c.log.slice(c.commit, index))
+	}
 	c.commit = index
 }
 
+// size sums up the data of entries.
+func size(entries []Entry) int {
+	n := 0
+	for i := range entries {
+		n += len(entries[i].Data)
+	}
+	return n
+}
+
 // addEntry appends to the log in memory and takes up a configuration.
 func (c *Core) addEntry(e Entry) {
 	c.log.append(e)
--- a/core/process/quorum/elect.go
+++ b/core/process/quorum/elect.go
@@ -181,6 +181,7 @@
 	c.role, c.leader = RoleLeader, c.settings.Identity
 	c.elected, c.beat = c.now, c.now
 	c.first = c.log.last()
+	c.open = size(c.log.slice(c.commit, c.log.last()))
 	c.peers = make(map[string]*progress)
 	c.reads, c.waiting = nil, nil
 	c.transfer = transfer{}
--- a/core/process/quorum/lead.go
+++ b/core/process/quorum/lead.go
@@ -8,11 +8,12 @@
 		switch {
 		case c.role != RoleLeader || c.transfer.asked:
 			c.actions = append(c.actions, Rejected{ID: p.ID, Reason: ErrNotLeader})
-		case c.log.last()-c.commit >= uint64(c.settings.Pending):
+		case c.log.last()-c.commit >= uint64(c.settings.Pending) || c.open >= c.settings.Waiting:
 			c.actions = append(c.actions, Rejected{ID: p.ID, Reason: ErrFull})
 		default:
 			e := Entry{Index: c.log.last() + 1, Term: c.hard.Term, Kind: EntryCommand, Data: p.Data}
 			c.appendFresh(e)
+			c.open += len(e.Data)
 			c.actions = append(c.actions, Accepted{ID: p.ID, Index: e.Index, Term: e.Term})
 		}
 	}
--- a/core/process/quorum/simmember_test.go
+++ b/core/process/quorum/simmember_test.go
@@ -107,7 +107,7 @@
 		Name: m.name, Identity: m.identity, Found: m.disk.found,
 		Heartbeat: simHeartbeat, Election: simElection, Drift: s.options.drift,
 		Replace: s.options.replace, Keep: 20, Batch: s.options.batch,
-		Window: 4, Pending: 300, Piece: simPiece,
+		Window: 4, Pending: 300, Waiting: 2000, Piece: simPiece,
 	}
 	for i, o := range s.members {
 		set.Peers = append(set.Peers, o.name)
--- a/core/process/quorum/types.go
+++ b/core/process/quorum/types.go
@@ -219,6 +219,7 @@
 	Batch     int           // bytes of entries in a message
 	Window    int           // messages with entries on their way to a member
 	Pending   int           // entries not yet committed
+	Waiting   int           // bytes of entries not yet committed
 	Piece     int           // bytes of a snapshot in a message
 }
 
@@ -229,5 +230,6 @@
 	DefaultBatch   = 1 << 20
 	DefaultWindow  = 64
 	DefaultPending = 16384
+	DefaultWaiting = 64 << 20
 	DefaultPiece   = 256 << 10
 )
