keepd: tell lost commands from refused ones; members that left are gone

A member that stops after it took a command reports ErrLost and ErrStopped together; the latter was looked at first, so an operator could be told not_run of a change that took effect. Full and stopping keepers have codes of their own now, which the keeper client tries elsewhere. A holder must carry the name in its certificate. The kernel test of the guard passed without the timeout, since it only looked at the bytes read in a second; it now demands the reset and fails without it (i/o timeout after 10 s).

--- a/core/conn/guard/kernel_test.go
+++ b/core/conn/guard/kernel_test.go
@@ -1,7 +1,9 @@
 package guard
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -39,16 +41,14 @@
 	sent, _ := c.TCPConn.Write(message) // what the kernel takes, it keeps
 	time.Sleep(2 * time.Second)
 	got := 0
-	_ = receiver.SetReadDeadline(time.Now().Add(time.Second))
+	_ = receiver.SetReadDeadline(time.Now().Add(10 * time.Second))
 	buffer := make([]byte, 64<<10)
-	for {
-		n, err := receiver.Read(buffer)
+	for err == nil {
+		var n int
+		n, err = receiver.Read(buffer)
 		got += n
-		if err != nil {
-			break
-		}
 	}
-	if sent == 0 || got >= sent {
-		t.Fatalf("%d bytes handed to the kernel, %d arrived after the time was over", sent, got)
+	if !errors.Is(err, syscall.ECONNRESET) || got >= sent {
+		t.Fatalf("%d bytes handed to the kernel, %d arrived after the time was over: %v", sent, got, err)
 	}
 }
--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -117,6 +117,11 @@
 	c.leader = name
 }
 
+// final tells that no other keeper would answer otherwise.
+func final(code string) bool {
+	return code != link.CodeInternal && code != link.CodeFull && code != link.CodeStopping
+}
+
 // ask sends an idempotent call to the leader until one answers or ctx ends.
 func ask[Q, A any](ctx context.Context, c *Client, kind string, request Q) (A, error) {
 	for {
@@ -132,7 +137,7 @@
 		switch {
 		case errors.As(err, &remote) && remote.Code == link.CodeNotLeader:
 			c.believe(remote.Detail)
-		case errors.As(err, &remote) && remote.Code != link.CodeInternal:
+		case errors.As(err, &remote) && final(remote.Code):
 			return answer, fmt.Errorf("ask %s: %w", name, err)
 		default:
 			c.believe("")
--- a/core/conn/link/link.go
+++ b/core/conn/link/link.go
@@ -54,7 +54,8 @@
 	CodeInternal  = "internal"
 	CodeKind      = "unknown_kind"
 	CodeBad       = "bad_message"
-	CodeFull      = "full"
+	CodeFull      = "full"     // nothing was taken up; ask again
+	CodeStopping  = "stopping" // nothing was taken up; ask another
 	CodeDenied    = "not_allowed"
 )
 
--- a/core/version/state/member.go
+++ b/core/version/state/member.go
@@ -26,12 +26,17 @@
 	return s.members.rows[m.Name], nil
 }
 
-// Lose marks a member as lost that the leader hasn't heard for its lease.
+// Lose marks a member as lost that the leader hasn't heard for its lease, or
+// as gone if it was leaving.
 func (s *State) Lose(name string) {
 	m, found := s.members.rows[name]
 	if !found || m.Phase == PhaseLost || m.Phase == PhaseGone {
 		return
 	}
+	if m.Phase == PhaseLeaving {
+		s.setPhase(NounMember, name, PhaseGone)
+		return
+	}
 	s.setPhase(NounMember, name, PhaseLost)
 }
 
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"verbenahaven.example/core/conn/link"
@@ -82,7 +83,7 @@
 }
 
 // Once takes a step of a run-once call.
-func (l *Lead) Once(ctx context.Context, _ string, q proto.OnceRequest) (proto.OnceReply, error) {
+func (l *Lead) Once(ctx context.Context, peer string, q proto.OnceRequest) (proto.OnceReply, error) {
 	for _, text := range []string{q.Account, q.Service, q.Key, q.Fingerprint, q.Attempt, q.Holder, q.Type} {
 		if len(text) > maxText {
 			return proto.OnceReply{}, l.bad("text")
@@ -91,6 +92,9 @@
 	if len(q.Body) > maxAnswer || q.Key == "" || q.Attempt == "" && q.Step != proto.OnceLookup {
 		return proto.OnceReply{}, l.bad("once")
 	}
+	if q.Holder != "" && !strings.HasPrefix(q.Holder, peer+"/") {
+		return proto.OnceReply{}, l.bad("holder")
+	}
 	if err := l.hold(func(now time.Duration, _ uint64) { l.roster.Heard(now, q.Holder) }); err != nil {
 		return proto.OnceReply{}, err
 	}
--- a/keepd/lead/lead.go
+++ b/keepd/lead/lead.go
@@ -24,12 +24,6 @@
 	"verbenahaven.example/keepd/conf"
 )
 
-// Codes of link.Remote beside those of package link.
-const (
-	CodeUnknown  = "unknown"  // the command may yet take effect
-	CodeStopping = "stopping" // this instance is shutting down
-)
-
 // proposeTimeout bounds the wait for a command to be committed.
 const proposeTimeout = 2 * time.Second
 
@@ -126,18 +120,21 @@
 // failed translates a failure of the log for callers on other instances.
 func (l *Lead) failed(err error) error {
 	switch {
+	case errors.Is(err, node.ErrLost):
+		l.meter.Count("unknown", "propose")
+		return &link.Remote{Code: link.CodeInternal, Detail: "outcome unknown: " + err.Error()}
 	case errors.Is(err, node.ErrNotLeader):
 		l.meter.Count("refused", "not_leader")
 		return l.notLeader()
 	case errors.Is(err, node.ErrFull):
 		l.meter.Count("refused", "full")
-		return &link.Remote{Code: link.CodeInternal, Detail: "full"}
+		return &link.Remote{Code: link.CodeFull}
 	case errors.Is(err, node.ErrStopped):
 		l.meter.Count("refused", "stopping")
-		return &link.Remote{Code: CodeStopping}
+		return &link.Remote{Code: link.CodeStopping}
 	}
 	l.meter.Count("unknown", "propose")
-	return &link.Remote{Code: link.CodeInternal, Detail: "outcome unknown: " + err.Error()}
+	return &link.Remote{Code: link.CodeInternal, Detail: err.Error()}
 }
 
 // Serve does all duties until ctx ends.
--- a/keepd/serve/serve.go
+++ b/keepd/serve/serve.go
@@ -179,7 +179,7 @@
 	case link.CodeNotLeader:
 		w.AddHeader("Retry-After", strconv.Itoa(retrySeconds))
 		a.refuse(w, http.StatusServiceUnavailable, "no_leader", "not_run", "no leader is known")
-	case link.CodeFull, lead.CodeStopping:
+	case link.CodeFull, link.CodeStopping:
 		w.AddHeader("Retry-After", strconv.Itoa(retrySeconds))
 		a.refuse(w, http.StatusServiceUnavailable, r.Code, "not_run", r.Detail)
 	case lead.CodeDenied:
