--- a/keepd/serve/serve.go
+++ b/keepd/serve/serve.go
@@ -122,7 +122,7 @@
 		a.fail(w, err)
 		return
 	}
-	_ = w.WriteAsJson(reply)
+	write(w, http.StatusOK, reply)
 }
 
 // account finds the account of a bearer token. Known is false while this
@@ -193,13 +193,19 @@
 
 func (a *API) refuse(w *restful.Response, status int, code, ran, message string) {
 	a.meter.Count("refused", "run", code)
-	_ = w.WriteHeaderAndJson(status, struct {
+	write(w, status, struct {
 		Error any `json:"error"`
 	}{struct {
 		Code    string `json:"code"`
 		Message string `json:"message"`
 		Ran     string `json:"ran"`
-	}{code, message, ran}}, restful.MIME_JSON)
+	}{code, message, ran}})
+}
+
+// write answers in one line of JSON.
+func write(w *restful.Response, status int, v any) {
+	w.PrettyPrint(false)
+	_ = w.WriteHeaderAndJson(status, v, restful.MIME_JSON)
 }
 
 func (a *API) status(_ *restful.Request, w *restful.Response) {
@@ -207,7 +213,7 @@
 	v := a.store.View(0)
 	records, bytes := 0, 0
 	a.store.Read(func(_ *state.State, l *ledger.Ledger) { records, bytes = l.Len(), l.Bytes() })
-	_ = w.WriteAsJson(struct {
+	write(w, http.StatusOK, struct {
 		Name     string   `json:"name"`
 		Centre   string   `json:"centre"`
 		Role     string   `json:"role"`
@@ -234,7 +240,7 @@
 		a.refuse(w, http.StatusServiceUnavailable, "no_leader", "not_run", "no leader is known")
 		return
 	}
-	_ = w.WriteAsJson(struct {
+	write(w, http.StatusOK, struct {
 		OK bool `json:"ok"`
 	}{true})
 }
