trial/proof: planned changes wait for streams; ledger: memory of records

A replacement, a withdrawal and an order each start while a stream runs on their engine: it ends whole, and only then does the engine go or change.

--- a/core/version/ledger/prop_test.go
+++ b/core/version/ledger/prop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -166,3 +167,24 @@
 		step(l, 0, proto.OnceFinish, "ada", key, "attempt-"+key, "entry1@1")
 	}
 }
+
+// BenchmarkMemory reports the heap that 100,000 answered calls take.
+func BenchmarkMemory(b *testing.B) {
+	const records = 100000
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		l := ledger.New(ledger.Settings{Life: time.Hour, Bytes: 1 << 40})
+		for i := range records {
+			key := fmt.Sprint("permit-", i)
+			step(l, 0, proto.OnceBegin, "account1", key, "attempt-"+key, "entry1/1")
+			step(l, 0, proto.OnceFinish, "account1", key, "attempt-"+key, "entry1/1")
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/records, "heap-bytes/record")
+		b.ReportMetric(float64(l.Bytes())/records, "counted-bytes/record")
+		runtime.KeepAlive(l)
+	}
+}
--- /dev/null
+++ b/trial/proof/order_drain_test.go
@@ -0,0 +1,124 @@
+package proof_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/conn/stand"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/trial/caller"
+	"verbenahaven.example/trial/fleet"
+)
+
+// count counts the records of a kind in an engine's history.
+func (g *group) count(engine string, kind stand.RecordKind) int {
+	g.t.Helper()
+	var records []stand.Record
+	if err := g.History(g.t.Context(), engine, &records); err != nil {
+		g.t.Fatal(err)
+	}
+	n := 0
+	for _, r := range records {
+		if r.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// stream starts a chat of a second or two and tells on which engine it runs.
+func (g *group) stream(engines []string) (engine string, answer <-chan *caller.Answer) {
+	g.t.Helper()
+	before := make(map[string]int)
+	for _, e := range engines {
+		before[e] = g.count(e, stand.RecordStart)
+	}
+	got := make(chan *caller.Answer, 1)
+	go func() {
+		client := caller.New(g.CallerToken())
+		defer client.Close()
+		chat := caller.Chat{Service: "counter", Prompt: "hello", Tokens: 120, Seed: 1}
+		a, err := client.Chat(g.t.Context(), g.Entries()[0].URL(), chat)
+		if err != nil {
+			g.t.Error(err)
+		}
+		got <- a
+	}()
+	g.wait("a stream", func() error {
+		for _, e := range engines {
+			if g.count(e, stand.RecordStart) > before[e] {
+				engine = e
+				return nil
+			}
+		}
+		return errors.New("no stream")
+	})
+	return engine, got
+}
+
+// phase returns the phase of an engine, "" for one that is gone.
+func (g *group) phase(engine string) state.Phase {
+	g.t.Helper()
+	r := g.runAt(g.leader(), "ask engines where name = %s show phase", engine)
+	if len(r.Tables[0].Rows) == 0 {
+		return ""
+	}
+	return state.Phase(r.Tables[0].Rows[0][0])
+}
+
+// P2: a replacement, a withdrawal and an order wait until the stream on the
+// engine has ended. None is cut, whatever the change.
+func TestOrderWaitsForStreams(t *testing.T) {
+	keep := quickKeep()
+	keep["order"].(map[string]any)["drain"] = "10s"
+	engines := []string{"engine1", "engine2", "engine3"}
+	g := startGroup(t, fleet.Options{
+		Entries: 2, Keep: keep, Declare: "declare service counter model spec first 5s deadline 20s",
+		Engines: []fleet.Engine{quickEngine(engines[0], true), quickEngine(engines[1], true), quickEngine(engines[2], false)},
+		Entry:   map[string]any{"route": map[string]any{"report": "50ms"}},
+	})
+	left := slices.Clone(engines)
+	changes := []struct {
+		text   func(engine, other string) string
+		during state.Phase
+		after  state.Phase
+	}{
+		{func(e, o string) string { return fmt.Sprintf("replace engine %s with %s", e, o) }, state.PhaseLeaving, ""},
+		{func(e, _ string) string { return "withdraw engine " + e }, state.PhaseLeaving, ""},
+		{func(e, _ string) string { return "assign engine " + e + " role decode" }, state.PhaseChanging, state.PhaseServing},
+	}
+	for _, c := range changes {
+		engine, answer := g.stream(left)
+		left = slices.DeleteFunc(left, func(e string) bool { return e == engine })
+		other := ""
+		if len(left) > 0 {
+			other = left[0]
+		}
+		text := c.text(engine, other)
+		g.runAt(g.leader(), "%s", text)
+		time.Sleep(300 * time.Millisecond)
+		select {
+		case <-answer:
+			t.Fatalf("%s: the stream was too short", text)
+		default:
+		}
+		if p := g.phase(engine); p != c.during || g.count(engine, stand.RecordOrder) > 0 {
+			t.Errorf("%s: engine is %q while the stream runs, %d orders", text, p, g.count(engine, stand.RecordOrder))
+		}
+		if a := <-answer; !a.Whole() || len(a.Tokens()) != 120 {
+			t.Errorf("%s: %d tokens, whole %v", text, len(a.Tokens()), a.Whole())
+		}
+		g.wait(text, func() error {
+			if p := g.phase(engine); p != c.after {
+				return fmt.Errorf("%s is %q", engine, p)
+			}
+			return nil
+		})
+		if n := g.count(engine, stand.RecordCut); n > 0 {
+			t.Errorf("%s: %d streams cut", text, n)
+		}
+	}
+}
