--- a/core/version/ledger/ledger.go
+++ b/core/version/ledger/ledger.go
@@ -25,7 +25,7 @@
 
 // Sizes that count against the room.
 const (
-	recordBytes  = 400 // of a record without its texts
+	recordBytes  = 500 // of a record without its texts
 	attemptBytes = 64  // of a closed attempt without its name
 	// Answers of calls that have started, and promises never to start one,
 	// may use this share of the room beyond it: refusing them would lose what
@@ -64,6 +64,7 @@
 	body        []byte
 	until       time.Time
 	place       *list.Element
+	encoded     []byte // as in snapshots, nil after a change
 }
 
 func (r *record) bytes() int {
--- a/core/version/ledger/room.go
+++ b/core/version/ledger/room.go
@@ -19,6 +19,7 @@
 	l.release(r)
 	change()
 	r.until = l.now.Add(l.settings.Life)
+	r.encoded = nil
 	l.insert(r)
 }
 
@@ -96,22 +97,44 @@
 type image struct {
 	Settings Settings `cbor:"1,keyasint"`
 	Now      int64    `cbor:"2,keyasint"`
-	Entries  []entry  `cbor:"3,keyasint"` // first to expire first
+	Entries  []byte   `cbor:"3,keyasint"` // each an entry, first to expire first
+}
+
+// encode encodes a record that changed since the last snapshot: those that
+// didn't are copied, so that a snapshot of a large ledger takes little time.
+func (r *record) encode() error {
+	if r.encoded != nil {
+		return nil
+	}
+	b, err := cbor.Marshal(entry{
+		Account: r.key.account, Service: r.key.service, Name: r.key.name, Fingerprint: r.fingerprint,
+		Stage: r.stage, Attempt: r.attempt, Holder: r.holder, Closed: r.closed,
+		Status: r.status, Kind: r.kind, Body: r.body, Until: r.until.UnixNano(), Unsure: r.unsure,
+	})
+	if err != nil {
+		return fmt.Errorf("encode record: %w", err)
+	}
+	r.encoded = b
+	return nil
 }
 
 // Snapshot encodes the ledger. Equal ledgers have equal snapshots.
 func (l *Ledger) Snapshot() ([]byte, error) {
-	i := image{Settings: l.settings, Entries: make([]entry, 0, l.order.Len())}
+	i := image{Settings: l.settings}
 	if !l.now.IsZero() {
 		i.Now = l.now.UnixNano()
 	}
+	size := 0
 	for e := l.order.Front(); e != nil; e = e.Next() {
 		r := e.Value.(*record)
-		i.Entries = append(i.Entries, entry{
-			Account: r.key.account, Service: r.key.service, Name: r.key.name, Fingerprint: r.fingerprint,
-			Stage: r.stage, Attempt: r.attempt, Holder: r.holder, Closed: r.closed,
-			Status: r.status, Kind: r.kind, Body: r.body, Until: r.until.UnixNano(), Unsure: r.unsure,
-		})
+		if err := r.encode(); err != nil {
+			return nil, err
+		}
+		size += len(r.encoded)
+	}
+	i.Entries = make([]byte, 0, size)
+	for e := l.order.Front(); e != nil; e = e.Next() {
+		i.Entries = append(i.Entries, e.Value.(*record).encoded...)
 	}
 	b, err := cbor.Marshal(i)
 	if err != nil {
@@ -130,7 +153,12 @@
 	if i.Now != 0 {
 		l.now = time.Unix(0, i.Now).UTC()
 	}
-	for _, e := range i.Entries {
+	for rest := i.Entries; len(rest) > 0; {
+		var e entry
+		var err error
+		if rest, err = cbor.UnmarshalFirst(rest, &e); err != nil {
+			return fmt.Errorf("decode record: %w", err)
+		}
 		l.insert(&record{
 			key: key{e.Account, e.Service, e.Name}, fingerprint: e.Fingerprint, stage: e.Stage, attempt: e.Attempt,
 			holder: e.Holder, closed: e.Closed, status: e.Status, kind: e.Kind, body: e.Body, until: time.Unix(0, e.Until).UTC(), unsure: e.Unsure,
--- a/core/version/store/store.go
+++ b/core/version/store/store.go
@@ -163,8 +163,8 @@
 
 // Snapshot implements node.Machine.
 func (s *Store) Snapshot() ([]byte, error) {
-	s.mutex.RLock()
-	defer s.mutex.RUnlock()
+	s.mutex.Lock() // the ledger keeps encoded records
+	defer s.mutex.Unlock()
 	a, err := s.state.Snapshot()
 	if err != nil {
 		return nil, fmt.Errorf("snapshot state: %w", err)
