entryd: ask other instances for news on a duty of its own

An instance cut off from control asked its peers only between two watches of the keepers, every 2.5 s; a server that left ran calls for up to 5 s (seen in the proof, 4 calls). It now asks every 500 ms once its state is 2 s old. The hold of a watch is 300 ms: each level of the tree adds as much to the age of the state, and 1 s each would have looked like a cut in a deep tree.

The proof of planned changes has letters on all engines that outlast the wait, so that moving them is needed.

--- a/entryd/app.go
+++ b/entryd/app.go
@@ -56,7 +56,7 @@
 	defer group.Wait()
 	defer stop()
 	for _, f := range []func(context.Context){
-		a.watch.Run, a.beat.Run, a.poll.Run, a.quota.Run, a.infer.Run, a.strikes.Run,
+		a.watch.Run, a.watch.RunPeers, a.beat.Run, a.poll.Run, a.quota.Run, a.infer.Run, a.strikes.Run,
 	} {
 		group.Add(1)
 		go func() {
--- a/entryd/infer/carry.go
+++ b/entryd/infer/carry.go
@@ -52,9 +52,9 @@
 	proved   bool // it made progress on the engine that was lost
 	waited   bool
 	aboard   bool // an engine may have begun to work on it
-	waits    int // for an engine, in the middle of the answer
-	lost     int // engines
-	begun    int // tokens delivered when the attempt began
+	waits    int  // for an engine, in the middle of the answer
+	lost     int  // engines
+	begun    int  // tokens delivered when the attempt began
 	pledged  string
 }
 
--- a/entryd/watch/peers.go
+++ b/entryd/watch/peers.go
@@ -19,6 +19,9 @@
 	sample = 9
 	// askTimeout bounds one such question.
 	askTimeout = 400 * time.Millisecond
+	// old is the age of the state from which others are asked, every look.
+	old  = 2 * time.Second
+	look = 500 * time.Millisecond
 	// isolated is how long an instance may hear nobody before it counts as
 	// cut off.
 	isolated = 3 * time.Second
--- a/entryd/watch/watch.go
+++ b/entryd/watch/watch.go
@@ -22,7 +22,9 @@
 )
 
 const (
-	hold     = time.Second            // a watch waits for news so long
+	// hold is how long a watch waits for news. Each level of the tree adds as
+	// much to the age of the state.
+	hold     = 300 * time.Millisecond
 	slack    = 500 * time.Millisecond // for the answer to travel
 	fallback = 5 * time.Second        // away from a parent that failed
 	pause    = 100 * time.Millisecond // after a failed watch
@@ -115,11 +117,21 @@
 			w.leaveParent()
 			continue
 		}
-		w.peers.ask(ctx, w)
 		sleep(ctx, pause)
 	}
 }
 
+// RunPeers looks for news at other instances while the state is old, until
+// ctx ends.
+func (w *Watch) RunPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		if w.Age() > old {
+			w.peers.ask(ctx, w)
+		}
+		sleep(ctx, look)
+	}
+}
+
 // parent returns the instance that this one watches. Without one, or while
 // the last failed, it watches those that keep the state.
 func (w *Watch) parent() (state.Member, bool) {
--- a/trial/proof/stop_test.go
+++ b/trial/proof/stop_test.go
@@ -151,12 +151,9 @@
 		Keep:    map[string]any{"plan": map[string]any{"policy": "fixed"}},
 	})
 	d := s.desk(t, 8)
-	// A letter that runs on longer than a change waits is moved, not cut.
-	letter := caller.Chat{Prompt: "a letter", Tokens: 900, Seed: 2}
-	wait := s.chats(t, 3, func(i int) caller.Chat {
-		c := letter
-		c.Seed = int64(i)
-		return c
+	// Letters run longer than a change may wait: they are moved, not cut.
+	wait := s.chats(t, 9, func(i int) caller.Chat {
+		return caller.Chat{Prompt: fmt.Sprint("letter ", i), Tokens: 1000, Seed: 2}
 	})
 	time.Sleep(200 * time.Millisecond)
 	begin := time.Now()
@@ -191,7 +188,7 @@
 
 func (s *site) waitChanged(t *testing.T, engine string, after time.Time) {
 	t.Helper()
-	err := fleet.Wait(t.Context(), 15*time.Second, func() error {
+	err := fleet.Wait(t.Context(), 4500*time.Millisecond, func() error {
 		if s.count(t, engine, stand.RecordChanged, after) == 0 {
 			return fmt.Errorf("%s has not changed", engine)
 		}
