--- a/entryd/beat/beat.go
+++ b/entryd/beat/beat.go
@@ -23,6 +23,10 @@
 	timeout = time.Second
 )
 
+// Holder names this start of the instance. Heartbeats carry it, so that the
+// run-once calls of an earlier start are known to be lost.
+type Holder string
+
 // Beat sends heartbeats.
 type Beat struct {
 	keeper proto.Keeper
@@ -33,19 +37,22 @@
 	clock  clock.Clock
 	now    chan struct{}
 
+	holder Holder
+
 	mutex  sync.Mutex
 	member state.Member
-	phase  state.Phase // as the state has it
+	left   bool          // all live instances know that this one is leaving
+	until  time.Duration // end of the lease, on the clock
 	last   time.Duration
 	up     bool
 }
 
 // New returns heartbeats for a member.
 func New(
-	m state.Member, k proto.Keeper, g *guide.Guide, w *watch.Watch, v *view.Store, r *meter.Registry, c clock.Clock,
+	m state.Member, h Holder, k proto.Keeper, g *guide.Guide, w *watch.Watch, v *view.Store, r *meter.Registry, c clock.Clock,
 ) *Beat {
 	return &Beat{
-		keeper: k, guide: g, watch: w, store: v, meter: r, clock: c, member: m, now: make(chan struct{}, 1), last: c.Elapsed(),
+		keeper: k, guide: g, watch: w, store: v, meter: r, clock: c, holder: h, member: m, now: make(chan struct{}, 1), last: c.Elapsed(),
 	}
 }
 
@@ -60,11 +67,20 @@
 	}
 }
 
-// Phase is the phase that the state last gave this instance.
-func (b *Beat) Phase() state.Phase {
+// Left tells whether all live instances know that this one is leaving, so that
+// none gives its address any more.
+func (b *Beat) Left() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.left
+}
+
+// Current tells whether this instance holds its lease. Without it, the others
+// may leave without waiting for this one to know.
+func (b *Beat) Current() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.phase
+	return b.clock.Elapsed() < b.until
 }
 
 // Run sends heartbeats until ctx ends: regularly, and at once when another
@@ -90,6 +106,7 @@
 	r := b.request()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	sent := b.clock.Elapsed()
 	reply, err := b.keeper.Beat(ctx, r)
 	b.note(err)
 	if err != nil {
@@ -97,7 +114,8 @@
 	}
 	b.watch.Told(reply.Version)
 	b.mutex.Lock()
-	b.phase = reply.Phase
+	b.left = reply.Phase == state.PhaseLeaving && reply.Settled
+	b.until = sent + reply.Lease
 	b.mutex.Unlock()
 	if r.Settled < r.Version || len(r.InFlight) > 0 {
 		return hurried
@@ -111,7 +129,7 @@
 	passed := b.clock.Elapsed() - b.last
 	b.last += passed
 	b.mutex.Unlock()
-	r := proto.BeatRequest{Member: m}
+	r := proto.BeatRequest{Member: m, Holder: string(b.holder)}
 	r.Version, r.Settled = b.guide.Versions()
 	r.InFlight = b.guide.InFlight()
 	r.Demand, r.Reports = b.guide.Digest(passed)
