--- a/core/conn/stream/stream.go
+++ b/core/conn/stream/stream.go
@@ -18,9 +18,11 @@
 // ErrTooLarge tells that an event is larger than MaxEvent.
 var ErrTooLarge = errors.New("event too large")
 
+// Head begins an event with one line of data.
+const Head = "data: "
+
 var (
 	dataField = []byte("data")
-	eventHead = []byte("data: ")
 	eventTail = []byte("\n\n")
 )
 
@@ -124,7 +126,7 @@
 
 // Append appends an event with one line of data to b.
 func Append(b, data []byte) []byte {
-	b = append(b, eventHead...)
+	b = append(b, Head...)
 	b = append(b, data...)
 	return append(b, eventTail...)
 }
--- /dev/null
+++ b/core/conn/stream/stream_test.go
@@ -0,0 +1,86 @@
+package stream_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"pgregory.net/rapid"
+
+	"verbenahaven.example/core/conn/stream"
+)
+
+func ExampleReader() {
+	r := stream.NewReader(strings.NewReader(": comment\ndata: one\n\ndata: two\ndata: lines\n\ndata: cut"))
+	for {
+		data, err := r.Next()
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		fmt.Printf("%q\n", data)
+	}
+	// Output:
+	// "one"
+	// "two\nlines"
+	// unexpected EOF
+}
+
+// What was appended comes back, in whatever pieces it arrives; a stream cut
+// anywhere gives a prefix of the events and never a part of one.
+func TestEventsComeBackWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		events := rapid.SliceOf(rapid.StringMatching(`[^\r\n]{0,50}`)).Draw(t, "events")
+		var b []byte
+		for _, e := range events {
+			b = stream.Append(b, []byte(e))
+		}
+		cut := rapid.IntRange(0, len(b)).Draw(t, "cut")
+		r := stream.NewReader(iotest.HalfReader(bytes.NewReader(b[:cut])))
+		for i := 0; ; i++ {
+			data, err := r.Next()
+			if err != nil {
+				if cut == len(b) && (i != len(events) || !errors.Is(err, io.EOF)) {
+					t.Fatalf("%d of %d events, then %v", i, len(events), err)
+				}
+				return
+			}
+			if string(data) != events[i] {
+				t.Fatalf("event %d is %q, want %q", i, data, events[i])
+			}
+		}
+	})
+}
+
+func TestEndlessEventIsRefused(t *testing.T) {
+	for _, text := range []string{"data: x\n", "data: xxx"} {
+		r := stream.NewReader(strings.NewReader(strings.Repeat(text, stream.MaxEvent)))
+		if _, err := r.Next(); !errors.Is(err, stream.ErrTooLarge) {
+			t.Errorf("%.10q without end: %v", text, err)
+		}
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	for _, s := range []string{"data: {}\n\n", "data:a\r\n\r\n", ":c\n\ndata\n\n", "data: a\n", "\n\n\n", "event: x\ndata: y\n\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := stream.NewReader(bytes.NewReader(b))
+		total := 0
+		for {
+			data, err := r.Next()
+			if err != nil {
+				break
+			}
+			total += len(data)
+		}
+		if total > len(b) {
+			t.Fatalf("%d bytes of data out of %d", total, len(b))
+		}
+	})
+}
--- /dev/null
+++ b/entryd/front/decode_test.go
@@ -0,0 +1,37 @@
+package front
+
+import (
+	"encoding/json"
+	"testing"
+
+	"verbenahaven.example/core/conn/engine"
+)
+
+func FuzzDecode(f *testing.F) {
+	for _, s := range []string{
+		`{"model":"m","messages":[{"role":"user","content":"x"}]}`,
+		`{"model":"m","prompt":"x","max_tokens":-1}`,
+		`{"model":"m","messages":[],"attempt":"forged","source":"http://x","priority":-9}`,
+		`{"model":1}`, `[]`, `{`, ``,
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for _, path := range []string{engine.PathChat, engine.PathComplete} {
+			r, err := Decode(b, path)
+			if err != nil {
+				continue
+			}
+			// Callers don't set what the system tells its engines.
+			if r.Attempt != "" || r.Source != "" || r.Handle != "" || r.Priority != 0 || r.Resume != 0 || r.Prefix != "" {
+				t.Fatalf("took over %+v", r)
+			}
+			if r.Model == "" || r.MaxTokens < 0 || (len(r.Messages) == 0) == (r.Prompt == "") {
+				t.Fatalf("took %+v", r)
+			}
+			if _, err := json.Marshal(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/entryd/front/event_test.go
@@ -0,0 +1,41 @@
+package front
+
+import (
+	"net/http"
+	"testing"
+
+	"verbenahaven.example/core/conn/engine"
+	"verbenahaven.example/core/request/answer"
+	"verbenahaven.example/entryd/infer"
+)
+
+// discard is a response that costs nothing.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d *discard) WriteHeader(int)             {}
+func (d *discard) Flush()                      {}
+
+// BenchmarkEvent measures one streamed token: decode, check, encode, write.
+func BenchmarkEvent(b *testing.B) {
+	s := newSink(&discard{http.Header{}}, "entry1-abc-1", engine.PathChat)
+	s.begin(&engine.Request{Model: "counter", Stream: true})
+	data := []byte(`{"id":"entry1-abc-1-1","object":"chat.completion.chunk","model":"spec","attempt":"entry1-abc-1-1","token":0,"choices":[{"index":0,"delta":{"role":"assistant","content":"w0815 "}}]}`)
+	var a answer.Assembly
+	a.Start("entry1-abc-1-1")
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		e, err := infer.Decode(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		e.Token = i
+		if a.Add(e) != answer.Deliver {
+			b.Fatal("not delivered")
+		}
+		if err := s.Token(e, false); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/entryd/front/sink.go
+++ b/entryd/front/sink.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -27,11 +28,23 @@
 	text      strings.Builder
 	finish    string
 	prompt    int
-	buffer    []byte
+	out       engine.Event
+	buffer    bytes.Buffer
+	encoder   *json.Encoder
 }
 
+const (
+	chunkObject = "chat.completion.chunk"
+	textObject  = "text_completion"
+	wholeObject = "chat.completion"
+	assistant   = "assistant"
+)
+
 func newSink(w http.ResponseWriter, id, path string) *sink {
-	return &sink{w: w, control: http.NewResponseController(w), id: id, chat: path == engine.PathChat}
+	s := &sink{w: w, control: http.NewResponseController(w), id: id, chat: path == engine.PathChat}
+	s.encoder = json.NewEncoder(&s.buffer)
+	s.encoder.SetEscapeHTML(false)
+	return s
 }
 
 func (s *sink) begin(r *engine.Request) {
@@ -51,16 +64,25 @@
 		}
 		return nil
 	}
-	out := *e
-	out.ID, out.Model, out.Attempt = s.id, s.model, ""
-	data, err := json.Marshal(&out)
-	if err != nil {
+	s.out = *e
+	s.out.ID, s.out.Model, s.out.Attempt, s.out.Object = s.id, s.model, "", textObject
+	if s.chat {
+		s.out.Object = chunkObject
+		for i := range s.out.Choices {
+			s.out.Choices[i].Delta.Role = assistant
+		}
+	}
+	s.buffer.Reset()
+	s.buffer.WriteString(stream.Head)
+	if err := s.encoder.Encode(&s.out); err != nil {
 		return fmt.Errorf("encode event: %w", err)
 	}
-	return s.event(data, more)
+	s.buffer.WriteByte('\n') // the encoder wrote the end of the line
+	return s.write(more)
 }
 
-func (s *sink) event(data []byte, more bool) error {
+// write sends the event in the buffer.
+func (s *sink) write(more bool) error {
 	if !s.begun {
 		s.begun = true
 		h := s.w.Header()
@@ -68,8 +90,7 @@
 		h.Set("Cache-Control", "no-cache")
 		s.w.WriteHeader(http.StatusOK)
 	}
-	s.buffer = stream.Append(s.buffer[:0], data)
-	if _, err := s.w.Write(s.buffer); err != nil {
+	if _, err := s.w.Write(s.buffer.Bytes()); err != nil {
 		return fmt.Errorf("write event: %w", err)
 	}
 	if more {
@@ -81,10 +102,16 @@
 	return nil
 }
 
+func (s *sink) event(data []byte) error {
+	s.buffer.Reset()
+	s.buffer.Write(stream.Append(nil, data))
+	return s.write(false)
+}
+
 // End implements infer.Sink.
 func (s *sink) End() error {
 	if s.stream {
-		return s.event([]byte(engine.Done), false)
+		return s.event([]byte(engine.Done))
 	}
 	s.begun = true
 	s.w.Header().Set("Content-Type", "application/json")
@@ -120,10 +147,10 @@
 
 func (s *sink) whole() Whole {
 	c := WholeChoice{Finish: s.finish}
-	object := "text_completion"
+	object := textObject
 	if s.chat {
-		object = "chat.completion"
-		c.Message = &engine.Message{Role: "assistant", Content: s.text.String()}
+		object = wholeObject
+		c.Message = &engine.Message{Role: assistant, Content: s.text.String()}
 	} else {
 		c.Text = s.text.String()
 	}
@@ -139,6 +166,6 @@
 // fail tells the caller of an open stream why it ends without its end mark.
 func (s *sink) fail(err error) {
 	if s.stream {
-		_ = s.event(fault.From(err).Body(), false)
+		_ = s.event(fault.From(err).Body())
 	}
 }
--- a/entryd/guide/guide.go
+++ b/entryd/guide/guide.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/request/route"
@@ -36,6 +38,7 @@
 // server and the count of what is in flight there: once a version has been
 // put in force, no request goes where that version forbids it.
 type Guide struct {
+	name   string
 	centre string
 
 	mutex    sync.Mutex
@@ -52,6 +55,7 @@
 // New returns a guide at version 0.
 func New(name, centre string, policy route.Policy) *Guide {
 	return &Guide{
+		name:     name,
 		centre:   centre,
 		snapshot: view.New().Current(),
 		router:   route.New(name, centre, policy),
@@ -364,6 +368,23 @@
 	d.Decode += float64(decode)
 }
 
+// reporters is the number of instances that report one engine.
+const reporters = 3
+
+// reports tells whether this instance is among those that report an engine,
+// by rendezvous hashing: what the leader hears of an engine doesn't grow with
+// the number of instances.
+func (g *Guide) reports(engine string) bool {
+	own := xxhash.Sum64String(engine + "/" + g.name)
+	before := 0
+	for _, m := range g.snapshot.Entries() {
+		if m.Name != g.name && xxhash.Sum64String(engine+"/"+m.Name) < own {
+			before++
+		}
+	}
+	return before < reporters
+}
+
 // Digest returns demand and reports for a heartbeat after the given interval.
 func (g *Guide) Digest(passed time.Duration) ([]proto.Demand, []proto.Report) {
 	g.mutex.Lock()
@@ -379,6 +400,9 @@
 	used := g.router.Used()
 	reports := make([]proto.Report, 0, len(used))
 	for _, e := range used {
+		if !g.reports(e.Name) {
+			continue
+		}
 		l, _ := g.router.Load(e.Name)
 		r := proto.Report{
 			Engine: e.Name, At: l.At, Role: l.Role, Running: l.Running, Waiting: l.Waiting, Queue: l.Queue, Step: l.Step,
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -127,8 +127,8 @@
 			}
 			return c.last(held)
 		}
-		e := new(engine.Event)
-		if err := json.Unmarshal(data, e); err != nil {
+		e, err := Decode(data)
+		if err != nil {
 			c.meter.Count("event", "garbled")
 			return &failure{reason: retry.ReasonGap, server: server, err: fmt.Errorf("decode event: %w", err), aboard: true}
 		}
@@ -148,6 +148,31 @@
 	}
 }
 
+// Decode reads what an answer is made of. The rest of an event is the same for
+// all, and costs time to read.
+func Decode(data []byte) (*engine.Event, error) {
+	var in struct {
+		Attempt string `json:"attempt"`
+		Token   int    `json:"token"`
+		Choices []struct {
+			Index int `json:"index"`
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+			Text   string `json:"text"`
+			Finish string `json:"finish_reason"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal(data, &in); err != nil {
+		return nil, err //nolint:wrapcheck // wrapped by the caller
+	}
+	e := &engine.Event{Attempt: in.Attempt, Token: in.Token, Choices: make([]engine.Choice, len(in.Choices))}
+	for i, v := range in.Choices {
+		e.Choices[i] = engine.Choice{Index: v.Index, Delta: engine.Message{Content: v.Delta.Content}, Text: v.Text, Finish: v.Finish}
+	}
+	return e, nil
+}
+
 func (c *carrying) last(held *engine.Event) *failure {
 	if err := c.sink.Token(held, true); err != nil {
 		return gone(state.Engine{}, err)
--- a/trial/proof/answer_setup_test.go
+++ b/trial/proof/answer_setup_test.go
@@ -36,7 +36,7 @@
 declare service lookup kind plain class first deadline 5s
 `
 
-func startSite(t *testing.T, o fleet.Options) *site {
+func startSite(t testing.TB, o fleet.Options) *site {
 	t.Helper()
 	bin, err := builtPrograms()
 	if err != nil {
@@ -65,7 +65,7 @@
 	return s
 }
 
-func (s *site) logs(t *testing.T) {
+func (s *site) logs(t testing.TB) {
 	for _, p := range append(s.Keepers(), s.Entries()...) {
 		b, _ := os.ReadFile(p.Output())
 		t.Logf("--- %s\n%s", p.Name(), b[max(0, len(b)-4000):])
