entryd: give no new work to what the platform's list calls leaving

platform.list was read from the settings and not used. The list now takes a backend server out of the choice, also while the state can't be reached; it never puts one back in that the state or own probes say doesn't serve. Random runs check that nothing goes to a server that isn't serving or is listed as leaving, and that what heartbeats tell of requests in flight is exact.

--- a/entryd/app.go
+++ b/entryd/app.go
@@ -16,6 +16,7 @@
 	"verbenahaven.example/entryd/beat"
 	"verbenahaven.example/entryd/front"
 	"verbenahaven.example/entryd/infer"
+	"verbenahaven.example/entryd/listed"
 	"verbenahaven.example/entryd/poll"
 	"verbenahaven.example/entryd/quota"
 	"verbenahaven.example/entryd/setup"
@@ -39,6 +40,7 @@
 	quota    *quota.Quota
 	infer    *infer.Server
 	strikes  *infer.Strikes
+	listed   *listed.Listed
 	link     *link.Server
 }
 
@@ -54,6 +56,7 @@
 	defer stop()
 	for _, f := range []func(context.Context){
 		a.watch.Run, a.watch.RunPeers, a.beat.Run, a.poll.Run, a.quota.Run, a.infer.Run, a.strikes.Run,
+		a.listed.Run,
 	} {
 		group.Add(1)
 		go func() {
--- a/entryd/guide/guide.go
+++ b/entryd/guide/guide.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -49,6 +50,7 @@
 	failed   map[string]time.Time
 	moves    map[string]map[string]mover // by engine and attempt
 	leaving  map[string]time.Time        // when an engine was first seen not to serve
+	listed   map[string]bool             // leaving by the platform's list
 	demand   map[string]*proto.Demand
 }
 
@@ -76,7 +78,29 @@
 		panic("guide: version in force would go back")
 	}
 	g.snapshot = s
-	g.router.Update(s.Engines())
+	g.router.Update(g.engines())
+}
+
+// Listed takes the backend servers that the platform's list calls leaving.
+func (g *Guide) Listed(leaving map[string]bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if maps.Equal(g.listed, leaving) {
+		return
+	}
+	g.listed = leaving
+	g.router.Update(g.engines())
+}
+
+// engines returns the engines as they are to be used.
+func (g *Guide) engines() []state.Engine {
+	list := g.snapshot.Engines()
+	for i := range list {
+		if g.listed[list[i].Name] && list[i].Phase == state.PhaseServing {
+			list[i].Phase = state.PhaseLeaving
+		}
+	}
+	return list
 }
 
 // Sweep moves the streams that still run at engines which have been leaving
@@ -165,6 +189,9 @@
 }
 
 func (g *Guide) serving(name string) bool {
+	if g.listed[name] {
+		return false
+	}
 	if e, ok := g.snapshot.Engine(name); ok {
 		return e.Phase == state.PhaseServing
 	}
@@ -277,7 +304,7 @@
 	defer g.mutex.Unlock()
 	var near, far []state.Server
 	for _, s := range g.snapshot.Servers(service) {
-		if s.Phase != state.PhaseServing || contains(avoid, s.Name) || now.Before(g.failed[s.Name]) {
+		if !g.serving(s.Name) || contains(avoid, s.Name) || now.Before(g.failed[s.Name]) {
 			continue
 		}
 		if s.Centre == g.centre {
--- /dev/null
+++ b/entryd/guide/guide_test.go
@@ -0,0 +1,147 @@
+package guide_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"verbenahaven.example/core/request/route"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/view"
+	"verbenahaven.example/entryd/guide"
+)
+
+// Over any run of versions, lists and requests: nothing is given to a backend
+// server that isn't serving, what is told of requests in flight there is
+// exact, and the settled version is never above one that a request began
+// under.
+func TestNothingGoesToWhatIsLeaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g, store := guide.New("entry1", "north", route.PolicyCache), view.New()
+		now := time.Unix(1_000_000, 0)
+		phases, listed := map[string]state.Phase{}, map[string]bool{}
+		flying := map[string]int{}
+		var back, ends []func()
+		var begun []uint64
+		names := []string{"e0", "e1", "e2", "s0", "s1"}
+		for version := uint64(1); version <= 60; version++ {
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				phases[name] = rapid.SampledFrom([]state.Phase{state.PhaseServing, state.PhaseLeaving, state.PhaseChanging}).Draw(t, "phase")
+				v := state.View{Version: version, Since: store.Current().Version()}
+				if name[0] == 'e' {
+					v.Engines = []state.Engine{{Name: name, Model: "spec", Role: state.RoleMixed, Phase: phases[name], Version: version}}
+				} else {
+					v.Servers = []state.Server{{Name: name, Service: "lookup", Phase: phases[name], Version: version}}
+				}
+				if err := store.Apply(v); err != nil {
+					t.Fatal(err)
+				}
+				g.Enforce(store.Current())
+			case 1:
+				next := map[string]bool{}
+				for _, n := range names {
+					next[n] = n == name && rapid.Bool().Draw(t, "listed")
+				}
+				listed = next
+				g.Listed(next)
+			case 2:
+				s, end := g.Begin()
+				ends, begun = append(ends, end), append(begun, s.Version())
+			case 3:
+				ask := route.Ask{Model: "spec", Fingerprint: fmt.Sprint(version), Tokens: 10}
+				l, err := g.Weigh(now, &ask)
+				if err != nil {
+					continue
+				}
+				used := l.Plan.Decode.Name
+				if !g.Use(now, fmt.Sprint("a", version), &ask, l, func() {}) || phases[used] != state.PhaseServing || listed[used] {
+					t.Fatalf("gave %s, which is %s and listed %v", used, phases[used], listed[used])
+				}
+				flying[used]++
+				back = append(back, func() { l.Return(); flying[used]-- })
+			case 4:
+				s, f, err := g.Server(now, "lookup", nil)
+				if errors.Is(err, guide.ErrNone) {
+					continue
+				}
+				if phases[s.Name] != state.PhaseServing || listed[s.Name] {
+					t.Fatalf("gave %s, which is %s and listed %v", s.Name, phases[s.Name], listed[s.Name])
+				}
+				flying[s.Name]++
+				back = append(back, func() { f(); flying[s.Name]-- })
+			default:
+				if len(back) > 0 {
+					back[0]()
+					back = back[1:]
+				}
+				if len(ends) > 0 {
+					ends[0]()
+					ends, begun = ends[1:], begun[1:]
+				}
+			}
+			told := g.InFlight()
+			for _, n := range names {
+				want := flying[n]
+				if phases[n] == state.PhaseServing && !listed[n] {
+					want = 0
+				}
+				if int(told[n]) != want {
+					t.Fatalf("%d in flight at %s, told %d", want, n, told[n])
+				}
+			}
+			current, settled := g.Versions()
+			for _, v := range begun {
+				if settled > v {
+					t.Fatalf("settled %d with a request of %d", settled, v)
+				}
+			}
+			if len(begun) == 0 && settled != current {
+				t.Fatalf("settled %d of %d with nothing running", settled, current)
+			}
+		}
+	})
+}
+
+// Streams at an engine that leaves are moved after a while, if another engine
+// can take them.
+func TestSweepMovesWhereItCan(t *testing.T) {
+	g, store := guide.New("entry1", "north", route.PolicyCache), view.New()
+	now := time.Unix(1_000_000, 0)
+	apply := func(version uint64, engines ...state.Engine) {
+		t.Helper()
+		if err := store.Apply(state.View{Version: version, Engines: engines}); err != nil {
+			t.Fatal(err)
+		}
+		g.Enforce(store.Current())
+	}
+	one := state.Engine{Name: "e1", Model: "spec", Role: state.RoleMixed, Phase: state.PhaseServing}
+	two := one
+	two.Name = "e2"
+	apply(1, one)
+	ask := route.Ask{Model: "spec", Fingerprint: "x", Tokens: 10}
+	l, err := g.Weigh(now, &ask)
+	if err != nil {
+		t.Fatal(err)
+	}
+	moved := 0
+	if !g.Use(now, "a", &ask, l, func() { moved++ }) {
+		t.Fatal("not given")
+	}
+	one.Phase = state.PhaseLeaving
+	apply(2, one)
+	g.Sweep(now)
+	g.Sweep(now.Add(time.Minute))
+	if moved != 0 {
+		t.Fatal("moved with nowhere to go")
+	}
+	apply(3, one, two)
+	g.Sweep(now.Add(time.Minute))
+	if moved != 1 {
+		t.Fatal("not moved")
+	}
+}
--- a/entryd/provide.go
+++ b/entryd/provide.go
@@ -19,6 +19,7 @@
 	"verbenahaven.example/entryd/front"
 	"verbenahaven.example/entryd/guide"
 	"verbenahaven.example/entryd/infer"
+	"verbenahaven.example/entryd/listed"
 	"verbenahaven.example/entryd/plain"
 	"verbenahaven.example/entryd/poll"
 	"verbenahaven.example/entryd/quota"
@@ -101,6 +102,10 @@
 	}
 }
 
+func provideListed(s *setup.Settings, g *guide.Guide, m *meter.Registry) *listed.Listed {
+	return listed.New(s.Platform.List, g, m)
+}
+
 // provideLink listens for other instances.
 func provideLink(s *setup.Settings, c *tls.Config, w *watch.Watch, m *meter.Registry) (*link.Server, func(), error) {
 	l := link.NewServer(m)
--- a/entryd/wire.go
+++ b/entryd/wire.go
@@ -24,7 +24,7 @@
 	wire.Build(
 		clock.System, meter.New, view.New, trail.New, pool.New,
 		provideTLS, provideKeeper, provideGuide, provideStrikes, provideRetry, provideInfer, provideHolder, providePlain,
-		provideFront, provideWatch, providePoll, provideQuota, provideMember, provideLink,
+		provideFront, provideWatch, providePoll, provideQuota, provideMember, provideLink, provideListed,
 		infer.New, plain.New, watch.New, beat.New, poll.New, front.New,
 		wire.Bind(new(front.Lease), new(*beat.Beat)),
 		wire.Struct(new(app), "*"),
--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -52,6 +52,7 @@
 	frontFront := front.New(settings, guide, watchWatch, server, plainServer, quota, trailTrail, registry, clockClock, beatBeat)
 	pollSettings := providePoll(s)
 	pollPoll := poll.New(pollSettings, guide, poolPool, registry, clockClock)
+	listed := provideListed(s, guide, registry)
 	linkServer, cleanup5, err := provideLink(s, config, watchWatch, registry)
 	if err != nil {
 		cleanup4()
@@ -69,6 +70,7 @@
 		quota:    quota,
 		infer:    server,
 		strikes:  strikes,
+		listed:   listed,
 		link:     linkServer,
 	}
 	return mainApp, func() {
