entryd: a slow caller is no silent engine; explain running requests

The time that a caller took to read a token counted as the engine's silence, so a stream to a slow caller was begun anew on other engines until its attempts were used up. A caller that reads nothing for 30 s loses its answer: an engine holds room for it meanwhile.

Records of requests are kept from their begin, so that a request can be explained while it runs, and shown to their account and to operators only. A prefill engine is told when the attempt that it holds a KV cache for was given up.

--- a/core/conn/pool/watch.go
+++ b/core/conn/pool/watch.go
@@ -34,10 +34,17 @@
 	}
 }
 
-// Mark tells that an event arrived at the given time.
+// Mark tells that an event arrived at the given time. Until Wait, no further
+// one is expected.
 func (p *Progress) Mark(now time.Time) {
+	p.timer.Stop()
 	p.pace = Pace(p.pace, p.last, now)
 	p.last = now
+}
+
+// Wait tells that the next event is waited for from now on. The time that the
+// reader spends on an event, as with a slow caller, isn't the peer's silence.
+func (p *Progress) Wait() {
 	p.timer.Reset(Allowed(p.pace, p.bound))
 }
 
--- a/entryd/front/chat.go
+++ b/entryd/front/chat.go
@@ -32,15 +32,14 @@
 }
 
 func (f *Front) infers(r *http.Request, w http.ResponseWriter, path string) {
-	record := &trail.Record{Request: f.newID(), At: f.clock.Now()}
-	w.Header().Set("Request-Id", record.Request)
+	record := f.trail.Begin(f.newID(), f.clock.Now())
+	w.Header().Set("Request-Id", record.Request())
 	f.meter.Count("request", "model")
-	sink := newSink(w, record.Request, path)
+	sink := newSink(w, record.Request(), path)
 	err := f.infering(r, w, path, record, sink)
 	if err != nil {
-		record.Refused = err.Error()
+		record.Refused(err)
 	}
-	f.trail.Add(record)
 	if err == nil {
 		return
 	}
@@ -58,7 +57,7 @@
 func (f *Front) infering(r *http.Request, w http.ResponseWriter, path string, record *trail.Record, sink *sink) error {
 	v, end := f.guide.Begin()
 	defer end()
-	record.Version = v.Version()
+	record.Began(v.Version())
 	if err := f.ready(v); err != nil {
 		return err
 	}
@@ -66,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	record.Account = who.Name
+	record.Asked(who.Name)
 	body, err := f.body(w, r)
 	if err != nil {
 		return err
@@ -79,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	record.Service = service.Name
+	record.Named(service.Name)
 	deadline, err := left(r, f.clock.Now())
 	if err != nil {
 		return err
@@ -89,7 +88,7 @@
 	}
 	sink.begin(&request)
 	call := &infer.Call{
-		ID:          record.Request,
+		ID:          record.Request(),
 		Service:     service,
 		Request:     request,
 		Path:        path,
--- a/entryd/front/front_test.go
+++ b/entryd/front/front_test.go
@@ -70,12 +70,18 @@
 	p, d := newEngine(t), newEngine(t)
 	b := newBench(t, models(at("p", p.URL, state.RolePrefill), at("d", d.URL, state.RoleDecode)))
 	long := strings.Replace(chat, "Which", strings.Repeat("Which ", 1000), 1)
-	if got := read(t, b.ask(t, http.MethodPost, "/v1/chat/completions", long)); got != whole() {
+	a := b.ask(t, http.MethodPost, "/v1/chat/completions", long)
+	if got := read(t, a); got != whole() {
 		t.Fatalf("got %q", got)
 	}
 	if len(p.seen) != 1 || len(d.seen) != 1 {
 		t.Fatalf("prefill engine saw %d requests, decode engine %d", len(p.seen), len(d.seen))
 	}
+	id := a.Header.Get("Request-Id")
+	record, _ := io.ReadAll(b.ask(t, http.MethodGet, "/explain?request="+id, "").Body)
+	if !strings.Contains(string(record), `"prefill":"p","decode":"d"`) {
+		t.Fatalf("record of %s: %s", id, record)
+	}
 	if q := d.seen[0]; q.Source != p.URL || q.Handle != "h-"+q.Attempt {
 		t.Fatalf("decode request has source %q and handle %q", q.Source, q.Handle)
 	}
--- a/entryd/front/info.go
+++ b/entryd/front/info.go
@@ -147,9 +147,15 @@
 	})
 }
 
+// explain shows the record of a request to its account and to operators.
 func (f *Front) explain(r *restful.Request, w *restful.Response) {
+	who, err := account(r.Request, f.guide.Snapshot())
+	if err != nil {
+		fault.Write(w, f.meter, err)
+		return
+	}
 	record, ok := f.trail.Find(r.QueryParameter("request"))
-	if !ok {
+	if !ok || (!who.Operator && record.Account != who.Name) {
 		fault.Write(w, f.meter, fault.New(fault.CodeNoDecision, "no record of this request is kept here"))
 		return
 	}
--- a/entryd/front/plain.go
+++ b/entryd/front/plain.go
@@ -15,14 +15,13 @@
 const maxKey = 256 // bytes of an idempotency key
 
 func (f *Front) call(r *restful.Request, w *restful.Response) {
-	record := &trail.Record{Request: f.newID(), At: f.clock.Now()}
-	w.Header().Set("Request-Id", record.Request)
+	record := f.trail.Begin(f.newID(), f.clock.Now())
+	w.Header().Set("Request-Id", record.Request())
 	f.meter.Count("request", "plain")
 	a, err := f.calling(r, w.ResponseWriter, record)
 	if err != nil {
-		record.Refused = err.Error()
+		record.Refused(err)
 	}
-	f.trail.Add(record)
 	if err != nil {
 		fault.Write(w, f.meter, err)
 		return
@@ -40,7 +39,7 @@
 func (f *Front) calling(r *restful.Request, w http.ResponseWriter, record *trail.Record) (plain.Answer, error) {
 	v, end := f.guide.Begin()
 	defer end()
-	record.Version = v.Version()
+	record.Began(v.Version())
 	if err := f.ready(v); err != nil {
 		return plain.Answer{}, err
 	}
@@ -48,13 +47,13 @@
 	if err != nil {
 		return plain.Answer{}, err
 	}
-	record.Account = who.Name
+	record.Asked(who.Name)
 	name := r.PathParameter("service")
 	service, ok := v.Service(name)
 	if !ok || service.Kind != state.KindPlain {
 		return plain.Answer{}, fault.New(fault.CodeService, "no plain service has the name "+name)
 	}
-	record.Service = name
+	record.Named(name)
 	key := r.HeaderParameter("Idempotency-Key")
 	if service.Once && r.Request.Method != http.MethodGet && key == "" {
 		return plain.Answer{}, fault.New(fault.CodeKey, "calls of "+name+" need an Idempotency-Key")
@@ -77,7 +76,7 @@
 		service.Once = false
 	}
 	return f.plain.Do(r.Request.Context(), &plain.Call{ //nolint:wrapcheck // refusals carry their own words
-		ID:       record.Request,
+		ID:       record.Request(),
 		Account:  who.Name,
 		Service:  service,
 		Key:      key,
--- a/entryd/front/sink.go
+++ b/entryd/front/sink.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/conn/stream"
@@ -28,11 +29,15 @@
 	text      strings.Builder
 	finish    string
 	prompt    int
+	bounded   time.Time // when the time to write was last limited
 	out       engine.Event
 	buffer    bytes.Buffer
 	encoder   *json.Encoder
 }
 
+// stall is the least time that a caller may leave an answer unread.
+const stall = 30 * time.Second
+
 const (
 	chunkObject = "chat.completion.chunk"
 	textObject  = "text_completion"
@@ -90,6 +95,7 @@
 		h.Set("Cache-Control", "no-cache")
 		s.w.WriteHeader(http.StatusOK)
 	}
+	s.bound()
 	if _, err := s.w.Write(s.buffer.Bytes()); err != nil {
 		return fmt.Errorf("write event: %w", err)
 	}
@@ -102,6 +108,18 @@
 	return nil
 }
 
+// bound limits how long a caller may keep an answer from being written: an
+// engine holds room for it meanwhile. The limit is renewed once in a while.
+func (s *sink) bound() {
+	now := time.Now()
+	if now.Sub(s.bounded) < stall/2 {
+		return
+	}
+	s.bounded = now
+	// Only real connections have deadlines.
+	_ = s.control.SetWriteDeadline(now.Add(stall))
+}
+
 func (s *sink) event(data []byte) error {
 	s.buffer.Reset()
 	s.buffer.Write(stream.Append(nil, data))
@@ -111,6 +129,7 @@
 // End implements infer.Sink.
 func (s *sink) End() error {
 	if s.stream {
+		defer func() { _ = s.control.SetWriteDeadline(time.Time{}) }()
 		return s.event([]byte(engine.Done))
 	}
 	s.begun = true
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -70,10 +70,14 @@
 		}
 		r.Source, r.Handle = l.Plan.Prefill.URL, p.Handle
 	}
+	source := r.Source
 	f := c.decode(ctx, l, &r)
 	if f != nil && f.reason != retry.ReasonDial {
 		c.giveUp(l.Plan.Decode.URL, id)
 	}
+	if f != nil && source != "" {
+		c.giveUp(source, id) // it may hold the KV cache
+	}
 	return f
 }
 
@@ -145,6 +149,7 @@
 		default:
 			c.meter.Count("event", string(outcome))
 		}
+		progress.Wait()
 	}
 }
 
--- a/entryd/infer/carry.go
+++ b/entryd/infer/carry.go
@@ -110,7 +110,7 @@
 // admit refuses at once what can't make its deadline.
 func (c *carrying) admit() error {
 	l, err := c.guide.Weigh(c.clock.Now(), &c.ask)
-	c.call.Record.Decisions = append(c.call.Record.Decisions, l.Decision)
+	c.call.Record.Decided(l.Decision)
 	if err != nil {
 		c.guide.Demand(c.call.Service.Name, c.ask.Tokens, c.ask.Output, true)
 		return refusal(err)
@@ -162,7 +162,7 @@
 		if f != nil {
 			step.End = string(f.reason) + ": " + f.err.Error()
 		}
-		c.call.Record.Steps = append(c.call.Record.Steps, step)
+		c.call.Record.Stepped(step)
 		if f == nil {
 			c.finish(l)
 			return nil
@@ -189,7 +189,7 @@
 	c.ask.Request, c.ask.Suspect = c.attemptID(), c.suspect
 	l, err := c.guide.Weigh(c.clock.Now(), &c.ask)
 	if c.serial > 1 {
-		c.call.Record.Decisions = append(c.call.Record.Decisions, l.Decision)
+		c.call.Record.Decided(l.Decision)
 	}
 	if err != nil {
 		// Engines that failed this request before are better than none.
--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -113,7 +113,7 @@
 		written = w
 		return a, err //nolint:wrapcheck // wrapped by the pool
 	})
-	o.call.Record.Steps = append(o.call.Record.Steps, o.step(o.call, v, number, err))
+	o.call.Record.Stepped(o.step(o.call, v, number, err))
 	switch {
 	case err == nil:
 		return o.state.Sent(once.SentAnswered, r)
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -109,7 +109,7 @@
 		}
 		r, _, err := s.send(ctx, c, v, number, s.pool.Do)
 		back()
-		c.Record.Steps = append(c.Record.Steps, s.step(c, v, number, err))
+		c.Record.Stepped(s.step(c, v, number, err))
 		if err == nil {
 			s.success(v.Name)
 			return Answer{Result: r}, nil
