trial: compare the policies under load with real processes

Open-loop arrivals with fixed seeds meet a deployment of real processes under each policy; goodput, latencies, refusals and role changes go into a table, a CSV and plots.

--- /dev/null
+++ b/trial/bench/collect.go
@@ -0,0 +1,105 @@
+package bench
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"verbenahaven.example/core/conn/stand"
+	"verbenahaven.example/trial/demand"
+)
+
+// collect reads what engines and entry instances recorded.
+func (r *runner) collect(ctx context.Context, result *Result) error {
+	for i := range r.deployment.Engines {
+		var records []stand.Record
+		if err := r.fleet.History(ctx, engineName(i), &records); err != nil {
+			return fmt.Errorf("read history: %w", err)
+		}
+		for _, v := range records {
+			r.note(result, engineName(i), v)
+		}
+	}
+	result.Counters = make(map[string]int64)
+	for _, url := range r.urls {
+		if err := count(ctx, url, r.fleet.Token(), result.Counters); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *runner) note(result *Result, name string, v stand.Record) {
+	if v.Conflict {
+		result.Conflicts++
+	}
+	switch v.Kind {
+	case stand.RecordCut:
+		result.CutByOrder++
+	case stand.RecordChanged:
+		at := v.At.Sub(r.start)
+		result.Changes = append(result.Changes, Change{
+			At: at, Segment: segment(r.deployment.Segments, at), Engine: name, Role: string(v.Order.Role),
+		})
+	}
+}
+
+func segment(segments []demand.Segment, at time.Duration) int {
+	for i, s := range segments {
+		if at < s.Length {
+			return i
+		}
+		at -= s.Length
+	}
+	return len(segments) - 1
+}
+
+// count adds the counters of an entry instance.
+func count(ctx context.Context, url, token string, sums map[string]int64) error {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/metrics", http.NoBody)
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	q.Header.Set("Authorization", "Bearer "+token)
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return fmt.Errorf("read metrics: %w", err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	s := bufio.NewScanner(a.Body)
+	for s.Scan() {
+		name, value, ok := strings.Cut(s.Text(), " ")
+		if n, err := strconv.ParseInt(value, 10, 64); ok && err == nil {
+			sums[name] += n
+		}
+	}
+	if err := s.Err(); err != nil {
+		return fmt.Errorf("read metrics: %w", err)
+	}
+	return nil
+}
+
+// ChangesIn counts the role changes completed in a segment.
+func (r *Result) ChangesIn(segment int) int {
+	n := 0
+	for _, c := range r.Changes {
+		if c.Segment == segment {
+			n++
+		}
+	}
+	return n
+}
+
+// Engines is the number of engines by segment. An engine that is withdrawn
+// within a segment counts to its end.
+func Engines(d Deployment) []int {
+	n := make([]int, len(d.Segments))
+	for i := range n {
+		n[i] = d.Engines
+	}
+	return n
+}
--- /dev/null
+++ b/trial/bench/run.go
@@ -0,0 +1,193 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"verbenahaven.example/core/conn/stand"
+	"verbenahaven.example/trial/caller"
+	"verbenahaven.example/trial/demand"
+	"verbenahaven.example/trial/fleet"
+	"verbenahaven.example/trial/score"
+)
+
+// Result is the outcome of one run.
+type Result struct {
+	Deployment Deployment
+	Policy     Policy
+	Seed       int64
+	Board      *score.Board
+	Changes    []Change
+	Counters   map[string]int64 // of the entry instances, summed
+	Conflicts  int
+	CutByOrder int // streams that engines report as cut
+}
+
+// Change is one role change that an engine completed.
+type Change struct {
+	At      time.Duration
+	Segment int
+	Engine  string
+	Role    string
+}
+
+// Share of the time of a segment after which its event comes.
+const (
+	withdrawAfter = 2 // half of the segment
+	callLimit     = 15 * time.Second
+	settle        = time.Second
+	stopLimit     = 20 * time.Second
+)
+
+// runner drives one run.
+type runner struct {
+	deployment Deployment
+	fleet      *fleet.Fleet
+	caller     *caller.Caller
+	board      *score.Board
+	urls       []string
+	start      time.Time
+	group      sync.WaitGroup
+}
+
+// Run starts the deployment, offers the arrivals and collects the results.
+func Run(ctx context.Context, d Deployment, p Policy, seed int64, bin string) (*Result, error) {
+	folder, err := os.MkdirTemp("", "verbenahaven-trial-")
+	if err != nil {
+		return nil, fmt.Errorf("make folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	f, cleanup, err := fleet.Start(ctx, options(d, p, bin, folder))
+	if err != nil {
+		return nil, fmt.Errorf("start %s under %s: %w", d.Name, p.Name, err)
+	}
+	defer cleanup()
+	r := &runner{
+		deployment: d, fleet: f, caller: caller.New(f.CallerToken()),
+		board: score.NewBoard(len(d.Segments), len(d.Services)),
+	}
+	defer r.caller.Close()
+	for _, e := range f.Entries() {
+		r.urls = append(r.urls, e.URL())
+	}
+	time.Sleep(settle)
+	r.offer(ctx, demand.Make(d.Services, d.Segments, seed))
+	result := &Result{Deployment: d, Policy: p, Seed: seed, Board: r.board}
+	if err := r.collect(ctx, result); err != nil {
+		return nil, err
+	}
+	return result, nil
+}
+
+// offer sends the arrivals on their times, whatever becomes of those before.
+func (r *runner) offer(ctx context.Context, arrivals []demand.Arrival) {
+	r.start = time.Now()
+	r.group.Go(func() { r.events(ctx) })
+	for _, a := range arrivals {
+		if !pause(ctx, time.Until(r.start.Add(a.At))) {
+			break
+		}
+		r.group.Go(func() { r.send(ctx, a) })
+	}
+	r.group.Wait()
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// events brings about what happens besides the arrivals.
+func (r *runner) events(ctx context.Context) {
+	d := r.deployment
+	at := time.Duration(0)
+	for i, s := range d.Segments {
+		if !pause(ctx, time.Until(r.start.Add(at))) {
+			return
+		}
+		switch i {
+		case d.Lag:
+			r.lag(ctx, lag*lagFactor)
+		case d.Lag + 1:
+			r.lag(ctx, lag)
+		case d.Withdraw:
+			pause(ctx, s.Length/withdrawAfter)
+			_, _ = r.fleet.Run(ctx, "withdraw engine "+engineName(d.Engines-1)+"\n")
+		}
+		at += s.Length
+	}
+}
+
+func (r *runner) lag(ctx context.Context, v time.Duration) {
+	if r.deployment.Lag < 0 {
+		return
+	}
+	for i := range r.deployment.Engines {
+		_ = r.fleet.Fault(ctx, fleet.Fault{Target: engineName(i), Kind: string(stand.Lag), Value: v.String()})
+	}
+}
+
+func (r *runner) send(ctx context.Context, a demand.Arrival) {
+	late := time.Since(r.start.Add(a.At))
+	v := r.deployment.Services[a.Service]
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	url := r.urls[a.Serial%len(r.urls)]
+	o := score.Outcome{Segment: a.Segment, Service: a.Service, Lateness: late}
+	if v.Plain {
+		r.once(ctx, url, v, a, &o)
+	} else {
+		r.chat(ctx, url, v, a, &o)
+	}
+	r.board.Add(o)
+}
+
+func (r *runner) once(ctx context.Context, url string, v demand.Service, a demand.Arrival, o *score.Outcome) {
+	key := fmt.Sprintf("%d-%d", a.Seed, a.Serial)
+	got, err := r.caller.Once(ctx, url, caller.Call{Service: v.Name, Path: "file", Key: key, Body: `{"number":"` + key + `"}`})
+	if err != nil || got == nil {
+		o.Code = "broken"
+		return
+	}
+	o.Took, o.Code, o.Retry = got.Took(), got.Code(), got.Retry()
+	o.Whole = got.Status() == 200
+	o.InTime = o.Whole && got.Took() <= v.Deadline
+}
+
+func (r *runner) chat(ctx context.Context, url string, v demand.Service, a demand.Arrival, o *score.Outcome) {
+	prompt := demand.Prompt(v, a)
+	got, err := r.caller.Chat(ctx, url, caller.Chat{Service: v.Name, Prompt: prompt, Tokens: v.Output, Seed: a.Seed})
+	if got == nil {
+		o.Code = "broken"
+		return
+	}
+	o.Took, o.Code, o.Retry = got.Took(), got.Code(), got.Retry()
+	o.Tokens, o.First = len(got.Tokens()), got.First()
+	arrivals := got.Arrivals()
+	for i := 1; i < len(arrivals); i++ {
+		o.Gaps = append(o.Gaps, arrivals[i].Sub(arrivals[i-1]))
+	}
+	base := stand.Base(modelName, prompt+"\n", a.Seed)
+	for i, token := range got.Tokens() {
+		o.Wrong = o.Wrong || got.Places()[i] != i || strings.TrimSpace(token) != strings.TrimSpace(stand.TokenAt(base, i))
+	}
+	o.Whole = err == nil && got.Whole() && !o.Wrong && o.Tokens == v.Output
+	o.Cut = !o.Whole && o.Tokens > 0
+	if !o.Whole && o.Code == "" {
+		o.Code = "broken"
+	}
+	o.InTime = o.Whole && o.First <= v.First && o.Took <= v.Deadline
+}
--- a/trial/run.go
+++ b/trial/run.go
@@ -2,20 +2,35 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
 
 	"github.com/google/subcommands"
+
+	"verbenahaven.example/trial/bench"
+	"verbenahaven.example/trial/sheet"
 )
 
+const outMode = 0o755
+
 func init() {
 	register(&runCommand{})
 }
 
 // runCommand compares the policies under load.
 type runCommand struct {
-	bin   string
-	out   string
-	seeds int
+	bin      string
+	out      string
+	seeds    int
+	first    int64
+	jobs     int
+	only     string
+	policies string
 }
 
 // Name implements subcommands.Command.
@@ -26,17 +41,196 @@
 
 // Usage implements subcommands.Command.
 func (*runCommand) Usage() string {
-	return "run -bin DIR -out DIR [-seeds N]: compare the policies under load\n"
+	return "trial run [-bin FOLDER] [-out FOLDER] [-seeds N]\n\n" +
+		"Offers the same arrivals to each policy, prints a table and writes CSV and plots.\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (r *runCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&r.bin, "bin", "bin", "folder of the built programs")
+	f.StringVar(&r.bin, "bin", "bin", "folder of the programs")
 	f.StringVar(&r.out, "out", "out", "folder for the table and the plots")
 	f.IntVar(&r.seeds, "seeds", 1, "number of seeds")
+	f.Int64Var(&r.first, "seed", 1, "first seed")
+	f.IntVar(&r.jobs, "jobs", 5, "deployments that run at the same time")
+	f.StringVar(&r.only, "only", "", "deployments to run, all if empty")
+	f.StringVar(&r.policies, "policies", "", "policies to run, all if empty")
 }
 
 // Execute implements subcommands.Command.
-func (r *runCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+func (r *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := r.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "trial:", err)
+		return subcommands.ExitFailure
+	}
 	return subcommands.ExitSuccess
 }
+
+// task is one run and its result.
+type task struct {
+	deployment bench.Deployment
+	policy     bench.Policy
+	seed       int64
+	result     *bench.Result
+	err        error
+}
+
+func (r *runCommand) run(ctx context.Context) error {
+	if err := os.MkdirAll(r.out, outMode); err != nil {
+		return fmt.Errorf("make folder: %w", err)
+	}
+	tasks := r.tasks()
+	r.work(ctx, tasks)
+	var errs []error
+	groups := make(map[string][]*bench.Result)
+	for _, t := range tasks {
+		if t.err != nil {
+			errs = append(errs, t.err)
+			continue
+		}
+		key := t.deployment.Name + "/" + t.policy.Name
+		groups[key] = append(groups[key], t.result)
+	}
+	if err := r.report(tasks, groups); err != nil {
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+// tasks lists the runs: each deployment under each policy, and the system's
+// own policy under overload.
+func (r *runCommand) tasks() []*task {
+	var tasks []*task
+	for seed := r.first; seed < r.first+int64(r.seeds); seed++ {
+		for _, d := range []bench.Deployment{bench.Split(), bench.Carpatia()} {
+			for _, p := range bench.Policies() {
+				tasks = r.add(tasks, d, p, seed)
+			}
+		}
+		for _, d := range []bench.Deployment{bench.Split(), bench.Carpatia()} {
+			tasks = r.add(tasks, bench.Overload(d), bench.Policies()[0], seed)
+		}
+	}
+	return tasks
+}
+
+func (r *runCommand) add(tasks []*task, d bench.Deployment, p bench.Policy, seed int64) []*task {
+	if !chosen(r.only, d.Name) || !chosen(r.policies, p.Name) {
+		return tasks
+	}
+	return append(tasks, &task{deployment: d, policy: p, seed: seed})
+}
+
+func chosen(list, name string) bool {
+	if list == "" {
+		return true
+	}
+	for _, s := range strings.Split(list, ",") {
+		if s == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *runCommand) work(ctx context.Context, tasks []*task) {
+	next := make(chan *task)
+	var group sync.WaitGroup
+	for range r.jobs {
+		group.Go(func() {
+			for t := range next {
+				t.result, t.err = bench.Run(ctx, t.deployment, t.policy, t.seed, r.bin)
+			}
+		})
+	}
+	for _, t := range tasks {
+		next <- t
+	}
+	close(next)
+	group.Wait()
+}
+
+// report writes all rows, then one line for each deployment.
+func (r *runCommand) report(tasks []*task, groups map[string][]*bench.Result) error {
+	var rows []sheet.Row
+	var names []string
+	byName := make(map[string][]sheet.Row)
+	done := make(map[string]bool)
+	for _, t := range tasks {
+		key := t.deployment.Name + "/" + t.policy.Name
+		if done[key] || len(groups[key]) == 0 {
+			continue
+		}
+		done[key] = true
+		if byName[t.deployment.Name] == nil {
+			names = append(names, t.deployment.Name)
+		}
+		more := sheet.Rows(groups[key])
+		rows = append(rows, more...)
+		byName[t.deployment.Name] = append(byName[t.deployment.Name], more...)
+	}
+	if err := r.write(tasks, rows); err != nil {
+		return err
+	}
+	for _, name := range names {
+		if err := sheet.Plot(r.out, name, byName[name]); err != nil {
+			return fmt.Errorf("plot: %w", err)
+		}
+	}
+	for _, name := range names {
+		if groups[name+"/threshold"] != nil {
+			fmt.Println(summary(name, byName[name], groups))
+		}
+	}
+	return nil
+}
+
+func (r *runCommand) write(tasks []*task, rows []sheet.Row) error {
+	if err := sheet.Table(os.Stdout, rows); err != nil {
+		return fmt.Errorf("table: %w", err)
+	}
+	c, err := os.Create(filepath.Join(r.out, "trial.csv"))
+	if err != nil {
+		return fmt.Errorf("create CSV: %w", err)
+	}
+	defer func() { _ = c.Close() }()
+	if err := sheet.CSV(c, rows); err != nil {
+		return fmt.Errorf("CSV: %w", err)
+	}
+	f, err := os.Create(filepath.Join(r.out, "details.txt"))
+	if err != nil {
+		return fmt.Errorf("create details: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	for _, t := range tasks {
+		if t.result == nil {
+			continue
+		}
+		if err := sheet.Details(f, t.result); err != nil {
+			return fmt.Errorf("details: %w", err)
+		}
+	}
+	return nil
+}
+
+// summary sums one deployment up.
+func summary(name string, rows []sheet.Row, groups map[string][]*bench.Result) string {
+	by := make(map[string]sheet.Row)
+	for _, r := range rows {
+		if r.Shift == sheet.All {
+			by[r.Policy] = r
+		}
+	}
+	cut := 0
+	for key, results := range groups {
+		if !strings.HasPrefix(key, name+"/") {
+			continue
+		}
+		for _, v := range results {
+			_, _, n, _ := v.Board.Total(func(int) bool { return false })
+			cut += n
+		}
+	}
+	return fmt.Sprintf("trial: %s goodput=%.3f fixed=%.3f threshold=%.3f load=%.3f hindsight=%.3f changes=%.0f threshold_changes=%.0f cut=%d",
+		name, by["goodput"].Goodput, by["fixed"].Goodput, by["threshold"].Goodput, by["load"].Goodput, by["goodput"].Hindsight,
+		by["goodput"].Changes, by["threshold"].Changes, cut)
+}
--- /dev/null
+++ b/trial/sheet/sheet.go
@@ -0,0 +1,199 @@
+// Package sheet writes the results of trials as a table, as CSV and as plots.
+package sheet
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"verbenahaven.example/trial/bench"
+	"verbenahaven.example/trial/bound"
+	"verbenahaven.example/trial/demand"
+)
+
+// Row is the median over seeds of one segment under one policy.
+type Row struct {
+	Deployment string
+	Policy     string
+	Shift      string
+	Goodput    float64
+	Low, High  float64 // spread over seeds
+	Tokens     float64 // tokens of goodput a second
+	Changes    float64
+	Hindsight  float64
+	Fixed      float64 // the best fixed split in hindsight, whole trial
+}
+
+// All is the name of the row over all segments that count.
+const All = "all"
+
+// Rows sums results of one deployment and policy by segment.
+func Rows(results []*bench.Result) []Row {
+	d := results[0].Deployment
+	var rows []Row
+	for i, s := range d.Segments {
+		if s.Count {
+			rows = append(rows, row(results, s.Name, func(k int) bool { return k == i }))
+		}
+	}
+	return append(rows, row(results, All, func(k int) bool { return d.Segments[k].Count }))
+}
+
+func row(results []*bench.Result, name string, in func(int) bool) Row {
+	var goodput, tokens, changes, hindsight, fixed []float64
+	d := results[0].Deployment
+	length := time.Duration(0)
+	for i, s := range d.Segments {
+		if in(i) {
+			length += s.Length
+		}
+	}
+	for _, r := range results {
+		g, t, _, _ := r.Board.Total(in)
+		goodput = append(goodput, g)
+		tokens = append(tokens, float64(t)/length.Seconds())
+		n := len(r.Changes)
+		if name != All {
+			n = 0
+			for i := range d.Segments {
+				if in(i) {
+					n += r.ChangesIn(i)
+				}
+			}
+		}
+		changes = append(changes, float64(n))
+		h, f := hindsightOf(r, in)
+		hindsight, fixed = append(hindsight, h), append(fixed, f)
+	}
+	sort.Float64s(goodput)
+	return Row{
+		Deployment: d.Name, Policy: results[0].Policy.Name, Shift: name,
+		Goodput: Median(goodput), Low: goodput[0], High: goodput[len(goodput)-1],
+		Tokens: Median(tokens), Changes: Median(changes), Hindsight: Median(hindsight), Fixed: Median(fixed),
+	}
+}
+
+func hindsightOf(r *bench.Result, in func(int) bool) (changing, fixed float64) {
+	d := r.Deployment
+	b := bound.Compute(d.Services, d.Segments, demand.Make(d.Services, d.Segments, r.Seed), bench.Capacity(), bench.Engines(d))
+	weight, sum := 0.0, 0.0
+	for i := range d.Segments {
+		if in(i) {
+			n := 0.0
+			for k, v := range d.Services {
+				if !v.Plain {
+					n += float64(r.Board.Cell(i, k).Offered)
+				}
+			}
+			weight += n
+			sum += n * b.Changing[i]
+		}
+	}
+	if weight == 0 {
+		return 1, b.Fixed
+	}
+	return sum / weight, b.Fixed
+}
+
+// Median of some values; 0 for none.
+func Median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	v := append([]float64{}, values...)
+	sort.Float64s(v)
+	m := len(v) / 2
+	if len(v)%2 == 1 {
+		return v[m]
+	}
+	return (v[m-1] + v[m]) / 2
+}
+
+// Table writes rows for people.
+func Table(w io.Writer, rows []Row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "deployment\tpolicy\tshift\tgoodput\tlow\thigh\ttokens/s\tchanges\thindsight\t")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.3f\t\n",
+			r.Deployment, r.Policy, r.Shift, r.Goodput, r.Low, r.High, r.Tokens, r.Changes, r.Hindsight)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
+
+// CSV writes rows for programs.
+func CSV(w io.Writer, rows []Row) error {
+	c := csv.NewWriter(w)
+	f := func(v float64) string { return strconv.FormatFloat(v, 'f', 4, 64) }
+	_ = c.Write([]string{"deployment", "policy", "shift", "goodput", "low", "high", "tokens", "changes", "hindsight", "fixed"})
+	for _, r := range rows {
+		_ = c.Write([]string{
+			r.Deployment, r.Policy, r.Shift, f(r.Goodput), f(r.Low), f(r.High), f(r.Tokens), f(r.Changes), f(r.Hindsight), f(r.Fixed),
+		})
+	}
+	c.Flush()
+	if err := c.Error(); err != nil {
+		return fmt.Errorf("write CSV: %w", err)
+	}
+	return nil
+}
+
+// Details writes latencies by service and the reasons of refusals and retries.
+func Details(w io.Writer, r *bench.Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintf(t, "%s under %s, seed %d\n", r.Deployment.Name, r.Policy.Name, r.Seed)
+	_, _ = fmt.Fprintln(t, "shift\tservice\toffered\tgood\trefused\ttold\tfailed\tcut\twrong\tfirst p50\tp95\tp99\tbetween p50\tp95\tp99\trefusal p99\t")
+	for i, s := range r.Deployment.Segments {
+		for k, v := range r.Deployment.Services {
+			c := r.Board.Cell(i, k)
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t\n", s.Name, v.Name, c.Offered, c.Good, c.Refused, c.Told,
+				c.Failed, c.Cut, c.Wrong, quantiles(c.First), quantiles(c.Between), millis(c.Refusal, 99))
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write details: %w", err)
+	}
+	_, err := fmt.Fprintf(w, "changes %d, conflicts %d, cut by orders %d, sent late p99 %s ms\n%s", len(r.Changes), r.Conflicts, r.CutByOrder,
+		millis(r.Board.Late(), 99), reasons(r))
+	if err != nil {
+		return fmt.Errorf("write details: %w", err)
+	}
+	return nil
+}
+
+func quantiles(h *hdrhistogram.Histogram) string {
+	return millis(h, 50) + "\t" + millis(h, 95) + "\t" + millis(h, 99)
+}
+
+func millis(h *hdrhistogram.Histogram, q float64) string {
+	if h.TotalCount() == 0 {
+		return "-"
+	}
+	return strconv.FormatFloat(float64(h.ValueAtQuantile(q))/1000, 'f', 1, 64)
+}
+
+// reasons lists the counters of refusals, retries and streams.
+func reasons(r *bench.Result) string {
+	var lines []string
+	for name, v := range r.Counters {
+		for _, prefix := range []string{"refused", "retry", "attempt", "stream", "event"} {
+			if strings.HasPrefix(name, prefix) && v > 0 {
+				lines = append(lines, fmt.Sprintf("  %s %d\n", name, v))
+			}
+		}
+	}
+	for code, n := range r.Board.Codes() {
+		lines = append(lines, fmt.Sprintf("  caller saw %s %d\n", code, n))
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, "")
+}
