entryd: bound load reports a second from all engines together

The time between two reports of one engine now grows with the engines used, so that all together stay within route.polls (60 by default: no change up to 12 engines). Own sends since the last report fill the gap, as before. Ruled out: a smaller subset, which costs hits in the prefix cache, and passing reports on through the tree, which carries each to everybody.

--- a/entryd/poll/poll.go
+++ b/entryd/poll/poll.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -33,6 +34,7 @@
 // Settings shape the polls.
 type Settings struct {
 	Period  time.Duration
+	Rate    int // reports a second, from all engines together
 	Timeout time.Duration
 	Policy  route.Policy
 }
@@ -45,6 +47,7 @@
 	meter    *meter.Registry
 	clock    clock.Clock
 	group    sync.WaitGroup
+	used     atomic.Int64 // engines that are polled
 }
 
 // New returns polls that don't run yet.
@@ -64,6 +67,7 @@
 		for _, e := range p.guide.Used() {
 			k := key{e.Name, e.URL}
 			used[k] = true
+			p.used.Store(int64(len(used)))
 			if running[k] != nil {
 				continue
 			}
@@ -91,10 +95,11 @@
 
 func (p *Poll) follow(ctx context.Context, e state.Engine) {
 	defer p.group.Done()
-	t := time.NewTicker(p.settings.Period)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	failed, since := 0, uint64(0)
 	for {
+		t.Reset(Pause(p.settings.Period, p.settings.Rate, int(p.used.Load())))
 		if err := p.load(ctx, e); err != nil {
 			failed++
 			p.meter.Count("poll", "failed")
@@ -119,6 +124,12 @@
 	}
 }
 
+// Pause returns the time between two reports of one engine, so that all used
+// engines together are not read more often than rate times a second.
+func Pause(period time.Duration, rate, used int) time.Duration {
+	return max(period, time.Second*time.Duration(used)/time.Duration(rate))
+}
+
 func (p *Poll) probe(e state.Engine, alive bool) {
 	if p.guide.Probe(p.clock.Now(), e.Name, alive) {
 		klog.InfoS("engine", "name", e.Name, "alive", alive)
--- /dev/null
+++ b/entryd/poll/poll_test.go
@@ -0,0 +1,16 @@
+package poll_test
+
+import (
+	"fmt"
+	"time"
+
+	"verbenahaven.example/entryd/poll"
+)
+
+func ExamplePause() {
+	fmt.Println(poll.Pause(200*time.Millisecond, 60, 12))
+	fmt.Println(poll.Pause(200*time.Millisecond, 60, 910))
+	// Output:
+	// 200ms
+	// 15.166666666s
+}
--- a/entryd/provide.go
+++ b/entryd/provide.go
@@ -82,7 +82,12 @@
 }
 
 func providePoll(s *setup.Settings) poll.Settings {
-	return poll.Settings{Period: time.Duration(s.Route.Report), Timeout: time.Duration(s.Retry.Silence), Policy: s.Route.Policy}
+	return poll.Settings{
+		Period:  time.Duration(s.Route.Report),
+		Rate:    s.Route.Polls,
+		Timeout: time.Duration(s.Retry.Silence),
+		Policy:  s.Route.Policy,
+	}
 }
 
 func provideQuota(
--- a/entryd/setup/setup.go
+++ b/entryd/setup/setup.go
@@ -50,6 +50,7 @@
 type Route struct {
 	Policy route.Policy  `toml:"policy"`
 	Report boot.Duration `toml:"report"`
+	Polls  int           `toml:"polls"`
 	Stale  boot.Duration `toml:"stale"`
 	Fanout int           `toml:"fanout"`
 }
@@ -84,6 +85,7 @@
 		Route: Route{
 			Policy: route.PolicyCache,
 			Report: boot.Duration(200 * time.Millisecond),
+			Polls:  60,
 			Stale:  boot.Duration(10 * time.Second),
 			Fanout: 4,
 		},
@@ -125,6 +127,7 @@
 		span("body.read", s.Body.Read, 100*time.Millisecond, 10*time.Minute),
 		policy("route.policy", s.Route.Policy),
 		span("route.report", s.Route.Report, 10*time.Millisecond, time.Minute),
+		between("route.polls", s.Route.Polls, 1, 10000),
 		span("route.stale", s.Route.Stale, 100*time.Millisecond, time.Hour),
 		between("route.fanout", s.Route.Fanout, 1, 64),
 		between("retry.share", s.Retry.Share, 0, 1),
