trial: let the soak's planned changes matter

Roles are toggled now, streams last up to 2.1 s, and role changes come up more often. Answers that refuse commands are counted by code again, since keepd writes its error bodies on one line now.

--- a/trial/chaos/chaos.go
+++ b/trial/chaos/chaos.go
@@ -92,8 +92,8 @@
 	kind   Kind
 	weight int
 }{
-	{KillKeep, 3},
-	{PauseKeep, 3},
+	{KillKeep, 2},
+	{PauseKeep, 2},
 	{CutKeep, 2},
 	{CutKeepOut, 2},
 	{CutKeepIn, 2},
@@ -111,8 +111,8 @@
 	{Twice, 2},
 	{Short, 2},
 	{Lose, 2},
-	{Drain, 2},
-	{Assign, 2},
+	{Drain, 5},
+	{Assign, 12},
 	{Race, 4},
 }
 
--- a/trial/soak.go
+++ b/trial/soak.go
@@ -48,7 +48,7 @@
 	f.Float64Var(&c.minutes, "minutes", 0, "minutes after which no further seed is started")
 	f.DurationVar(&c.length, "length", time.Minute, "length of the run of one seed")
 	f.DurationVar(&c.gap, "gap", 400*time.Millisecond, "mean time between two faults")
-	f.IntVar(&c.callers, "callers", 12, "callers that stream completions")
+	f.IntVar(&c.callers, "callers", 20, "callers that stream completions")
 	f.IntVar(&c.filers, "filers", 4, "callers that make run-once calls")
 }
 
--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/trial/chaos"
 	"verbenahaven.example/trial/check"
 	"verbenahaven.example/trial/fleet"
@@ -96,7 +97,7 @@
 	case chaos.Drain:
 		r.command(ctx, planner, r.serial(f), "drain engine "+f.Target())
 	case chaos.Assign:
-		r.command(ctx, planner, r.serial(f), fmt.Sprintf("assign engine %s role %s", f.Target(), otherRole(f)))
+		r.command(ctx, planner, r.serial(f), fmt.Sprintf("assign engine %s role %s", f.Target(), r.otherRole(f.Target())))
 	case chaos.Race:
 		r.race(ctx, uint64(f.At()))
 	}
@@ -132,11 +133,16 @@
 	return uint64(f.At()) &^ 1
 }
 
-func otherRole(f chaos.Fault) string {
-	if f.At()%2 == 0 {
-		return "prefill"
+// otherRole returns the role that an engine didn't get last.
+func (r *run) otherRole(engine string) state.Role {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	role := state.RoleDecode
+	if r.roles[engine] == state.RoleDecode {
+		role = state.RolePrefill
 	}
-	return "decode"
+	r.roles[engine] = role
+	return role
 }
 
 // stopEntry stops an entry instance as planned: until it has ended, it must
--- a/trial/soak/load.go
+++ b/trial/soak/load.go
@@ -18,7 +18,7 @@
 	chatPause  = 40 * time.Millisecond
 	retryPause = 150 * time.Millisecond
 	fewTokens  = 20
-	moreTokens = 100
+	moreTokens = 400
 	longPrompt = 40 // words
 	tries      = 12
 	watchPause = 200 * time.Millisecond
--- a/trial/soak/operate.go
+++ b/trial/soak/operate.go
@@ -66,9 +66,9 @@
 		r.refused = make(map[string]int)
 	}
 	verb, _, _ := strings.Cut(text, " ")
-	_, code, _ := strings.Cut(err.Error(), `"code": "`)
-	code, _, _ = strings.Cut(code, `"`)
-	r.refused[verb+": "+code]++
+	_, code, _ := strings.Cut(err.Error(), `"code":`)
+	code, _, _ = strings.Cut(code, ",")
+	r.refused[verb+": "+strings.Trim(code, ` "`)]++
 }
 
 func (r *run) accept(a check.Accept) {
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"verbenahaven.example/core/conn/stand"
+	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/trial/chaos"
 	"verbenahaven.example/trial/check"
 	"verbenahaven.example/trial/fleet"
@@ -87,6 +88,7 @@
 	lives  map[string]int
 	taken  map[string]bool // targets under a fault
 	faults map[chaos.Kind]int
+	roles  map[string]state.Role // of each engine, as last assigned
 
 	refused map[string]int // answers to commands that were not accepted
 }
@@ -101,6 +103,10 @@
 	r := &run{
 		options: o, fleet: f, started: time.Now(),
 		lives: make(map[string]int), taken: make(map[string]bool), faults: make(map[chaos.Kind]int),
+		roles: make(map[string]state.Role),
+	}
+	for _, e := range engines() {
+		r.roles[e.Name] = e.Role
 	}
 	r.record.Force = forceLimit
 	r.load(ctx)
