quorum, disk: refuse malformed messages, fuzz the log

A peer of another version could have made a member panic: entries that don't follow each other broke an assertion that is meant for own faults. The shape of a message is checked before its group and term, refused and counted.

--- a/core/process/disk/disk_test.go
+++ b/core/process/disk/disk_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path"
 	"path/filepath"
 	"reflect"
 	"strings"
@@ -343,3 +344,26 @@
 	fmt.Println(err, s.Stored().Hard.Term)
 	// Output: <nil> 3
 }
+
+// FuzzLog gives the store any bytes as its log: it loads them or refuses.
+func FuzzLog(f *testing.F) {
+	m := newMemory()
+	if _, err := play(m, script()[:4]); err != nil {
+		f.Fatal(err)
+	}
+	log := m.find("log-")[0]
+	f.Add(m.files[log].data)
+	identity := m.files[folder+"/identity"].data
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m := newMemory()
+		for name, data := range map[string][]byte{"identity": identity, path.Base(log): b} {
+			m.files[folder+"/"+name] = &memoryFile{data: data, durable: data, owner: m}
+		}
+		_, cleanup, err := disk.Open(folder, options(m))
+		if err == nil {
+			cleanup()
+		} else if !errors.Is(err, disk.ErrDamaged) {
+			t.Fatal(err)
+		}
+	})
+}
--- a/core/process/node/loop.go
+++ b/core/process/node/loop.go
@@ -156,6 +156,8 @@
 		return "lost"
 	case errors.Is(err, quorum.ErrFull):
 		return "full"
+	case errors.Is(err, quorum.ErrMalformed):
+		return "malformed"
 	default:
 		return "change"
 	}
--- a/core/process/quorum/core.go
+++ b/core/process/quorum/core.go
@@ -301,7 +301,7 @@
 // addEntry appends to the log in memory and takes up a configuration.
 func (c *Core) addEntry(e Entry) {
 	c.log.append(e)
-	if e.Kind == EntryConfig && e.Config != nil {
+	if e.Kind == EntryConfig {
 		c.configs = append(c.configs, place(e.Index, *e.Config))
 	}
 }
--- a/core/process/quorum/event.go
+++ b/core/process/quorum/event.go
@@ -12,6 +12,7 @@
 	ErrBehind    = errors.New("the learner has not caught up")
 	ErrNoChange  = errors.New("nothing to change")
 	ErrLast      = errors.New("the last voter can't be removed")
+	ErrMalformed = errors.New("malformed message")
 )
 
 // Event is what happened to a member.
--- a/core/process/quorum/send.go
+++ b/core/process/quorum/send.go
@@ -31,6 +31,10 @@
 	if m.ToIdentity != c.settings.Identity {
 		return
 	}
+	if !wellFormed(m) {
+		c.actions = append(c.actions, Rejected{Reason: ErrMalformed})
+		return
+	}
 	if m.Group == "" || !c.join(m) {
 		return
 	}
@@ -50,6 +54,27 @@
 	}
 }
 
+// wellFormed checks what the handlers of a message rely on, so that a faulty
+// peer can't make this member break its assertions.
+func wellFormed(m Message) bool {
+	switch m.Kind {
+	case MessageAppend:
+		index, term := m.Index, m.LogTerm
+		for _, e := range m.Entries {
+			index++
+			if e.Index != index || e.Term < term || e.Term > m.Term || (e.Kind == EntryConfig) != (e.Config != nil) {
+				return false
+			}
+			term = e.Term
+		}
+		return true
+	case MessagePiece:
+		return m.Meta != nil && m.Meta.Size >= 0 && m.Offset >= 0 && m.Meta.Term <= m.Term
+	default:
+		return m.Offset >= 0
+	}
+}
+
 // join makes a new member take up the group of the first message that was
 // meant for its identity. Messages of other groups are ignored.
 func (c *Core) join(m Message) bool {
--- a/core/process/quorum/snap.go
+++ b/core/process/quorum/snap.go
@@ -80,9 +80,6 @@
 
 // takePiece collects a piece; the last one installs the snapshot.
 func (c *Core) takePiece(m Message) {
-	if m.Meta == nil {
-		return
-	}
 	if c.holds(*m.Meta) {
 		c.receive = receiving{}
 		c.reply(m, Message{Kind: MessageAppendReply, Index: m.Meta.Index, Sent: m.Sent, Round: m.Round})
