--- a/entryd/guide/guide.go
+++ b/entryd/guide/guide.go
@@ -5,10 +5,13 @@
 
 import (
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/request/route"
@@ -36,6 +39,7 @@
 // server and the count of what is in flight there: once a version has been
 // put in force, no request goes where that version forbids it.
 type Guide struct {
+	name   string
 	centre string
 
 	mutex    sync.Mutex
@@ -46,12 +50,14 @@
 	failed   map[string]time.Time
 	moves    map[string]map[string]mover // by engine and attempt
 	leaving  map[string]time.Time        // when an engine was first seen not to serve
+	listed   map[string]bool             // leaving by the platform's list
 	demand   map[string]*proto.Demand
 }
 
 // New returns a guide at version 0.
 func New(name, centre string, policy route.Policy) *Guide {
 	return &Guide{
+		name:     name,
 		centre:   centre,
 		snapshot: view.New().Current(),
 		router:   route.New(name, centre, policy),
@@ -72,7 +78,29 @@
 		panic("guide: version in force would go back")
 	}
 	g.snapshot = s
-	g.router.Update(s.Engines())
+	g.router.Update(g.engines())
+}
+
+// Listed takes the backend servers that the platform's list calls leaving.
+func (g *Guide) Listed(leaving map[string]bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if maps.Equal(g.listed, leaving) {
+		return
+	}
+	g.listed = leaving
+	g.router.Update(g.engines())
+}
+
+// engines returns the engines as they are to be used.
+func (g *Guide) engines() []state.Engine {
+	list := g.snapshot.Engines()
+	for i := range list {
+		if g.listed[list[i].Name] && list[i].Phase == state.PhaseServing {
+			list[i].Phase = state.PhaseLeaving
+		}
+	}
+	return list
 }
 
 // Sweep moves the streams that still run at engines which have been leaving
@@ -161,6 +189,9 @@
 }
 
 func (g *Guide) serving(name string) bool {
+	if g.listed[name] {
+		return false
+	}
 	if e, ok := g.snapshot.Engine(name); ok {
 		return e.Phase == state.PhaseServing
 	}
@@ -273,7 +304,7 @@
 	defer g.mutex.Unlock()
 	var near, far []state.Server
 	for _, s := range g.snapshot.Servers(service) {
-		if s.Phase != state.PhaseServing || contains(avoid, s.Name) || now.Before(g.failed[s.Name]) {
+		if !g.serving(s.Name) || contains(avoid, s.Name) || now.Before(g.failed[s.Name]) {
 			continue
 		}
 		if s.Centre == g.centre {
@@ -364,6 +395,23 @@
 	d.Decode += float64(decode)
 }
 
+// reporters is the number of instances that report one engine.
+const reporters = 3
+
+// reports tells whether this instance is among those that report an engine,
+// by rendezvous hashing: what the leader hears of an engine doesn't grow with
+// the number of instances.
+func (g *Guide) reports(engine string) bool {
+	own := xxhash.Sum64String(engine + "/" + g.name)
+	before := 0
+	for _, m := range g.snapshot.Entries() {
+		if m.Name != g.name && xxhash.Sum64String(engine+"/"+m.Name) < own {
+			before++
+		}
+	}
+	return before < reporters
+}
+
 // Digest returns demand and reports for a heartbeat after the given interval.
 func (g *Guide) Digest(passed time.Duration) ([]proto.Demand, []proto.Report) {
 	g.mutex.Lock()
@@ -379,6 +427,9 @@
 	used := g.router.Used()
 	reports := make([]proto.Report, 0, len(used))
 	for _, e := range used {
+		if !g.reports(e.Name) {
+			continue
+		}
 		l, _ := g.router.Load(e.Name)
 		r := proto.Report{
 			Engine: e.Name, At: l.At, Role: l.Role, Running: l.Running, Waiting: l.Waiting, Queue: l.Queue, Step: l.Step,
