keepd: tests of the leader's duties; order: no end while an engine changes

An order failed two minutes and a drain after it began, also while its engine was seen to carry it out; a slow load would have gone back into routing in the middle. The time counts from the last such sight now. The duties are tested on a log in memory: the list is only a hint, only the leader answers, peers speak for themselves, a lost command is never told as refused.

--- a/core/version/order/order.go
+++ b/core/version/order/order.go
@@ -76,7 +76,7 @@
 // task is the progress of one order under one leader.
 type task struct {
 	number  uint64
-	since   time.Duration
+	since   time.Duration // start of the task, or when the engine was last seen changing
 	quiet   time.Duration // before it, bytes sent earlier may still arrive
 	next    time.Duration // earliest next probe
 	waiting bool          // an action is being carried out
@@ -206,7 +206,10 @@
 func (m *Machine) probed(now time.Duration, k *task, t Target, r Result) (Action, bool) {
 	s := r.Status
 	switch {
-	case r.Failed || s.Changing:
+	case r.Failed:
+		return Action{}, false
+	case s.Changing:
+		k.since = now // however long that takes
 		return Action{}, false
 	case fulfils(s, t.Order):
 		k.waiting = true
--- a/core/version/order/sim_test.go
+++ b/core/version/order/sim_test.go
@@ -225,3 +225,33 @@
 	fmt.Println(m.Step(0, in)[0].Kind == order.ActionAdopt)
 	// Output: true
 }
+
+// An order isn't given up while its engine is seen to carry it out, but it is
+// when the engine doesn't answer any more.
+func TestLongChangeAndDeadEngine(t *testing.T) {
+	s := settings()
+	m := order.New(s)
+	o := state.Order{Number: 1, Engine: "e", Term: 1, Fence: 1, Role: state.RoleDecode}
+	target := order.Target{Order: o, Fenced: true, Settled: true}
+	in := order.Input{Term: 1, Remaining: time.Second, Open: []order.Target{target}}
+	changed := s.Drain + 2*s.Limit
+	closed := time.Duration(0)
+	for now := time.Duration(0); now < changed+2*s.Limit && closed == 0; now += tick {
+		for _, a := range m.Step(now, in) {
+			r := order.Result{Kind: a.Kind, Number: 1}
+			switch a.Kind {
+			case order.ActionClose:
+				closed = now
+			case order.ActionSend:
+				r.Order.Accepted = true
+			case order.ActionProbe:
+				r.Status.Changing = now > s.Pause
+				r.Failed = now > changed
+			}
+			m.Done(now, target, r)
+		}
+	}
+	if closed < changed+s.Limit || closed > changed+s.Drain+s.Limit+time.Second {
+		t.Fatalf("closed after %s, the engine was last seen after %s", closed, changed)
+	}
+}
--- /dev/null
+++ b/keepd/lead/fake_test.go
@@ -0,0 +1,119 @@
+package lead_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/process/node"
+	"verbenahaven.example/core/version/store"
+	"verbenahaven.example/keepd/conf"
+	"verbenahaven.example/keepd/lead"
+)
+
+// fakeLog is a group of one member in memory, whose lease tests take away.
+type fakeLog struct {
+	mutex sync.Mutex
+	store *store.Store
+	index uint64
+	term  uint64
+	lease time.Duration
+	fail  error
+}
+
+func (f *fakeLog) Propose(_ context.Context, command []byte) (any, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.fail != nil {
+		return nil, f.fail
+	}
+	f.index++
+	return f.store.Apply(f.index, command), nil
+}
+
+func (f *fakeLog) Barrier(context.Context) error { return nil }
+
+func (f *fakeLog) Status() node.Status {
+	return node.Status{Name: "keep1", Leader: "keep2", Role: node.RoleLeader}
+}
+
+func (f *fakeLog) Lease() (uint64, time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.term, f.lease
+}
+
+func (f *fakeLog) Change(context.Context, node.ChangeKind, string) error { return nil }
+
+func (f *fakeLog) set(term uint64, lease time.Duration, fail error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.term, f.lease, f.fail = term, lease, fail
+}
+
+// fakeClock moves when tests say so.
+type fakeClock struct {
+	mutex sync.Mutex
+	now   time.Duration
+}
+
+func (c *fakeClock) Now() time.Time { return time.Unix(1000, 0).Add(c.Elapsed()) }
+
+func (c *fakeClock) Elapsed() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.now
+}
+
+func (c *fakeClock) move(d time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.now += d
+}
+
+// bench is a leader under test.
+type bench struct {
+	*lead.Lead
+	log   *fakeLog
+	store *store.Store
+	clock *fakeClock
+	meter *meter.Registry
+}
+
+// newBench starts the duties of a leader with what edit makes of the defaults.
+func newBench(t *testing.T, edit func(*conf.Settings)) *bench {
+	t.Helper()
+	s := conf.Default()
+	s.Name, s.Peers, s.Plan.Policy = "keep1", map[string]string{"keep1": "", "keep2": ""}, "fixed"
+	if edit != nil {
+		edit(s)
+	}
+	b := &bench{store: store.New(), clock: &fakeClock{}, meter: meter.New()}
+	b.log = &fakeLog{store: b.store, term: 1, lease: time.Second}
+	b.Lead = lead.New(s, b.log, b.store, b.clock, b.meter)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.Serve(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	b.until(t, "the first account", func() bool { return len(b.store.View(0).Accounts) == 1 })
+	return b
+}
+
+func (b *bench) until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for range 1000 {
+		if f() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("no %s", what)
+}
