--- a/core/process/node/member.go
+++ b/core/process/node/member.go
@@ -47,7 +47,7 @@
 const snapshotBytes = 64 << 20
 
 // tickShare is the number of ticks in a heartbeat.
-const tickShare = 5
+const tickShare = 3
 
 // Node is a running member.
 type Node struct {
@@ -182,6 +182,7 @@
 		Batch:     quorum.DefaultBatch,
 		Window:    quorum.DefaultWindow,
 		Pending:   quorum.DefaultPending,
+		Waiting:   quorum.DefaultWaiting,
 		Piece:     quorum.DefaultPiece,
 	}
 }
@@ -198,7 +199,7 @@
 		if name == n.settings.Name {
 			continue
 		}
-		s := newSender(n, name, address, config)
+		s := newSender(n, address, config)
 		n.senders[name] = s
 		n.spawn(func() { s.run(ctx) })
 	}
--- a/core/process/quorum/lead.go
+++ b/core/process/quorum/lead.go
@@ -8,11 +8,12 @@
 		switch {
 		case c.role != RoleLeader || c.transfer.asked:
 			c.actions = append(c.actions, Rejected{ID: p.ID, Reason: ErrNotLeader})
-		case c.log.last()-c.commit >= uint64(c.settings.Pending):
+		case c.log.last()-c.commit >= uint64(c.settings.Pending) || c.open >= c.settings.Waiting:
 			c.actions = append(c.actions, Rejected{ID: p.ID, Reason: ErrFull})
 		default:
 			e := Entry{Index: c.log.last() + 1, Term: c.hard.Term, Kind: EntryCommand, Data: p.Data}
 			c.appendFresh(e)
+			c.open += len(e.Data)
 			c.actions = append(c.actions, Accepted{ID: p.ID, Index: e.Index, Term: e.Term})
 		}
 	}
@@ -44,7 +45,8 @@
 		c.fall(c.hard.Term, "")
 		return
 	}
-	if c.now >= c.beat {
+	// Ticks are coarse: a little early is better than a tick late.
+	if c.now+c.settings.Heartbeat/earlyShare >= c.beat {
 		c.heartbeat()
 	}
 	c.tryTransfer()
@@ -53,6 +55,9 @@
 	}
 }
 
+// earlyShare is the part of a heartbeat by which the next may come early.
+const earlyShare = 4
+
 // checkShare is the number of election timeouts without a majority after
 // which a leader gives up. Its lease ends earlier.
 const checkShare = 2
