keepd: look at all members only for those that leave

Each heartbeat sorted and compared all members to tell whether its sender's phase is known everywhere, which only leaving members ask: 231 us at 320 members, growing with their square over all heartbeats.

--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -75,7 +75,7 @@
 	Version uint64        `cbor:"1,keyasint"`
 	Lease   time.Duration `cbor:"2,keyasint"` // how long the member counts as alive
 	Phase   state.Phase   `cbor:"3,keyasint"` // the phase the state gives this member
-	Settled bool          `cbor:"4,keyasint"` // that phase is in force on all live members
+	Settled bool          `cbor:"4,keyasint"` // the phase leaving is in force on all live members
 }
 
 // OnceStep is a step of a call that must run at most once.
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -45,16 +45,12 @@
 	if err != nil {
 		return proto.BeatReply{}, err
 	}
-	settled, err := l.everywhere(known.Version)
-	if err != nil {
-		return proto.BeatReply{}, err
+	reply := proto.BeatReply{Version: l.store.Version(), Lease: time.Duration(l.settings.Member.Lease), Phase: known.Phase}
+	if known.Phase != state.PhaseLeaving {
+		return reply, nil // only those that leave wait for the others to know
 	}
-	return proto.BeatReply{
-		Version: l.store.Version(),
-		Lease:   time.Duration(l.settings.Member.Lease),
-		Phase:   known.Phase,
-		Settled: settled,
-	}, nil
+	reply.Settled, err = l.everywhere(known.Version)
+	return reply, err
 }
 
 // everywhere tells whether a version is in force on all live entry instances.
