--- a/core/version/ledger/prop_test.go
+++ b/core/version/ledger/prop_test.go
@@ -52,7 +52,7 @@
 		now := time.Unix(1000, 0)
 		a := ledger.New(ledger.Settings{Life: time.Hour, Bytes: 3600})
 		models := map[string]*model{}
-		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+		for range rapid.IntRange(100, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "pause")) * time.Millisecond)
 			key := fmt.Sprint("k", rapid.IntRange(0, 3).Draw(t, "key"))
 			n := rapid.IntRange(0, 4).Draw(t, "attempt")
--- a/core/version/state/prop_test.go
+++ b/core/version/state/prop_test.go
@@ -86,7 +86,7 @@
 		a, b := state.New(), state.New()
 		delta := &reader{}
 		var version, fence, number uint64
-		for index := uint64(1); index <= uint64(rapid.IntRange(1, 120).Draw(t, "steps")); index++ {
+		for index := uint64(1); index <= uint64(rapid.IntRange(60, 200).Draw(t, "steps")); index++ {
 			kind, name := rapid.IntRange(0, 13).Draw(t, "kind"), fmt.Sprint("e", rapid.IntRange(0, 3).Draw(t, "name"))
 			n := uint64(rapid.IntRange(1, 200).Draw(t, "number"))
 			at := time.Unix(int64(rapid.IntRange(0, 2000).Draw(t, "at")), 5).UTC()
