--- a/trial/proof/answer_load_test.go
+++ b/trial/proof/answer_load_test.go
@@ -179,3 +179,28 @@
 	pages, _ := strconv.Atoi(strings.Fields(string(raw))[1])
 	return pages * os.Getpagesize()
 }
+
+// BenchmarkIdle reports what an entry instance uses without requests, by the
+// number of engines whose reports it reads.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{1, 24} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				engines := wide()[:1]
+				for i := 1; i < n; i++ {
+					e := engines[0]
+					e.Name = fmt.Sprint("engine", i+1)
+					engines = append(engines, e)
+				}
+				s := startSite(b, fleet.Options{Entries: 1, Engines: engines})
+				pid := s.Entries()[0].PID()
+				time.Sleep(time.Second)
+				before := processorTime(b, pid)
+				time.Sleep(loadTime)
+				used := processorTime(b, pid) - before
+				b.ReportMetric(used.Seconds()/loadTime.Seconds(), "cores")
+				b.ReportMetric(float64(memory(b, pid))/(1<<20), "rss-MB")
+			}
+		})
+	}
+}
