entryd: spread equal requests once one of them succeeded

Engines are drawn by the fingerprint of a request, so that a request which crashes engines meets the same two through any instance. A thousand equal questions met the same two as well. What succeeded here not long ago is now drawn by the request itself. Ruled out: adding chance for all, which gives the bound up; counting equal requests in flight, which does so for a caller that sends many copies at once.

--- a/core/request/strike/strike_test.go
+++ b/core/request/strike/strike_test.go
@@ -108,3 +108,19 @@
 		}
 	}
 }
+
+func TestProvedKeepsTheLastSuccesses(t *testing.T) {
+	const room = 8
+	p := strike.NewProved(room)
+	for i := range 100 {
+		p.Add(fmt.Sprint(i))
+		for j := range i + 1 {
+			if has := p.Has(fmt.Sprint(j)); (j > i-room && !has) || (j <= i-2*room && has) {
+				t.Fatalf("after %d successes: %d is remembered: %v", i+1, j, has)
+			}
+		}
+	}
+	if p.Forget("99"); p.Has("99") {
+		t.Fatal("not forgotten")
+	}
+}
--- a/entryd/infer/carry.go
+++ b/entryd/infer/carry.go
@@ -80,6 +80,7 @@
 	if err := c.judge(); err != nil {
 		return err
 	}
+	c.draw()
 	if err := c.admit(); err != nil {
 		return err
 	}
@@ -102,6 +103,16 @@
 	return nil
 }
 
+// draw sets what the engines are drawn by: the fingerprint, so that copies of
+// a request which may crash engines meet the same ones. Requests that are
+// known to succeed are spread, however many equal ones there are.
+func (c *carrying) draw() {
+	c.ask.Fingerprint = c.call.Fingerprint
+	if !c.suspect && c.strikes.Proved(c.call.Fingerprint) {
+		c.ask.Fingerprint = c.call.ID
+	}
+}
+
 func struckOut(left time.Duration) error {
 	return fault.New(fault.CodeStrikes, "engines were lost while they ran this request; it is refused until the strikes run out").
 		Retry(left).Ran(once.RanYes)
@@ -178,6 +189,7 @@
 }
 
 func (c *carrying) finish(l *guide.Lease) {
+	c.strikes.Succeeded(c.call.Fingerprint)
 	c.success(l.Plan.Prefill.Name, l.Plan.Decode.Name)
 	if c.suspect || c.pledged != "" {
 		c.strikes.Clear(c.call.Fingerprint)
@@ -187,6 +199,7 @@
 // choose picks engines; a suspect needs a pledge for them.
 func (c *carrying) choose(ctx context.Context) (*guide.Lease, error) {
 	c.ask.Request, c.ask.Suspect = c.attemptID(), c.suspect
+	c.draw()
 	l, err := c.guide.Weigh(c.clock.Now(), &c.ask)
 	if c.serial > 1 {
 		c.call.Record.Decided(l.Decision)
--- a/entryd/infer/strikes.go
+++ b/entryd/infer/strikes.go
@@ -17,6 +17,7 @@
 	strikeLife    = 10 * time.Minute
 	strikeTimeout = 1500 * time.Millisecond
 	clearRoom     = 1024
+	provedRoom    = 4096
 )
 
 // Strikes shares strikes with the other instances. Where the shared record
@@ -28,8 +29,9 @@
 	limit  int
 	clears chan string
 
-	mutex sync.Mutex
-	table *strike.Table
+	mutex  sync.Mutex
+	table  *strike.Table
+	proved *strike.Proved
 }
 
 // NewStrikes returns an empty record.
@@ -40,6 +42,7 @@
 		limit:  limit,
 		clears: make(chan string, clearRoom),
 		table:  strike.NewTable(limit, strikeLife),
+		proved: strike.NewProved(provedRoom),
 	}
 }
 
@@ -51,6 +54,20 @@
 	return s.table.Judge(now, fingerprint, shared, known)
 }
 
+// Proved reports whether an equal request succeeded here not long ago.
+func (s *Strikes) Proved(fingerprint string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.proved.Has(fingerprint)
+}
+
+// Succeeded remembers that a request succeeded.
+func (s *Strikes) Succeeded(fingerprint string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.proved.Add(fingerprint)
+}
+
 // Lost records that an engine was lost with the request aboard.
 func (s *Strikes) Lost(ctx context.Context, now time.Time, fingerprint, engine string) {
 	s.meter.Count("strike", "lost")
@@ -67,6 +84,7 @@
 
 func (s *Strikes) record(ctx context.Context, now time.Time, fingerprint, engine string) (own, shared []string) {
 	s.mutex.Lock()
+	s.proved.Forget(fingerprint)
 	own = s.table.Add(now, fingerprint, engine)
 	s.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, strikeTimeout)
