entryd: give no work to backend servers after a pause, until the state is fresh

A request that was taken before the instance was paused could reach a server that had left meanwhile: only arriving requests were checked. The check now stands where work is given out, under the lock that also covers the choice. The proof pauses an instance under calls while a server leaves.

--- a/entryd/guide/guide.go
+++ b/entryd/guide/guide.go
@@ -22,6 +22,10 @@
 // ErrNone tells that no server of a plain service can take a call.
 var ErrNone = errors.New("no server can take the call")
 
+// ErrStale tells that this instance can't know which backend servers are
+// leaving, and must not give them work.
+var ErrStale = errors.New("cut off from all other instances")
+
 // dead is how long a plain server that failed is avoided.
 const dead = time.Second
 
@@ -43,6 +47,7 @@
 	centre string
 
 	mutex    sync.Mutex
+	guard    func() bool
 	snapshot *view.Snapshot
 	router   *route.Router
 	pending  map[uint64]int // requests by the version they began under
@@ -59,6 +64,7 @@
 	return &Guide{
 		name:     name,
 		centre:   centre,
+		guard:    func() bool { return true },
 		snapshot: view.New().Current(),
 		router:   route.New(name, centre, policy),
 		pending:  make(map[uint64]int),
@@ -70,6 +76,14 @@
 	}
 }
 
+// Guard sets what must hold whenever work is given to a backend server: also
+// when this instance was paused after it took a request.
+func (g *Guide) Guard(f func() bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.guard = f
+}
+
 // Enforce puts a newer version in force.
 func (g *Guide) Enforce(s *view.Snapshot) {
 	g.mutex.Lock()
@@ -216,6 +230,9 @@
 func (g *Guide) Weigh(now time.Time, a *route.Ask) (*Lease, error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if !g.guard() {
+		return &Lease{guide: g}, ErrStale
+	}
 	return g.pick(now, a)
 }
 
@@ -239,7 +256,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	p := &l.Plan
-	if !g.serving(p.Decode.Name) || (p.Split() && !g.serving(p.Prefill.Name)) {
+	if !g.guard() || !g.serving(p.Decode.Name) || (p.Split() && !g.serving(p.Prefill.Name)) {
 		return false
 	}
 	l.attempt = attempt
@@ -302,6 +319,9 @@
 func (g *Guide) Server(now time.Time, service string, avoid []string) (state.Server, func(), error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if !g.guard() {
+		return state.Server{}, nil, ErrStale
+	}
 	var near, far []state.Server
 	for _, s := range g.snapshot.Servers(service) {
 		if !g.serving(s.Name) || contains(avoid, s.Name) || now.Before(g.failed[s.Name]) {
--- a/entryd/infer/carry.go
+++ b/entryd/infer/carry.go
@@ -147,6 +147,9 @@
 }
 
 func refusal(err error) error {
+	if errors.Is(err, guide.ErrStale) {
+		return fault.New(fault.CodeStale, err.Error()).Retry(backendRetry)
+	}
 	if errors.Is(err, route.ErrNone) {
 		return fault.New(fault.CodeBackend, err.Error()).Retry(backendRetry)
 	}
@@ -159,7 +162,8 @@
 		c.serial++
 		l, err := c.choose(ctx)
 		if err != nil {
-			if !errors.Is(err, route.ErrNone) || !c.again(ctx) {
+			none := errors.Is(err, route.ErrNone) || errors.Is(err, guide.ErrStale)
+			if !none || !c.again(ctx) {
 				return refusal(err)
 			}
 			continue
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -104,6 +104,9 @@
 	var avoid []string
 	for number := 1; ; number++ {
 		v, back, err := s.guide.Server(s.clock.Now(), c.Service.Name, avoid)
+		if errors.Is(err, guide.ErrStale) {
+			return Answer{}, fault.New(fault.CodeStale, err.Error()).Retry(backendRetry)
+		}
 		if err != nil {
 			return Answer{}, fault.New(fault.CodeBackend, "no server of "+c.Service.Name+" is serving").Retry(backendRetry)
 		}
--- a/entryd/watch/watch.go
+++ b/entryd/watch/watch.go
@@ -64,6 +64,7 @@
 	s Settings, v *view.Store, k proto.Keeper, g *guide.Guide, t *tls.Config, m *meter.Registry, c clock.Clock,
 ) (*Watch, func()) {
 	w := &Watch{settings: s, store: v, keeper: k, guide: g, meter: m, clock: c, peers: newPeers(t)}
+	g.Guard(func() bool { return !w.Isolated(c.Elapsed()) })
 	return w, w.peers.close
 }
 
--- a/trial/proof/stop_test.go
+++ b/trial/proof/stop_test.go
@@ -244,3 +244,35 @@
 		t.Errorf("a server that left ran %d calls of an instance without control", n)
 	}
 }
+
+// P7: an instance that was paused while a server left gives it no work when it
+// goes on, not even the requests that it had taken before.
+func TestStopReachesAnInstanceThatWasPaused(t *testing.T) {
+	s := startSite(t, fleet.Options{Entries: 2, Plains: lookups()})
+	var group sync.WaitGroup
+	ask := func() {
+		defer group.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+		defer cancel()
+		_, _ = s.caller.Once(ctx, s.Entries()[0].URL(), caller.Call{Service: "lookup", Path: "x", Body: "x"})
+	}
+	burst := func() {
+		for range 40 {
+			group.Add(1)
+			go ask()
+			time.Sleep(time.Millisecond)
+		}
+	}
+	burst()
+	s.Entries()[0].Pause()
+	burst()
+	s.run(t, "drain server lookup1")
+	time.Sleep(4500 * time.Millisecond)
+	begin := time.Now()
+	s.Entries()[0].Resume()
+	burst()
+	group.Wait()
+	if n := s.count(t, "lookup1", stand.RecordRun, begin); n > 0 {
+		t.Errorf("a server that left ran %d calls", n)
+	}
+}
