entryd: script the refusals in a data file

The table of refusals in the test is now read from testdata/refusals, where operators can see each code with its status and what it says of the call. What is given out while cut off from all others has a test of its own, since a pause between the check of an arriving request and the choice is too short to bring about with processes.

--- a/entryd/front/front_test.go
+++ b/entryd/front/front_test.go
@@ -7,11 +7,14 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/datadriven"
+
 	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/conn/stream"
 	"verbenahaven.example/core/version/state"
@@ -230,55 +233,59 @@
 		{Name: "entry2", Kind: state.MemberEntry, URL: "http://b", Centre: "south", Phase: state.PhaseLeaving},
 	}
 	b := newBench(t, v)
-	const path = "/v1/chat/completions"
-	cases := []struct {
-		code    string
-		path    string
-		body    string
-		headers []string
-	}{
-		{"bad_json", path, "{", nil},
-		{"bad_request", path, `{"model":"counter"}`, nil},
-		{"unknown_model", path, `{"model":"x","messages":[{"role":"user"}]}`, nil},
-		{"no_backend", path, `{"model":"away","messages":[{"role":"user"}]}`, nil},
-		{"body_too_large", path, strings.Repeat(" ", 1<<16+1), nil},
-		{"not_authenticated", path, chat, []string{"Authorization", "Bearer other"}},
-		{"bad_request", path, chat, []string{"Deadline", "soon"}},
-		{"deadline", path, chat, []string{"Deadline", "2001-01-01T00:00:00Z"}},
-		{"missing_key", "/s/permit/x", "{}", nil},
-		{"unsent", "/s/permit/x", "{}", []string{"Idempotency-Key", "k"}},
-		{"unknown_service", "/s/other/x", "{}", nil},
-		{"unknown_path", "/v2", "", nil},
-		{"bad_method", "/address", "", nil},
-	}
-	for _, c := range cases {
-		t.Run(c.code, func(t *testing.T) {
-			a := b.ask(t, http.MethodPost, c.path, c.body, c.headers...)
-			var got struct {
-				Error struct {
-					Code  string
-					Ran   string
-					Retry int64 `json:"retry_after_ms"`
-				}
-			}
-			if err := json.NewDecoder(a.Body).Decode(&got); err != nil {
+	datadriven.RunTest(t, "testdata/refusals", func(t *testing.T, d *datadriven.TestData) string {
+		return refusal(t, b, d)
+	})
+	a := b.ask(t, http.MethodGet, "/address", "")
+	if body, _ := io.ReadAll(a.Body); !strings.Contains(string(body), `[{"url":"http://a","centre":"north"}],"life_ms":1000`) {
+		t.Fatalf("address answer %s", body)
+	}
+}
+
+// refusal sends the request of a script and tells how it was refused.
+func refusal(t *testing.T, b *bench, d *datadriven.TestData) string {
+	path, body := "/v1/chat/completions", d.Input
+	var headers []string
+	for _, a := range d.CmdArgs {
+		switch a.Key {
+		case "path":
+			path = a.Vals[0]
+		case "blanks":
+			n, err := strconv.Atoi(a.Vals[0])
+			if err != nil {
 				t.Fatal(err)
 			}
-			if got.Error.Code != c.code || got.Error.Ran != "not_run" || a.StatusCode < 400 {
-				t.Fatalf("got status %d, %+v", a.StatusCode, got)
+			body = strings.Repeat(" ", n)
+		case "fields":
+			for i := range 101 {
+				headers = append(headers, fmt.Sprint("X-", i), "x")
 			}
-			if (a.Header.Get("Retry-After") != "") != (got.Error.Retry > 0) {
-				t.Fatalf("Retry-After is %q, body has %d ms", a.Header.Get("Retry-After"), got.Error.Retry)
-			}
-			if b.meter.Value("refused", c.code) == 0 {
-				t.Fatal("not counted")
-			}
-		})
+		default:
+			headers = append(headers, a.Key, a.Vals[0])
+		}
 	}
-	a := b.ask(t, http.MethodGet, "/address", "")
-	if body, _ := io.ReadAll(a.Body); !strings.Contains(string(body), `[{"url":"http://a","centre":"north"}],"life_ms":1000`) {
-		t.Fatalf("address answer %s", body)
+	a := b.ask(t, d.Cmd, path, body, headers...)
+	var got struct {
+		Error struct {
+			Code  string
+			Ran   string
+			Retry int64 `json:"retry_after_ms"`
+		}
+	}
+	if err := json.NewDecoder(a.Body).Decode(&got); err != nil {
+		t.Fatal(err)
+	}
+	if (a.Header.Get("Retry-After") != "") != (got.Error.Retry > 0) {
+		t.Fatalf("Retry-After is %q, body has %d ms", a.Header.Get("Retry-After"), got.Error.Retry)
+	}
+	if b.meter.Value("refused", got.Error.Code) == 0 {
+		t.Fatalf("%s: not counted", got.Error.Code)
+	}
+	text := fmt.Sprintf("%d %s %s", a.StatusCode, got.Error.Code, got.Error.Ran)
+	if got.Error.Retry > 0 {
+		text += ", come back later"
 	}
+	return text
 }
 
 func TestSlowBodyIsRefused(t *testing.T) {
--- a/entryd/guide/guide_test.go
+++ b/entryd/guide/guide_test.go
@@ -145,3 +145,34 @@
 		t.Fatal("not moved")
 	}
 }
+
+// What was chosen while the state was fresh isn't given any more once it
+// isn't.
+func TestNothingIsGivenWhileCutOff(t *testing.T) {
+	g, store := guide.New("entry1", "north", route.PolicyCache), view.New()
+	if err := store.Apply(state.View{
+		Version: 1,
+		Engines: []state.Engine{{Name: "e1", Model: "spec", Role: state.RoleMixed, Phase: state.PhaseServing}},
+		Servers: []state.Server{{Name: "s1", Service: "lookup", Phase: state.PhaseServing}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	g.Enforce(store.Current())
+	fresh := true
+	g.Guard(func() bool { return fresh })
+	now, ask := time.Unix(1_000_000, 0), route.Ask{Model: "spec", Fingerprint: "x", Tokens: 10}
+	l, err := g.Weigh(now, &ask)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh = false
+	if g.Use(now, "a", &ask, l, func() {}) {
+		t.Error("an engine was given")
+	}
+	if _, err := g.Weigh(now, &ask); !errors.Is(err, guide.ErrStale) {
+		t.Errorf("engines were chosen: %v", err)
+	}
+	if _, _, err := g.Server(now, "lookup", nil); !errors.Is(err, guide.ErrStale) {
+		t.Errorf("a server was given: %v", err)
+	}
+}
