plan: trust capacity less when requests are refused against the prediction

On Split the planner stopped moving engines once prompts were cached: it was told 85k prompt tokens a second while the engines, which had evicted much of what was expected, computed more and dossiers were refused. It now lowers its trust in the busier phase while requests are refused although it predicts that all are served. Slices of the window are three in place of six: at 32 dossiers a second, slices of 0.6 s were too noisy to agree.

--- a/core/version/plan/goodput.go
+++ b/core/version/plan/goodput.go
@@ -8,12 +8,12 @@
 )
 
 // Shape of the observation before a change, in shares of the horizon. A move
-// must have been right in each slice of the window. Any swing between two
-// demands that is shorter than the horizon shows its other half for at least
-// two slices, so it is never followed.
+// must have been right in each slice of the window. Any even swing between
+// two demands that is shorter than the horizon shows its other half for at
+// least most of a slice, so it is never followed. Fewer slices are less noisy.
 const (
 	windowShare = 0.75
-	slices      = 6
+	slices      = 3
 	awayShare   = 0.1 // first guess of the time away
 )
 
@@ -29,6 +29,7 @@
 type memory struct {
 	window window
 	pace   pace
+	trust  trust
 }
 
 func newGoodput(s Settings) *goodputPolicy {
@@ -64,7 +65,7 @@
 	m, ok := g.models[f.model]
 	if !ok {
 		length := time.Duration(windowShare * float64(g.settings.Horizon))
-		m = &memory{window: window{length: length}}
+		m = &memory{window: window{length: length}, trust: trust{prefill: 1, decode: 1}}
 		g.models[f.model] = m
 	}
 	for _, e := range f.engines {
@@ -73,10 +74,14 @@
 	var loads []load
 	for _, d := range demand {
 		if d.Model == f.model {
-			loads = append(loads, load{d.Service, d.Class, d.Requests, d.Prefill, d.Decode})
+			loads = append(loads, load{d.Service, d.Class, d.Requests, d.Prefill, d.Decode, d.Refused})
 		}
 	}
 	m.window.add(now, loads)
+	recent, ok := m.window.mean(now.Add(-m.window.length/slices), now)
+	if ok {
+		m.trust.learn(g.capacity(f, m, Engine{}, ""), recent)
+	}
 }
 
 func (g *goodputPolicy) choose(now time.Time, f fleet) (Choice, bool) {
@@ -121,8 +126,8 @@
 	return Choice{
 		Engine: e.Name,
 		Role:   to,
-		Saw: fmt.Sprintf("model %s: %s; %d prefill, %d decode, %d mixed engines",
-			f.model, describe(loads), f.count(state.RolePrefill), f.count(state.RoleDecode), f.count(state.RoleMixed)),
+		Saw: fmt.Sprintf("model %s: %s; trust prefill %.2f, decode %.2f; %d prefill, %d decode, %d mixed engines",
+			f.model, describe(loads), m.trust.prefill, m.trust.decode, f.count(state.RolePrefill), f.count(state.RoleDecode), f.count(state.RoleMixed)),
 		Weighed: fmt.Sprintf("gain %.1f requests in %s against cost %.1f (away %.1f, cache %.1f, waiting %.1f, price %.1f)",
 			gain, g.settings.Horizon, cost, lost, warm, waiting, price),
 		Reason: fmt.Sprintf("goodput %.1f/s as %s, %.1f/s as %s", current, from, changed, to),
@@ -140,7 +145,7 @@
 		if x.Name == e.Name {
 			r = role
 		}
-		prefill, decode := prefillRate(x), m.pace.rate(batchLimit(x))
+		prefill, decode := m.trust.prefill*prefillRate(x), m.trust.decode*m.pace.rate(batchLimit(x))
 		switch r {
 		case state.RolePrefill:
 			c.prefill += prefill
--- a/core/version/plan/window.go
+++ b/core/version/plan/window.go
@@ -14,6 +14,7 @@
 	requests float64
 	prefill  float64
 	decode   float64
+	refused  float64
 }
 
 type sample struct {
@@ -62,6 +63,7 @@
 			sum.requests += l.requests
 			sum.prefill += l.prefill
 			sum.decode += l.decode
+			sum.refused += l.refused
 			sums[l.service] = sum
 		}
 	}
@@ -70,6 +72,7 @@
 		l.requests /= n
 		l.prefill /= n
 		l.decode /= n
+		l.refused /= n
 		loads = append(loads, l)
 	}
 	sort.Slice(loads, func(i, k int) bool {
--- a/trial/bench/run.go
+++ b/trial/bench/run.go
@@ -23,6 +23,7 @@
 	Board      *score.Board
 	Changes    []Change
 	Counters   map[string]int64 // of the entry instances, summed
+	Decisions  [][]string       // as an operator sees them
 	Conflicts  int
 	CutByOrder int // streams that engines report as cut
 }
--- a/trial/demand/demand.go
+++ b/trial/demand/demand.go
@@ -92,7 +92,7 @@
 
 // Make draws Poisson arrivals.
 func Make(services []Service, segments []Segment, seed int64) []Arrival {
-	var all []Arrival
+	all := make([]Arrival, 0, len(services)*len(segments))
 	start := time.Duration(0)
 	for i, s := range segments {
 		for k, v := range services {
