--- a/trial/check/check.go
+++ b/trial/check/check.go
@@ -53,6 +53,7 @@
 	Tokens []string
 	Whole  bool
 	Told   bool // an error body came
+	Code   string
 	Note   string
 }
 
--- a/trial/soak.go
+++ b/trial/soak.go
@@ -101,6 +101,9 @@
 	filings, answered := r.Filings()
 	fmt.Printf("soak: seed %d, %s: %d of %d chats whole, %d of %d filings answered, %d commands, %d orders, faults %s\n",
 		r.Seed(), r.Length().Round(time.Second), whole, chats, answered, filings, r.Commands(), r.Orders(), counts(r.Faults()))
+	for code, n := range r.Codes() {
+		fmt.Printf("soak: seed %d: completions refused %d times: %s\n", r.Seed(), n, code)
+	}
 	for answer, n := range r.Refused() {
 		fmt.Printf("soak: seed %d: refused %d times: %s\n", r.Seed(), n, strings.Join(strings.Fields(answer), " "))
 	}
--- a/trial/soak/load.go
+++ b/trial/soak/load.go
@@ -66,7 +66,7 @@
 	seen := check.Chat{
 		Entry: p.Name(), At: at, End: time.Now(), Model: model, Prompt: chat.Prompt + "\n", Seed: chat.Seed,
 		Want: chat.Tokens, Tokens: a.Tokens(), Whole: a.Whole() && a.Status() == statusOK && a.Code() == "",
-		Told: a.Code() != "", Note: fmt.Sprintf("status %d code %q error %v", a.Status(), a.Code(), err),
+		Told: a.Code() != "", Code: a.Code(), Note: fmt.Sprintf("status %d code %q error %v", a.Status(), a.Code(), err),
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -38,6 +38,7 @@
 	commands   int
 	refused    map[string]int
 	orders     int
+	codes      map[string]int
 	violations []check.Violation
 }
 
@@ -62,6 +63,9 @@
 // Refused returns how often each answer refused a command.
 func (r *Report) Refused() map[string]int { return r.refused }
 
+// Codes returns how many completions ended with each error code.
+func (r *Report) Codes() map[string]int { return r.codes }
+
 // Orders returns how many orders the engines executed.
 func (r *Report) Orders() int { return r.orders }
 
@@ -186,6 +190,7 @@
 	report := &Report{
 		seed: r.options.Seed, length: time.Since(r.started), faults: r.faults,
 		chats: len(r.record.Chats), filings: len(r.record.Filings), commands: len(r.record.Accepts), refused: r.refused,
+		codes:      make(map[string]int),
 		violations: r.record.Violations(),
 	}
 	for _, records := range r.record.Engines {
@@ -199,6 +204,9 @@
 		if c.Whole {
 			report.whole++
 		}
+		if c.Told {
+			report.codes[c.Code]++
+		}
 	}
 	for _, f := range r.record.Filings {
 		if last := f.Tries[len(f.Tries)-1]; last.Status == statusOK {
