--- a/core/version/state/prop_test.go
+++ b/core/version/state/prop_test.go
@@ -171,3 +171,30 @@
 	// 1 spec 2
 	// 0
 }
+
+// Removals are remembered for a while only: a reader from before gets a
+// snapshot, so that it doesn't keep what is gone.
+func TestReaderFromBeforeTheTombstones(t *testing.T) {
+	s := state.New()
+	index := uint64(0)
+	change := func(verb state.Verb, name string) {
+		index++
+		s.Advance(index, time.Unix(0, 0))
+		o := s.Update(state.Update{Operator: "ada", Number: index, Changes: []state.Change{{Verb: verb, Noun: state.NounModel, Name: name}}}, 1)
+		if o.Code != state.CodeAccepted {
+			t.Fatal(o)
+		}
+	}
+	change(state.VerbDeclare, "early")
+	early := s.Version()
+	for i := range 5000 {
+		change(state.VerbDeclare, fmt.Sprint("m", i))
+		change(state.VerbWithdraw, fmt.Sprint("m", i))
+	}
+	if v := s.View(early); v.Since != 0 || len(v.Models) != 1 {
+		t.Fatalf("reader at %d gets a delta since %d with %d models", early, v.Since, len(v.Models))
+	}
+	if v := s.View(s.Version() - 10); v.Since == 0 || len(v.Removed) != 5 {
+		t.Fatalf("recent reader: since %d, %d removed", v.Since, len(v.Removed))
+	}
+}
