route: spend the budget of short prompts when they are sent

The budget that lets decode engines prefill short prompts was spent by each choice, and a request is weighed once for admission and once more when it is sent, so half of the budget was lost. It is now spent by the send, with a debt where two choices met. Functions that nothing called are removed, and gaps in cache events are counted.

--- a/core/conn/pool/pool.go
+++ b/core/conn/pool/pool.go
@@ -131,21 +131,6 @@
 	}
 }
 
-// Keep discards the connections to backend servers that are no longer known.
-func (p *Pool) Keep(known func(host string) bool) {
-	p.mutex.Lock()
-	var gone []string
-	for name := range p.hosts {
-		if !known(name) {
-			gone = append(gone, name)
-		}
-	}
-	p.mutex.Unlock()
-	for _, name := range gone {
-		p.Discard(name)
-	}
-}
-
 func cause(ctx context.Context, err error) error {
 	if c := context.Cause(ctx); c != nil {
 		return fmt.Errorf("%w: %w", c, err)
--- a/core/request/answer/answer.go
+++ b/core/request/answer/answer.go
@@ -103,6 +103,3 @@
 
 // Text is the text delivered so far.
 func (a *Assembly) Text() string { return a.text.String() }
-
-// Finish is the reason that the last token gave.
-func (a *Assembly) Finish() string { return a.finish }
--- a/core/request/retry/retry.go
+++ b/core/request/retry/retry.go
@@ -88,12 +88,3 @@
 	b.tokens[destination] = n - 1
 	return true
 }
-
-// Keep forgets the destinations that are no longer known.
-func (b *Budgets) Keep(known func(destination string) bool) {
-	for name := range b.tokens {
-		if !known(name) {
-			delete(b.tokens, name)
-		}
-	}
-}
--- a/core/request/route/host.go
+++ b/core/request/route/host.go
@@ -150,13 +150,10 @@
 	at    time.Time
 }
 
-func (b *bucket) take(now time.Time, rate, limit, n float64) bool {
+// take spends n. More than there is leaves a debt.
+func (b *bucket) take(now time.Time, rate, limit, n float64) {
 	b.refill(now, rate, limit)
-	if b.level < n {
-		return false
-	}
 	b.level -= n
-	return true
 }
 
 func (b *bucket) refill(now time.Time, rate, limit float64) {
--- a/core/request/route/prefix.go
+++ b/core/request/route/prefix.go
@@ -40,19 +40,12 @@
 type Prefixes struct {
 	seq    uint64
 	pieces map[string]struct{}
-	gaps   int
 }
 
 // Seq is the number of the last event taken. The next page is asked for from
 // there.
 func (p *Prefixes) Seq() uint64 { return p.seq }
 
-// Gaps counts how often the index was dropped since events were missing.
-func (p *Prefixes) Gaps() int { return p.gaps }
-
-// Size is the number of pieces known.
-func (p *Prefixes) Size() int { return len(p.pieces) }
-
 // Take applies a page of events. After a gap everything known is dropped, and
 // Seq asks for the whole content anew: a piece whose removal was missed must
 // not attract requests.
@@ -83,7 +76,6 @@
 
 func (p *Prefixes) gap() {
 	p.pieces, p.seq = nil, 0
-	p.gaps++
 }
 
 func (p *Prefixes) apply(e engine.CacheEvent) {
--- a/core/request/route/route.go
+++ b/core/request/route/route.go
@@ -233,8 +233,14 @@
 		}
 		work = 0
 	}
-	if h := r.hosts[p.Decode.Name]; h != nil {
-		h.sends[id] = send{at: now, prefill: work, decode: true, first: a.First}
+	h := r.hosts[p.Decode.Name]
+	if h == nil {
+		return
+	}
+	h.sends[id] = send{at: now, prefill: work, decode: true, first: a.First}
+	if h.engine.Role == state.RoleDecode {
+		rate := h.rate() * shortShare
+		h.spent.take(now, rate, rate*shortBurst.Seconds()+shortPrompt, float64(work))
 	}
 }
 
@@ -282,11 +288,6 @@
 	if best.Decode.Phase != state.PhaseServing || (best.Split() && best.Prefill.Phase != state.PhaseServing) {
 		panic("route: chose an engine that isn't serving")
 	}
-	if !best.Split() && best.Decode.Role == state.RoleDecode {
-		h := r.hosts[best.Decode.Name]
-		rate := h.rate() * shortShare
-		h.spent.take(now, rate, rate*shortBurst.Seconds()+shortPrompt, float64(a.Tokens-best.Cached))
-	}
 	d.Prefill, d.Decode, d.First = best.Prefill.Name, best.Decode.Name, best.First
 	return best, d, nil
 }
--- a/core/request/route/route_test.go
+++ b/core/request/route/route_test.go
@@ -146,13 +146,17 @@
 	alone := 0
 	for i := range 100 {
 		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
-		p, _, err := r.Pick(now, &route.Ask{Model: "spec", Fingerprint: fmt.Sprint(i), Tokens: 500})
+		ask := route.Ask{Model: "spec", Fingerprint: fmt.Sprint(i), Tokens: 500}
+		p, _, err := r.Pick(now, &ask)
 		if err != nil {
 			t.Fatal(err)
 		}
+		r.Sent(now, fmt.Sprint(i), &ask, &p)
 		if !p.Split() {
 			alone++
 		}
+		r.Done(fmt.Sprint(i), p.Decode.Name)
+		r.Done(fmt.Sprint(i), p.Prefill.Name)
 	}
 	// 2,000 tokens a second for one second, and the burst of 1,400.
 	if alone < 5 || alone > 7 {
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -36,7 +36,6 @@
 	removed  map[state.Noun]map[string]uint64
 
 	digests  map[[sha256.Size]byte]string
-	byModel  map[string][]state.Engine
 	byServer map[string][]state.Server
 	entries  []state.Member
 }
@@ -132,9 +131,6 @@
 // Engines lists the engines by name.
 func (s *Snapshot) Engines() []state.Engine { return sorted(s.engines) }
 
-// EnginesOf lists the engines that run a model, in any phase, by name.
-func (s *Snapshot) EnginesOf(model string) []state.Engine { return s.byModel[model] }
-
 // Server returns a plain backend server by name.
 func (s *Snapshot) Server(name string) (state.Server, bool) {
 	v, ok := s.servers[name]
@@ -144,9 +140,6 @@
 // Servers lists the servers of a plain service, in any phase, by name.
 func (s *Snapshot) Servers(service string) []state.Server { return s.byServer[service] }
 
-// AllServers lists all servers of plain services by name.
-func (s *Snapshot) AllServers() []state.Server { return sorted(s.servers) }
-
 // Members lists all instances by name.
 func (s *Snapshot) Members() []state.Member { return sorted(s.members) }
 
@@ -189,10 +182,6 @@
 			s.digests[sum] = name
 		}
 	}
-	s.byModel = make(map[string][]state.Engine)
-	for _, e := range sorted(s.engines) {
-		s.byModel[e.Model] = append(s.byModel[e.Model], e)
-	}
 	s.byServer = make(map[string][]state.Server)
 	for _, v := range sorted(s.servers) {
 		s.byServer[v.Service] = append(s.byServer[v.Service], v)
--- a/entryd/poll/poll.go
+++ b/entryd/poll/poll.go
@@ -151,7 +151,11 @@
 		p.meter.Count("poll", "cache_failed")
 		return since
 	}
-	return p.guide.Cache(e.Name, page)
+	next := p.guide.Cache(e.Name, page)
+	if next == 0 && since != 0 {
+		p.meter.Count("cache", "gap")
+	}
+	return next
 }
 
 func get[T any](ctx context.Context, p *Poll, target string) (T, error) {
