plan, entryd: keep long drains from ruling out later changes

After a step down the planner never moved an engine again: prefill engines took 5 s to drain, so the learnt time away came near the horizon and left no time to gain in. A prefill engine counted as busy until the first token of its last request, which a decode engine full of the first class delays; it is now free once the decode engine answers, which it does after it has taken the KV cache over. And the learnt time away is bounded by a quarter of the horizon, since a draining engine still works. Lost cache knowledge was ruled out first: the planner's own trust did not fall.

--- a/core/conn/engine/engine.go
+++ b/core/conn/engine/engine.go
@@ -11,7 +11,7 @@
 
 // Paths of the engine interface.
 const (
-	PathChat     = "/v1/chat/completions" // POST Request, SSE of Event
+	PathChat     = "/v1/chat/completions" // POST Request, SSE of Event; the status comes once the KV cache of Handle was taken over
 	PathComplete = "/v1/completions"      // POST Request, SSE of Event
 	PathPrefill  = "/prefill"             // POST Request, Prefilled
 	PathExport   = "/kv/export"           // GET ?handle=, KV bytes; called by the importing engine
--- a/core/version/plan/goodput.go
+++ b/core/version/plan/goodput.go
@@ -15,6 +15,7 @@
 	windowShare = 0.75
 	slices      = 3
 	awayShare   = 0.1 // first guess of the time away
+	awayMost    = 0.25
 )
 
 // goodputPolicy orders a change only when the goodput that it is predicted to
@@ -39,6 +40,7 @@
 		away: away{
 			since: make(map[string]time.Time),
 			mean:  time.Duration(awayShare * float64(s.Horizon)),
+			most:  time.Duration(awayMost * float64(s.Horizon)),
 		},
 	}
 }
--- a/core/version/plan/pace.go
+++ b/core/version/plan/pace.go
@@ -57,10 +57,13 @@
 	return n / p.step(n)
 }
 
-// away learns how long a role change keeps an engine out of service.
+// away learns how long a role change keeps an engine out of service. A long
+// drain is work that is still done, so one change counts for no more than most:
+// otherwise a few drains of full queues would rule out every later change.
 type away struct {
 	since map[string]time.Time
 	mean  time.Duration
+	most  time.Duration
 }
 
 const awayWeight = 4 // a new value counts one in this many
@@ -74,7 +77,7 @@
 		case e.Phase != state.PhaseChanging && changing:
 			delete(a.since, e.Name)
 			if usable(e) {
-				a.mean += (now.Sub(start) - a.mean) / awayWeight
+				a.mean += (min(now.Sub(start), a.most) - a.mean) / awayWeight
 			}
 		}
 	}
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -113,7 +113,9 @@
 	defer func() { _ = a.Body.Close() }()
 	events := stream.NewReader(a.Body)
 	var held *engine.Event
-	for first := true; ; first = false {
+	// An engine answers once it has taken the KV cache over, before it decodes.
+	l.Prefilled()
+	for {
 		data, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			return &failure{reason: retry.ReasonCut, server: server, err: errCut, aboard: true}
@@ -122,9 +124,6 @@
 			return broken(ctx, server, err)
 		}
 		progress.Mark(c.clock.Now())
-		if first {
-			l.Prefilled()
-		}
 		if string(data) == engine.Done {
 			if !c.assembly.End() {
 				return &failure{reason: retry.ReasonCut, server: server, err: errCut, aboard: true}
--- /dev/null
+++ b/trial/bound/bound_test.go
@@ -0,0 +1,35 @@
+package bound
+
+import (
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/trial/demand"
+)
+
+// TestBound alternates between a demand of 3 prefill and 1 decode engines and
+// its opposite: changing roles serve all, a fixed split two thirds of each.
+func TestBound(t *testing.T) {
+	services := []demand.Service{
+		{Name: "long", Class: state.ClassBatch, Unique: 1000, Output: 10},
+		{Name: "short", Class: state.ClassBatch, Unique: 10, Output: 100},
+	}
+	e := Engine{Prefill: 10000, Decode: 1000}
+	segments := []demand.Segment{
+		{Name: "long", Length: 2 * Slot, Count: true},
+		{Name: "short", Length: 2 * Slot, Count: true},
+	}
+	arrivals := make([]demand.Arrival, 0, 240)
+	for i := range 240 {
+		a := demand.Arrival{At: time.Duration(i) * Slot / 60, Service: i / 120, Segment: i / 120}
+		arrivals = append(arrivals, a)
+	}
+	r := Compute(services, segments, arrivals, e, []int{4, 4})
+	if r.Total < 0.999 || r.Changing[0] < 0.999 {
+		t.Fatalf("changing roles serve %+v", r)
+	}
+	if r.Fixed < 0.6 || r.Fixed > 0.9 {
+		t.Fatalf("a fixed split serves %+v", r)
+	}
+}
