trial: resend the soak's commands after a pause, until they are accepted

A command tried four keepers at once and gave up when the group had no leader; engines drained by a fault stayed drained to the end of the run. Ruled out: a fault of routing (no engine of one role was serving).

--- a/trial/soak/operate.go
+++ b/trial/soak/operate.go
@@ -16,12 +16,15 @@
 const (
 	commandPause = 500 * time.Millisecond
 	commandWait  = 4 * time.Second
-	resends      = 4
+	resends      = 12
+	resendPause  = 300 * time.Millisecond
 	clients      = 200     // accounts that commands declare
 	raced        = 7       // accounts that raced commands declare
 	maxTokens    = 10000   // a second
 	raceBase     = 1 << 32 // numbers of raced commands
 
+	conflict = `"conflict"` // code of a number that was used
+
 	steady  = "steady"  // operator of a command now and then
 	planner = "planner" // operator of planned changes
 	racer   = "racer"   // account that two operators share
@@ -52,6 +55,10 @@
 			return
 		}
 		r.refuse(text, err)
+		if strings.Contains(err.Error(), conflict) {
+			return
+		}
+		pause(ctx, resendPause)
 	}
 }
 
