--- a/trial/proof/disk_test.go
+++ b/trial/proof/disk_test.go
@@ -151,3 +151,39 @@
 	t.Logf("accepted %s after the second loss", time.Since(start).Round(time.Millisecond))
 	g.intact()
 }
+
+// TestDiskLostFolderHasNoVote leaves only a member that missed changes and one
+// that lost its folder. Together they would be a majority by name; they must
+// not elect a leader, or the changes would be lost. With the third member
+// everything is there.
+func TestDiskLostFolderHasNoVote(t *testing.T) {
+	g := startDisks(t, 0)
+	g.declare(5)
+	whole := g.leader()
+	var rest []*fleet.Process
+	for _, p := range g.Keepers() {
+		if p != whole {
+			rest = append(rest, p)
+		}
+	}
+	lost, late := rest[0], rest[1]
+	late.Pause()
+	g.declare(5, late)
+	whole.Kill()
+	lost.Kill()
+	if err := os.RemoveAll(lost.Folder()); err != nil {
+		t.Fatal(err)
+	}
+	g.start(lost)
+	late.Resume()
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, p := range rest {
+			if s, err := g.status(p); err == nil && s.Role == "leader" {
+				t.Fatalf("%s leads without a member that has all changes", p.Name())
+			}
+		}
+	}
+	g.start(whole)
+	g.declare(1)
+	g.intact()
+}
