keeper, keepd: leave a keeper that stops or gives no answer

A stopping keeper says so before its links close, and the client believes no word for a keeper that just gave none. A killed leader still costs the one second of a try: a shorter try would repeat calls under load, asking two keepers at once was not tried.

--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -17,6 +17,7 @@
 const (
 	tryTimeout = time.Second
 	pause      = 20 * time.Millisecond
+	avoidance  = time.Second // for which a keeper without an answer is left out
 )
 
 // ErrNoLeader tells that no leader answered in time. A call that changes
@@ -31,13 +32,14 @@
 	mutex  sync.Mutex
 	leader string
 	next   int
+	silent map[string]time.Time // until when a keeper that gave no answer is left out
 }
 
 var _ proto.Keeper = (*Client)(nil)
 
 // New returns a client for the links of the keepers, by name, and its clean-up.
 func New(addresses map[string]string, config *tls.Config) (*Client, func()) {
-	c := &Client{clients: make(map[string]*link.Client)}
+	c := &Client{clients: make(map[string]*link.Client), silent: make(map[string]time.Time)}
 	cleanups := make([]func(), 0, len(addresses))
 	for name, address := range addresses {
 		l, cleanup := link.NewClient(address, config)
@@ -104,19 +106,49 @@
 	if c.leader != "" {
 		return c.leader
 	}
-	c.next++
+	for range c.order {
+		c.next++
+		if name := c.order[c.next%len(c.order)]; !c.isSilent(name) {
+			return name
+		}
+	}
 	return c.order[c.next%len(c.order)]
 }
 
+func (c *Client) isSilent(name string) bool {
+	return time.Now().Before(c.silent[name])
+}
+
+// believe takes a keeper for the leader. The others go on naming one that
+// stopped until they have elected another, so one that just gave no answer
+// isn't believed.
 func (c *Client) believe(name string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if _, ok := c.clients[name]; !ok {
+	if _, ok := c.clients[name]; !ok || c.isSilent(name) {
 		name = ""
 	}
 	c.leader = name
 }
 
+// answered notes that a keeper took a call and leads.
+func (c *Client) answered(name string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.silent, name)
+	c.leader = name
+}
+
+// avoid notes that a keeper gave no answer.
+func (c *Client) avoid(name string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.silent[name] = time.Now().Add(avoidance)
+	if c.leader == name {
+		c.leader = ""
+	}
+}
+
 // final tells that no other keeper would answer otherwise.
 func final(code string) bool {
 	return code != link.CodeInternal && code != link.CodeFull && code != link.CodeStopping
@@ -130,7 +162,7 @@
 		answer, err := link.Call[Q, A](try, c.clients[name], kind, request)
 		cancel()
 		if err == nil {
-			c.believe(name)
+			c.answered(name)
 			return answer, nil
 		}
 		var remote *link.Remote
@@ -139,8 +171,10 @@
 			c.believe(remote.Detail)
 		case errors.As(err, &remote) && final(remote.Code):
 			return answer, fmt.Errorf("ask %s: %w", name, err)
-		default:
+		case errors.As(err, &remote) && remote.Code != link.CodeStopping, ctx.Err() != nil:
 			c.believe("")
+		default:
+			c.avoid(name)
 		}
 		select {
 		case <-ctx.Done():
--- a/keepd/lead/lead.go
+++ b/keepd/lead/lead.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -35,6 +36,8 @@
 	clock    clock.Clock
 	meter    *meter.Registry
 
+	stopping atomic.Bool
+
 	mutex  sync.Mutex
 	term   uint64 // of the roster and the slices
 	roster *roster.Roster
@@ -48,6 +51,9 @@
 
 // notLeader is the answer that leads callers to the leader.
 func (l *Lead) notLeader() error {
+	if l.stopping.Load() {
+		return &link.Remote{Code: link.CodeStopping}
+	}
 	return &link.Remote{Code: link.CodeNotLeader, Detail: l.log.Status().Leader}
 }
 
@@ -55,7 +61,7 @@
 // the lease that it holds. It fails when no lease is held.
 func (l *Lead) hold(f func(now time.Duration, term uint64)) error {
 	term, remaining := l.log.Lease()
-	if remaining <= 0 {
+	if remaining <= 0 || l.stopping.Load() {
 		return l.notLeader()
 	}
 	l.mutex.Lock()
@@ -137,8 +143,10 @@
 	return &link.Remote{Code: link.CodeInternal, Detail: err.Error()}
 }
 
-// Serve does all duties until ctx ends.
+// Serve does all duties until ctx ends. From then on callers are sent to
+// another keeper, before the links close.
 func (l *Lead) Serve(ctx context.Context) {
+	defer context.AfterFunc(ctx, func() { l.stopping.Store(true) })()
 	var group sync.WaitGroup
 	for _, duty := range []func(context.Context){l.runCare, l.runOrders, l.runPlan, l.runList} {
 		group.Go(func() { duty(ctx) })
--- a/trial/proof/once_bench_test.go
+++ b/trial/proof/once_bench_test.go
@@ -28,22 +28,7 @@
 		b.Fatal(err)
 	}
 	defer cleanup()
-	if err := keys.MakeInstance(filepath.Join(folder, "keys"), "entry1", time.Now().Add(-time.Hour), 2*time.Hour); err != nil {
-		b.Fatal(err)
-	}
-	config, err := keys.Load(keys.Files{
-		Authority: filepath.Join(folder, "keys", keys.AuthorityCert),
-		Cert:      filepath.Join(folder, "keys", "entry1.crt"), Key: filepath.Join(folder, "keys", "entry1.key"),
-	})
-	if err != nil {
-		b.Fatal(err)
-	}
-	addresses := make(map[string]string)
-	for _, p := range f.Keepers() {
-		addresses[p.Name()] = p.Link()
-	}
-	k, closeKeeper := keeper.New(addresses, config)
-	defer closeKeeper()
+	k := ledgerClient(b, f, folder)
 	var number atomic.Int64
 	for _, callers := range []int{1, 8, 64, 256} {
 		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
@@ -63,6 +48,29 @@
 	}
 }
 
+// ledgerClient speaks to the keepers of a fleet as entry instance entry1.
+func ledgerClient(tb testing.TB, f *fleet.Fleet, folder string) proto.Keeper {
+	tb.Helper()
+	folder = filepath.Join(folder, "keys")
+	if err := keys.MakeInstance(folder, "entry1", time.Now().Add(-time.Hour), 2*time.Hour); err != nil {
+		tb.Fatal(err)
+	}
+	config, err := keys.Load(keys.Files{
+		Authority: filepath.Join(folder, keys.AuthorityCert),
+		Cert:      filepath.Join(folder, "entry1.crt"), Key: filepath.Join(folder, "entry1.key"),
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	addresses := make(map[string]string)
+	for _, p := range f.Keepers() {
+		addresses[p.Name()] = p.Link()
+	}
+	k, cleanup := keeper.New(addresses, config)
+	tb.Cleanup(cleanup)
+	return k
+}
+
 func record(b *testing.B, k proto.Keeper, key string) {
 	q := proto.OnceRequest{Step: proto.OnceBegin, Account: "a", Service: "s", Key: key, Fingerprint: "f", Attempt: key, Holder: "entry1/1"}
 	r, err := k.Once(b.Context(), q)
