entryd: keep answers of suspects whole when a live engine falters

Now progress under a pledge counts as evidence too, an engine under a pledge that wasn't lost may be tried again, and a pledge for an engine that was lost before the request got aboard doesn't count. The proof also crashes a prefill engine, and shows the steps of a request that wasn't whole.

--- a/entryd/infer/carry.go
+++ b/entryd/infer/carry.go
@@ -56,6 +56,7 @@
 	lost     int  // engines
 	begun    int  // tokens delivered when the attempt began
 	pledged  string
+	unused   []string // pledges for engines that were lost before
 }
 
 // Complete carries a call. An error before the first token is a refusal that
@@ -210,9 +211,7 @@
 	}
 	if err != nil {
 		// Engines that failed this request before are better than none.
-		if len(c.ask.Avoid) > 0 && !c.suspect {
-			c.ask.Avoid = nil
-		}
+		c.ask.Avoid = nil
 		return nil, err //nolint:wrapcheck // told apart by the caller
 	}
 	if c.suspect || l.Plan.Strayed {
@@ -243,7 +242,13 @@
 		return nil
 	}
 	c.pledged = target
-	if c.strikes.Pledge(ctx, c.clock.Now(), c.call.Fingerprint, engines...) || c.proved {
+	if len(c.unused) > 0 {
+		// Whoever was aboard the engine that was lost has recorded it by then.
+		if err := c.pause(ctx); err != nil {
+			return c.cancelled(ctx)
+		}
+	}
+	if c.strikes.Pledge(ctx, c.clock.Now(), c.call.Fingerprint, c.unused, engines...) || c.proved {
 		return nil
 	}
 	return fault.New(fault.CodeSuspect, "another copy of this request is being tried after an engine was lost").
@@ -288,7 +293,7 @@
 		return nil
 	}
 	lost := c.probe(ctx, f)
-	c.ask.Avoid = append(c.ask.Avoid, f.server.Name)
+	c.settle(f, lost)
 	if lost && f.aboard {
 		if err := c.struck(ctx, f); err != nil {
 			return err
@@ -311,6 +316,21 @@
 	return nil
 }
 
+// settle draws what follows from a failed attempt for the next choice. An
+// engine under a pledge that wasn't lost may be tried again; one that was lost
+// before the request got aboard didn't use its pledge.
+func (c *carrying) settle(f *failure, lost bool) {
+	if c.assembly.Next()-c.begun >= progress && !lost {
+		c.proved = true
+	}
+	if lost || c.pledged == "" {
+		c.ask.Avoid = append(c.ask.Avoid, f.server.Name)
+	}
+	if lost && !f.aboard && c.pledged != "" {
+		c.unused = append(c.unused, c.pledged)
+	}
+}
+
 // struck records a strike. A request that was making progress goes on at once;
 // one that wasn't waits, so that it doesn't meet those on their next engine.
 func (c *carrying) struck(ctx context.Context, f *failure) error {
--- a/entryd/infer/strikes.go
+++ b/entryd/infer/strikes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,11 +76,15 @@
 }
 
 // Pledge records engines before a suspect goes to them, and reports whether
-// the suspect may go.
-func (s *Strikes) Pledge(ctx context.Context, now time.Time, fingerprint string, engines ...string) bool {
+// the suspect may go. Pledges that the suspect didn't use don't count.
+func (s *Strikes) Pledge(ctx context.Context, now time.Time, fingerprint string, unused []string, engines ...string) bool {
 	s.meter.Count("strike", "pledge")
 	own, shared := s.record(ctx, now, fingerprint, strike.Pledge(engines...))
-	return strike.Allowed(own, s.limit) && strike.Allowed(shared, s.limit)
+	return strike.Allowed(without(own, unused), s.limit) && strike.Allowed(without(shared, unused), s.limit)
+}
+
+func without(list, drop []string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(name string) bool { return slices.Contains(drop, name) })
 }
 
 func (s *Strikes) record(ctx context.Context, now time.Time, fingerprint, engine string) (own, shared []string) {
--- a/trial/proof/answer_setup_test.go
+++ b/trial/proof/answer_setup_test.go
@@ -139,7 +139,7 @@
 // gives when nothing fails.
 func checkWhole(c caller.Chat, a *caller.Answer, err error) error {
 	if err != nil {
-		return err
+		return fmt.Errorf("request %s, code %q after %d tokens: %w", a.ID(), a.Code(), len(a.Tokens()), err)
 	}
 	if a.Status() != 200 || !a.Whole() {
 		return fmt.Errorf("status %d, code %q, whole %v, %d tokens: %s", a.Status(), a.Code(), a.Whole(), len(a.Tokens()), a.Body())
--- a/trial/proof/answer_whole_test.go
+++ b/trial/proof/answer_whole_test.go
@@ -22,17 +22,20 @@
 		Engines: quick(state.RolePrefill, state.RolePrefill, state.RoleDecode, state.RoleDecode, state.RoleDecode),
 		Entry:   map[string]any{"retry": map[string]any{"silence": "300ms"}, "route": map[string]any{"report": "50ms"}},
 	})
-	decoders := []string{"engine3", "engine4", "engine5"}
+	prefillers, decoders := []string{"engine1", "engine2"}, []string{"engine3", "engine4", "engine5"}
 	long := strings.Repeat("clause ", 900)
 	cases := []struct {
 		name   string
 		before func()
+		at     []string // engines of which one is broken
+		after  time.Duration
 		during func(engine string)
 	}{
 		{name: "no fault"},
-		{name: "engine crashes", during: func(e string) { s.fault(t, e, stand.Crash, 0) }},
-		{name: "connection silent for good", during: func(e string) { s.fault(t, fleet.WireName(e), stand.Silence, 0) }},
-		{name: "connection reset", during: func(e string) { s.fault(t, fleet.WireName(e), stand.Reset, 0) }},
+		{name: "engine crashes", at: decoders, after: 150 * time.Millisecond, during: func(e string) { s.fault(t, e, stand.Crash, 0) }},
+		{name: "prefill engine crashes", at: prefillers, after: 20 * time.Millisecond, during: func(e string) { s.fault(t, e, stand.Crash, 0) }},
+		{name: "connection silent for good", at: decoders, after: 150 * time.Millisecond, during: func(e string) { s.fault(t, fleet.WireName(e), stand.Silence, 0) }},
+		{name: "connection reset", at: decoders, after: 150 * time.Millisecond, during: func(e string) { s.fault(t, fleet.WireName(e), stand.Reset, 0) }},
 		{name: "answers truncated", before: func() { s.faults(t, decoders, stand.Truncate, 2) }},
 		{name: "answers crossed", before: func() { s.faults(t, decoders, stand.Cross, 6) }},
 		{name: "events late", before: func() { s.faults(t, decoders, stand.Late, 6) }},
@@ -48,12 +51,12 @@
 				return caller.Chat{Prompt: fmt.Sprint(long, n, i), Tokens: 100, Seed: int64(i)}
 			})
 			if c.during != nil {
-				e := s.started(t, begin, decoders...)
-				time.Sleep(150 * time.Millisecond)
+				e := s.started(t, begin, c.at...)
+				time.Sleep(c.after)
 				c.during(e)
 			}
 			wait()
-			s.heal(t, decoders)
+			s.heal(t, append(prefillers, decoders...))
 		})
 	}
 }
@@ -83,8 +86,22 @@
 			a, err := s.chat(c, i%len(s.Entries()))
 			if err := checkWhole(c, a, err); err != nil {
 				t.Errorf("chat %d: %v", i, err)
+				s.explain(t, a)
 			}
 		}()
 	}
 	return group.Wait
 }
+
+// explain logs what the instances know of a request.
+func (s *site) explain(t *testing.T, a *caller.Answer) {
+	for _, p := range s.Entries() {
+		var steps struct {
+			Steps   any
+			Refused string
+		}
+		if s.Get(t.Context(), p.URL()+"/explain?request="+a.ID(), &steps) == nil {
+			t.Logf("%s: %+v", a.ID(), steps)
+		}
+	}
+}
