haven: a question has no unknown outcome; a wait that ends says so

A question whose last try was cut by the timeout exited with 7, as a command would, although nothing can have been changed: questions carry no number, and the client now never calls their outcome unknown. drain -wait exited with 7 when its time ended in the midst of a look at the state; it now says that the object is still there (1). The refusal that an instance gave is reported rather than the deadline that cut the try after it.

--- a/haven/client/client.go
+++ b/haven/client/client.go
@@ -99,6 +99,7 @@
 		return proto.RunReply{}, fmt.Errorf("encode text: %w", err)
 	}
 	unsure := false
+	var told error // what an instance last said
 	for i := 0; ; i++ {
 		url := c.urls[i%len(c.urls)]
 		reply, err := c.try(ctx, url, body)
@@ -111,10 +112,13 @@
 				return reply, fmt.Errorf("%s: %w: %w", url, ErrUnknown, err)
 			}
 			return reply, fmt.Errorf("%s: %w", url, err)
-		case !untouched(err):
-			unsure = true
+		case r.Number != 0 && !untouched(err):
+			unsure = true // a question, which has no number, has no outcome
 		}
-		if err := c.rest(ctx, i, unsure, err); err != nil {
+		if refused != nil || told == nil {
+			told = err
+		}
+		if err := c.rest(ctx, i, unsure, told); err != nil {
 			return reply, err
 		}
 	}
--- a/haven/drain.go
+++ b/haven/drain.go
@@ -90,6 +90,9 @@
 	last := ""
 	for {
 		phase, err := c.phase(ctx, s)
+		if err != nil && ctx.Err() != nil {
+			return fmt.Errorf("%s %s: %w: %s", s.Noun(), s.Name(), errStillThere, last)
+		}
 		if err != nil {
 			return err
 		}
