codec: one encoding for links and state, which keeps nanoseconds

Cause: links encoded with the library's default, which cuts times to whole seconds: the time of a load report in a heartbeat (Report.At) came to the leader up to a second too old. Store and state each had the right mode of their own. Ruled out: leaving times out of messages; the age of a report is needed. Before: the times on links were cut (read in the code, and what the default of the library does).

--- a/core/conn/link/link.go
+++ b/core/conn/link/link.go
@@ -13,6 +13,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+
+	"verbenahaven.example/core/process/codec"
 )
 
 // MaxFrame bounds one frame, in bytes.
@@ -74,7 +76,7 @@
 }
 
 func writeFrame(w io.Writer, e envelope) error {
-	body, err := cbor.Marshal(e)
+	body, err := codec.Marshal(e)
 	if err != nil {
 		return fmt.Errorf("encode frame: %w", err)
 	}
@@ -116,7 +118,7 @@
 	if len(body) < int(n) {
 		return e, fmt.Errorf("read frame: %w", io.ErrUnexpectedEOF)
 	}
-	if err := cbor.Unmarshal(body, &e); err != nil {
+	if err := codec.Unmarshal(body, &e); err != nil {
 		return e, fmt.Errorf("decode frame: %w", err)
 	}
 	return e, nil
@@ -133,7 +135,7 @@
 // Call sends a request and waits for its reply.
 func Call[Q, A any](ctx context.Context, c *Client, kind string, request Q) (A, error) {
 	var answer A
-	body, err := cbor.Marshal(request)
+	body, err := codec.Marshal(request)
 	if err != nil {
 		return answer, fmt.Errorf("encode %s: %w", kind, err)
 	}
@@ -141,7 +143,7 @@
 	if err != nil {
 		return answer, fmt.Errorf("call %s: %w", kind, err)
 	}
-	if err := cbor.Unmarshal(raw, &answer); err != nil {
+	if err := codec.Unmarshal(raw, &answer); err != nil {
 		return answer, fmt.Errorf("decode %s: %w", kind, err)
 	}
 	return answer, nil
@@ -151,14 +153,14 @@
 func Handle[Q, A any](s *Server, kind string, f func(ctx context.Context, peer string, request Q) (A, error)) {
 	s.handlers[kind] = func(ctx context.Context, peer string, raw []byte) ([]byte, error) {
 		var request Q
-		if err := cbor.Unmarshal(raw, &request); err != nil {
+		if err := codec.Unmarshal(raw, &request); err != nil {
 			return nil, &Remote{Code: CodeBad, Detail: err.Error()}
 		}
 		answer, err := f(ctx, peer, request)
 		if err != nil {
 			return nil, err
 		}
-		b, err := cbor.Marshal(answer)
+		b, err := codec.Marshal(answer)
 		if err != nil {
 			return nil, fmt.Errorf("encode reply to %s: %w", kind, err)
 		}
--- a/core/conn/link/pipe.go
+++ b/core/conn/link/pipe.go
@@ -7,8 +7,9 @@
 	"io"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+
+	"verbenahaven.example/core/process/codec"
 )
 
 // ErrSilent tells that nothing came back on a connection for long; the next
@@ -31,7 +32,7 @@
 
 // Send sends one message.
 func (p *Pipe) Send(ctx context.Context, message any) error {
-	body, err := cbor.Marshal(message)
+	body, err := codec.Marshal(message)
 	if err != nil {
 		return fmt.Errorf("encode %s: %w", p.kind, err)
 	}
--- /dev/null
+++ b/core/process/codec/codec.go
@@ -0,0 +1,35 @@
+// Package codec is the binary encoding of messages between instances and of
+// the replicated state: CBOR that keeps times to the nanosecond. The
+// library's default cuts them to seconds.
+package codec
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+var mode = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic("codec: " + err.Error())
+	}
+	return m
+}()
+
+// Marshal encodes a value.
+func Marshal(v any) ([]byte, error) {
+	b, err := mode.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	return b, nil
+}
+
+// Unmarshal decodes into the value that v points at.
+func Unmarshal(b []byte, v any) error {
+	if err := cbor.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	return nil
+}
--- a/core/version/state/operator.go
+++ b/core/version/state/operator.go
@@ -5,7 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
+
+	"verbenahaven.example/core/process/codec"
 )
 
 // Update is a command of an operator: its changes take effect together or not
@@ -61,7 +62,7 @@
 }
 
 func (u Update) digest() uint64 {
-	b, err := cbor.Marshal(u)
+	b, err := codec.Marshal(u)
 	if err != nil {
 		panic("state: encode update: " + err.Error())
 	}
--- a/core/version/state/snapshot.go
+++ b/core/version/state/snapshot.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
+	"verbenahaven.example/core/process/codec"
 )
 
 // image is the encoding of the whole state.
@@ -52,7 +52,7 @@
 		i.Operators = append(i.Operators, operator{Name: name, Outcomes: o})
 	}
 	slices.SortFunc(i.Operators, func(a, b operator) int { return cmp.Compare(a.Name, b.Name) })
-	b, err := encoding.Marshal(i)
+	b, err := codec.Marshal(i)
 	if err != nil {
 		return nil, fmt.Errorf("encode state: %w", err)
 	}
@@ -62,7 +62,7 @@
 // Restore replaces the whole state.
 func (s *State) Restore(b []byte) error {
 	var i image
-	if err := cbor.Unmarshal(b, &i); err != nil {
+	if err := codec.Unmarshal(b, &i); err != nil {
 		return fmt.Errorf("decode state: %w", err)
 	}
 	s.reset()
@@ -91,15 +91,6 @@
 	return nil
 }
 
-// encoding keeps nanoseconds of times, so that a restored state is equal.
-var encoding = func() cbor.EncMode {
-	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
-	if err != nil {
-		panic("state: encoding: " + err.Error())
-	}
-	return mode
-}()
-
 func nanos(t time.Time) int64 {
 	if t.IsZero() {
 		return 0
--- a/core/version/store/command.go
+++ b/core/version/store/command.go
@@ -7,9 +7,8 @@
 	"fmt"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/codec"
 	"verbenahaven.example/core/version/ledger"
 	"verbenahaven.example/core/version/state"
 )
@@ -75,17 +74,9 @@
 // Encode stamps a command with the proposer's time and encodes it.
 func Encode(c Command, now time.Time) ([]byte, error) {
 	c.At = now.UnixNano()
-	b, err := encoding.Marshal(c)
+	b, err := codec.Marshal(c)
 	if err != nil {
 		return nil, fmt.Errorf("encode command: %w", err)
 	}
 	return b, nil
 }
-
-var encoding = func() cbor.EncMode {
-	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
-	if err != nil {
-		panic("store: encoding: " + err.Error())
-	}
-	return mode
-}()
--- a/core/version/store/store.go
+++ b/core/version/store/store.go
@@ -6,9 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/codec"
 	"verbenahaven.example/core/process/node"
 	"verbenahaven.example/core/version/ledger"
 	"verbenahaven.example/core/version/state"
@@ -42,7 +41,7 @@
 // can't be executed.
 func (s *Store) Apply(index uint64, command []byte) any {
 	var c Command
-	decoded := cbor.Unmarshal(command, &c)
+	decoded := codec.Unmarshal(command, &c)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	before := s.state.Version()
@@ -173,7 +172,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("snapshot ledger: %w", err)
 	}
-	all, err := cbor.Marshal(image{State: a, Ledger: b, Booted: s.booted})
+	all, err := codec.Marshal(image{State: a, Ledger: b, Booted: s.booted})
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
@@ -183,7 +182,7 @@
 // Restore implements node.Machine.
 func (s *Store) Restore(snapshot []byte) error {
 	var i image
-	if err := cbor.Unmarshal(snapshot, &i); err != nil {
+	if err := codec.Unmarshal(snapshot, &i); err != nil {
 		return fmt.Errorf("decode snapshot: %w", err)
 	}
 	fresh, records := state.New(), ledger.New(ledger.Settings{})
