trial: count an entry instance as ready when it knows of another

Cause: the demo failed once with one address where two were wanted. An instance without its first lease gives only itself, and it may be asked before the other instances have joined. Ruled out: a lost lease (all three held one 20 ms later by their logs).

--- a/trial/fleet/operate.go
+++ b/trial/fleet/operate.go
@@ -14,7 +14,12 @@
 	"verbenahaven.example/core/conn/proto"
 )
 
-const poll = 20 * time.Millisecond
+const (
+	poll = 20 * time.Millisecond
+	// wantAddresses is the number of addresses that an instance must give to
+	// count as ready: one that knows of another has joined.
+	wantAddresses = 2
+)
 
 // ErrRefused tells that an instance answered with another status than 200.
 var ErrRefused = errors.New("refused")
@@ -223,8 +228,8 @@
 	if err != nil {
 		return err
 	}
-	if len(addresses) == 0 {
-		return fmt.Errorf("%s gives no address: %w", p.name, ErrNotReady)
+	if want := min(len(f.entries), wantAddresses); len(addresses) < want {
+		return fmt.Errorf("%s gives %d addresses, want %d: %w", p.name, len(addresses), want, ErrNotReady)
 	}
 	return nil
 }
