trial: rest longer between shifts; measures of the policies under load

With rests of 5 s the mix turned back before any policy could follow, so that ramps began with the roles of the shift before.

--- a/trial/bench/work.go
+++ b/trial/bench/work.go
@@ -59,7 +59,7 @@
 	for i := range calm {
 		between[i] = (calm[i] + surge[i]) / 2
 	}
-	back := demand.Segment{Name: "calm", Shape: demand.Steady, Length: 5 * second, Rates: calm}
+	back := demand.Segment{Name: "calm", Shape: demand.Steady, Length: 9 * second, Rates: calm}
 	return []demand.Segment{
 		{Name: "start", Shape: demand.Steady, Length: 5 * second, Rates: calm},
 		{Name: "step", Shape: demand.Steady, Length: 14 * second, Rates: surge, Count: true},
--- a/trial/run.go
+++ b/trial/run.go
@@ -51,7 +51,7 @@
 	f.StringVar(&r.out, "out", "out", "folder for the table and the plots")
 	f.IntVar(&r.seeds, "seeds", 1, "number of seeds")
 	f.Int64Var(&r.first, "seed", 1, "first seed")
-	f.IntVar(&r.jobs, "jobs", 6, "deployments that run at the same time")
+	f.IntVar(&r.jobs, "jobs", 8, "deployments that run at the same time")
 	f.StringVar(&r.only, "only", "", "deployments to run, all if empty")
 	f.StringVar(&r.policies, "policies", "", "policies to run, all if empty")
 }
