--- a/entryd/app.go
+++ b/entryd/app.go
@@ -13,6 +13,7 @@
 
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/entryd/beat"
 	"verbenahaven.example/entryd/front"
 	"verbenahaven.example/entryd/infer"
@@ -85,7 +86,7 @@
 	a.beat.Leave()
 	a.front.Leave()
 	a.left(ctx)
-	wait(ctx, time.Duration(a.settings.Address.Life))
+	clock.Sleep(ctx, time.Duration(a.settings.Address.Life))
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		_ = server.Close()
@@ -103,15 +104,6 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(a.settings.Stop.Grace)*leaveShare))
 	defer cancel()
 	for ctx.Err() == nil && !a.beat.Left() {
-		wait(ctx, leavePoll)
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		clock.Sleep(ctx, leavePoll)
 	}
 }
--- /dev/null
+++ b/entryd/guide/report.go
@@ -0,0 +1,107 @@
+package guide
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"verbenahaven.example/core/conn/engine"
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/version/state"
+)
+
+// Report takes a load report of an engine.
+func (g *Guide) Report(name string, l engine.Load) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.router.Report(name, l)
+}
+
+// Probe takes the result of an own probe of an engine.
+func (g *Guide) Probe(now time.Time, name string, alive bool) (changed bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	changed = g.router.Alive(name) != alive
+	g.router.Probe(now, name, alive)
+	return changed
+}
+
+// Cache takes cache events of an engine and returns where to go on.
+func (g *Guide) Cache(name string, page engine.CacheEvents) uint64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.router.Cache(name, page)
+}
+
+// Used lists the engines whose reports are needed.
+func (g *Guide) Used() []state.Engine {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.router.Used()
+}
+
+// Demand adds to what a service was asked for. What is refused counts too: the
+// planner must see what is wanted, not what there is room for.
+func (g *Guide) Demand(service string, prefill, decode int, refused bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	d := g.demand[service]
+	if d == nil {
+		d = &proto.Demand{Service: service}
+		g.demand[service] = d
+	}
+	if refused {
+		d.Refused++
+	}
+	d.Requests++
+	d.Prefill += float64(prefill)
+	d.Decode += float64(decode)
+}
+
+// reporters is the number of instances that report one engine.
+const reporters = 3
+
+// reports tells whether this instance is among those that report an engine,
+// by rendezvous hashing: what the leader hears of an engine doesn't grow with
+// the number of instances.
+func (g *Guide) reports(engine string) bool {
+	own := xxhash.Sum64String(engine + "/" + g.name)
+	before := 0
+	for _, m := range g.snapshot.Entries() {
+		if m.Name != g.name && xxhash.Sum64String(engine+"/"+m.Name) < own {
+			before++
+		}
+	}
+	return before < reporters
+}
+
+// Digest returns demand and reports for a heartbeat after the given interval.
+func (g *Guide) Digest(passed time.Duration) ([]proto.Demand, []proto.Report) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	demand := make([]proto.Demand, 0, len(g.demand))
+	for _, d := range g.demand {
+		s := passed.Seconds()
+		demand = append(demand, proto.Demand{
+			Service: d.Service, Requests: d.Requests / s, Prefill: d.Prefill / s, Decode: d.Decode / s, Refused: d.Refused / s,
+		})
+	}
+	clear(g.demand)
+	used := g.router.Used()
+	reports := make([]proto.Report, 0, len(used))
+	for _, e := range used {
+		if !g.reports(e.Name) {
+			continue
+		}
+		l, _ := g.router.Load(e.Name)
+		r := proto.Report{
+			Engine: e.Name, At: l.At, Role: l.Role, Running: l.Running, Waiting: l.Waiting, Queue: l.Queue, Step: l.Step,
+			Alive: g.router.Alive(e.Name), Prefill: l.Prefill, Batch: l.Batch,
+		}
+		if l.Total > 0 {
+			r.Used = float64(l.Used) / float64(l.Total)
+		}
+		reports = append(reports, r)
+	}
+	return demand, reports
+}
--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/request/once"
 	"verbenahaven.example/entryd/fault"
 )
@@ -52,7 +53,7 @@
 		if ctx.Err() != nil {
 			return o.state.GaveUp()
 		}
-		o.sleep(ctx, busyWait)
+		clock.Sleep(ctx, busyWait)
 		return once.Begin
 	case once.Send:
 		return o.sendOne(ctx)
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -198,14 +198,5 @@
 }
 
 func (s *Server) pause(ctx context.Context, number int) {
-	s.sleep(ctx, s.settings.Retry.Wait(number, rand.Float64()))
-}
-
-func (s *Server) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	clock.Sleep(ctx, s.settings.Retry.Wait(number, rand.Float64()))
 }
--- a/entryd/watch/watch.go
+++ b/entryd/watch/watch.go
@@ -118,7 +118,7 @@
 			w.leaveParent()
 			continue
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 }
 
@@ -129,7 +129,7 @@
 		if w.Age() > old {
 			w.peers.ask(ctx, w)
 		}
-		sleep(ctx, look)
+		clock.Sleep(ctx, look)
 	}
 }
 
@@ -273,12 +273,3 @@
 func (w *Watch) note() {
 	w.meter.Set(w.Age().Milliseconds(), "age_ms")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/trial/chaos"
 	"verbenahaven.example/trial/check"
@@ -20,14 +21,14 @@
 
 // inject waits for the time of a fault, brings it about and heals it.
 func (r *run) inject(ctx context.Context, f chaos.Fault) {
-	pause(ctx, time.Until(r.started.Add(f.At())))
+	clock.Sleep(ctx, time.Until(r.started.Add(f.At())))
 	if ctx.Err() != nil || !r.take(f) {
 		return
 	}
 	defer r.give(f)
 	from := time.Now()
 	r.begin(ctx, f)
-	pause(ctx, f.For())
+	clock.Sleep(ctx, f.For())
 	// What was broken is healed even when the run ends.
 	heal, cancel := context.WithTimeout(context.WithoutCancel(ctx), healWait)
 	defer cancel()
--- a/trial/soak/load.go
+++ b/trial/soak/load.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/trial/caller"
 	"verbenahaven.example/trial/check"
 	"verbenahaven.example/trial/fleet"
@@ -50,7 +51,7 @@
 		r.ask(ctx, c, p, caller.Chat{
 			Service: service, Prompt: prompt, Tokens: fewTokens + random.IntN(moreTokens), Seed: int64(random.Uint32()),
 		})
-		pause(ctx, chatPause)
+		clock.Sleep(ctx, chatPause)
 	}
 }
 
@@ -91,7 +92,7 @@
 			if t.Status == statusOK || ctx.Err() != nil {
 				break
 			}
-			pause(ctx, retryPause)
+			clock.Sleep(ctx, retryPause)
 		}
 		r.mutex.Lock()
 		r.record.Filings = append(r.record.Filings, f)
@@ -130,15 +131,6 @@
 			r.record.Sights = append(r.record.Sights, s)
 		}
 		r.mutex.Unlock()
-		pause(ctx, watchPause)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		clock.Sleep(ctx, watchPause)
 	}
 }
--- a/trial/soak/operate.go
+++ b/trial/soak/operate.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/trial/check"
 	"verbenahaven.example/trial/fleet"
 )
@@ -36,7 +37,7 @@
 	for n := uint64(1); ctx.Err() == nil; n++ {
 		text := fmt.Sprintf("declare account client%d digest %q tokens %d", random.IntN(clients), fleet.Digest("client"), random.IntN(maxTokens)+1)
 		r.command(ctx, steady, n, text)
-		pause(ctx, commandPause)
+		clock.Sleep(ctx, commandPause)
 	}
 }
 
@@ -58,7 +59,7 @@
 		if strings.Contains(err.Error(), conflict) {
 			return
 		}
-		pause(ctx, resendPause)
+		clock.Sleep(ctx, resendPause)
 	}
 }
 
