--- a/core/request/route/host.go
+++ b/core/request/route/host.go
@@ -38,6 +38,7 @@
 	sends    map[string]send
 	prefixes Prefixes
 	spent    bucket
+	peers    int // instances that send requests, this one included
 }
 
 func (h *host) usable(a *Ask) string {
@@ -98,6 +99,9 @@
 			sinceFirst += s.prefill
 		}
 	}
+	// The other instances have sent about as much since the report.
+	since *= max(1, h.peers)
+	sinceFirst *= max(1, h.peers)
 	if !first {
 		return h.load.Queue + since
 	}
--- a/core/request/route/route.go
+++ b/core/request/route/route.go
@@ -162,6 +162,14 @@
 	return list
 }
 
+// Peers sets how many instances send requests to the engines, this one
+// included. Each is taken to send as much as this one.
+func (r *Router) Peers(n int) {
+	for _, h := range r.hosts {
+		h.peers = n
+	}
+}
+
 // Used lists the engines whose reports this instance needs.
 func (r *Router) Used() []state.Engine {
 	var list []state.Engine
--- a/entryd/guide/guide.go
+++ b/entryd/guide/guide.go
@@ -93,6 +93,7 @@
 	}
 	g.snapshot = s
 	g.router.Update(g.engines())
+	g.router.Peers(len(g.snapshot.Entries()))
 }
 
 // Listed takes the backend servers that the platform's list calls leaving.
@@ -104,6 +105,7 @@
 	}
 	g.listed = leaving
 	g.router.Update(g.engines())
+	g.router.Peers(len(g.snapshot.Entries()))
 }
 
 // engines returns the engines as they are to be used.
