entryd: take the channel of changes before the watch runs, in a test

Cause: TestOneWholeStreamWhateverAnEngineDoes failed once in three race runs with 'no state in force' after 5 s. The test took the channel after it had started the watch; a version that came into force in between closed the old channel, and the test waited for a second version that never comes. Ruled out: a lost wake-up in view.Store, whose doc says when to take it.

--- a/entryd/front/fake_test.go
+++ b/entryd/front/fake_test.go
@@ -229,6 +229,8 @@
 		cleanPool()
 		cleanWatch()
 	})
+	// Taken before the watch runs: the version may come into force at once.
+	changed := b.store.Changed()
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -239,7 +241,7 @@
 		stop()
 		<-done
 	})
-	for changed := b.store.Changed(); b.guide.Snapshot().Version() == 0; {
+	for b.guide.Snapshot().Version() == 0 {
 		select {
 		case <-changed:
 			runtime.Gosched()
