--- a/core/version/plan/goodput.go
+++ b/core/version/plan/goodput.go
@@ -29,6 +29,7 @@
 // memory is what the policy learnt about one model.
 type memory struct {
 	window window
+	past   past
 	pace   pace
 	trust  trust
 }
@@ -67,7 +68,7 @@
 	m, ok := g.models[f.model]
 	if !ok {
 		length := time.Duration(windowShare * float64(g.settings.Horizon))
-		m = &memory{window: window{length: length}, trust: trust{prefill: 1, decode: 1}}
+		m = &memory{window: window{length: length}, past: newPast(g.settings.Horizon, length/slices), trust: trust{prefill: 1, decode: 1}}
 		g.models[f.model] = m
 	}
 	for _, e := range f.engines {
@@ -82,6 +83,7 @@
 	m.window.add(now, loads)
 	recent, ok := m.window.mean(now.Add(-m.window.length/slices), now)
 	if ok {
+		m.past.add(now, recent)
 		m.trust.learn(g.capacity(f, m, Engine{}, ""), recent)
 	}
 }
@@ -119,7 +121,8 @@
 	}
 	current, changed := goodput(before, loads), goodput(after, loads)
 	stay := (g.settings.Horizon - g.away.mean).Seconds()
-	gain := (changed - current) * max(0, stay)
+	earlier := m.past.gain(before, after)
+	gain := ((1-pastWeight)*(changed-current) + pastWeight*earlier) * max(0, stay)
 	lost := max(0, current-goodput(during, loads)) * g.away.mean.Seconds()
 	warm := e.Used * g.away.mean.Seconds() * offered(loads) / float64(len(f.engines))
 	waiting := float64(e.Running+e.Waiting) * g.away.mean.Seconds() / g.settings.Horizon.Seconds()
@@ -132,7 +135,8 @@
 			f.model, describe(loads), m.trust.prefill, m.trust.decode, f.count(state.RolePrefill), f.count(state.RoleDecode), f.count(state.RoleMixed)),
 		Weighed: fmt.Sprintf("gain %.1f requests in %s against cost %.1f (away %.1f, cache %.1f, waiting %.1f, price %.1f)",
 			gain, g.settings.Horizon, cost, lost, warm, waiting, price),
-		Reason: fmt.Sprintf("goodput %.1f/s as %s, %.1f/s as %s", current, from, changed, to),
+		Reason: fmt.Sprintf("goodput %.1f/s as %s, %.1f/s as %s; %+.1f/s under the demand of the last %d horizons",
+			current, from, changed, to, earlier, pastHorizons),
 	}, gain - cost, true
 }
 
