admit: learn how late first tokens come, and add it to what is expected

Each service now learns mean and deviation of the error and admits with that margin, at most half of the limit; it halves every two seconds that teach nothing.

--- /dev/null
+++ b/core/request/admit/gap_test.go
@@ -0,0 +1,49 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var begin = time.Unix(1_800_000_000, 0)
+
+func TestGapFollowsWhatComesLate(t *testing.T) {
+	var g Gap
+	now := begin
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		g.Learn(now, 100*time.Millisecond, 400*time.Millisecond)
+	}
+	if m := g.Margin(now, 2*time.Second); m < 290*time.Millisecond || m > 330*time.Millisecond {
+		t.Fatalf("margin %s for tokens that come 300 ms late", m)
+	}
+	if m := g.Margin(now, 400*time.Millisecond); m != 200*time.Millisecond {
+		t.Fatalf("margin %s, want half of the limit", m)
+	}
+	if m := g.Margin(now.Add(time.Minute), 2*time.Second); m > 5*time.Millisecond {
+		t.Fatalf("margin %s a minute after the last token", m)
+	}
+}
+
+// TestGapNeverShutsOut expects that a request which an idle engine can serve is
+// admitted again after a while, whatever was learnt.
+func TestGapNeverShutsOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var g Gap
+		now := begin
+		for range rapid.IntRange(1, 100).Draw(t, "tokens") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause")) * time.Millisecond)
+			g.Learn(now, time.Duration(rapid.IntRange(0, 2000).Draw(t, "expected"))*time.Millisecond,
+				time.Duration(rapid.IntRange(0, 20000).Draw(t, "actual"))*time.Millisecond)
+			limit := time.Duration(rapid.IntRange(0, 5000).Draw(t, "limit")) * time.Millisecond
+			if m := g.Margin(now, limit); m < 0 || m > limit/2 {
+				t.Fatalf("margin %s of %s", m, limit)
+			}
+		}
+		if m := g.Margin(now.Add(time.Minute), time.Second); m > 5*time.Millisecond {
+			t.Fatalf("margin %s a minute after the last token", m)
+		}
+	})
+}
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -137,6 +137,7 @@
 		}
 		switch outcome := c.assembly.Add(e); outcome {
 		case answer.Deliver:
+			c.arrived(e)
 			if err := c.sink.Token(e, events.More()); err != nil {
 				return gone(server, err)
 			}
--- a/entryd/infer/carry.go
+++ b/entryd/infer/carry.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/request/admit"
 	"verbenahaven.example/core/request/answer"
 	"verbenahaven.example/core/request/once"
@@ -51,10 +52,12 @@
 	suspect  bool // an engine was lost, or may have been
 	proved   bool // it made progress on the engine that was lost
 	waited   bool
-	aboard   bool // an engine may have begun to work on it
-	waits    int  // for an engine, in the middle of the answer
-	lost     int  // engines
-	begun    int  // tokens delivered when the attempt began
+	aboard   bool          // an engine may have begun to work on it
+	waits    int           // for an engine, in the middle of the answer
+	lost     int           // engines
+	begun    int           // tokens delivered when the attempt began
+	expected time.Duration // to the first token, when it was admitted
+	admitted time.Duration // on the clock
 	pledged  string
 	unused   []string // pledges for engines that were lost before
 }
@@ -127,9 +130,10 @@
 		c.guide.Demand(c.call.Service.Name, c.ask.Tokens, c.ask.Output, true)
 		return refusal(err)
 	}
+	c.expected, c.admitted = l.Plan.First, c.clock.Elapsed()
 	reason, wait := admit.Decide(admit.Case{
 		Class:   c.call.Service.Class,
-		First:   l.Plan.First,
+		First:   l.Plan.First + c.margin(c.call.Service.Name, c.call.Limit),
 		Step:    l.Step,
 		Output:  c.ask.Output,
 		Limit:   c.call.Limit,
@@ -147,6 +151,13 @@
 	return nil
 }
 
+// arrived learns from the first token how good the expectation was.
+func (c *carrying) arrived(e *engine.Event) {
+	if e.Token == 0 {
+		c.learn(c.call.Service.Name, c.expected, c.clock.Elapsed()-c.admitted)
+	}
+}
+
 func refusal(err error) error {
 	if errors.Is(err, guide.ErrStale) {
 		return fault.New(fault.CodeStale, err.Error()).Retry(backendRetry)
--- a/entryd/infer/infer.go
+++ b/entryd/infer/infer.go
@@ -15,6 +15,7 @@
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/admit"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/entryd/guide"
@@ -39,6 +40,7 @@
 
 	mutex   sync.Mutex
 	budgets *retry.Budgets
+	gaps    map[string]*admit.Gap // by service
 }
 
 type cancel struct {
@@ -61,6 +63,7 @@
 		clock:    c,
 		cancels:  make(chan cancel, cancelRoom),
 		budgets:  retry.NewBudgets(s.Retry),
+		gaps:     make(map[string]*admit.Gap),
 	}
 }
 
@@ -126,6 +129,28 @@
 	}
 }
 
+// margin is what the expected time to a service's first token falls short.
+func (s *Server) margin(service string, limit time.Duration) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	g := s.gaps[service]
+	if g == nil {
+		return 0
+	}
+	return g.Margin(s.clock.Now(), limit)
+}
+
+func (s *Server) learn(service string, expected, actual time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	g := s.gaps[service]
+	if g == nil {
+		g = &admit.Gap{}
+		s.gaps[service] = g
+	}
+	g.Learn(s.clock.Now(), expected, actual)
+}
+
 func (s *Server) success(names ...string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
