trial: raise Carpatia's price of a change to half a second

Cause: Carpatia weighs the number of changes more, and a price of 0.15 s let the planner make 22 to 33 of them for no more goodput than the fixed split.

--- a/trial/bench/work.go
+++ b/trial/bench/work.go
@@ -35,7 +35,7 @@
 	calm := []float64{10, 10.5, 3}
 	surge := []float64{36, 1.5, 3}
 	return Deployment{
-		Name: "carpatia", Engines: 10, Prefill: 5, Plains: 3, Price: 0.15, Lag: 7, Withdraw: 9,
+		Name: "carpatia", Engines: 10, Prefill: 5, Plains: 3, Price: 0.5, Lag: 7, Withdraw: 9,
 		Services: []demand.Service{
 			{
 				Name: "lookup", Class: state.ClassFirst, Unique: 2800, Output: 15,
