--- a/trial/proof/disk_setup_test.go
+++ b/trial/proof/disk_setup_test.go
@@ -27,9 +27,6 @@
 
 func startDisks(t *testing.T, spares int) *diskGroup {
 	t.Helper()
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	keep := quickKeep()
 	keep["group"] = map[string]any{"replace": "1s", "snapshot": 100}
 	g := &diskGroup{group: startGroup(t, fleet.Options{Spares: spares, Keep: keep})}
