--- a/core/process/boot/boot.go
+++ b/core/process/boot/boot.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/pelletier/go-toml/v2"
 )
 
@@ -24,31 +25,21 @@
 	ExitUnknown  = 7 // the outcome of the command is unknown
 )
 
-// Error is a start-up failure with the exit code that it leads to.
-type Error struct {
-	code int
-	err  error
-}
+// codeKey is the key under which an error carries its exit code.
+type codeKey struct{}
 
-// Fail wraps err so that Code finds code.
+// Fail gives err an exit code, which Code finds however often it is wrapped.
 func Fail(code int, err error) error {
-	return &Error{code: code, err: err}
+	return merry.Wrap(err, merry.NoCaptureStack(), merry.WithValue(codeKey{}, code))
 }
 
-// Error implements error.
-func (e *Error) Error() string { return e.err.Error() }
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.err }
-
 // Code returns the exit code for err.
 func Code(err error) int {
 	if err == nil {
 		return ExitOK
 	}
-	var e *Error
-	if errors.As(err, &e) {
-		return e.code
+	if code, ok := merry.Value(err, codeKey{}).(int); ok {
+		return code
 	}
 	return ExitFailure
 }
