boot: let all programs listen through it

Cause: boot.Listen gives one line with the key and the documented exit code, but entryd, keepd and stand each mapped the failure themselves, with the key or the address but not both.

--- a/core/process/boot/boot_test.go
+++ b/core/process/boot/boot_test.go
@@ -58,19 +58,19 @@
 }
 
 func TestListen(t *testing.T) {
-	l, err := boot.Listen("listen.http", "127.0.0.1:0")
+	l, err := boot.Listen(t.Context(), "listen.http", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
 	address := l.Addr().String()
 	for _, bad := range []string{address, "127.0.0.1", "127.0.0.1:none", "192.0.2.1:1"} {
-		_, err := boot.Listen("listen.http", bad)
+		_, err := boot.Listen(t.Context(), "listen.http", bad)
 		if boot.Code(err) != boot.ExitAddress || !strings.HasPrefix(err.Error(), "listen.http: can't listen on "+bad+": ") {
 			t.Errorf("%s: got %v with exit code %d", bad, err, boot.Code(err))
 		}
 	}
-	_, err = boot.Listen("listen.http", address)
+	_, err = boot.Listen(t.Context(), "listen.http", address)
 	if want := "listen.http: can't listen on " + address + ": bind: address already in use"; err.Error() != want {
 		t.Errorf("got %q, want %q", err, want)
 	}
--- a/core/process/boot/listen.go
+++ b/core/process/boot/listen.go
@@ -13,9 +13,8 @@
 
 // Listen opens the TCP address that a setting names. A failure is one line
 // with the key, and leads to ExitAddress.
-func Listen(key, address string) (net.Listener, error) {
-	var c net.ListenConfig
-	l, err := c.Listen(context.Background(), "tcp", address)
+func Listen(ctx context.Context, key, address string) (net.Listener, error) {
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, Unlistened(key, address, err)
 	}
--- a/entryd/app.go
+++ b/entryd/app.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -47,9 +46,9 @@
 
 // run serves until ctx ends, then shuts down gracefully.
 func (a *app) run(ctx context.Context) error {
-	l, err := new(net.ListenConfig).Listen(ctx, "tcp", a.settings.Listen.HTTP)
+	l, err := boot.Listen(ctx, "listen.http", a.settings.Listen.HTTP)
 	if err != nil {
-		return boot.Fail(boot.ExitAddress, fmt.Errorf("listen.http: %w", err))
+		return fmt.Errorf("listen for callers: %w", err)
 	}
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var group sync.WaitGroup
--- a/entryd/provide.go
+++ b/entryd/provide.go
@@ -117,7 +117,7 @@
 	w.Register(l)
 	_, cleanup, err := l.Listen(s.Listen.Link, c)
 	if err != nil {
-		return nil, nil, boot.Fail(boot.ExitAddress, fmt.Errorf("listen.link: %w", err))
+		return nil, nil, fmt.Errorf("serve links: %w", boot.Unlistened("listen.link", s.Listen.Link, err))
 	}
 	return l, cleanup, nil
 }
--- a/keepd/app.go
+++ b/keepd/app.go
@@ -45,12 +45,12 @@
 	k.server.Allow(proto.KindRun, peers...)
 	_, closeLinks, err := k.server.Listen(s.Listen.Link, t)
 	if err != nil {
-		return nil, boot.Fail(boot.ExitAddress, fmt.Errorf("serve links: %w", err))
+		return nil, fmt.Errorf("serve links: %w", boot.Unlistened("listen.link", s.Listen.Link, err))
 	}
 	k.close = closeLinks
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.HTTP)
+	listener, err := boot.Listen(ctx, "listen.http", s.Listen.HTTP)
 	if err != nil {
-		return nil, boot.Fail(boot.ExitAddress, fmt.Errorf("listen on %s: %w", s.Listen.HTTP, err))
+		return nil, fmt.Errorf("listen for operators: %w", err)
 	}
 	return &app{
 		lead: l, member: n, listener: listener,
--- a/stand/gate/serve.go
+++ b/stand/gate/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -18,9 +17,9 @@
 // Serve starts an HTTP server on an address. The clean-up closes the listener
 // and all connections and waits.
 func Serve(ctx context.Context, address string, h http.Handler) (*Listener, func(), error) {
-	raw, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	raw, err := boot.Listen(ctx, "listen", address)
 	if err != nil {
-		return nil, nil, boot.Fail(boot.ExitAddress, fmt.Errorf("listen on %s: %w", address, err))
+		return nil, nil, fmt.Errorf("serve HTTP: %w", err)
 	}
 	l := New(raw)
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
--- a/stand/proxy/tcp.go
+++ b/stand/proxy/tcp.go
@@ -34,9 +34,9 @@
 
 // NewTCP starts to forward. The clean-up closes all connections.
 func NewTCP(ctx context.Context, c config.Proxy) (*TCP, func(), error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", c.Listen)
+	l, err := boot.Listen(ctx, "proxy.listen", c.Listen)
 	if err != nil {
-		return nil, nil, boot.Fail(boot.ExitAddress, fmt.Errorf("proxy %s: listen on %s: %w", c.Name, c.Listen, err))
+		return nil, nil, fmt.Errorf("proxy %s: %w", c.Name, err)
 	}
 	p := &TCP{config: c, state: newConditions(), listener: l, pairs: make(map[*pair]struct{})}
 	p.group.Go(func() { p.accept(context.WithoutCancel(ctx)) })
--- a/stand/proxy/udp.go
+++ b/stand/proxy/udp.go
@@ -60,7 +60,7 @@
 	}
 	l, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp", c.Listen)
 	if err != nil {
-		return nil, nil, boot.Fail(boot.ExitAddress, fmt.Errorf("proxy %s: listen on %s: %w", c.Name, c.Listen, err))
+		return nil, nil, fmt.Errorf("proxy %s: %w", c.Name, boot.Unlistened("proxy.listen", c.Listen, err))
 	}
 	socket, _ := l.(*net.UDPConn)
 	p := &UDP{
