trial/proof: explain a real call; accounts don't share answers

Cause: 'haven explain call' was tested against a stand-in only, and no test with processes tried to read another account's answer by its key.

--- a/trial/fleet/fleet.go
+++ b/trial/fleet/fleet.go
@@ -234,6 +234,10 @@
 // Token is the bearer token of the operator account.
 func (f *Fleet) Token() string { return f.token }
 
+// OperatorToken is the bearer token of one of the operator accounts, "" if
+// there is none of that name.
+func (f *Fleet) OperatorToken(name string) string { return f.operators[name] }
+
 // CallerToken is the bearer token of the caller account "caller".
 func (f *Fleet) CallerToken() string { return f.caller }
 
--- /dev/null
+++ b/trial/proof/account_test.go
@@ -0,0 +1,42 @@
+package proof_test
+
+import (
+	"testing"
+
+	"verbenahaven.example/core/conn/stand"
+	"verbenahaven.example/trial/caller"
+	"verbenahaven.example/trial/fleet"
+)
+
+// TestAccountsDontShareAnswers lets two accounts file the same call under the
+// same key: each gets the answer of its own run.
+func TestAccountsDontShareAnswers(t *testing.T) {
+	g := startGroup(t, fleet.Options{
+		Entries: 2, Plains: []fleet.Plain{{Name: "permit1", Centre: "north", Service: "permit"}}, Operators: []string{"other"},
+		Declare: "declare service permit kind plain class first deadline 5s once true",
+	})
+	call := caller.Call{Service: "permit", Path: "stamps", Key: "guessed", Body: "{}"}
+	answers := make(map[string]string)
+	for i, token := range []string{g.CallerToken(), g.OperatorToken("other"), "wrong"} {
+		c := caller.New(token)
+		defer c.Close()
+		a, err := c.Once(t.Context(), g.Entries()[i%2].URL(), call)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if token == "wrong" {
+			if a.Status() != 401 || a.Ran() != "not_run" {
+				t.Fatalf("wrong token: status %d, %q", a.Status(), a.Body())
+			}
+			continue
+		}
+		if a.Status() != 200 || answers[string(a.Body())] != "" {
+			t.Fatalf("status %d, answer %q is that of another account", a.Status(), a.Body())
+		}
+		answers[string(a.Body())] = token
+	}
+	var runs []stand.Record
+	if err := g.History(t.Context(), "permit1", &runs); err != nil || len(runs) != 2 {
+		t.Fatalf("%d runs, want one for each account: %v", len(runs), err)
+	}
+}
--- /dev/null
+++ b/trial/proof/explain_test.go
@@ -0,0 +1,39 @@
+package proof_test
+
+import (
+	"strings"
+	"testing"
+
+	"verbenahaven.example/trial/caller"
+	"verbenahaven.example/trial/fleet"
+)
+
+// TestExplainCall asks why a completion went where it went, and why one was
+// refused, of the instance that served them.
+func TestExplainCall(t *testing.T) {
+	g := startGroup(t, fleet.Options{
+		Entries: 1, Engines: []fleet.Engine{quickEngine("engine1", true)},
+		Declare: "declare service counter kind model model spec revision 1 class first deadline 10s first 2s",
+	})
+	o := newOperator(t, g)
+	c := caller.New(g.CallerToken())
+	defer c.Close()
+	entry := g.Entries()[0].URL()
+	served, err := c.Chat(t.Context(), entry, caller.Chat{Service: "counter", Prompt: "why here", Tokens: 3})
+	if err != nil || !served.Whole() {
+		t.Fatalf("chat: whole %t, error %v", served.Whole(), err)
+	}
+	refused, err := c.Chat(t.Context(), entry, caller.Chat{Service: "nothing", Prompt: "why not", Tokens: 3})
+	if err != nil || refused.Code() == "" {
+		t.Fatalf("chat with an unknown model: code %q, error %v", refused.Code(), err)
+	}
+	for _, want := range []struct{ id, text string }{{served.ID(), "engine1"}, {refused.ID(), refused.Code()}} {
+		code, out := o.haven(g.Keepers()[0].URL(), "explain", "-entry", entry, "call", want.id)
+		if code != 0 || !strings.Contains(out, want.text) {
+			t.Errorf("explain call %s: exit code %d, output %q, want %q in it", want.id, code, out, want.text)
+		}
+	}
+	if code, out := o.haven(g.Keepers()[0].URL(), "explain", "-entry", entry, "call", "nobody"); code != 1 {
+		t.Errorf("explain an unknown call: exit code %d, output %q", code, out)
+	}
+}
