--- a/trial/run.go
+++ b/trial/run.go
@@ -230,7 +230,16 @@
 			cut += n
 		}
 	}
-	return fmt.Sprintf("trial: %s goodput=%.3f fixed=%.3f threshold=%.3f load=%.3f hindsight=%.3f changes=%.0f threshold_changes=%.0f cut=%d",
-		name, by["goodput"].Goodput, by["fixed"].Goodput, by["threshold"].Goodput, by["load"].Goodput, by["goodput"].Hindsight,
-		by["goodput"].Changes, by["threshold"].Changes, cut)
+	value := func(policy string, of func(sheet.Row) float64) string {
+		row, ran := by[policy]
+		if !ran {
+			return "-"
+		}
+		return fmt.Sprintf("%.3g", of(row))
+	}
+	goodput := func(r sheet.Row) float64 { return r.Goodput }
+	changes := func(r sheet.Row) float64 { return r.Changes }
+	return fmt.Sprintf("trial: %s goodput=%s fixed=%s threshold=%s load=%s hindsight=%s changes=%s threshold_changes=%s cut=%d",
+		name, value("goodput", goodput), value("fixed", goodput), value("threshold", goodput), value("load", goodput),
+		value("goodput", func(r sheet.Row) float64 { return r.Hindsight }), value("goodput", changes), value("threshold", changes), cut)
 }
