list: read the platform's list in one place

Cause: entryd and keepd each had the same request for the platform's list, and entryd's took an answer with any status: an error page that decodes as an empty list would have read as 'nothing leaves'. A fetch in core/conn/list serves both and refuses other statuses. Ruled out: keeping two with the check added; the next change would miss one.

--- /dev/null
+++ b/core/conn/list/fetch_test.go
@@ -0,0 +1,28 @@
+package list_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"verbenahaven.example/core/conn/list"
+)
+
+// TestFetchRefusesOtherStatus expects that a failing platform isn't read as
+// one that lists nothing.
+func TestFetchRefusesOtherStatus(t *testing.T) {
+	status := http.StatusOK
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(`[{"name":"a"}]`))
+	}))
+	defer s.Close()
+	if l, err := list.Fetch(t.Context(), s.Client(), s.URL); err != nil || len(l) != 1 || l[0].Name != "a" {
+		t.Fatalf("list %v, error %v", l, err)
+	}
+	status = http.StatusBadGateway
+	if _, err := list.Fetch(t.Context(), s.Client(), s.URL); !errors.Is(err, list.ErrStatus) {
+		t.Fatalf("error %v, want ErrStatus", err)
+	}
+}
--- a/entryd/listed/listed.go
+++ b/entryd/listed/listed.go
@@ -6,9 +6,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -22,7 +20,6 @@
 const (
 	period  = time.Second
 	timeout = time.Second
-	maxList = 4 << 20
 )
 
 // Listed follows the list.
@@ -68,18 +65,9 @@
 }
 
 func (l *Listed) read(ctx context.Context) (map[string]bool, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url, http.NoBody)
+	instances, err := list.Fetch(ctx, l.client, l.url)
 	if err != nil {
-		return nil, fmt.Errorf("make request: %w", err)
-	}
-	a, err := l.client.Do(r)
-	if err != nil {
-		return nil, fmt.Errorf("read list: %w", err)
-	}
-	defer func() { _ = a.Body.Close() }()
-	var instances []list.Instance
-	if err := json.NewDecoder(io.LimitReader(a.Body, maxList)).Decode(&instances); err != nil {
-		return nil, fmt.Errorf("decode list: %w", err)
+		return nil, fmt.Errorf("follow list: %w", err)
 	}
 	leaving := make(map[string]bool)
 	for _, i := range instances {
--- a/keepd/lead/list.go
+++ b/keepd/lead/list.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -19,7 +16,6 @@
 const (
 	listPeriod  = time.Second
 	listTimeout = 2 * time.Second
-	maxList     = 4 << 20 // bytes
 	// listPart is the share of its lease for which a member must have been
 	// silent before the list may count against it.
 	listPart = 2
@@ -37,7 +33,9 @@
 		if l.leading() == 0 {
 			return
 		}
-		instances, err := fetchList(ctx, url)
+		one, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		instances, err := list.Fetch(one, http.DefaultClient, url)
 		if err != nil {
 			l.meter.Count("list", "failed")
 			return
@@ -72,25 +70,3 @@
 		}
 	}
 }
-
-func fetchList(ctx context.Context, url string) ([]list.Instance, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, fmt.Errorf("make request for list: %w", err)
-	}
-	answer, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return nil, fmt.Errorf("read list: %w", err)
-	}
-	defer func() { _ = answer.Body.Close() }()
-	if answer.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("read list: status %d", answer.StatusCode)
-	}
-	var instances []list.Instance
-	if err := json.NewDecoder(io.LimitReader(answer.Body, maxList)).Decode(&instances); err != nil {
-		return nil, fmt.Errorf("decode list: %w", err)
-	}
-	return instances, nil
-}
