--- a/core/conn/guard/guard.go
+++ b/core/conn/guard/guard.go
@@ -45,16 +45,37 @@
 // Post sends a JSON body and decodes the JSON answer. Wrote tells whether any
 // byte may have left.
 func (w *Writer) Post(ctx context.Context, url string, body, answer any) (wrote bool, err error) {
-	remaining := w.lease()
-	if remaining <= w.margin {
-		return false, ErrLease
-	}
 	b, err := json.Marshal(body)
 	if err != nil {
 		return false, fmt.Errorf("encode order: %w", err)
 	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return false, fmt.Errorf("make order request: %w", err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	status, reply, wrote, err := w.Do(r)
+	switch {
+	case err != nil:
+		return wrote, err
+	case status >= http.StatusInternalServerError:
+		return wrote, fmt.Errorf("answer to order: status %d", status)
+	}
+	if err := json.Unmarshal(reply, answer); err != nil {
+		return wrote, fmt.Errorf("decode answer to order: %w", err)
+	}
+	return wrote, nil
+}
+
+// Do sends a request and reads the whole answer. Wrote tells whether any byte
+// may have left.
+func (w *Writer) Do(r *http.Request) (status int, answer []byte, wrote bool, err error) {
+	remaining := w.lease()
+	if remaining <= w.margin {
+		return 0, nil, false, ErrLease
+	}
 	// The connection dies with the lease that was held before it was dialled.
-	ctx, cancel := context.WithTimeout(ctx, min(remaining-w.margin, w.wait))
+	ctx, cancel := context.WithTimeout(r.Context(), min(remaining-w.margin, w.wait))
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	var p progress
@@ -66,16 +87,11 @@
 		},
 	}
 	defer transport.CloseIdleConnections()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
-	if err != nil {
-		return false, fmt.Errorf("make order request: %w", err)
-	}
-	r.Header.Set("Content-Type", "application/json")
-	err = exchange(transport, r, answer)
+	status, answer, err = exchange(transport, r.WithContext(ctx))
 	if p.refused.Load() {
 		err = ErrLease
 	}
-	return p.written.Load(), err
+	return status, answer, p.written.Load(), err
 }
 
 // progress is what became of the writes of one exchange.
@@ -84,23 +100,17 @@
 	refused atomic.Bool // the lease didn't cover a write
 }
 
-func exchange(transport *http.Transport, r *http.Request, answer any) error {
+func exchange(transport *http.Transport, r *http.Request) (int, []byte, error) {
 	reply, err := transport.RoundTrip(r)
 	if err != nil {
-		return fmt.Errorf("send order: %w", err)
+		return 0, nil, fmt.Errorf("send order: %w", err)
 	}
 	defer func() { _ = reply.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswer))
 	if err != nil {
-		return fmt.Errorf("read answer to order: %w", err)
-	}
-	if reply.StatusCode >= http.StatusInternalServerError {
-		return fmt.Errorf("answer to order: status %d", reply.StatusCode)
+		return 0, nil, fmt.Errorf("read answer to order: %w", err)
 	}
-	if err := json.Unmarshal(b, answer); err != nil {
-		return fmt.Errorf("decode answer to order: %w", err)
-	}
-	return nil
+	return reply.StatusCode, b, nil
 }
 
 func (w *Writer) dial(ctx context.Context, network, address string, left time.Duration, p *progress) (net.Conn, error) {
--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,34 +27,95 @@
 
 // Client implements proto.Keeper.
 type Client struct {
-	order   []string
-	clients map[string]*link.Client
+	config *tls.Config
+	open   bool     // a keeper's name is its address, and others than the first may be learnt
+	seeds  []string // the keepers known at the start
 
-	mutex  sync.Mutex
-	leader string
-	next   int
-	silent map[string]time.Time // until when a keeper that gave no answer is left out
+	mutex    sync.Mutex
+	order    []string
+	clients  map[string]*link.Client
+	cleanups []func()
+	leader   string
+	next     int
+	silent   map[string]time.Time // until when a keeper that gave no answer is left out
 }
 
 var _ proto.Keeper = (*Client)(nil)
 
 // New returns a client for the links of the keepers, by name, and its clean-up.
 func New(addresses map[string]string, config *tls.Config) (*Client, func()) {
-	c := &Client{clients: make(map[string]*link.Client), silent: make(map[string]time.Time)}
-	cleanups := make([]func(), 0, len(addresses))
+	c := &Client{config: config, clients: make(map[string]*link.Client), silent: make(map[string]time.Time)}
 	for name, address := range addresses {
-		l, cleanup := link.NewClient(address, config)
-		c.clients[name] = l
-		c.order = append(c.order, name)
-		cleanups = append(cleanups, cleanup)
+		c.add(name, address)
+		c.seeds = append(c.seeds, name)
 	}
-	return c, func() {
-		for _, f := range cleanups {
-			f()
+	return c, c.close
+}
+
+// Open returns a client of keepers that are named by their link addresses. It
+// starts with the seeds and follows the leader to addresses outside of them.
+func Open(seeds []string, config *tls.Config) (*Client, func()) {
+	c := &Client{config: config, open: true, seeds: slices.Clone(seeds), clients: make(map[string]*link.Client), silent: make(map[string]time.Time)}
+	for _, address := range seeds {
+		c.add(address, address)
+	}
+	return c, c.close
+}
+
+// add makes the client of a keeper that isn't known yet.
+func (c *Client) add(name, address string) {
+	if _, known := c.clients[name]; known {
+		return
+	}
+	l, cleanup := link.NewClient(address, c.config)
+	c.clients[name] = l
+	c.order = append(c.order, name)
+	c.cleanups = append(c.cleanups, cleanup)
+}
+
+func (c *Client) close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, f := range c.cleanups {
+		f()
+	}
+}
+
+// Learn tells an open client which keepers there are now. The seeds are tried
+// as well, until one of these was learnt.
+func (c *Client) Learn(addresses []string) {
+	if !c.open || len(addresses) == 0 {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, a := range addresses {
+		c.add(a, a)
+	}
+	c.order = slices.Clone(addresses)
+	for _, s := range c.seeds {
+		if !slices.Contains(c.order, s) {
+			c.order = append(c.order, s)
 		}
 	}
 }
 
+func (c *Client) client(name string) *link.Client {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.clients[name]
+}
+
+// Post publishes a routing table through the leader.
+func (c *Client) Post(ctx context.Context, r proto.PostRequest) (proto.PostReply, error) {
+	return ask[proto.PostRequest, proto.PostReply](ctx, c, proto.KindPost, r)
+}
+
+// Table reads the newest routing table at the leader.
+func (c *Client) Table(ctx context.Context, r proto.TableRequest) (proto.TableReply, error) {
+	return ask[proto.TableRequest, proto.TableReply](ctx, c, proto.KindTable, r)
+}
+
 // Beat sends a heartbeat to the leader.
 func (c *Client) Beat(ctx context.Context, r proto.BeatRequest) (proto.BeatReply, error) {
 	return ask[proto.BeatRequest, proto.BeatReply](ctx, c, proto.KindBeat, r)
@@ -79,7 +141,7 @@
 	name := c.any()
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+tryTimeout)
 	defer cancel()
-	reply, err := link.Call[proto.WatchRequest, proto.WatchReply](ctx, c.clients[name], proto.KindWatch, r)
+	reply, err := link.Call[proto.WatchRequest, proto.WatchReply](ctx, c.client(name), proto.KindWatch, r)
 	if err != nil {
 		c.skip()
 		return reply, fmt.Errorf("watch %s: %w", name, err)
@@ -125,6 +187,9 @@
 func (c *Client) believe(name string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.open && name != "" {
+		c.add(name, name)
+	}
 	if _, ok := c.clients[name]; !ok || c.isSilent(name) {
 		name = ""
 	}
@@ -159,7 +224,7 @@
 	for {
 		name := c.pick()
 		try, cancel := context.WithTimeout(ctx, tryTimeout)
-		answer, err := link.Call[Q, A](try, c.clients[name], kind, request)
+		answer, err := link.Call[Q, A](try, c.client(name), kind, request)
 		cancel()
 		if err == nil {
 			c.answered(name)
--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -18,6 +18,8 @@
 	KindSlice  = "slice"  // entryd to the leading keepd
 	KindStrike = "strike" // entryd to the leading keepd
 	KindRun    = "run"    // keepd to the leading keepd
+	KindPost   = "post"   // keepd to the leading keepd
+	KindTable  = "table"  // keepd to the leading keepd
 )
 
 // WatchRequest asks for the state after the version Have. The receiver holds
@@ -68,14 +70,47 @@
 	Reports  []Report          `cbor:"5,keyasint,omitempty"`
 	InFlight map[string]uint32 `cbor:"6,keyasint,omitempty"` // own requests by backend server, only those leaving or changing
 	Holder   string            `cbor:"7,keyasint,omitempty"` // as in OnceRequest: keeps the calls that it runs from being given up
+	Loads    []Share           `cbor:"8,keyasint,omitempty"` // own work at the engines
+}
+
+// Share is the work that entry instances have at an engine.
+type Share struct {
+	Engine  string `cbor:"1,keyasint"`
+	Prefill int    `cbor:"2,keyasint,omitempty"` // prompt tokens that wait for prefill or are in it
+	Streams int    `cbor:"3,keyasint,omitempty"` // answers that are generated
+	Long    int    `cbor:"4,keyasint,omitempty"` // of these, such that a pause would be noticed
+	Tokens  int    `cbor:"5,keyasint,omitempty"` // KV memory that these will need at most
 }
 
 // BeatReply confirms a heartbeat.
 type BeatReply struct {
 	Version uint64        `cbor:"1,keyasint"`
-	Lease   time.Duration `cbor:"2,keyasint"` // how long the member counts as alive
-	Phase   state.Phase   `cbor:"3,keyasint"` // the phase the state gives this member
-	Settled bool          `cbor:"4,keyasint"` // the phase leaving is in force on all live members
+	Lease   time.Duration `cbor:"2,keyasint"`           // how long the member counts as alive
+	Phase   state.Phase   `cbor:"3,keyasint"`           // the phase the state gives this member
+	Settled bool          `cbor:"4,keyasint"`           // the phase leaving is in force on all live members
+	Loads   []Share       `cbor:"5,keyasint,omitempty"` // work of all other instances
+	Reports []Report      `cbor:"6,keyasint,omitempty"` // that the leader reads for all
+	Keepers []string      `cbor:"7,keyasint,omitempty"` // link addresses, where these are the keepers' names
+}
+
+// PostRequest publishes a routing table.
+type PostRequest struct {
+	Routing state.Routing `cbor:"1,keyasint"`
+}
+
+// PostReply tells the number in force once the request has been executed.
+type PostReply struct {
+	Number uint64 `cbor:"1,keyasint"`
+}
+
+// TableRequest asks for the newest routing table.
+type TableRequest struct{}
+
+// TableReply carries the document of the newest routing table, empty if none
+// was published.
+type TableReply struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Source []byte `cbor:"2,keyasint,omitempty"`
 }
 
 // OnceStep is a step of a call that must run at most once.
--- a/core/process/meter/meter.go
+++ b/core/process/meter/meter.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -38,6 +39,23 @@
 	metrics.GetOrRegisterGauge(strings.Join(parts, "."), r.registry).Update(v)
 }
 
+// histogramSize and histogramAlpha shape the sample of a latency histogram:
+// the library's usual ones, biased to the last five minutes.
+const (
+	histogramSize  = 1028
+	histogramAlpha = 0.015
+)
+
+// Time adds a duration to a latency histogram.
+func (r *Registry) Time(d time.Duration, parts ...string) {
+	h, ok := r.registry.GetOrRegister(strings.Join(parts, ".")+"_us", func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(histogramSize, histogramAlpha))
+	}).(metrics.Histogram)
+	if ok {
+		h.Update(d.Microseconds())
+	}
+}
+
 // Value returns the value of a counter or gauge, 0 if there is none.
 func (r *Registry) Value(parts ...string) int64 {
 	switch m := r.registry.Get(strings.Join(parts, ".")).(type) {
@@ -59,6 +77,11 @@
 			lines = append(lines, fmt.Sprintf("%s %d\n", name, v.Count()))
 		case metrics.Gauge:
 			lines = append(lines, fmt.Sprintf("%s %d\n", name, v.Value()))
+		case metrics.Histogram:
+			s := v.Snapshot()
+			q := s.Percentiles([]float64{0.5, 0.95, 0.99})
+			lines = append(lines, fmt.Sprintf("%s.count %d\n", name, s.Count()), fmt.Sprintf("%s.p50 %.0f\n", name, q[0]),
+				fmt.Sprintf("%s.p95 %.0f\n", name, q[1]), fmt.Sprintf("%s.p99 %.0f\n", name, q[2]), fmt.Sprintf("%s.max %d\n", name, s.Max()))
 		}
 	})
 	sort.Strings(lines)
--- a/core/process/node/loop.go
+++ b/core/process/node/loop.go
@@ -87,7 +87,7 @@
 	case quorum.Persist:
 		put(ctx, n.writes, write{persist: &a})
 	case quorum.Send:
-		n.post(a.Message)
+		n.post(ctx, a.Message)
 	case quorum.Rejected:
 		n.meter.Count("raft", "refused", reason(a.Reason))
 		n.resolve(a.ID, outcome{err: translate(a.Reason)})
@@ -105,8 +105,15 @@
 	}
 }
 
-func (n *Node) post(m quorum.Message) {
+// maxSenders bounds the instances that a member of an open group sends to:
+// the members of the largest group and their predecessors, several times over.
+const maxSenders = 8 * quorum.MaxMembers
+
+func (n *Node) post(ctx context.Context, m quorum.Message) {
 	s, ok := n.senders[m.To]
+	if !ok && n.settings.Open && len(n.senders) < maxSenders {
+		s, ok = n.startSender(ctx, m.To, m.To), true
+	}
 	if !ok {
 		n.meter.Count("raft", "dropped", "unknown_peer")
 		return
@@ -125,7 +132,7 @@
 			n.meter.Count("raft", "refused", "forged")
 			return struct{}{}, &link.Remote{Code: link.CodeBad, Detail: "sender is not " + m.From}
 		}
-		if _, ok := n.settings.Peers[peer]; !ok {
+		if _, ok := n.settings.Peers[peer]; !ok && !n.settings.Open {
 			n.meter.Count("raft", "refused", "unknown_peer")
 			return struct{}{}, &link.Remote{Code: link.CodeBad, Detail: "unknown peer " + peer}
 		}
--- a/core/process/node/member.go
+++ b/core/process/node/member.go
@@ -27,6 +27,9 @@
 	Peers     map[string]string // link address of each instance, this one included
 	Voters    []string          // first voters
 	Spares    []string          // learners that replace a lost voter
+	Open      bool              // instances outside of Peers may join; their name is their link address
+	Join      bool              // a new folder joins a group and never founds one
+	Wanted    int               // voters to grow to, 0 for as many as founded the group
 	Heartbeat time.Duration
 	Election  time.Duration
 	Replace   time.Duration // silence after which a voter is replaced, 0 for never
@@ -61,9 +64,10 @@
 	inbox   chan quorum.Event
 	writes  chan write
 	applies chan any
-	senders map[string]*sender
-	synced  atomic.Uint64 // number of the newest durable persist
-	wake    chan struct{} // synced has changed
+	senders map[string]*sender // used by the loop once the member runs
+	config  *tls.Config        // of links
+	synced  atomic.Uint64      // number of the newest durable persist
+	wake    chan struct{}      // synced has changed
 	saved   chan quorum.Meta
 	images  chan image // snapshots that the applier made
 
@@ -110,6 +114,7 @@
 		writes:   make(chan write, diskRing),
 		applies:  make(chan any, applyRing),
 		senders:  make(map[string]*sender),
+		config:   config,
 		wake:     make(chan struct{}, 1),
 		saved:    make(chan quorum.Meta, 1),
 		images:   make(chan image, 1),
@@ -121,7 +126,7 @@
 	n.applied.Store(store.Stored().Snapshot.Index)
 	n.publish()
 	link.Handle(server, kind, n.receive)
-	n.start(ctx, config)
+	n.start(ctx)
 	return n, func() {
 		n.handOver()
 		n.stop()
@@ -133,7 +138,7 @@
 
 // open opens the data folder, or sets a damaged one aside and makes a new one.
 func open(s Settings, r *meter.Registry) (*disk.Store, func(), error) {
-	store, cleanup, err := disk.Open(s.Folder, disk.Options{Files: s.Files, Found: true})
+	store, cleanup, err := disk.Open(s.Folder, disk.Options{Files: s.Files, Found: !s.Join})
 	if err == nil {
 		return store, cleanup, nil
 	}
@@ -174,6 +179,8 @@
 		Voters:    s.Voters,
 		Spares:    s.Spares,
 		Peers:     peers,
+		Open:      s.Open,
+		Wanted:    s.Wanted,
 		Heartbeat: s.Heartbeat,
 		Election:  s.Election,
 		Drift:     drift,
@@ -194,20 +201,24 @@
 	return rand.New(rand.NewChaCha8(seed))
 }
 
-func (n *Node) start(ctx context.Context, config *tls.Config) {
+func (n *Node) start(ctx context.Context) {
 	for name, address := range n.settings.Peers {
-		if name == n.settings.Name {
-			continue
+		if name != n.settings.Name {
+			n.startSender(ctx, name, address)
 		}
-		s := newSender(n, address, config)
-		n.senders[name] = s
-		n.spawn(func() { s.run(ctx) })
 	}
 	n.spawn(func() { n.loop(ctx) })
 	n.spawn(func() { n.writeLoop(ctx) })
 	n.spawn(func() { n.applyLoop(ctx) })
 }
 
+func (n *Node) startSender(ctx context.Context, name, address string) *sender {
+	s := newSender(n, address, n.config)
+	n.senders[name] = s
+	n.spawn(func() { s.run(ctx) })
+	return s
+}
+
 func (n *Node) spawn(f func()) {
 	n.group.Add(1)
 	go func() {
--- a/core/process/quorum/member.go
+++ b/core/process/quorum/member.go
@@ -186,12 +186,29 @@
 	if next, what, ok := c.startReplacement(config); ok {
 		return next, what, true
 	}
+	if next, what, ok := c.grow(config); ok {
+		return next, what, true
+	}
 	if next, what, ok := c.dropLearner(config); ok {
 		return next, what, true
 	}
 	return c.admit(config)
 }
 
+// grow makes a caught-up learner a voter while there are fewer than wanted.
+func (c *Core) grow(config Config) (Config, string, bool) {
+	if config.Voters() >= c.settings.Wanted {
+		return config, "", false
+	}
+	for _, m := range config.Members {
+		if !m.Voter && !c.lost(m) && c.caughtUp(m.Identity) {
+			m.Voter = true
+			return config.with(m), "promote " + m.Name, true
+		}
+	}
+	return config, "", false
+}
+
 // startReplacement puts a caught-up learner in the place of a lost voter.
 func (c *Core) startReplacement(config Config) (Config, string, bool) {
 	for _, lost := range config.Members {
@@ -208,9 +225,11 @@
 }
 
 // dropLearner removes a lost learner whose instance came back as a new member.
+// Where any instance may join, one that is silent is removed as well: its
+// place may be needed, and it is admitted again when it comes back.
 func (c *Core) dropLearner(config Config) (Config, string, bool) {
 	for _, m := range config.Members {
-		if !m.Voter && c.lost(m) && c.renewed(m) {
+		if !m.Voter && c.lost(m) && (c.settings.Open || c.renewed(m)) {
 			return config.without(m.Identity), "remove the lost folder of " + m.Name, true
 		}
 	}
@@ -221,7 +240,7 @@
 func (c *Core) admit(config Config) (Config, string, bool) {
 	for _, identity := range c.strangers() {
 		s := c.strange[identity]
-		known := slices.Contains(c.settings.Voters, s.name) || slices.Contains(c.settings.Spares, s.name)
+		known := c.settings.Open || slices.Contains(c.settings.Voters, s.name) || slices.Contains(c.settings.Spares, s.name)
 		if known && config.room(s.name) {
 			return config.with(Member{Name: s.name, Identity: identity}), "add " + s.name + " as learner", true
 		}
--- a/core/process/quorum/send.go
+++ b/core/process/quorum/send.go
@@ -92,10 +92,7 @@
 		return
 	}
 	c.hello = c.now + c.settings.Election/2
-	for _, name := range c.settings.Peers {
-		if name == c.settings.Name {
-			continue
-		}
+	for _, name := range c.acquainted() {
 		c.send(Member{Name: name}, Message{
 			Kind:    MessageHello,
 			Term:    c.hard.Term,
@@ -105,6 +102,21 @@
 	}
 }
 
+// acquainted lists the other instances that this one knows, each once. Where
+// any instance may join, the members that were met count as well: those of the
+// settings may all be gone.
+func (c *Core) acquainted() []string {
+	names := slices.Clone(c.settings.Peers)
+	if c.settings.Open {
+		for _, m := range c.config().Members {
+			names = append(names, m.Name)
+		}
+	}
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return slices.DeleteFunc(names, func(name string) bool { return name == c.settings.Name })
+}
+
 func (c *Core) mayFound() bool {
 	return c.settings.Found && c.hard.Group == "" && c.hard.Term == 0
 }
@@ -120,7 +132,7 @@
 	if _, ok := c.config().Find(m.FromIdentity); ok {
 		return
 	}
-	if !slices.Contains(c.settings.Peers, m.From) {
+	if !c.settings.Open && !slices.Contains(c.settings.Peers, m.From) {
 		return
 	}
 	// An instance has one folder at a time: the newest identity counts.
--- a/core/process/quorum/types.go
+++ b/core/process/quorum/types.go
@@ -212,6 +212,8 @@
 	Voters    []string      // names of the first voters
 	Spares    []string      // names of learners that replace lost voters
 	Peers     []string      // names of all instances that may be members
+	Open      bool          // instances outside of Peers may join as well
+	Wanted    int           // voters to grow to, 0 for as many as founded the group
 	Heartbeat time.Duration // between heartbeats
 	Election  time.Duration // silence after which a follower may campaign
 	Drift     float64       // bound of the clocks' rate error: 0.01 is 1%
--- /dev/null
+++ b/core/request/place/place.go
@@ -0,0 +1,472 @@
+// Package place chooses the engines of a generation whose prompt is described
+// by its parts: where the prompt is prefilled, where the answer is decoded, and
+// from where cached parts are fetched. It is a state machine: time, reports and
+// outcomes come in, a plan comes out.
+package place
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/version/state"
+)
+
+const (
+	// shortPrompt is the number of tokens that a decode engine prefills between
+	// the tokens of its answers without pausing them: two pieces of its prefill.
+	shortPrompt = 1024
+	// decodeShare is the prefill speed of a decode engine against that of a
+	// prefill engine.
+	decodeShare = 0.5
+	// startRate is the prefill speed of an engine that isn't known yet, in
+	// tokens a second.
+	startRate = 250_000.0
+	// longAnswer is the number of events from which an answer counts as long.
+	longAnswer = 8
+	// fillFirst is the share of an engine's room that long answers take before
+	// the next engine gets some: so that others stay free of them.
+	fillFirst = 0.65
+	// awayCost is what another data centre costs, as time: its distance, and
+	// the price of the bytes between.
+	awayCost = 15 * time.Millisecond
+	// fullCost is what an engine without room costs, as time.
+	fullCost = 300 * time.Millisecond
+	// handCost is the time to hand a KV cache over.
+	handCost = 6 * time.Millisecond
+	// fetchCost is the time to fetch shared parts.
+	fetchCost = 3 * time.Millisecond
+	// fetchMiss is the share of shared parts that the engine which should hold
+	// them is expected to lack.
+	fetchMiss = 0.3
+	// partLife is how long a part is taken to stay in an engine's cache.
+	partLife = 20 * time.Second
+	// maxParts bounds the parts that are remembered for an engine.
+	maxParts = 4096
+	// reportLife is how long a report counts.
+	reportLife = 2 * time.Second
+)
+
+// ErrNone tells that no engine can take the request.
+var ErrNone = errors.New("no engine can take the request")
+
+// Ask is a request that needs engines.
+type Ask struct {
+	ID     string // of the attempt
+	Pool   string
+	Prompt *server.Prompt
+	Avoid  []string // engines that failed this request
+}
+
+// Plan is a choice of engines.
+type Plan struct {
+	Prefill  state.Engine // no name if the decode engine prefills
+	Decode   state.Engine
+	Fetch    string        // URL of an engine that may hold shared parts
+	Expected time.Duration // until the first event
+	Work     int           // prompt tokens to be computed
+	Wait     time.Duration // of Expected, in the prefill queue
+}
+
+// Split reports whether prefill and decode run on two engines.
+func (p *Plan) Split() bool { return p.Prefill.Name != "" }
+
+// send is own work at an engine.
+type send struct {
+	prefill int
+	decode  bool
+	long    bool
+	tokens  int
+}
+
+// host is one engine as this instance sees it.
+type host struct {
+	health
+	engine   state.Engine
+	spec     state.Spec
+	report   proto.Report
+	others   proto.Share
+	sends    map[string]send
+	own      proto.Share
+	slow     float64 // prefill time against what startRate gives
+	parts    map[string]time.Time
+	rank     uint64 // fixed place among the engines of a pool
+	reported bool
+}
+
+// Placer holds what an instance knows of the engines.
+type Placer struct {
+	centre string
+	hosts  map[string]*host
+	pools  map[string][]*host // by rank
+}
+
+// New returns a placer without engines, for an instance in a data centre.
+func New(centre string) *Placer {
+	return &Placer{centre: centre, hosts: make(map[string]*host), pools: make(map[string][]*host)}
+}
+
+// Update takes the engines of a new version of the state.
+func (p *Placer) Update(engines []state.Engine, routing *state.Routing) {
+	hosts := make(map[string]*host, len(engines))
+	pools := make(map[string][]*host)
+	for _, e := range engines {
+		h := p.hosts[e.Name]
+		if h == nil || h.engine.URL != e.URL || h.engine.Serial != e.Serial {
+			h = &host{sends: make(map[string]send), parts: make(map[string]time.Time), slow: 1, rank: xxhash.Sum64String(e.Name)}
+		}
+		h.engine = e
+		if routing != nil {
+			if pool, ok := routing.Pool(e.Pool); ok && pool.Spec != nil {
+				h.spec = *pool.Spec
+			}
+		}
+		hosts[e.Name] = h
+		pools[e.Pool] = append(pools[e.Pool], h)
+	}
+	for _, list := range pools {
+		slices.SortFunc(list, func(a, b *host) int {
+			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.engine.Name, b.engine.Name))
+		})
+	}
+	p.hosts, p.pools = hosts, pools
+}
+
+// Hear takes reports and the work of all other instances.
+func (p *Placer) Hear(reports []proto.Report, others []proto.Share) {
+	for _, h := range p.hosts {
+		h.others = proto.Share{}
+	}
+	for _, r := range reports {
+		if h := p.hosts[r.Engine]; h != nil {
+			h.report, h.reported = r, true
+		}
+	}
+	for _, s := range others {
+		if h := p.hosts[s.Engine]; h != nil {
+			h.others = s
+		}
+	}
+}
+
+// Loads returns own work at the engines, by name.
+func (p *Placer) Loads() []proto.Share {
+	var list []proto.Share
+	for name, h := range p.hosts {
+		if len(h.sends) == 0 {
+			continue
+		}
+		s := h.own
+		s.Engine = name
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b proto.Share) int { return cmp.Compare(a.Engine, b.Engine) })
+	return list
+}
+
+func (h *host) add(id string, s send) {
+	h.drop(id)
+	h.sends[id] = s
+	h.count(s, 1)
+}
+
+func (h *host) drop(id string) {
+	s, found := h.sends[id]
+	if !found {
+		return
+	}
+	delete(h.sends, id)
+	h.count(s, -1)
+}
+
+func (h *host) count(s send, sign int) {
+	h.own.Prefill += sign * s.prefill
+	h.own.Tokens += sign * s.tokens
+	if s.decode {
+		h.own.Streams += sign
+	}
+	if s.long {
+		h.own.Long += sign
+	}
+}
+
+// Sent records own work that goes to the engines of a plan.
+func (p *Placer) Sent(now time.Time, a *Ask, plan *Plan) {
+	target := send{decode: true, long: p.long(a), tokens: a.Prompt.Tokens + a.output()}
+	if plan.Split() {
+		if h := p.hosts[plan.Prefill.Name]; h != nil {
+			h.add(a.ID, send{prefill: plan.Work})
+			h.remember(now, a)
+		}
+	} else {
+		target.prefill = plan.Work
+	}
+	if h := p.hosts[plan.Decode.Name]; h != nil {
+		h.add(a.ID, target)
+		h.remember(now, a)
+	}
+}
+
+// Prefilled records that a prompt was computed, after a time. It teaches how
+// fast the engine is.
+func (p *Placer) Prefilled(a *Ask, plan *Plan, took time.Duration) {
+	name := plan.Prefill.Name
+	if !plan.Split() {
+		name = plan.Decode.Name
+	}
+	h := p.hosts[name]
+	if h == nil {
+		return
+	}
+	if plan.Split() {
+		h.drop(a.ID)
+		h.learn(plan, took)
+		return
+	}
+	if s, found := h.sends[a.ID]; found {
+		s.prefill = 0
+		h.add(a.ID, s)
+	}
+}
+
+// Done forgets own work at the engines of a plan.
+func (p *Placer) Done(a *Ask, plan *Plan) {
+	for _, name := range []string{plan.Prefill.Name, plan.Decode.Name} {
+		if h := p.hosts[name]; h != nil {
+			h.drop(a.ID)
+		}
+	}
+}
+
+// slowWeight is the weight of a new observation of an engine's speed.
+const slowWeight = 0.05
+
+func (h *host) learn(plan *Plan, took time.Duration) {
+	expected := plan.Wait + h.prefillTime(plan.Work)
+	if expected <= 0 {
+		return
+	}
+	ratio := min(max(float64(took)/float64(expected), 0.25), 4)
+	h.slow = min(max(h.slow*(1-slowWeight)+h.slow*ratio*slowWeight, 0.25), 8)
+}
+
+func (h *host) prefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) * h.slow / startRate * float64(time.Second))
+}
+
+// queue is the time until the engine has computed what it was given.
+func (h *host) queue() time.Duration {
+	d := h.prefillTime(h.own.Prefill + h.others.Prefill)
+	if h.engine.Role != state.RolePrefill {
+		d = time.Duration(float64(d) / decodeShare)
+	}
+	return d
+}
+
+// fill is the share of the engine's room that is taken.
+func (h *host) fill() float64 {
+	streams := max(h.own.Streams+h.others.Streams, h.report.Running+h.report.Waiting)
+	fill := h.report.Used
+	if h.spec.Slots > 0 {
+		fill = max(fill, float64(streams)/float64(h.spec.Slots))
+	}
+	if h.spec.Tokens > 0 {
+		fill = max(fill, float64(h.own.Tokens+h.others.Tokens)/float64(h.spec.Tokens))
+	}
+	return fill
+}
+
+func (h *host) usable(now time.Time, a *Ask) bool {
+	if h.engine.Phase != state.PhaseServing || slices.Contains(a.Avoid, h.engine.Name) || !h.healthy(now) {
+		return false
+	}
+	dead := h.reported && !h.report.Alive && now.Sub(h.report.At) < reportLife
+	return !dead
+}
+
+// remember notes the shared parts that the engine will hold.
+func (h *host) remember(now time.Time, a *Ask) {
+	if len(h.parts) > maxParts {
+		for id, at := range h.parts {
+			if now.Sub(at) > partLife {
+				delete(h.parts, id)
+			}
+		}
+	}
+	if len(h.parts) > maxParts {
+		clear(h.parts)
+	}
+	for _, part := range a.shared() {
+		h.parts[part.ID] = now
+	}
+}
+
+// known counts the prompt tokens that the engine is taken to hold.
+func (h *host) known(now time.Time, a *Ask) int {
+	tokens := 0
+	for _, part := range a.shared() {
+		if at, found := h.parts[part.ID]; !found || now.Sub(at) > partLife {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+// shared returns the parts that other requests may have; the last is the
+// request's own.
+func (a *Ask) shared() []server.Part {
+	if len(a.Prompt.Parts) < 2 {
+		return nil
+	}
+	return a.Prompt.Parts[:len(a.Prompt.Parts)-1]
+}
+
+func (a *Ask) output() int {
+	if a.Prompt.Guess > 0 {
+		return min(a.Prompt.Guess, a.Prompt.Output)
+	}
+	return a.Prompt.Output
+}
+
+// long tells whether the answer has so many events that pauses between them
+// matter.
+func (p *Placer) long(a *Ask) bool {
+	stride := 1
+	if list := p.pools[a.Pool]; len(list) > 0 {
+		stride = max(1, list[0].spec.Stride)
+	}
+	return a.output() > longAnswer*stride
+}
+
+// Pick chooses the engines of a request.
+func (p *Placer) Pick(now time.Time, a *Ask) (Plan, error) {
+	var prefill, decode []*host
+	for _, h := range p.pools[a.Pool] {
+		if !h.usable(now, a) {
+			continue
+		}
+		if h.engine.Role == state.RolePrefill {
+			prefill = append(prefill, h)
+		} else {
+			decode = append(decode, h)
+		}
+	}
+	if len(decode) == 0 {
+		return Plan{}, fmt.Errorf("pool %s: %w", a.Pool, ErrNone)
+	}
+	target, wait := p.target(decode, a)
+	best := Plan{Expected: -1}
+	if home := homeOf(prefill, a); home != nil && (a.Prompt.Tokens > shortPrompt) {
+		for _, h := range prefill {
+			best.better(p.split(now, a, h, home, target, wait))
+		}
+	}
+	for i, h := range decode {
+		if best.Expected < 0 || h == target && a.Prompt.Tokens <= shortPrompt || h.own.Long+h.others.Long == 0 && a.Prompt.Tokens > shortPrompt && !p.long(a) {
+			best.better(p.direct(now, a, h, len(decode)-i))
+		}
+	}
+	return best, nil
+}
+
+func (p *Plan) better(q Plan) {
+	if p.Expected < 0 || q.Expected < p.Expected {
+		*p = q
+	}
+}
+
+func (p *Placer) away(h *host) time.Duration {
+	if h.engine.Centre == p.centre {
+		return 0
+	}
+	return awayCost
+}
+
+// target chooses the engine that decodes. Long answers fill one engine after
+// the other; short ones go where there is room.
+func (p *Placer) target(decode []*host, a *Ask) (*host, time.Duration) {
+	long := p.long(a)
+	var best *host
+	var least time.Duration
+	place := 0
+	for _, h := range decode {
+		fill := h.fill()
+		cost := p.away(h) + h.queue()
+		switch {
+		case fill >= 1:
+			cost += time.Duration(fill * float64(fullCost))
+		case long && fill >= fillFirst:
+			cost += time.Duration(fill * float64(fullCost) / 4)
+		case long:
+			if p.away(h) == 0 {
+				cost += time.Duration(place) * time.Millisecond
+				place++
+			}
+		default:
+			cost += time.Duration(fill * float64(10*time.Millisecond))
+		}
+		if best == nil || cost < least {
+			best, least = h, cost
+		}
+	}
+	return best, least
+}
+
+// homeOf returns the prefill engine that should hold the shared parts of a
+// prompt: the same at each instance.
+func homeOf(prefill []*host, a *Ask) *host {
+	key := ""
+	if parts := a.shared(); len(parts) > 0 {
+		key = parts[len(parts)-1].ID
+	}
+	var best *host
+	var high uint64
+	for _, h := range prefill {
+		if n := xxhash.Sum64String(key + "/" + h.engine.Name); best == nil || n > high {
+			best, high = h, n
+		}
+	}
+	return best
+}
+
+// split is the plan that prefills at h and decodes at target.
+func (p *Placer) split(now time.Time, a *Ask, h, home, target *host, wait time.Duration) Plan {
+	shared := 0
+	for _, part := range a.shared() {
+		shared += part.Tokens
+	}
+	known := h.known(now, a)
+	plan := Plan{Prefill: h.engine, Decode: target.engine, Wait: h.queue()}
+	cost := p.away(h) + handCost
+	missing := shared - known
+	switch {
+	case missing == 0:
+	case h == home:
+		missing = int(fetchMiss * float64(missing))
+	default:
+		plan.Fetch = home.engine.URL
+		cost += fetchCost
+		missing = int(fetchMiss * float64(missing))
+	}
+	plan.Work = a.Prompt.Tokens - shared + missing
+	plan.Expected = cost + plan.Wait + h.prefillTime(plan.Work) + wait
+	return plan
+}
+
+// direct is the plan in which h prefills and decodes.
+func (p *Placer) direct(now time.Time, a *Ask, h *host, place int) Plan {
+	plan := Plan{Decode: h.engine, Work: a.Prompt.Tokens - h.known(now, a), Wait: h.queue()}
+	plan.Expected = p.away(h) + plan.Wait + time.Duration(float64(h.prefillTime(plan.Work))/decodeShare)
+	plan.Expected += time.Duration(place) * time.Millisecond / 4
+	if fill := h.fill(); fill >= 1 {
+		plan.Expected += time.Duration(fill * float64(fullCost))
+	}
+	return plan
+}
--- a/core/version/order/order.go
+++ b/core/version/order/order.go
@@ -20,6 +20,7 @@
 	Drain  time.Duration // longest wait for requests that still run
 	Limit  time.Duration // time after which an order that can't be delivered fails
 	Pause  time.Duration // between probes of an engine
+	Settle time.Duration // from the start of a term to its first order, so that leaders don't take turns
 }
 
 // clockRate is the share by which the clocks of two instances may drift apart
@@ -58,6 +59,7 @@
 	Kind   ActionKind
 	Order  state.Order
 	URL    string
+	Seen   uint64 // of a send: the engine's count of orders, as the last probe found it
 	Status string // of a close
 	Reason string // of a close
 }
@@ -81,6 +83,7 @@
 	next    time.Duration // earliest next probe
 	waiting bool          // an action is being carried out
 	ready   bool          // the last probe found the engine fit for the order
+	seen    uint64        // the engine's count of orders at that probe
 }
 
 // Machine drives all open orders of one leader.
@@ -148,13 +151,13 @@
 	}
 	late := now-k.since >= m.settings.Drain
 	switch {
-	case now < k.quiet || now < k.next:
+	case now < k.quiet || now < k.next || now-m.led < m.settings.Settle:
 		return Action{}, false
 	case !t.Settled && !late:
 		return Action{}, false
 	case k.ready && remaining > m.settings.Margin:
 		k.ready = false
-		return Action{Kind: ActionSend, Order: t.Order, URL: t.URL}, true
+		return Action{Kind: ActionSend, Order: t.Order, URL: t.URL, Seen: k.seen}, true
 	case now-k.since >= m.settings.Drain+m.settings.Limit:
 		return Action{Kind: ActionClose, Order: t.Order, Status: state.OrderFailed, Reason: "not delivered in time"}, true
 	}
@@ -217,7 +220,7 @@
 	case s.Running > 0 && now-k.since < m.settings.Drain:
 		return Action{}, false
 	}
-	k.ready, k.next = true, now
+	k.ready, k.next, k.seen = true, now, s.Number
 	return Action{}, false
 }
 
--- a/core/version/roster/roster.go
+++ b/core/version/roster/roster.go
@@ -5,6 +5,8 @@
 package roster
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +26,7 @@
 	version  uint64
 	inFlight map[string]uint32
 	demand   []proto.Demand
+	loads    []proto.Share
 }
 
 // Roster holds the heartbeats. It isn't safe for concurrent use.
@@ -48,7 +51,7 @@
 
 // Beat takes a heartbeat.
 func (r *Roster) Beat(now time.Duration, q proto.BeatRequest) {
-	r.beats[q.Member.Name] = beat{heard: now, version: q.Version, inFlight: q.InFlight, demand: q.Demand}
+	r.beats[q.Member.Name] = beat{heard: now, version: q.Version, inFlight: q.InFlight, demand: q.Demand, loads: q.Loads}
 	if q.Holder != "" {
 		r.holders[q.Holder] = now
 	}
@@ -138,6 +141,40 @@
 	return total
 }
 
+// Others sums the work at the engines of all live instances but one.
+func (r *Roster) Others(now time.Duration, name string) []proto.Share {
+	total := make(map[string]proto.Share)
+	for other, b := range r.beats {
+		if other == name || !r.alive(now, other) {
+			continue
+		}
+		for _, l := range b.loads {
+			t := total[l.Engine]
+			t.Engine = l.Engine
+			t.Prefill += l.Prefill
+			t.Streams += l.Streams
+			t.Long += l.Long
+			t.Tokens += l.Tokens
+			total[l.Engine] = t
+		}
+	}
+	list := slices.Collect(maps.Values(total))
+	slices.SortFunc(list, func(a, b proto.Share) int { return cmp.Compare(a.Engine, b.Engine) })
+	return list
+}
+
+// Heed takes a load report that the leader read itself.
+func (r *Roster) Heed(p proto.Report) {
+	r.reports[p.Engine] = p
+}
+
+// Reports lists the newest load report of each engine, by name.
+func (r *Roster) Reports() []proto.Report {
+	list := slices.Collect(maps.Values(r.reports))
+	slices.SortFunc(list, func(a, b proto.Report) int { return cmp.Compare(a.Engine, b.Engine) })
+	return list
+}
+
 // Report returns the newest load report of an engine.
 func (r *Roster) Report(engine string) (proto.Report, bool) {
 	p, found := r.reports[engine]
--- a/core/version/state/object.go
+++ b/core/version/state/object.go
@@ -79,6 +79,8 @@
 	Phase    Phase  `cbor:"8,keyasint" json:"phase"`
 	Fenced   bool   `cbor:"9,keyasint" json:"fenced"` // checks fencing numbers
 	Version  uint64 `cbor:"10,keyasint" json:"version"`
+	Pool     string `cbor:"11,keyasint,omitempty" json:"pool,omitempty"`   // of a routing table, "" where operators declare services
+	Serial   int64  `cbor:"12,keyasint,omitempty" json:"serial,omitempty"` // of its start; a higher one has lost its cache
 }
 
 // Server is a backend server of a plain service.
@@ -143,6 +145,7 @@
 	Members  []Member  `cbor:"8,keyasint,omitempty" json:"members,omitempty"`
 	Strikes  []Strike  `cbor:"9,keyasint,omitempty" json:"strikes,omitempty"`
 	Removed  []Removed `cbor:"10,keyasint,omitempty" json:"removed,omitempty"`
+	Routing  *Routing  `cbor:"11,keyasint,omitempty" json:"-"` // nil if it didn't change
 }
 
 // Removed names an object that is no longer part of the state.
--- a/core/version/state/snapshot.go
+++ b/core/version/state/snapshot.go
@@ -31,6 +31,7 @@
 	Decisions []Decision `cbor:"18,keyasint"`
 	Decided   uint64     `cbor:"19,keyasint"`
 	Operators []operator `cbor:"20,keyasint"`
+	Routing   *Routing   `cbor:"21,keyasint,omitempty"`
 }
 
 type operator struct {
@@ -46,7 +47,7 @@
 		Servers: s.servers.after(0), Accounts: s.accounts.after(0), Members: s.members.after(0),
 		Strikes: s.strikes.after(0), Removed: s.tombstones(0), Floor: s.floor,
 		Notes: s.sortedNotes(), Open: s.Open(), Closed: s.closed, Orders: s.orders, Fence: s.fence,
-		Decisions: s.decisions, Decided: s.decided,
+		Decisions: s.decisions, Decided: s.decided, Routing: s.routing,
 	}
 	for name, o := range s.operators {
 		i.Operators = append(i.Operators, operator{Name: name, Outcomes: o})
@@ -84,7 +85,7 @@
 		s.open[o.Engine] = o
 	}
 	s.floor, s.closed, s.orders, s.fence = i.Floor, i.Closed, i.Orders, i.Fence
-	s.decisions, s.decided = i.Decisions, i.Decided
+	s.decisions, s.decided, s.routing = i.Decisions, i.Decided, i.Routing
 	for _, o := range i.Operators {
 		s.operators[o.Name] = o.Outcomes
 	}
--- a/core/version/state/state.go
+++ b/core/version/state/state.go
@@ -35,6 +35,7 @@
 	accounts table[Account]
 	members  table[Member]
 	strikes  table[Strike]
+	routing  *Routing // nil before the first was published
 
 	removed map[removedKey]uint64
 	floor   uint64 // deltas from before this version are incomplete
@@ -164,6 +165,7 @@
 	v.Accounts = s.accounts.after(since)
 	v.Members = s.members.after(since)
 	v.Strikes = s.strikes.after(since)
+	v.Routing = s.spread(since)
 	if since > 0 {
 		v.Removed = s.tombstones(since)
 	}
--- a/core/version/store/command.go
+++ b/core/version/store/command.go
@@ -29,6 +29,8 @@
 	Free   *Named             `cbor:"12,keyasint,omitempty"` // a pending step is due
 	Decide *state.Decision    `cbor:"13,keyasint,omitempty"`
 	Boot   *Boot              `cbor:"14,keyasint,omitempty"`
+	Fleet  *state.Fleet       `cbor:"15,keyasint,omitempty"` // what the platform lists
+	Post   *state.Routing     `cbor:"16,keyasint,omitempty"` // a routing table is published
 }
 
 // Named names an object.
--- a/core/version/store/store.go
+++ b/core/version/store/store.go
@@ -82,6 +82,10 @@
 		s.boot(*c.Boot)
 	case c.Decide != nil:
 		return s.state.Decide(*c.Decide)
+	case c.Fleet != nil:
+		s.state.Sync(*c.Fleet)
+	case c.Post != nil:
+		return s.state.Publish(*c.Post)
 	default:
 		return s.order(c)
 	}
--- a/core/version/view/delta.go
+++ b/core/version/view/delta.go
@@ -24,6 +24,9 @@
 	put(n.accounts, v.Accounts, func(o state.Account) string { return o.Name })
 	put(n.members, v.Members, func(o state.Member) string { return o.Name })
 	put(n.strikes, v.Strikes, func(o state.Strike) string { return o.Fingerprint })
+	if v.Routing != nil {
+		n.routing = v.Routing
+	}
 	return n
 }
 
@@ -38,6 +41,7 @@
 		accounts: maps.Clone(s.accounts),
 		members:  maps.Clone(s.members),
 		strikes:  maps.Clone(s.strikes),
+		routing:  s.routing,
 		removed:  make(map[state.Noun]map[string]uint64, len(s.removed)),
 	}
 	for noun, names := range s.removed {
@@ -98,6 +102,9 @@
 	v.Accounts = after(s.accounts, since, func(o state.Account) uint64 { return o.Version })
 	v.Members = after(s.members, since, func(o state.Member) uint64 { return o.Version })
 	v.Strikes = after(s.strikes, since, func(o state.Strike) uint64 { return o.Version })
+	if s.routing != nil && (since == 0 || s.routing.Version > since) {
+		v.Routing = s.routing
+	}
 	if since == 0 {
 		return v
 	}
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -33,6 +33,7 @@
 	accounts map[string]state.Account
 	members  map[string]state.Member
 	strikes  map[string]state.Strike
+	routing  *state.Routing
 	removed  map[state.Noun]map[string]uint64
 
 	digests  map[[sha256.Size]byte]string
@@ -140,6 +141,9 @@
 // Servers lists the servers of a plain service, in any phase, by name.
 func (s *Snapshot) Servers(service string) []state.Server { return s.byServer[service] }
 
+// AllServers lists the plain servers of all services by name.
+func (s *Snapshot) AllServers() []state.Server { return sorted(s.servers) }
+
 // Members lists all instances by name.
 func (s *Snapshot) Members() []state.Member { return sorted(s.members) }
 
@@ -158,6 +162,9 @@
 	return v, ok
 }
 
+// Routing returns the routing table, or nil if none was published.
+func (s *Snapshot) Routing() *state.Routing { return s.routing }
+
 // Account finds the account of a bearer token. Only digests are compared, and
 // the last comparison takes the same time for any token.
 func (s *Snapshot) Account(token string) (state.Account, bool) {
--- a/entryd/beat/beat.go
+++ b/entryd/beat/beat.go
@@ -13,7 +13,6 @@
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
-	"verbenahaven.example/entryd/guide"
 	"verbenahaven.example/entryd/watch"
 )
 
@@ -27,10 +26,28 @@
 // run-once calls of an earlier start are known to be lost.
 type Holder string
 
+// Traffic is what heartbeats tell of an instance, and what they bring to it.
+type Traffic interface {
+	// Sweep does what is due at an instant.
+	Sweep(now time.Time)
+	// Versions returns the version in force and the newest of which no older
+	// request still runs.
+	Versions() (current, settled uint64)
+	// InFlight counts own requests at backend servers that aren't serving.
+	InFlight() map[string]uint32
+	// Digest returns demand and load reports after an interval.
+	Digest(passed time.Duration) ([]proto.Demand, []proto.Report)
+	// Loads returns own work at the engines.
+	Loads() []proto.Share
+	// Heard takes what the leader told.
+	Heard(now time.Time, r proto.BeatReply)
+}
+
 // Beat sends heartbeats.
 type Beat struct {
 	keeper proto.Keeper
-	guide  *guide.Guide
+	guide  Traffic
+	period time.Duration
 	watch  *watch.Watch
 	store  *view.Store
 	meter  *meter.Registry
@@ -49,13 +66,18 @@
 
 // New returns heartbeats for a member.
 func New(
-	m state.Member, h Holder, k proto.Keeper, g *guide.Guide, w *watch.Watch, v *view.Store, r *meter.Registry, c clock.Clock,
+	m state.Member, h Holder, k proto.Keeper, g Traffic, w *watch.Watch, v *view.Store, r *meter.Registry, c clock.Clock,
 ) *Beat {
 	return &Beat{
-		keeper: k, guide: g, watch: w, store: v, meter: r, clock: c, holder: h, member: m, now: make(chan struct{}, 1), last: c.Elapsed(),
+		keeper: k, guide: g, period: period, watch: w, store: v, meter: r, clock: c, holder: h, member: m, now: make(chan struct{}, 1), last: c.Elapsed(),
 	}
 }
 
+// Every sets the time between heartbeats, before Run.
+func (b *Beat) Every(period time.Duration) {
+	b.period = period
+}
+
 // Leave makes all further heartbeats say that the instance is leaving.
 func (b *Beat) Leave() {
 	b.mutex.Lock()
@@ -113,14 +135,15 @@
 		return hurried
 	}
 	b.watch.Told(reply.Version)
+	b.guide.Heard(b.clock.Now(), reply)
 	b.mutex.Lock()
 	b.left = reply.Phase == state.PhaseLeaving && reply.Settled
 	b.until = sent + reply.Lease
 	b.mutex.Unlock()
 	if r.Settled < r.Version || len(r.InFlight) > 0 {
-		return hurried
+		return min(hurried, b.period)
 	}
-	return period
+	return b.period
 }
 
 func (b *Beat) request() proto.BeatRequest {
@@ -133,6 +156,7 @@
 	r.Version, r.Settled = b.guide.Versions()
 	r.InFlight = b.guide.InFlight()
 	r.Demand, r.Reports = b.guide.Digest(passed)
+	r.Loads = b.guide.Loads()
 	return r
 }
 
--- a/entryd/guide/report.go
+++ b/entryd/guide/report.go
@@ -105,3 +105,9 @@
 	}
 	return demand, reports
 }
+
+// Loads tells nothing: each instance reads the engines' own reports.
+func (g *Guide) Loads() []proto.Share { return nil }
+
+// Heard ignores what the leader tells of loads.
+func (g *Guide) Heard(time.Time, proto.BeatReply) {}
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -23,10 +23,21 @@
 	flags := flag.NewFlagSet("entryd", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	path := flags.String("settings", "entryd.toml", "settings file")
+	onPlatform := flags.Bool("platform", false, "take the settings from the platform and speak its protocols")
+	metrics := flags.String("metrics", "", "with -platform: PORT/PATH where metrics are served")
 	if err := flags.Parse(args); err != nil {
 		return boot.ExitUsage
 	}
 	defer klog.Flush()
+	if *onPlatform {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		if err := serveSite(ctx, *metrics); err != nil {
+			klog.ErrorS(err, "serve")
+			return boot.Code(err)
+		}
+		return boot.ExitOK
+	}
 	s := setup.Defaults()
 	if err := boot.Load(*path, s); err != nil {
 		klog.ErrorS(err, "start")
--- /dev/null
+++ b/entryd/relay/fleet.go
@@ -0,0 +1,266 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/request/place"
+	"verbenahaven.example/core/request/retry"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/view"
+)
+
+// fewest is the number of instances that the retry budget is shared by while
+// the others aren't known: more than most fleets have, so that nothing is
+// overspent.
+const fewest = 64
+
+// Fleet shares one instance's knowledge of the backend servers between its
+// goroutines: the version in force, the placement, the retry budget, and what
+// is in flight.
+type Fleet struct {
+	name  string
+	learn func(keepers []string)
+
+	mutex    sync.Mutex
+	snapshot *view.Snapshot
+	placer   *place.Placer
+	servers  *place.Servers
+	budget   *retry.Shared
+	pending  map[uint64]int    // requests by the version they began under
+	busy     map[string]uint32 // requests by backend server
+	demand   map[string]*proto.Demand
+	turn     uint64
+	heard    time.Time // when the leader was heard last
+}
+
+// NewFleet returns a fleet at version 0 for an instance in a data centre. Learn
+// is told the link addresses of the instances that keep the state.
+func NewFleet(name, centre string, b *retry.Shared, learn func(keepers []string)) *Fleet {
+	return &Fleet{
+		name:     name,
+		learn:    learn,
+		snapshot: view.New().Current(),
+		placer:   place.New(centre),
+		servers:  place.NewServers(centre),
+		budget:   b,
+		pending:  make(map[uint64]int),
+		busy:     make(map[string]uint32),
+		demand:   make(map[string]*proto.Demand),
+	}
+}
+
+// Enforce puts a newer version in force.
+func (f *Fleet) Enforce(s *view.Snapshot) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if s.Version() < f.snapshot.Version() {
+		panic("relay: version in force would go back")
+	}
+	f.snapshot = s
+	f.placer.Update(s.Engines(), s.Routing())
+	f.servers.Update(s.AllServers())
+}
+
+// Guard does nothing: an instance that is cut off goes on with what it knows.
+func (f *Fleet) Guard(func() bool) {}
+
+// Sweep does nothing: streams stay at engines that leave, which finish them.
+func (f *Fleet) Sweep(time.Time) {}
+
+// Begin counts a request under the version in force and returns that version
+// and the request's end.
+func (f *Fleet) Begin() (*view.Snapshot, func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	s := f.snapshot
+	f.pending[s.Version()]++
+	return s, func() {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		if f.pending[s.Version()]--; f.pending[s.Version()] == 0 {
+			delete(f.pending, s.Version())
+		}
+	}
+}
+
+// Snapshot returns the version in force.
+func (f *Fleet) Snapshot() *view.Snapshot {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.snapshot
+}
+
+// Known tells whether a routing table and some backend servers are known.
+func (f *Fleet) Known() bool {
+	s := f.Snapshot()
+	return s.Routing() != nil && (len(s.Engines()) > 0 || len(s.AllServers()) > 0)
+}
+
+// Versions returns the version in force and the newest of which no older
+// request still runs.
+func (f *Fleet) Versions() (current, settled uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	settled = f.snapshot.Version()
+	for version := range f.pending {
+		settled = min(settled, version)
+	}
+	return f.snapshot.Version(), settled
+}
+
+// InFlight counts own requests at engines that aren't serving.
+func (f *Fleet) InFlight() map[string]uint32 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	list := make(map[string]uint32)
+	for name, n := range f.busy {
+		if e, ok := f.snapshot.Engine(name); ok && e.Phase != state.PhaseServing {
+			list[name] = n
+		}
+	}
+	return list
+}
+
+// Digest returns what arrived in an interval. Load reports are read by the
+// leader.
+func (f *Fleet) Digest(passed time.Duration) ([]proto.Demand, []proto.Report) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	list := make([]proto.Demand, 0, len(f.demand))
+	for _, d := range f.demand {
+		s := passed.Seconds()
+		list = append(list, proto.Demand{
+			Service: d.Service, Requests: d.Requests / s, Prefill: d.Prefill / s, Decode: d.Decode / s, Refused: d.Refused / s,
+		})
+	}
+	clear(f.demand)
+	return list, nil
+}
+
+// Loads returns own work at the engines.
+func (f *Fleet) Loads() []proto.Share {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.placer.Loads()
+}
+
+// Heard takes what the leader told.
+func (f *Fleet) Heard(now time.Time, r proto.BeatReply) {
+	f.learn(r.Keepers)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.heard = now
+	f.placer.Hear(r.Reports, r.Loads)
+}
+
+// Tune changes the bounds of the retry budget.
+func (f *Fleet) Tune(window time.Duration, ratio, slack float64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.budget.Tune(window, ratio, slack)
+}
+
+// request counts a caller's request for a pool.
+func (f *Fleet) request(at time.Duration, pool string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.budget.Request(at, pool)
+}
+
+// spend takes a repeat from the budget.
+func (f *Fleet) spend(at time.Duration, pool string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	n := len(f.snapshot.Entries())
+	if n == 0 {
+		n = fewest
+	}
+	return f.budget.Spend(at, pool, n)
+}
+
+// want adds to what a pool was asked for.
+func (f *Fleet) want(pool string, prefill, decode int, refused bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	d := f.demand[pool]
+	if d == nil {
+		d = &proto.Demand{Service: pool}
+		f.demand[pool] = d
+	}
+	if refused {
+		d.Refused++
+	}
+	d.Requests++
+	d.Prefill += float64(prefill)
+	d.Decode += float64(decode)
+}
+
+// pick chooses engines and records the work there.
+func (f *Fleet) pick(now time.Time, a *place.Ask) (place.Plan, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.placer.Pick(now, a) //nolint:wrapcheck // it names the pool
+}
+
+func (f *Fleet) sent(now time.Time, a *place.Ask, p *place.Plan) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.placer.Sent(now, a, p)
+	f.busy[p.Decode.Name]++
+	if p.Split() {
+		f.busy[p.Prefill.Name]++
+	}
+}
+
+func (f *Fleet) done(a *place.Ask, p *place.Plan) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.placer.Done(a, p)
+	f.free(p.Decode.Name)
+	if p.Split() {
+		f.free(p.Prefill.Name)
+	}
+}
+
+func (f *Fleet) free(name string) {
+	if f.busy[name]--; f.busy[name] == 0 {
+		delete(f.busy, name)
+	}
+}
+
+func (f *Fleet) prefilled(a *place.Ask, p *place.Plan, took time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.placer.Prefilled(a, p, took)
+}
+
+// pickServer chooses a plain server; free takes the request off it.
+func (f *Fleet) pickServer(now time.Time, pool string, avoid []string) (s state.Server, free func(), err error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.turn++
+	s, err = f.servers.Pick(now, pool, avoid, f.turn)
+	return s, func() {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		f.servers.Done(s.Name)
+	}, err
+}
+
+// lost notes that a backend server couldn't be reached or broke off.
+func (f *Fleet) lost(now time.Time, name string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.placer.Lost(now, name)
+	f.servers.Lost(now, name)
+}
+
+// answered notes a backend server's answer, good or not.
+func (f *Fleet) answered(now time.Time, name string, good bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.placer.Answered(now, name, good)
+	f.servers.Answered(now, name, good)
+}
--- /dev/null
+++ b/entryd/site.go
@@ -0,0 +1,310 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"verbenahaven.example/core/conn/keeper"
+	"verbenahaven.example/core/conn/kept"
+	"verbenahaven.example/core/conn/link"
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/process/audit"
+	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/keys"
+	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/retry"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/entryd/beat"
+	"verbenahaven.example/entryd/infer"
+	"verbenahaven.example/entryd/relay"
+	"verbenahaven.example/entryd/watch"
+	"verbenahaven.example/platform"
+)
+
+const (
+	// siteBeat is the time between heartbeats, which carry the loads of the
+	// engines: a few prefills long.
+	siteBeat = 150 * time.Millisecond
+	// siteStale is the age from which the state counts as old.
+	siteStale = 5 * time.Second
+	// siteFanout is the number of children in the tree of instances.
+	siteFanout = 4
+	// siteStrikes is the number of engines that one request may cost.
+	siteStrikes = 3
+	// budgetShare is the share of the platform's retry budget that is used: it
+	// counts requests that arrive while a version of the table changes, too.
+	budgetShare = 0.8
+	// stopShare is the share of the grace after which no new connections are
+	// taken, and exitShare that after which the process ends.
+	stopShare = 0.75
+	exitShare = 0.95
+	// answerLife is the life of an address answer: callers then follow a
+	// machine that leaves within the grace.
+	answerLife = 2 * time.Second
+	// idleTime is how long callers' connections may be idle, above all limits
+	// that routing tables are known to set.
+	idleTime = 2 * time.Minute
+	// siteHeader bounds a caller's header before the routing table is known.
+	siteHeader     = 256 << 10
+	siteHeaderTime = 10 * time.Second
+	drainPoll      = 20 * time.Millisecond
+)
+
+// site is an entry instance on a platform.
+type site struct {
+	settings *platform.Settings
+	metrics  string
+	fleet    *relay.Fleet
+	relay    *relay.Relay
+	watch    *watch.Watch
+	beat     *beat.Beat
+	strikes  *infer.Strikes
+	meter    *meter.Registry
+	log      *slog.Logger
+	leaving  *leaving
+	link     *link.Server
+	keeper   *keeper.Client
+}
+
+// leaving tells whether the instance shuts down, and counts its requests.
+type leaving struct {
+	on    atomic.Bool
+	calls atomic.Int64
+}
+
+func (l *leaving) set() bool { return l.on.Load() }
+
+// metricsSetting is "PORT/PATH", or empty for none.
+type metricsSetting string
+
+func siteLog(m *meter.Registry) (*slog.Logger, func()) {
+	l, cleanup := audit.New(os.Stdout, m)
+	klog.SetSlogLogger(l)
+	return l, cleanup
+}
+
+func siteKeys(s *platform.Settings, l *slog.Logger) (*tls.Config, error) {
+	l.Info("links have no key files: the network between the instances must be isolated", "name", s.Name)
+	c, err := keys.Isolated(s.Name)
+	if err != nil {
+		return nil, fmt.Errorf("make keys: %w", err)
+	}
+	return c, nil
+}
+
+func siteKeeper(s *platform.Settings, c *tls.Config) (*keeper.Client, func()) {
+	return keeper.Open(s.KeeperLinks(), c)
+}
+
+func siteBudget(s *platform.Settings) *retry.Shared {
+	return retry.NewShared(budget(s))
+}
+
+func budget(s *platform.Settings) (window time.Duration, ratio, slack float64) {
+	b := s.Bounds
+	window = b.Window
+	if window <= 0 {
+		window = 10 * time.Second
+	}
+	return window, b.RetryShare * budgetShare, b.RetrySlack * budgetShare
+}
+
+func siteFleet(s *platform.Settings, b *retry.Shared, k *keeper.Client) *relay.Fleet {
+	return relay.NewFleet(s.Name, s.Zone, b, k.Learn)
+}
+
+func siteStrike(k proto.Keeper, m *meter.Registry) *infer.Strikes {
+	return infer.NewStrikes(k, m, siteStrikes)
+}
+
+func siteRelay(
+	p *kept.Pool, f *relay.Fleet, k *infer.Strikes, m *meter.Registry, l *slog.Logger, c clock.Clock, v *leaving,
+) *relay.Relay {
+	return relay.New(server.Codec(platform.Codec{}), p, f, k, m, l, c, v.set)
+}
+
+func siteWatch(s *platform.Settings) watch.Settings {
+	return watch.Settings{Name: s.Name, Fanout: siteFanout, Stale: siteStale}
+}
+
+func siteMember(s *platform.Settings) state.Member {
+	return state.Member{
+		Name: s.Name, Kind: state.MemberEntry, URL: "http://" + s.Listen.Callers, Link: s.EntryLink(), Centre: s.Zone, Phase: state.PhaseServing,
+	}
+}
+
+func siteLink(s *platform.Settings, c *tls.Config, w *watch.Watch, m *meter.Registry) (*link.Server, func(), error) {
+	l := link.NewServer(m)
+	w.Register(l)
+	_, cleanup, err := l.Listen(s.EntryLink(), c)
+	if err != nil {
+		return nil, nil, fmt.Errorf("serve links: %w", boot.Fail(boot.ExitAddress, err))
+	}
+	return l, cleanup, nil
+}
+
+// run serves until ctx ends, then shuts down gracefully.
+func (s *site) run(ctx context.Context) error {
+	began := time.Now()
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer stop()
+	s.beat.Every(siteBeat)
+	for _, f := range []func(context.Context){s.watch.Run, s.watch.RunPeers, s.beat.Run, s.relay.Run, s.strikes.Run, s.reload} {
+		group.Go(func() { f(duties) })
+	}
+	callers := &http.Server{
+		Handler: s.counted(s.relay), ReadHeaderTimeout: siteHeaderTime, IdleTimeout: idleTime, MaxHeaderBytes: siteHeader,
+	}
+	servers := map[string]*http.Server{
+		s.settings.Listen.Callers: callers,
+		s.settings.Listen.Ready:   {Handler: platform.Ready(s.ready), ReadHeaderTimeout: siteHeaderTime},
+	}
+	if s.settings.Listen.Addresses != "" {
+		servers[s.settings.Listen.Addresses] = &http.Server{Handler: platform.Addresses(s.addresses), ReadHeaderTimeout: siteHeaderTime}
+	}
+	if s.metrics != "" {
+		address, path, err := s.settings.Metrics(s.metrics)
+		if err != nil {
+			return boot.Fail(boot.ExitUsage, err)
+		}
+		mux := http.NewServeMux()
+		mux.Handle(path, s.meter)
+		servers[address] = &http.Server{Handler: mux, ReadHeaderTimeout: siteHeaderTime}
+	}
+	failed := make(chan error, len(servers))
+	for address, h := range servers {
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			return boot.Fail(boot.ExitAddress, fmt.Errorf("listen: %w", err))
+		}
+		go func() { failed <- h.Serve(l) }()
+		defer func() { _ = h.Close() }()
+	}
+	s.log.Info("started", "name", s.settings.Name, "zone", s.settings.Zone, "callers", s.settings.Listen.Callers, "seeds", s.settings.Seeds,
+		"founding", s.settings.Founding, "ms", time.Since(began).Milliseconds())
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	s.stop(context.WithoutCancel(ctx), callers)
+	return nil
+}
+
+// stop leaves the address answers at once, goes on to serve callers that hold
+// an older one, and ends within the grace.
+func (s *site) stop(ctx context.Context, callers *http.Server) {
+	began := time.Now()
+	s.leaving.on.Store(true)
+	s.beat.Leave()
+	grace := s.settings.Bounds.Grace
+	s.log.Info("leaving", "name", s.settings.Name, "calls", s.leaving.calls.Load(), "grace_ms", grace.Milliseconds())
+	clock.Sleep(ctx, time.Duration(stopShare*float64(grace)))
+	ctx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(exitShare*float64(grace))))
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	s.log.Info("stopped", "name", s.settings.Name, "calls", s.leaving.calls.Load(), "ms", time.Since(began).Milliseconds(), "err", err)
+}
+
+// counted counts the calls that are served.
+func (s *site) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.leaving.calls.Add(1)
+		defer s.leaving.calls.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (s *site) ready() bool {
+	return !s.leaving.set() && s.fleet.Known()
+}
+
+// addresses lists the instances of the caller's data centre, or all where it
+// has fewer than two.
+func (s *site) addresses(q platform.Question) ([]string, time.Duration) {
+	var near, all []string
+	for _, m := range s.fleet.Snapshot().Entries() {
+		if m.Phase != state.PhaseServing {
+			continue
+		}
+		address := m.URL[len("http://"):]
+		all = append(all, address)
+		if m.Centre == q.Zone {
+			near = append(near, address)
+		}
+	}
+	life := answerLife
+	if most := s.settings.Bounds.Answers; most > 0 {
+		life = min(life, most)
+	}
+	if len(near) >= 2 {
+		return near, life
+	}
+	const most = 64 // callers take no more
+	if len(all) > most {
+		all = all[:most]
+	}
+	return all, life
+}
+
+// reload follows the settings file.
+func (s *site) reload(ctx context.Context) {
+	platform.Follow(ctx, func(next *platform.Settings, err error) {
+		if err != nil {
+			s.log.Warn("settings not taken", "err", err)
+			return
+		}
+		s.keeper.Learn(next.KeeperLinks())
+		s.fleet.Tune(budget(next))
+		s.log.Info("settings reloaded", "seeds", next.Seeds)
+	})
+}
+
+// serveSite runs an entry instance on a platform until ctx ends.
+func serveSite(ctx context.Context, metrics string) error {
+	settings, err := platform.Load()
+	if err != nil {
+		return boot.Fail(boot.ExitSettings, err)
+	}
+	s, cleanup, err := buildSite(settings, metricsSetting(metrics))
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	return s.run(ctx)
+}
+
+func newSite(
+	settings *platform.Settings, metrics metricsSetting, f *relay.Fleet, r *relay.Relay, w *watch.Watch, b *beat.Beat,
+	k *infer.Strikes, m *meter.Registry, l *slog.Logger, v *leaving, n *link.Server, c *keeper.Client,
+) *site {
+	return &site{
+		settings: settings, metrics: string(metrics), fleet: f, relay: r, watch: w, beat: b, strikes: k, meter: m, log: l,
+		leaving: v, link: n, keeper: c,
+	}
+}
+
+func siteHolder(s *platform.Settings) beat.Holder {
+	return beat.Holder("") // run-once calls of the platform need no ledger
+}
+
+func newLeaving() *leaving { return &leaving{} }
+
+func sitePool(m *meter.Registry) (*kept.Pool, func()) {
+	return kept.New(m)
+}
--- a/entryd/watch/watch.go
+++ b/entryd/watch/watch.go
@@ -18,7 +18,6 @@
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
-	"verbenahaven.example/entryd/guide"
 )
 
 const (
@@ -38,12 +37,20 @@
 	Stale  time.Duration
 }
 
+// Subject is what the state is followed for.
+type Subject interface {
+	// Enforce puts a newer version in force.
+	Enforce(s *view.Snapshot)
+	// Guard sets what must hold whenever work is given to a backend server.
+	Guard(f func() bool)
+}
+
 // Watch follows the state.
 type Watch struct {
 	settings Settings
 	store    *view.Store
 	keeper   proto.Keeper
-	guide    *guide.Guide
+	subject  Subject
 	meter    *meter.Registry
 	clock    clock.Clock
 	peers    *peers
@@ -61,9 +68,9 @@
 
 // New returns a watch and its clean-up.
 func New(
-	s Settings, v *view.Store, k proto.Keeper, g *guide.Guide, t *tls.Config, m *meter.Registry, c clock.Clock,
+	s Settings, v *view.Store, k proto.Keeper, g Subject, t *tls.Config, m *meter.Registry, c clock.Clock,
 ) (*Watch, func()) {
-	w := &Watch{settings: s, store: v, keeper: k, guide: g, meter: m, clock: c, peers: newPeers(t)}
+	w := &Watch{settings: s, store: v, keeper: k, subject: g, meter: m, clock: c, peers: newPeers(t)}
 	g.Guard(func() bool { return !w.Isolated(c.Elapsed()) })
 	return w, w.peers.close
 }
@@ -219,7 +226,7 @@
 			w.meter.Count("watch", "refused")
 			return
 		}
-		w.guide.Enforce(w.store.Current())
+		w.subject.Enforce(w.store.Current())
 		w.meter.Set(int64(r.View.Version), "version")
 	}
 	w.mutex.Lock()
--- a/entryd/wire.go
+++ b/entryd/wire.go
@@ -5,18 +5,23 @@
 import (
 	"github.com/google/wire"
 
+	"verbenahaven.example/core/conn/keeper"
 	"verbenahaven.example/core/conn/pool"
+	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/version/view"
 	"verbenahaven.example/entryd/beat"
 	"verbenahaven.example/entryd/front"
+	"verbenahaven.example/entryd/guide"
 	"verbenahaven.example/entryd/infer"
 	"verbenahaven.example/entryd/plain"
 	"verbenahaven.example/entryd/poll"
+	"verbenahaven.example/entryd/relay"
 	"verbenahaven.example/entryd/setup"
 	"verbenahaven.example/entryd/trail"
 	"verbenahaven.example/entryd/watch"
+	"verbenahaven.example/platform"
 )
 
 // build makes an entry instance and its clean-up.
@@ -27,7 +32,23 @@
 		provideFront, provideWatch, providePoll, provideQuota, provideMember, provideLink, provideListed,
 		infer.New, plain.New, watch.New, beat.New, poll.New, front.New,
 		wire.Bind(new(front.Lease), new(*beat.Beat)),
+		wire.Bind(new(watch.Subject), new(*guide.Guide)),
+		wire.Bind(new(beat.Traffic), new(*guide.Guide)),
 		wire.Struct(new(app), "*"),
 	)
 	return nil, nil, nil
 }
+
+// buildSite makes an entry instance on a platform and its clean-up.
+func buildSite(s *platform.Settings, m metricsSetting) (*site, func(), error) {
+	wire.Build(
+		clock.System, meter.New, view.New,
+		siteLog, siteKeys, siteKeeper, siteBudget, siteFleet, siteStrike, siteRelay, siteWatch, siteMember, siteLink, siteHolder,
+		sitePool, newLeaving, newSite,
+		watch.New, beat.New,
+		wire.Bind(new(proto.Keeper), new(*keeper.Client)),
+		wire.Bind(new(watch.Subject), new(*relay.Fleet)),
+		wire.Bind(new(beat.Traffic), new(*relay.Fleet)),
+	)
+	return nil, nil, nil
+}
--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -19,6 +19,7 @@
 	"verbenahaven.example/entryd/setup"
 	"verbenahaven.example/entryd/trail"
 	"verbenahaven.example/entryd/watch"
+	"verbenahaven.example/platform"
 )
 
 // Injectors from wire.go:
@@ -81,3 +82,44 @@
 		cleanup()
 	}, nil
 }
+
+// buildSite makes an entry instance on a platform and its clean-up.
+func buildSite(s *platform.Settings, m metricsSetting) (*site, func(), error) {
+	shared := siteBudget(s)
+	registry := meter.New()
+	logger, cleanup := siteLog(registry)
+	config, err := siteKeys(s, logger)
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	client, cleanup2 := siteKeeper(s, config)
+	fleet := siteFleet(s, shared, client)
+	keptPool, cleanup3 := sitePool(registry)
+	strikes := siteStrike(client, registry)
+	clockClock := clock.System()
+	mainLeaving := newLeaving()
+	relay := siteRelay(keptPool, fleet, strikes, registry, logger, clockClock, mainLeaving)
+	settings := siteWatch(s)
+	store := view.New()
+	watchWatch, cleanup4 := watch.New(settings, store, client, fleet, config, registry, clockClock)
+	member := siteMember(s)
+	holder := siteHolder(s)
+	beatBeat := beat.New(member, holder, client, fleet, watchWatch, store, registry, clockClock)
+	server, cleanup5, err := siteLink(s, config, watchWatch, registry)
+	if err != nil {
+		cleanup4()
+		cleanup3()
+		cleanup2()
+		cleanup()
+		return nil, nil, err
+	}
+	mainSite := newSite(s, m, fleet, relay, watchWatch, beatBeat, strikes, registry, logger, mainLeaving, server, client)
+	return mainSite, func() {
+		cleanup5()
+		cleanup4()
+		cleanup3()
+		cleanup2()
+		cleanup()
+	}, nil
+}
--- a/keepd/conf/conf.go
+++ b/keepd/conf/conf.go
@@ -53,6 +53,7 @@
 	Margin boot.Duration `toml:"margin"`
 	Flight boot.Duration `toml:"flight"`
 	Drain  boot.Duration `toml:"drain"`
+	Settle boot.Duration `toml:"settle"`
 }
 
 // Plan weighs role changes.
@@ -80,7 +81,9 @@
 
 // Platform names what the platform offers.
 type Platform struct {
-	List string `toml:"list"`
+	List   string        `toml:"list"`
+	Every  boot.Duration `toml:"-"` // between two readings of a list that the leader follows
+	Report boot.Duration `toml:"-"` // between two reports of an engine
 }
 
 // Default returns the defaults.
@@ -244,6 +247,7 @@
 		rule{"order.margin", span(s.Order.Margin, 10*time.Millisecond, time.Duration(s.Order.Lease)/2)},
 		rule{"order.flight", span(s.Order.Flight, 100*time.Millisecond, 10*time.Minute)},
 		rule{"order.drain", span(s.Order.Drain, 0, time.Hour)},
+		rule{"order.settle", span(s.Order.Settle, 0, time.Minute)},
 	)
 }
 
--- a/keepd/lead/bench_test.go
+++ b/keepd/lead/bench_test.go
@@ -21,7 +21,7 @@
 	const members, services, engines = 320, 19, 12
 	s := conf.Default()
 	st := store.New()
-	l := lead.New(s, &fakeLog{store: st, term: 1, lease: time.Second}, st, &fakeClock{}, meter.New())
+	l := lead.New(s, &fakeLog{store: st, term: 1, lease: time.Second}, st, &fakeClock{}, meter.New(), lead.NewNative())
 	beats := make([]proto.BeatRequest, members)
 	for i := range beats {
 		q := heartbeat(fmt.Sprint("entry", i), state.PhaseServing)
--- a/keepd/lead/fake_test.go
+++ b/keepd/lead/fake_test.go
@@ -92,7 +92,7 @@
 	}
 	b := &bench{store: store.New(), clock: &fakeClock{}, meter: meter.New()}
 	b.log = &fakeLog{store: b.store, term: 1, lease: time.Second}
-	b.Lead = lead.New(s, b.log, b.store, b.clock, b.meter)
+	b.Lead = lead.New(s, b.log, b.store, b.clock, b.meter, lead.NewNative())
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/version/ledger"
@@ -46,6 +48,9 @@
 		return proto.BeatReply{}, err
 	}
 	reply := proto.BeatReply{Version: l.store.Version(), Lease: time.Duration(l.settings.Member.Lease), Phase: known.Phase}
+	if l.fleet != nil {
+		l.inform(&reply, q.Member.Name)
+	}
 	if known.Phase != state.PhaseLeaving {
 		return reply, nil // only those that leave wait for the others to know
 	}
@@ -53,6 +58,40 @@
 	return reply, err
 }
 
+// inform adds what the leader knows of the engines and of the keepers.
+func (l *Lead) inform(reply *proto.BeatReply, name string) {
+	_ = l.hold(func(now time.Duration, _ uint64) {
+		reply.Loads = l.roster.Others(now, name)
+		reply.Reports = l.roster.Reports()
+	})
+	status := l.log.Status()
+	reply.Keepers = append(status.Voters, status.Learners...)
+}
+
+// Post publishes a routing table.
+func (l *Lead) Post(ctx context.Context, _ string, q proto.PostRequest) (proto.PostReply, error) {
+	number, err := propose[uint64](ctx, l, store.Command{Post: &q.Routing})
+	if err != nil {
+		return proto.PostReply{}, err
+	}
+	klog.InfoS("routing table published", "number", q.Routing.Number, "force", number, "routes", len(q.Routing.Routes))
+	return proto.PostReply{Number: number}, nil
+}
+
+// Table reads the newest routing table, confirmed by a majority.
+func (l *Lead) Table(ctx context.Context, _ string, _ proto.TableRequest) (proto.TableReply, error) {
+	if err := l.log.Barrier(ctx); err != nil {
+		return proto.TableReply{}, l.failed(err)
+	}
+	var reply proto.TableReply
+	l.read(func(s *state.State, _ *ledger.Ledger) {
+		if r := s.Routing(); r != nil {
+			reply = proto.TableReply{Number: r.Number, Source: r.Source}
+		}
+	})
+	return reply, nil
+}
+
 // everywhere tells whether a version is in force on all live entry instances.
 func (l *Lead) everywhere(version uint64) (bool, error) {
 	var members []state.Member
--- a/keepd/lead/lead.go
+++ b/keepd/lead/lead.go
@@ -35,6 +35,8 @@
 	store    *store.Store
 	clock    clock.Clock
 	meter    *meter.Registry
+	engines  Engines
+	fleet    Fleet // nil where operators declare the engines
 
 	stopping atomic.Bool
 
@@ -45,8 +47,8 @@
 }
 
 // New returns the duties of a member. Serve starts them.
-func New(s *conf.Settings, l node.Log, st *store.Store, c clock.Clock, m *meter.Registry) *Lead {
-	return &Lead{settings: s, log: l, store: st, clock: c, meter: m}
+func New(s *conf.Settings, l node.Log, st *store.Store, c clock.Clock, m *meter.Registry, e Engines) *Lead {
+	return &Lead{settings: s, log: l, store: st, clock: c, meter: m, engines: e}
 }
 
 // notLeader is the answer that leads callers to the leader.
@@ -148,7 +150,7 @@
 func (l *Lead) Serve(ctx context.Context) {
 	defer context.AfterFunc(ctx, func() { l.stopping.Store(true) })()
 	var group sync.WaitGroup
-	for _, duty := range []func(context.Context){l.runCare, l.runOrders, l.runPlan, l.runList} {
+	for _, duty := range []func(context.Context){l.runCare, l.runOrders, l.runPlan, l.runList, l.runFleet, l.runReports} {
 		group.Go(func() { duty(ctx) })
 	}
 	group.Wait()
--- a/keepd/lead/orders.go
+++ b/keepd/lead/orders.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -58,6 +54,7 @@
 		Drain:  time.Duration(l.settings.Order.Drain),
 		Limit:  orderLimit,
 		Pause:  orderPause,
+		Settle: time.Duration(l.settings.Order.Settle),
 	})
 	targets := make(map[uint64]order.Target)
 	ticks := time.NewTicker(orderTick)
@@ -155,7 +152,7 @@
 		_, err = propose[any](ctx, l, store.Command{Finish: &store.Finish{Number: a.Order.Number, Status: a.Status, Reason: a.Reason}})
 		l.meter.Count("order", a.Status)
 	case order.ActionProbe:
-		r.Status, err = probe(ctx, a.URL)
+		r.Status, err = l.probe(ctx, a)
 	case order.ActionSend:
 		r.Order, err = l.send(ctx, a)
 	}
@@ -180,15 +177,17 @@
 }
 
 func (l *Lead) send(ctx context.Context, a order.Action) (engine.OrderResult, error) {
-	var result engine.OrderResult
 	term := a.Order.Term
 	w := guard.New(func() time.Duration { return l.orderLease(term) }, time.Duration(l.settings.Order.Margin), orderWait)
 	l.meter.Count("order", "sent")
-	if _, err := w.Post(ctx, a.URL+engine.PathOrder, a.Order, &result); err != nil {
+	result, err := l.engines.Order(ctx, w, l.engineOf(a), a.Order, a.Seen)
+	klog.InfoS("order sent", "order", a.Order.Number, "engine", a.Order.Engine, "role", a.Order.Role, "fence", a.Order.Fence,
+		"term", a.Order.Term, "seen", a.Seen, "accepted", result.Accepted, "reason", result.Reason, "err", err)
+	if err != nil {
 		if errors.Is(err, guard.ErrLease) {
 			l.meter.Count("order", "refused", "lease")
 		}
-		return result, fmt.Errorf("order engine %s: %w", a.Order.Engine, err)
+		return result, err //nolint:wrapcheck // it names the engine
 	}
 	if !result.Accepted {
 		l.meter.Count("order", "refused", result.Reason)
@@ -196,27 +195,16 @@
 	return result, nil
 }
 
-// probe reads the engine's own account of its orders on a new connection.
-func probe(ctx context.Context, url string) (engine.Status, error) {
-	var status engine.Status
+// engineOf returns the engine of an order, with the address of the action.
+func (l *Lead) engineOf(a order.Action) state.Engine {
+	var e state.Engine
+	l.read(func(s *state.State, _ *ledger.Ledger) { e, _ = s.Engine(a.Order.Engine) })
+	e.Name, e.URL = a.Order.Engine, a.URL
+	return e
+}
+
+func (l *Lead) probe(ctx context.Context, a order.Action) (engine.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderWait)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url+engine.PathState, nil)
-	if err != nil {
-		return status, fmt.Errorf("make probe: %w", err)
-	}
-	transport := &http.Transport{DisableKeepAlives: true}
-	defer transport.CloseIdleConnections()
-	answer, err := transport.RoundTrip(r)
-	if err != nil {
-		return status, fmt.Errorf("probe engine: %w", err)
-	}
-	defer func() { _ = answer.Body.Close() }()
-	if answer.StatusCode != http.StatusOK {
-		return status, fmt.Errorf("probe engine: status %d", answer.StatusCode)
-	}
-	if err := json.NewDecoder(io.LimitReader(answer.Body, maxStatus)).Decode(&status); err != nil {
-		return status, fmt.Errorf("decode engine state: %w", err)
-	}
-	return status, nil
+	return l.engines.Probe(ctx, l.engineOf(a)) //nolint:wrapcheck // counted with its kind
 }
--- a/keepd/main.go
+++ b/keepd/main.go
@@ -23,10 +23,19 @@
 func execute() int {
 	klog.InitFlags(nil)
 	path := flag.String("settings", "keepd.toml", "settings file")
+	onPlatform := flag.Bool("platform", false, "take the settings from the platform and speak its protocols")
+	metrics := flag.String("metrics", "", "with -platform: PORT/PATH where metrics are served")
 	flag.Parse()
 	defer klog.Flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	if *onPlatform {
+		if err := serveSite(ctx, *metrics); err != nil {
+			klog.ErrorS(err, "serve")
+			return boot.Code(err)
+		}
+		return boot.ExitOK
+	}
 	if err := serveAll(ctx, *path); err != nil {
 		fmt.Fprintln(os.Stderr, "keepd:", err)
 		return boot.Code(err)
--- a/keepd/serve/serve.go
+++ b/keepd/serve/serve.go
@@ -40,6 +40,8 @@
 	link.Handle(s, proto.KindBeat, l.Beat)
 	link.Handle(s, proto.KindOnce, l.Once)
 	link.Handle(s, proto.KindSlice, l.Slice)
+	link.Handle(s, proto.KindPost, l.Post)
+	link.Handle(s, proto.KindTable, l.Table)
 	link.Handle(s, proto.KindStrike, l.Strike)
 	link.Handle(s, proto.KindRun, l.Run)
 }
--- a/keepd/wire_gen.go
+++ b/keepd/wire_gen.go
@@ -13,6 +13,7 @@
 	"verbenahaven.example/core/version/store"
 	"verbenahaven.example/keepd/conf"
 	"verbenahaven.example/keepd/lead"
+	"verbenahaven.example/platform"
 )
 
 // Injectors from wire.go:
@@ -33,7 +34,8 @@
 		cleanup()
 		return nil, nil, err
 	}
-	leadLead := lead.New(s, node, storeStore, clockClock, registry)
+	native := lead.NewNative()
+	leadLead := lead.New(s, node, storeStore, clockClock, registry, native)
 	api, cleanup3 := newAPI(s, node, storeStore, leadLead, registry, config)
 	mainApp, err := newApp(ctx, s, mainLinks, leadLead, node, api, config)
 	if err != nil {
@@ -48,3 +50,55 @@
 		cleanup()
 	}, nil
 }
+
+// buildSite makes a keeper on a platform.
+func buildSite(s *platform.Settings, m metricsSetting) (*site, func(), error) {
+	settings := siteConf(s)
+	storeStore := store.New()
+	registry := meter.New()
+	mainLinks, cleanup := newLinks(registry)
+	server := serverOf(mainLinks)
+	logger, cleanup2 := siteLog(registry)
+	config, err := siteKeys(s, logger)
+	if err != nil {
+		cleanup2()
+		cleanup()
+		return nil, nil, err
+	}
+	clockClock := clock.System()
+	node, cleanup3, err := siteNode(s, settings, storeStore, server, config, clockClock, registry)
+	if err != nil {
+		cleanup2()
+		cleanup()
+		return nil, nil, err
+	}
+	pool, cleanup4 := sitePool(registry)
+	client := siteEngines(s, pool)
+	leadLead := lead.New(settings, node, storeStore, clockClock, registry, client)
+	keeperClient, cleanup5 := siteClient(s, config)
+	mainSite := newSite(s, m, leadLead, node, mainLinks, keeperClient, client, config, registry, logger)
+	return mainSite, func() {
+		cleanup5()
+		cleanup4()
+		cleanup3()
+		cleanup2()
+		cleanup()
+	}, nil
+}
+
+// buildPass makes a keeper without a disk.
+func buildPass(s *platform.Settings, m metricsSetting) (*site, func(), error) {
+	registry := meter.New()
+	logger, cleanup := siteLog(registry)
+	config, err := siteKeys(s, logger)
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	client, cleanup2 := siteClient(s, config)
+	mainSite := newPass(s, m, client, registry, logger)
+	return mainSite, func() {
+		cleanup2()
+		cleanup()
+	}, nil
+}
