--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -30,9 +30,18 @@
 	startRate = 250_000.0
 	// longAnswer is the number of events from which an answer counts as long.
 	longAnswer = 8
-	// fillFirst is the share of an engine's room that long answers take before
-	// the next engine gets some: so that others stay free of them.
+	// fillFirst is the share of its room up to which an engine that is reserved
+	// for long answers gets some before another is reserved.
 	fillFirst = 0.65
+	// reserveShare leaves room for the long answers that begin until the next
+	// heartbeats.
+	reserveShare = 1.15
+	// fullShare is the share of its room from which an engine counts as full.
+	fullShare = 0.92
+	// fillCost is what a full engine's slower steps cost, as time.
+	fillCost = 10 * time.Millisecond
+	// outsideCost is what a long answer outside of the reserved engines costs.
+	outsideCost = 100 * time.Millisecond
 	// awayCost is what another data centre costs, as time: its distance, and
 	// the price of the bytes between.
 	awayCost = 15 * time.Millisecond
@@ -361,16 +370,22 @@
 	if len(decode) == 0 {
 		return Plan{}, fmt.Errorf("pool %s: %w", a.Pool, ErrNone)
 	}
-	target, wait := p.target(decode, a)
+	answers, prompts := p.reserve(decode)
+	target, wait := p.target(decode, answers, a)
 	best := Plan{Expected: -1}
 	if home := homeOf(prefill, a); home != nil && (a.Prompt.Tokens > shortPrompt) {
 		for _, h := range prefill {
 			best.better(p.split(now, a, h, home, target, wait))
 		}
 	}
-	for i, h := range decode {
-		if best.Expected < 0 || h == target && a.Prompt.Tokens <= shortPrompt || h.own.Long+h.others.Long == 0 && a.Prompt.Tokens > shortPrompt && !p.long(a) {
-			best.better(p.direct(now, a, h, len(decode)-i))
+	if a.Prompt.Tokens <= shortPrompt || best.Expected < 0 {
+		best.better(p.direct(now, a, target))
+	}
+	if !p.long(a) {
+		for _, h := range prompts {
+			if h.own.Long+h.others.Long == 0 {
+				best.better(p.direct(now, a, h))
+			}
 		}
 	}
 	return best, nil
@@ -389,28 +404,47 @@
 	return awayCost
 }
 
-// target chooses the engine that decodes. Long answers fill one engine after
-// the other; short ones go where there is room.
-func (p *Placer) target(decode []*host, a *Ask) (*host, time.Duration) {
+// reserve splits the decode engines into those that take long answers and
+// those that may prefill long prompts themselves. Both prefills and long
+// answers on one engine would pause the answers. The order is the same at each
+// instance, and goes round the data centres.
+func (p *Placer) reserve(decode []*host) (answers, prompts []*host) {
+	turn := make(map[string]int)
+	turns := make(map[*host]int, len(decode))
+	for _, h := range decode {
+		turns[h] = turn[h.engine.Centre]
+		turn[h.engine.Centre]++
+	}
+	order := slices.Clone(decode)
+	slices.SortStableFunc(order, func(a, b *host) int { return cmp.Compare(turns[a], turns[b]) })
+	long, room := 0, 0.0
+	n := 0
+	for _, h := range order {
+		long += h.own.Long + h.others.Long
+	}
+	for n < len(order) && (n < min(len(turn), (len(order)+1)/2) || room < float64(long)*reserveShare) {
+		room += float64(max(1, order[n].spec.Slots)) * fillFirst
+		n++
+	}
+	return order[:n], order[n:]
+}
+
+// target chooses the engine that decodes. Long answers go to the engines that
+// are reserved for them as long as these have room.
+func (p *Placer) target(decode, answers []*host, a *Ask) (*host, time.Duration) {
 	long := p.long(a)
 	var best *host
 	var least time.Duration
-	place := 0
 	for _, h := range decode {
 		fill := h.fill()
-		cost := p.away(h) + h.queue()
-		switch {
-		case fill >= 1:
+		cost := p.away(h) + time.Duration(fill*float64(fillCost))
+		if !long {
+			cost += h.queue()
+		} else if !slices.Contains(answers, h) {
+			cost += outsideCost
+		}
+		if fill >= fullShare {
 			cost += time.Duration(fill * float64(fullCost))
-		case long && fill >= fillFirst:
-			cost += time.Duration(fill * float64(fullCost) / 4)
-		case long:
-			if p.away(h) == 0 {
-				cost += time.Duration(place) * time.Millisecond
-				place++
-			}
-		default:
-			cost += time.Duration(fill * float64(10*time.Millisecond))
 		}
 		if best == nil || cost < least {
 			best, least = h, cost
@@ -461,11 +495,10 @@
 }
 
 // direct is the plan in which h prefills and decodes.
-func (p *Placer) direct(now time.Time, a *Ask, h *host, place int) Plan {
+func (p *Placer) direct(now time.Time, a *Ask, h *host) Plan {
 	plan := Plan{Decode: h.engine, Work: a.Prompt.Tokens - h.known(now, a), Wait: h.queue()}
 	plan.Expected = p.away(h) + plan.Wait + time.Duration(float64(h.prefillTime(plan.Work))/decodeShare)
-	plan.Expected += time.Duration(place) * time.Millisecond / 4
-	if fill := h.fill(); fill >= 1 {
+	if fill := h.fill(); fill >= fullShare {
 		plan.Expected += time.Duration(fill * float64(fullCost))
 	}
 	return plan
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		if first {
-			late := plan.Expected > f.left()
+			late := plan.Expected > f.patience()
 			f.fleet.want(f.target.Name, plan.Work, ask.Prompt.Output, late)
 			if late {
 				reason, wait = "the engines are too busy for its time", max(roomRetry, plan.Expected-f.route.Target)
@@ -103,6 +103,19 @@
 	f.giveUp(ctx, reason, wait)
 }
 
+// admitShare is the share of the time in which the first event is on time up
+// to which the expected time may reach: an engine's queue beyond it would make
+// all answers late.
+const admitShare = 0.9
+
+// patience is how long the first event may take for the call to be admitted.
+func (f *flight) patience() time.Duration {
+	if f.route.Target <= 0 {
+		return f.left()
+	}
+	return min(f.left(), time.Duration(admitShare*float64(f.route.Target)))
+}
+
 // pause waits a little before all engines that failed are tried again.
 func (f *flight) pause(ctx context.Context) bool {
 	if f.tries >= maxTries {
