place: keep shared parts at decode engines, fetch them from there

Change: each prompt's shared parts have a home among the decode engines, which decode it, and which prefill it themselves unless they hold long answers.

--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -370,22 +370,25 @@
 	if len(decode) == 0 {
 		return Plan{}, fmt.Errorf("pool %s: %w", a.Pool, ErrNone)
 	}
-	answers, prompts := p.reserve(decode)
-	target, wait := p.target(decode, answers, a)
+	answers := p.reserve(decode)
 	best := Plan{Expected: -1}
-	if home := homeOf(prefill, a); home != nil && (a.Prompt.Tokens > shortPrompt) {
-		for _, h := range prefill {
-			best.better(p.split(now, a, h, home, target, wait))
-		}
+	if a.Prompt.Tokens <= shortPrompt {
+		best.better(p.direct(now, a, p.roomiest(decode, answers, a), nil))
+		return best, nil
 	}
-	if a.Prompt.Tokens <= shortPrompt || best.Expected < 0 {
-		best.better(p.direct(now, a, target))
+	homes := homesOf(decode, a)
+	target := homes[0]
+	if p.long(a) {
+		target = p.roomiest(decode, answers, a)
+	} else if target.fill() >= fullShare && len(homes) > 1 {
+		target = homes[1]
 	}
-	if !p.long(a) {
-		for _, h := range prompts {
-			if h.own.Long+h.others.Long == 0 {
-				best.better(p.direct(now, a, h))
-			}
+	for _, h := range prefill {
+		best.better(p.split(now, a, h, homes[0], target))
+	}
+	for _, h := range homes {
+		if best.Expected < 0 || !p.long(a) && h.own.Long+h.others.Long == 0 && !slices.Contains(answers, h) {
+			best.better(p.direct(now, a, h, homes[0]))
 		}
 	}
 	return best, nil
@@ -404,11 +407,10 @@
 	return awayCost
 }
 
-// reserve splits the decode engines into those that take long answers and
-// those that may prefill long prompts themselves. Both prefills and long
-// answers on one engine would pause the answers. The order is the same at each
-// instance, and goes round the data centres.
-func (p *Placer) reserve(decode []*host) (answers, prompts []*host) {
+// reserve returns the decode engines that take long answers. The others may
+// prefill long prompts themselves: both on one engine would pause the answers.
+// The order is the same at each instance, and goes round the data centres.
+func (p *Placer) reserve(decode []*host) []*host {
 	turn := make(map[string]int)
 	turns := make(map[*host]int, len(decode))
 	for _, h := range decode {
@@ -418,29 +420,26 @@
 	order := slices.Clone(decode)
 	slices.SortStableFunc(order, func(a, b *host) int { return cmp.Compare(turns[a], turns[b]) })
 	long, room := 0, 0.0
-	n := 0
 	for _, h := range order {
 		long += h.own.Long + h.others.Long
 	}
+	n := 0
 	for n < len(order) && (n < min(len(turn), (len(order)+1)/2) || room < float64(long)*reserveShare) {
 		room += float64(max(1, order[n].spec.Slots)) * fillFirst
 		n++
 	}
-	return order[:n], order[n:]
+	return order[:n]
 }
 
-// target chooses the engine that decodes. Long answers go to the engines that
-// are reserved for them as long as these have room.
-func (p *Placer) target(decode, answers []*host, a *Ask) (*host, time.Duration) {
-	long := p.long(a)
+// roomiest chooses the engine that decodes a long answer, or one with a short
+// prompt: of those reserved for answers, the nearest with room.
+func (p *Placer) roomiest(decode, answers []*host, a *Ask) *host {
 	var best *host
 	var least time.Duration
 	for _, h := range decode {
 		fill := h.fill()
 		cost := p.away(h) + time.Duration(fill*float64(fillCost))
-		if !long {
-			cost += h.queue()
-		} else if !slices.Contains(answers, h) {
+		if !slices.Contains(answers, h) {
 			cost += outsideCost
 		}
 		if fill >= fullShare {
@@ -450,54 +449,76 @@
 			best, least = h, cost
 		}
 	}
-	return best, least
+	return best
 }
 
-// homeOf returns the prefill engine that should hold the shared parts of a
-// prompt: the same at each instance.
-func homeOf(prefill []*host, a *Ask) *host {
-	key := ""
+// homesOf returns up to two decode engines that should hold the shared parts
+// of a prompt: the same at each instance.
+func homesOf(decode []*host, a *Ask) []*host {
+	key := a.ID
 	if parts := a.shared(); len(parts) > 0 {
 		key = parts[len(parts)-1].ID
 	}
-	var best *host
-	var high uint64
-	for _, h := range prefill {
-		if n := xxhash.Sum64String(key + "/" + h.engine.Name); best == nil || n > high {
-			best, high = h, n
+	var first, second *host
+	var high, next uint64
+	for _, h := range decode {
+		n := xxhash.Sum64String(key + "/" + h.engine.Name)
+		switch {
+		case first == nil || n > high:
+			second, next = first, high
+			first, high = h, n
+		case second == nil || n > next:
+			second, next = h, n
 		}
 	}
-	return best
+	if second == nil {
+		return []*host{first}
+	}
+	return []*host{first, second}
 }
 
-// split is the plan that prefills at h and decodes at target.
-func (p *Placer) split(now time.Time, a *Ask, h, home, target *host, wait time.Duration) Plan {
+// missing estimates the prompt tokens that an engine has to compute, given the
+// engine that should hold the shared parts. Fetch tells whether they come from
+// there.
+func (h *host) missing(now time.Time, a *Ask, home *host) (tokens int, fetch bool) {
 	shared := 0
 	for _, part := range a.shared() {
 		shared += part.Tokens
 	}
-	known := h.known(now, a)
+	own := a.Prompt.Tokens - shared
+	lacks := shared - h.known(now, a)
+	if lacks <= 0 || home == nil {
+		return own + max(lacks, 0), false
+	}
+	return own + int(fetchMiss*float64(lacks)), h != home
+}
+
+// split is the plan that prefills at h and decodes at target.
+func (p *Placer) split(now time.Time, a *Ask, h, home, target *host) Plan {
 	plan := Plan{Prefill: h.engine, Decode: target.engine, Wait: h.queue()}
-	cost := p.away(h) + handCost
-	missing := shared - known
-	switch {
-	case missing == 0:
-	case h == home:
-		missing = int(fetchMiss * float64(missing))
-	default:
+	work, fetch := h.missing(now, a, home)
+	plan.Work = work
+	plan.Expected = p.away(h) + handCost + plan.Wait + h.prefillTime(work) + time.Duration(target.fill()*float64(fillCost))
+	if fetch {
 		plan.Fetch = home.engine.URL
-		cost += fetchCost
-		missing = int(fetchMiss * float64(missing))
+		plan.Expected += fetchCost
+	}
+	if target.fill() >= fullShare {
+		plan.Expected += time.Duration(target.fill() * float64(fullCost))
 	}
-	plan.Work = a.Prompt.Tokens - shared + missing
-	plan.Expected = cost + plan.Wait + h.prefillTime(plan.Work) + wait
 	return plan
 }
 
 // direct is the plan in which h prefills and decodes.
-func (p *Placer) direct(now time.Time, a *Ask, h *host) Plan {
-	plan := Plan{Decode: h.engine, Work: a.Prompt.Tokens - h.known(now, a), Wait: h.queue()}
-	plan.Expected = p.away(h) + plan.Wait + time.Duration(float64(h.prefillTime(plan.Work))/decodeShare)
+func (p *Placer) direct(now time.Time, a *Ask, h, home *host) Plan {
+	plan := Plan{Decode: h.engine, Wait: h.queue()}
+	work, fetch := h.missing(now, a, home)
+	plan.Work = work
+	plan.Expected = p.away(h) + plan.Wait + time.Duration(float64(h.prefillTime(work))/decodeShare)
+	if fetch {
+		plan.Fetch = home.engine.URL
+		plan.Expected += fetchCost
+	}
 	if fill := h.fill(); fill >= fullShare {
 		plan.Expected += time.Duration(fill * float64(fullCost))
 	}
--- a/core/version/order/order.go
+++ b/core/version/order/order.go
@@ -20,6 +20,7 @@
 	Drain  time.Duration // longest wait for requests that still run
 	Limit  time.Duration // time after which an order that can't be delivered fails
 	Pause  time.Duration // between probes of an engine
+	Report time.Duration // by which the engine's own account may lag
 	Settle time.Duration // from the start of a term to its first order, so that leaders don't take turns
 }
 
@@ -196,7 +197,7 @@
 	case r.Failed:
 		k.quiet = now + m.settings.Flight
 	case r.Order.Accepted:
-		k.next = now + m.settings.Pause
+		k.next = now + max(m.settings.Pause, m.settings.Report)
 	case r.Order.Reason == engine.ReasonBusy:
 		k.next = now + m.settings.Pause
 	default:
--- a/core/version/plan/plan.go
+++ b/core/version/plan/plan.go
@@ -77,6 +77,7 @@
 const (
 	NameGoodput   = "goodput"
 	NameThreshold = "threshold"
+	NameFollow    = "follow"
 	NameFixed     = "fixed"
 )
 
@@ -90,6 +91,8 @@
 		return &checked{s, newGoodput(s)}, nil
 	case NameThreshold:
 		return &checked{s, newThreshold(s)}, nil
+	case NameFollow:
+		return &checked{s, newFollow(s)}, nil
 	case NameFixed:
 		return Fixed{}, nil
 	default:
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -191,6 +191,7 @@
 	}
 	took := f.clock.Now().Sub(began)
 	f.meter.Time(took, "prefill")
+	f.prefillTook = took
 	if a.StatusCode != http.StatusOK {
 		return "", f.unfit(name, a)
 	}
@@ -253,7 +254,8 @@
 	}
 	err = f.pass(a, watch, out, func() {
 		took := f.clock.Now().Sub(began)
-		f.meter.Time(f.clock.Now().Sub(f.began), "first")
+		f.firstAfter = f.clock.Now().Sub(f.began)
+		f.meter.Time(f.firstAfter, "first")
 		f.fleet.prefilled(ask, plan, took)
 	})
 	switch {
--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -104,7 +104,7 @@
 	f.meter.Count("answered", strconv.Itoa(status/100)+"xx")
 	f.meter.Time(f.clock.Now().Sub(f.began), "answer", string(f.route.Kind))
 	f.log.Info("answered", "request", f.call.ID, "route", f.route.Name, "table", f.number(), "server", name,
-		"status", status, "tries", f.tries, "ms", f.spent(), "err", err)
+		"status", status, "tries", f.tries, "prefill_ms", f.prefillTook.Milliseconds(), "first_ms", f.firstAfter.Milliseconds(), "ms", f.spent(), "err", err)
 }
 
 func address(raw string) string {
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -82,6 +82,9 @@
 	ran      []string // backend servers that may have run it
 	avoid    []string // backend servers that failed it
 	print    string   // fingerprint
+
+	prefillTook time.Duration // by an engine of its own
+	firstAfter  time.Duration // from the start to the first event
 }
 
 // ServeHTTP implements http.Handler.
--- a/keepd/conf/conf.go
+++ b/keepd/conf/conf.go
@@ -54,6 +54,7 @@
 	Flight boot.Duration `toml:"flight"`
 	Drain  boot.Duration `toml:"drain"`
 	Settle boot.Duration `toml:"settle"`
+	Report boot.Duration `toml:"report"`
 }
 
 // Plan weighs role changes.
@@ -248,12 +249,13 @@
 		rule{"order.flight", span(s.Order.Flight, 100*time.Millisecond, 10*time.Minute)},
 		rule{"order.drain", span(s.Order.Drain, 0, time.Hour)},
 		rule{"order.settle", span(s.Order.Settle, 0, time.Minute)},
+		rule{"order.report", span(s.Order.Report, 0, time.Minute)},
 	)
 }
 
 func (s *Settings) checkPlan() (string, error) {
-	if !slices.Contains([]string{"goodput", "threshold", "fixed"}, s.Plan.Policy) {
-		return "plan.policy", fmt.Errorf("%q is none of goodput, threshold, fixed", s.Plan.Policy)
+	if !slices.Contains([]string{"goodput", "threshold", "follow", "fixed"}, s.Plan.Policy) {
+		return "plan.policy", fmt.Errorf("%q is none of goodput, threshold, follow, fixed", s.Plan.Policy)
 	}
 	return first(
 		rule{"plan.price", within(s.Plan.Price, 0, 100)},
--- a/keepd/lead/orders.go
+++ b/keepd/lead/orders.go
@@ -54,6 +54,7 @@
 		Drain:  time.Duration(l.settings.Order.Drain),
 		Limit:  orderLimit,
 		Pause:  orderPause,
+		Report: time.Duration(l.settings.Order.Report),
 		Settle: time.Duration(l.settings.Order.Settle),
 	})
 	targets := make(map[uint64]order.Target)
--- a/keepd/lead/plan.go
+++ b/keepd/lead/plan.go
@@ -1,12 +1,14 @@
 package lead
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/version/ledger"
 	"verbenahaven.example/core/version/plan"
 	"verbenahaven.example/core/version/state"
@@ -76,7 +78,7 @@
 		v := s.View(0)
 		_ = l.hold(func(at time.Duration, _ uint64) {
 			for _, e := range v.Engines {
-				in.Engines = append(in.Engines, l.planEngine(now, e, s.Changed(e.Name)))
+				in.Engines = append(in.Engines, l.planEngine(now, e, s.Changed(e.Name), s.Routing()))
 			}
 			demand := l.roster.Demand(at)
 			for _, sv := range v.Services {
@@ -89,13 +91,34 @@
 					Requests: d.Requests, Prefill: d.Prefill, Decode: d.Decode, Refused: d.Refused,
 				})
 			}
+			in.Demand = append(in.Demand, poolDemand(s.Routing(), demand)...)
 		})
 	})
 	return in
 }
 
-func (l *Lead) planEngine(now time.Time, e state.Engine, changed time.Time) plan.Engine {
-	p := plan.Engine{Name: e.Name, Centre: e.Centre, Model: e.Model, Role: e.Role, Phase: e.Phase, Changed: changed}
+// poolDemand is the demand for the pools of a routing table. Their engines are
+// planned apart.
+func poolDemand(r *state.Routing, demand map[string]proto.Demand) []plan.Demand {
+	if r == nil {
+		return nil
+	}
+	var list []plan.Demand
+	for _, p := range r.Pools {
+		if p.Spec == nil {
+			continue
+		}
+		d := demand[p.Name]
+		list = append(list, plan.Demand{
+			Service: p.Name, Model: p.Name, Class: state.ClassFirst,
+			Requests: d.Requests, Prefill: d.Prefill, Decode: d.Decode, Refused: d.Refused,
+		})
+	}
+	return list
+}
+
+func (l *Lead) planEngine(now time.Time, e state.Engine, changed time.Time, routing *state.Routing) plan.Engine {
+	p := plan.Engine{Name: e.Name, Centre: e.Centre, Model: cmp.Or(e.Pool, e.Model), Role: e.Role, Phase: e.Phase, Changed: changed}
 	r, heard := l.roster.Report(e.Name)
 	if !heard {
 		return p
@@ -103,5 +126,10 @@
 	p.Alive, p.Running, p.Waiting, p.Queue = r.Alive, r.Running, r.Waiting, r.Queue
 	p.Used, p.Step, p.Age = r.Used, r.Step, now.Sub(r.At)
 	p.Prefill, p.Batch = r.Prefill, r.Batch
+	if routing != nil {
+		if pool, found := routing.Pool(e.Pool); found && pool.Spec != nil {
+			p.Batch = pool.Spec.Slots
+		}
+	}
 	return p
 }
--- a/keepd/site.go
+++ b/keepd/site.go
@@ -24,6 +24,7 @@
 	"verbenahaven.example/core/process/keys"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/process/node"
+	"verbenahaven.example/core/version/plan"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/store"
 	"verbenahaven.example/keepd/conf"
@@ -51,9 +52,19 @@
 	// siteDrain is how long an order waits for requests that run: the engine
 	// finishes them itself.
 	siteDrain = 400 * time.Millisecond
+	// siteLag is by how much engines' reports lag: some hundred milliseconds.
+	siteLag = 800 * time.Millisecond
 	// siteList and siteReport are the times between two readings.
 	siteList   = 500 * time.Millisecond
 	siteReport = 200 * time.Millisecond
+	// siteHorizon is the time whose highest needs decide on roles: longer than
+	// one half of a swing that isn't worth following, shorter than a shift.
+	siteHorizon = 3 * time.Second
+	// sitePeriod is the time between decisions, and siteDwell the least time
+	// between two changes of an engine: a few times what a change takes.
+	sitePeriod = 250 * time.Millisecond
+	siteDwell  = 6 * time.Second
+	siteMoving = 3 // engines in transition at once
 	// callLimit bounds the answer to an operator, who waits a second.
 	callLimit = 900 * time.Millisecond
 	// learnEvery is the time between looks at who keeps the state.
@@ -107,9 +118,12 @@
 	}
 	c.Order = conf.Order{
 		Lease: boot.Duration(siteOrder), Margin: boot.Duration(siteMargin), Flight: boot.Duration(siteFlight),
-		Drain: boot.Duration(siteDrain), Settle: boot.Duration(s.Bounds.Lease),
+		Drain: boot.Duration(siteDrain), Settle: boot.Duration(s.Bounds.Lease), Report: boot.Duration(siteLag),
+	}
+	c.Plan = conf.Plan{
+		Policy: plan.NameFixed, Dwell: boot.Duration(siteDwell), Horizon: boot.Duration(siteHorizon), Period: boot.Duration(sitePeriod),
+		Moving: siteMoving, Reserve: 1,
 	}
-	c.Plan.Policy = "fixed"
 	c.Member = conf.Member{Lease: boot.Duration(siteMember)}
 	c.Platform = conf.Platform{Every: boot.Duration(siteList), Report: boot.Duration(siteReport)}
 	return c
