--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -40,6 +40,8 @@
 	fullShare = 0.92
 	// fillCost is what a full engine's slower steps cost, as time.
 	fillCost = 10 * time.Millisecond
+	// strayCost is what an engine costs that should hold the shared parts next.
+	strayCost = 10 * time.Millisecond
 	// outsideCost is what a long answer outside of the reserved engines costs.
 	outsideCost = 100 * time.Millisecond
 	// awayCost is what another data centre costs, as time: its distance, and
@@ -127,7 +129,7 @@
 	pools := make(map[string][]*host)
 	for _, e := range engines {
 		h := p.hosts[e.Name]
-		if h == nil || h.engine.URL != e.URL || h.engine.Serial != e.Serial {
+		if h == nil || h.engine.URL != e.URL || h.engine.Serial != e.Serial || h.engine.Role != e.Role {
 			h = &host{sends: make(map[string]send), parts: make(map[string]time.Time), slow: 1, rank: xxhash.Sum64String(e.Name)}
 		}
 		h.engine = e
@@ -242,6 +244,9 @@
 		s.prefill = 0
 		h.add(a.ID, s)
 	}
+	if plan.Work > shortPrompt {
+		h.learn(plan, took)
+	}
 }
 
 // Done forgets own work at the engines of a plan.
@@ -266,16 +271,16 @@
 }
 
 func (h *host) prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) * h.slow / startRate * float64(time.Second))
+	d := float64(tokens) * h.slow / startRate * float64(time.Second)
+	if h.engine.Role != state.RolePrefill {
+		d /= decodeShare
+	}
+	return time.Duration(d)
 }
 
 // queue is the time until the engine has computed what it was given.
 func (h *host) queue() time.Duration {
-	d := h.prefillTime(h.own.Prefill + h.others.Prefill)
-	if h.engine.Role != state.RolePrefill {
-		d = time.Duration(float64(d) / decodeShare)
-	}
-	return d
+	return h.prefillTime(h.own.Prefill + h.others.Prefill)
 }
 
 // fill is the share of the engine's room that is taken.
@@ -377,11 +382,9 @@
 		return best, nil
 	}
 	homes := homesOf(decode, a)
-	target := homes[0]
-	if p.long(a) {
-		target = p.roomiest(decode, answers, a)
-	} else if target.fill() >= fullShare && len(homes) > 1 {
-		target = homes[1]
+	target := p.roomiest(decode, answers, a)
+	if !p.long(a) {
+		target = p.quickest(append(homes, target))
 	}
 	for _, h := range prefill {
 		best.better(p.split(now, a, h, homes[0], target))
@@ -452,6 +455,31 @@
 	return best
 }
 
+// quickest chooses among engines that may decode a short answer; the first are
+// preferred.
+func (p *Placer) quickest(list []*host) *host {
+	var best *host
+	var least time.Duration
+	for i, h := range list {
+		cost := h.wait() + time.Duration(i)*strayCost
+		if best == nil || cost < least {
+			best, least = h, cost
+		}
+	}
+	return best
+}
+
+// wait is the time until an engine goes on with a prompt that was prefilled
+// elsewhere.
+func (h *host) wait() time.Duration {
+	fill := h.fill()
+	d := h.queue() + time.Duration(fill*float64(fillCost))
+	if fill >= fullShare {
+		d += time.Duration(fill * float64(fullCost))
+	}
+	return d
+}
+
 // homesOf returns up to two decode engines that should hold the shared parts
 // of a prompt: the same at each instance.
 func homesOf(decode []*host, a *Ask) []*host {
@@ -498,14 +526,11 @@
 	plan := Plan{Prefill: h.engine, Decode: target.engine, Wait: h.queue()}
 	work, fetch := h.missing(now, a, home)
 	plan.Work = work
-	plan.Expected = p.away(h) + handCost + plan.Wait + h.prefillTime(work) + time.Duration(target.fill()*float64(fillCost))
+	plan.Expected = p.away(h) + handCost + plan.Wait + h.prefillTime(work) + target.wait()
 	if fetch {
 		plan.Fetch = home.engine.URL
 		plan.Expected += fetchCost
 	}
-	if target.fill() >= fullShare {
-		plan.Expected += time.Duration(target.fill() * float64(fullCost))
-	}
 	return plan
 }
 
@@ -514,7 +539,7 @@
 	plan := Plan{Decode: h.engine, Wait: h.queue()}
 	work, fetch := h.missing(now, a, home)
 	plan.Work = work
-	plan.Expected = p.away(h) + plan.Wait + time.Duration(float64(h.prefillTime(work))/decodeShare)
+	plan.Expected = p.away(h) + plan.Wait + h.prefillTime(work)
 	if fetch {
 		plan.Fetch = home.engine.URL
 		plan.Expected += fetchCost
--- a/entryd/site.go
+++ b/entryd/site.go
@@ -37,7 +37,7 @@
 const (
 	// siteBeat is the time between heartbeats, which carry the loads of the
 	// engines: a few prefills long.
-	siteBeat = 150 * time.Millisecond
+	siteBeat = 40 * time.Millisecond
 	// siteStale is the age from which the state counts as old.
 	siteStale = 5 * time.Second
 	// siteFanout is the number of children in the tree of instances.
