--- a/core/version/plan/follow.go
+++ b/core/version/plan/follow.go
@@ -2,28 +2,27 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"verbenahaven.example/core/version/state"
 )
 
 const (
-	// followPrefill is the share of the prefill rate that random arrivals leave
-	// in time.
-	followPrefill = 0.85
-	// followDecode is the share of the decode batches that may be full before
-	// one more engine is wanted.
-	followDecode = 0.75
 	// followRate is the prefill speed of an engine that doesn't report it, in
 	// tokens a second.
 	followRate = 250_000.0
+	// followDecode is the share of the decode batches that answers may fill.
+	followDecode = 0.8
+	// sideShare is the prefill speed of a decode engine without answers.
+	sideShare = 0.5
+	// decodeWeight is what a missing decode engine weighs against a missing
+	// prefill engine: answers that wait for room, or lose it, fail whole.
+	decodeWeight = 2.0
 )
 
-// followPolicy follows the demand closely: it moves an engine as soon as one
-// phase needs more engines than it has and the other has one to spare, by the
-// highest needs of the horizon. It suits engines that change role within
-// seconds at a low price.
+// followPolicy moves an engine when the demand of the horizon would have been
+// met better with one engine more in the other role, by more than the change
+// costs. Decode engines without answers count as half a prefill engine.
 type followPolicy struct {
 	settings Settings
 	models   map[string]*needs
@@ -35,7 +34,7 @@
 	prefill, decode float64
 }
 
-// needs are the observations of the horizon.
+// needs are the observations of the horizon, oldest first.
 type needs struct {
 	list []need
 }
@@ -92,7 +91,7 @@
 	if engines == 0 {
 		return n
 	}
-	n.prefill = tokens / (rate / engines * followPrefill)
+	n.prefill = tokens / (rate / engines)
 	n.decode = streams / (batch / engines * followDecode)
 	return n
 }
@@ -106,18 +105,23 @@
 	n.list = n.list[first:]
 }
 
-// most returns the highest needs of the horizon.
-func (n *needs) most() (prefill, decode float64) {
-	for _, v := range n.list {
-		prefill, decode = max(prefill, v.prefill), max(decode, v.decode)
+// lack sums what so many engines of each role would have lacked over the
+// horizon, in engine seconds.
+func (n *needs) lack(prefill, decode int) float64 {
+	sum := 0.0
+	for i := 1; i < len(n.list); i++ {
+		v := n.list[i]
+		spare := max(0, float64(decode)-v.decode)
+		lack := max(0, v.prefill-float64(prefill)-sideShare*spare) + decodeWeight*max(0, v.decode-float64(decode))
+		sum += lack * v.at.Sub(n.list[i-1].at).Seconds()
 	}
-	return prefill, decode
+	return sum
 }
 
-// choose compares needs with what there is. Engines in transition count for
-// the role that they go to.
+// choose compares the roles as they are with one engine moved. Engines in
+// transition count for the role that they go to.
 func (p *followPolicy) choose(now time.Time, f fleet) (Choice, bool) {
-	prefill, decode := p.models[f.model].most()
+	n := p.models[f.model]
 	have := map[state.Role]int{}
 	for _, e := range f.engines {
 		switch {
@@ -128,14 +132,14 @@
 			have[e.Role]++
 		}
 	}
-	p1, d1 := float64(have[state.RolePrefill]), float64(have[state.RoleDecode])
-	var to state.Role
-	switch {
-	case prefill > p1 && d1-1 >= math.Ceil(decode):
-		to = state.RolePrefill
-	case decode > d1 && p1-1 >= math.Ceil(prefill):
-		to = state.RoleDecode
-	default:
+	prefill, decode := have[state.RolePrefill], have[state.RoleDecode]
+	stay := n.lack(prefill, decode)
+	more, fewer := n.lack(prefill+1, decode-1), n.lack(prefill-1, decode+1)
+	to, left := state.RolePrefill, more
+	if fewer < more {
+		to, left = state.RoleDecode, fewer
+	}
+	if stay-left <= p.settings.Price {
 		return Choice{}, false
 	}
 	from := other(to)
@@ -143,12 +147,14 @@
 	if !ok || f.serving(from) <= p.settings.Reserve {
 		return Choice{}, false
 	}
+	last := n.list[len(n.list)-1]
 	return Choice{
-		Engine:  e.Name,
-		Role:    to,
-		Saw:     fmt.Sprintf("model %s: needs %.1f prefill and %.1f decode engines, has %.0f and %.0f", f.model, prefill, decode, p1, d1),
-		Weighed: fmt.Sprintf("highest needs of the last %s", p.settings.Horizon),
-		Reason:  fmt.Sprintf("%s has one to spare", from),
+		Engine: e.Name,
+		Role:   to,
+		Saw: fmt.Sprintf("model %s: needs %.1f prefill and %.1f decode engines now, has %d and %d",
+			f.model, last.prefill, last.decode, prefill, decode),
+		Weighed: fmt.Sprintf("lack of %.1f engine seconds in %s as it is, %.1f after, price %.1f", stay, p.settings.Horizon, left, p.settings.Price),
+		Reason:  "less is lacking with one more for " + string(to),
 	}, true
 }
 
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/request/admit"
 	"verbenahaven.example/core/request/place"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/version/state"
@@ -31,6 +32,7 @@
 	pending  map[uint64]int    // requests by the version they began under
 	busy     map[string]uint32 // requests by backend server
 	demand   map[string]*proto.Demand
+	gaps     map[string]*admit.Gap // by pool
 	turn     uint64
 	heard    time.Time // when the leader was heard last
 }
@@ -48,6 +50,7 @@
 		pending:  make(map[uint64]int),
 		busy:     make(map[string]uint32),
 		demand:   make(map[string]*proto.Demand),
+		gaps:     make(map[string]*admit.Gap),
 	}
 }
 
@@ -197,6 +200,28 @@
 	d.Decode += float64(decode)
 }
 
+// margin is what the expected time to a pool's first event falls short.
+func (f *Fleet) margin(now time.Time, pool string, limit time.Duration) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if g := f.gaps[pool]; g != nil {
+		return g.Margin(now, limit)
+	}
+	return 0
+}
+
+// learnFirst takes the time that a first event was expected to need, and needed.
+func (f *Fleet) learnFirst(now time.Time, pool string, expected, actual time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	g := f.gaps[pool]
+	if g == nil {
+		g = &admit.Gap{}
+		f.gaps[pool] = g
+	}
+	g.Learn(now, expected, actual)
+}
+
 // pick chooses engines and records the work there.
 func (f *Fleet) pick(now time.Time, a *place.Ask) (place.Plan, error) {
 	f.mutex.Lock()
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -67,7 +67,8 @@
 			continue
 		}
 		if first {
-			late := plan.Expected > f.patience()
+			limit := f.patience()
+			late := plan.Expected+f.fleet.margin(f.clock.Now(), f.target.Name, limit) > limit
 			f.fleet.want(f.target.Name, plan.Work, ask.Prompt.Output, late)
 			if late {
 				reason, wait = "the engines are too busy for its time", max(roomRetry, plan.Expected-f.route.Target)
@@ -255,6 +256,9 @@
 	err = f.pass(a, watch, out, func() {
 		took := f.clock.Now().Sub(began)
 		f.firstAfter = f.clock.Now().Sub(f.began)
+		if len(f.avoid) == 0 && ask.Prompt.Tokens > 0 {
+			f.fleet.learnFirst(f.clock.Now(), f.target.Name, plan.Expected, f.firstAfter)
+		}
 		f.meter.Time(f.firstAfter, "first")
 		f.fleet.prefilled(ask, plan, took)
 	})
--- a/keepd/site.go
+++ b/keepd/site.go
@@ -59,7 +59,10 @@
 	siteReport = 200 * time.Millisecond
 	// siteHorizon is the time whose highest needs decide on roles: longer than
 	// one half of a swing that isn't worth following, shorter than a shift.
-	siteHorizon = 3 * time.Second
+	siteHorizon = 12 * time.Second
+	// sitePrice is what a change costs: the seconds that the engine is away, and
+	// the price of its order.
+	sitePrice = 3.5 // engine seconds
 	// sitePeriod is the time between decisions, and siteDwell the least time
 	// between two changes of an engine: a few times what a change takes.
 	sitePeriod = 250 * time.Millisecond
@@ -121,7 +124,7 @@
 		Drain: boot.Duration(siteDrain), Settle: boot.Duration(s.Bounds.Lease), Report: boot.Duration(siteLag),
 	}
 	c.Plan = conf.Plan{
-		Policy: plan.NameFixed, Dwell: boot.Duration(siteDwell), Horizon: boot.Duration(siteHorizon), Period: boot.Duration(sitePeriod),
+		Policy: plan.NameFollow, Price: sitePrice, Dwell: boot.Duration(siteDwell), Horizon: boot.Duration(siteHorizon), Period: boot.Duration(sitePeriod),
 		Moving: siteMoving, Reserve: 1,
 	}
 	c.Member = conf.Member{Lease: boot.Duration(siteMember)}
