plan: start near an even split of roles, then follow what is lacking

Cause: both fleets start with a third of their engines on prefill, which is the bottleneck at the dossiers' peaks. Policy follow: an idle fleet goes to a share of 0.47; afterwards an engine moves when the last 25 s would have lacked less, by more than 8 engine seconds. Also: a report that is older than an engine's last order no longer overrules it (it made one more engine move).

--- a/core/version/plan/follow.go
+++ b/core/version/plan/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"verbenahaven.example/core/version/state"
@@ -11,10 +12,19 @@
 	// followRate is the prefill speed of an engine that doesn't report it, in
 	// tokens a second.
 	followRate = 250_000.0
+	// followPrefill is the share of the prefill speed that random arrivals use in
+	// time.
+	followPrefill = 0.7
 	// followDecode is the share of the decode batches that answers may fill.
 	followDecode = 0.8
-	// sideShare is the prefill speed of a decode engine without answers.
-	sideShare = 0.5
+	// startShare is the share of prefill engines before there was any demand: a
+	// little under half, since decode engines can prefill as well.
+	startShare = 0.47
+	// startWait is how long no demand must have been seen for that.
+	startWait = time.Second
+	// sideShare is the prefill speed that a decode engine without answers adds:
+	// half that of a prefill engine, and not while its last answers end.
+	sideShare = 0.25
 	// decodeWeight is what a missing decode engine weighs against a missing
 	// prefill engine: answers that wait for room, or lose it, fail whole.
 	decodeWeight = 2.0
@@ -31,6 +41,7 @@
 // need is what one observation asks for, in engines.
 type need struct {
 	at              time.Time
+	engines         int
 	prefill, decode float64
 }
 
@@ -66,7 +77,7 @@
 }
 
 func wanted(now time.Time, f fleet, demand []Demand) need {
-	n := need{at: now}
+	n := need{at: now, engines: len(f.engines)}
 	tokens, rate, streams, batch, engines := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, d := range demand {
 		if d.Model == f.model {
@@ -91,7 +102,7 @@
 	if engines == 0 {
 		return n
 	}
-	n.prefill = tokens / (rate / engines)
+	n.prefill = tokens / (rate / engines * followPrefill)
 	n.decode = streams / (batch / engines * followDecode)
 	return n
 }
@@ -105,6 +116,24 @@
 	n.list = n.list[first:]
 }
 
+// none tells whether there was never any demand, and the same engines for a
+// while.
+func (n *needs) none() bool {
+	last := n.list[len(n.list)-1]
+	same := last.at
+	for _, v := range n.list {
+		if v.prefill > 0 || v.decode > 0 {
+			return false
+		}
+		if v.engines != last.engines {
+			same = last.at
+		} else if same.Equal(last.at) {
+			same = v.at
+		}
+	}
+	return last.at.Sub(same) >= startWait
+}
+
 // lack sums what so many engines of each role would have lacked over the
 // horizon, in engine seconds.
 func (n *needs) lack(prefill, decode int) float64 {
@@ -133,6 +162,9 @@
 		}
 	}
 	prefill, decode := have[state.RolePrefill], have[state.RoleDecode]
+	if n.none() {
+		return p.start(now, f, prefill, decode)
+	}
 	stay := n.lack(prefill, decode)
 	more, fewer := n.lack(prefill+1, decode-1), n.lack(prefill-1, decode+1)
 	to, left := state.RolePrefill, more
@@ -158,6 +190,28 @@
 	}, true
 }
 
+// start brings the roles to the shares of a fleet without demand.
+func (p *followPolicy) start(now time.Time, f fleet, prefill, decode int) (Choice, bool) {
+	wanted := int(math.Round(startShare * float64(prefill+decode)))
+	to := state.RolePrefill
+	switch {
+	case prefill == wanted || prefill+decode < 2:
+		return Choice{}, false
+	case prefill > wanted:
+		to = state.RoleDecode
+	}
+	e, ok := p.candidate(now, f, other(to))
+	if !ok || f.serving(other(to)) <= p.settings.Reserve {
+		return Choice{}, false
+	}
+	return Choice{
+		Engine: e.Name, Role: to,
+		Saw:     fmt.Sprintf("model %s: no demand, %d prefill and %d decode engines", f.model, prefill, decode),
+		Weighed: fmt.Sprintf("%d prefill engines to start with", wanted),
+		Reason:  "the fleet is idle",
+	}, true
+}
+
 // candidate picks the engine to take from a role: in the data centre that has
 // most of them, the one with the least work.
 func (p *followPolicy) candidate(now time.Time, f fleet, from state.Role) (Engine, bool) {
--- a/keepd/lead/fleet.go
+++ b/keepd/lead/fleet.go
@@ -73,11 +73,15 @@
 func (l *Lead) sync(ctx context.Context, f state.Fleet) {
 	now := l.clock.Now()
 	var v state.View
-	l.read(func(s *state.State, _ *ledger.Ledger) { v = s.View(0) })
-	known := make(map[string]state.Engine, len(v.Engines))
-	for _, e := range v.Engines {
-		known[e.Name] = e
-	}
+	known := make(map[string]state.Engine)
+	ordered := make(map[string]bool) // engines whose reports may be older than their last order
+	l.read(func(s *state.State, _ *ledger.Ledger) {
+		v = s.View(0)
+		for _, e := range v.Engines {
+			known[e.Name] = e
+			ordered[e.Name] = now.Sub(s.Changed(e.Name)) < reportLife
+		}
+	})
 	_ = l.hold(func(time.Duration, uint64) {
 		for i := range f.Engines {
 			e := &f.Engines[i]
@@ -85,7 +89,8 @@
 				e.Role = old.Role
 			}
 			// Reports lag less than the list.
-			if r, heard := l.roster.Report(e.Name); heard && r.Alive && now.Sub(r.At) < reportLife {
+			r, heard := l.roster.Report(e.Name)
+			if heard && r.Alive && now.Sub(r.At) < reportLife && !ordered[e.Name] {
 				e.Role = r.Role
 			}
 		}
--- a/keepd/site.go
+++ b/keepd/site.go
@@ -57,12 +57,12 @@
 	// siteList and siteReport are the times between two readings.
 	siteList   = 500 * time.Millisecond
 	siteReport = 200 * time.Millisecond
-	// siteHorizon is the time whose highest needs decide on roles: longer than
-	// one half of a swing that isn't worth following, shorter than a shift.
-	siteHorizon = 12 * time.Second
-	// sitePrice is what a change costs: the seconds that the engine is away, and
-	// the price of its order.
-	sitePrice = 3.5 // engine seconds
+	// siteHorizon is the time whose needs decide on roles: long enough to hold
+	// the shifts that come back, which are then met without changes.
+	siteHorizon = 25 * time.Second
+	// sitePrice is what a change costs: the seconds that the engine is away, its
+	// cold cache, and the price of its order.
+	sitePrice = 8 // engine seconds
 	// sitePeriod is the time between decisions, and siteDwell the least time
 	// between two changes of an engine: a few times what a change takes.
 	sitePeriod = 250 * time.Millisecond
