--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -32,7 +32,7 @@
 	longAnswer = 8
 	// fillFirst is the share of its room up to which an engine that is reserved
 	// for long answers gets some before another is reserved.
-	fillFirst = 0.65
+	fillFirst = 0.4
 	// reserveShare leaves room for the long answers that begin until the next
 	// heartbeats.
 	reserveShare = 1.15
@@ -209,7 +209,7 @@
 
 // Sent records own work that goes to the engines of a plan.
 func (p *Placer) Sent(now time.Time, a *Ask, plan *Plan) {
-	target := send{decode: true, long: p.long(a), tokens: a.Prompt.Tokens + a.output()}
+	target := send{decode: true, long: p.long(a), tokens: a.Prompt.Tokens + a.Output()}
 	if plan.Split() {
 		if h := p.hosts[plan.Prefill.Name]; h != nil {
 			h.add(a.ID, send{prefill: plan.Work})
@@ -342,7 +342,8 @@
 	return a.Prompt.Parts[:len(a.Prompt.Parts)-1]
 }
 
-func (a *Ask) output() int {
+// Output is the expected length of the answer, in tokens.
+func (a *Ask) Output() int {
 	if a.Prompt.Guess > 0 {
 		return min(a.Prompt.Guess, a.Prompt.Output)
 	}
@@ -356,7 +357,7 @@
 	if list := p.pools[a.Pool]; len(list) > 0 {
 		stride = max(1, list[0].spec.Stride)
 	}
-	return a.output() > longAnswer*stride
+	return a.Output() > longAnswer*stride
 }
 
 // Pick chooses the engines of a request.
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -33,6 +33,7 @@
 	busy     map[string]uint32 // requests by backend server
 	demand   map[string]*proto.Demand
 	gaps     map[string]*admit.Gap // by pool
+	paces    map[string]float64    // seconds for an output token, by pool
 	turn     uint64
 	heard    time.Time // when the leader was heard last
 }
@@ -51,6 +52,7 @@
 		busy:     make(map[string]uint32),
 		demand:   make(map[string]*proto.Demand),
 		gaps:     make(map[string]*admit.Gap),
+		paces:    make(map[string]float64),
 	}
 }
 
@@ -222,6 +224,38 @@
 	g.Learn(now, expected, actual)
 }
 
+const (
+	// startPace is the time for an output token before any answer was seen.
+	startPace = 0.001 // seconds
+	// paceWeight is the weight of a new answer.
+	paceWeight = 0.05
+)
+
+// lasts is how long an answer is expected to take after its first event.
+func (f *Fleet) lasts(pool string, a *place.Ask) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	pace, found := f.paces[pool]
+	if !found {
+		pace = startPace
+	}
+	return time.Duration(pace * float64(a.Output()) * float64(time.Second))
+}
+
+// lasted learns how long an answer took after its first event.
+func (f *Fleet) lasted(pool string, a *place.Ask, d time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if a.Output() == 0 {
+		return
+	}
+	pace, found := f.paces[pool]
+	if !found {
+		pace = startPace
+	}
+	f.paces[pool] = pace*(1-paceWeight) + d.Seconds()/float64(a.Output())*paceWeight
+}
+
 // pick chooses engines and records the work there.
 func (f *Fleet) pick(now time.Time, a *place.Ask) (place.Plan, error) {
 	f.mutex.Lock()
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -23,6 +23,8 @@
 	// gapShare is how many times the longest pause that is on time may pass
 	// between two events: callers leave after eight.
 	gapShare = 6
+	// elsewhereRetry is when to come back to another instance.
+	elsewhereRetry = 10 * time.Millisecond
 	// releaseTime bounds the call that frees a KV cache.
 	releaseTime = time.Second
 	// maxHead bounds the answer to a prefill, in bytes.
@@ -66,6 +68,10 @@
 			f.avoid = nil
 			continue
 		}
+		if left, leaving := f.leaving(); first && leaving && f.fleet.lasts(f.target.Name, ask) > left {
+			reason, wait = "the instance is shutting down before the answer could end", elsewhereRetry
+			break
+		}
 		if first {
 			limit := f.patience()
 			late := plan.Expected+f.fleet.margin(f.clock.Now(), f.target.Name, limit) > limit
@@ -81,6 +87,7 @@
 		err = f.attempt(ctx, ask, &plan, &out)
 		if err == nil {
 			f.answered(plan.Decode.Name, http.StatusOK, nil)
+			f.fleet.lasted(f.target.Name, ask, f.clock.Now().Sub(f.began)-f.firstAfter)
 			return
 		}
 		if errors.Is(err, errAnswered) {
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -56,12 +56,13 @@
 	log     *slog.Logger
 	clock   clock.Clock
 	losses  chan loss
-	leaving func() bool
+	leaving func() (left time.Duration, on bool)
 }
 
-// New returns a relay. Leaving tells whether the instance shuts down.
+// New returns a relay. Leaving tells whether the instance shuts down, and when
+// it cuts what still runs.
 func New(
-	c server.Codec, p *kept.Pool, f *Fleet, k *infer.Strikes, m *meter.Registry, l *slog.Logger, t clock.Clock, leaving func() bool,
+	c server.Codec, p *kept.Pool, f *Fleet, k *infer.Strikes, m *meter.Registry, l *slog.Logger, t clock.Clock, leaving func() (left time.Duration, on bool),
 ) *Relay {
 	return &Relay{
 		codec: c, pool: p, fleet: f, strikes: k, meter: m, log: l, clock: t, losses: make(chan loss, lossRing), leaving: leaving,
@@ -90,7 +91,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := s.clock.Now()
-	if s.leaving() {
+	if _, on := s.leaving(); on {
 		w.Header().Set("Connection", "close")
 	}
 	call, err := s.codec.Read(r)
--- a/entryd/site.go
+++ b/entryd/site.go
@@ -82,11 +82,20 @@
 // leaving tells whether the instance shuts down, and counts its requests.
 type leaving struct {
 	on    atomic.Bool
+	end   atomic.Int64 // Unix nanoseconds at which requests are cut
 	calls atomic.Int64
 }
 
 func (l *leaving) set() bool { return l.on.Load() }
 
+// left tells whether the instance shuts down, and when it cuts what runs.
+func (l *leaving) left() (time.Duration, bool) {
+	if !l.set() {
+		return 0, false
+	}
+	return time.Until(time.Unix(0, l.end.Load())), true
+}
+
 // metricsSetting is "PORT/PATH", or empty for none.
 type metricsSetting string
 
@@ -133,7 +142,7 @@
 func siteRelay(
 	p *kept.Pool, f *relay.Fleet, k *infer.Strikes, m *meter.Registry, l *slog.Logger, c clock.Clock, v *leaving,
 ) *relay.Relay {
-	return relay.New(server.Codec(platform.Codec{}), p, f, k, m, l, c, v.set)
+	return relay.New(server.Codec(platform.Codec{}), p, f, k, m, l, c, v.left)
 }
 
 func siteWatch(s *platform.Settings) watch.Settings {
@@ -210,9 +219,10 @@
 // an older one, and ends within the grace.
 func (s *site) stop(ctx context.Context, callers *http.Server) {
 	began := time.Now()
+	grace := s.settings.Bounds.Grace
+	s.leaving.end.Store(began.Add(time.Duration(exitShare * float64(grace))).UnixNano())
 	s.leaving.on.Store(true)
 	s.beat.Leave()
-	grace := s.settings.Bounds.Grace
 	s.log.Info("leaving", "name", s.settings.Name, "calls", s.leaving.calls.Load(), "grace_ms", grace.Milliseconds())
 	clock.Sleep(ctx, time.Duration(stopShare*float64(grace)))
 	ctx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(exitShare*float64(grace))))
