--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -40,6 +40,10 @@
 	fullShare = 0.92
 	// fillCost is what a full engine's slower steps cost, as time.
 	fillCost = 10 * time.Millisecond
+	// stretchCost is what each answer on an engine costs another long one, as
+	// time: it makes all steps longer, and the longest answers may not end within
+	// their time.
+	stretchCost = 1200 * time.Microsecond
 	// strayCost is what an engine costs that should hold the shared parts next.
 	strayCost = 10 * time.Millisecond
 	// outsideCost is what a long answer outside of the reserved engines costs.
@@ -283,12 +287,16 @@
 	return h.prefillTime(h.own.Prefill + h.others.Prefill)
 }
 
+// streams is the number of answers that the engine generates or has waiting.
+func (h *host) streams() int {
+	return max(h.own.Streams+h.others.Streams, h.report.Running+h.report.Waiting)
+}
+
 // fill is the share of the engine's room that is taken.
 func (h *host) fill() float64 {
-	streams := max(h.own.Streams+h.others.Streams, h.report.Running+h.report.Waiting)
 	fill := h.report.Used
 	if h.spec.Slots > 0 {
-		fill = max(fill, float64(streams)/float64(h.spec.Slots))
+		fill = max(fill, float64(h.streams())/float64(h.spec.Slots))
 	}
 	if h.spec.Tokens > 0 {
 		fill = max(fill, float64(h.own.Tokens+h.others.Tokens)/float64(h.spec.Tokens))
@@ -443,6 +451,9 @@
 	for _, h := range decode {
 		fill := h.fill()
 		cost := p.away(h) + time.Duration(fill*float64(fillCost))
+		if p.long(a) {
+			cost = p.away(h) + time.Duration(h.streams())*stretchCost
+		}
 		if !slices.Contains(answers, h) {
 			cost += outsideCost
 		}
