beat: bring the state with heartbeats on the platform, paced by the leader

Its parent in the tree was at a machine cut off from the core, and the keeper that it fell back to was that machine's, which answered with its old state. The leader's replies now carry what changed, and watches go to the leader where one is known.

--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -138,20 +138,27 @@
 
 // Watch asks any keeper for newer state.
 func (c *Client) Watch(ctx context.Context, r proto.WatchRequest) (proto.WatchReply, error) {
-	name := c.any()
+	name := c.current()
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+tryTimeout)
 	defer cancel()
 	reply, err := link.Call[proto.WatchRequest, proto.WatchReply](ctx, c.client(name), proto.KindWatch, r)
 	if err != nil {
 		c.skip()
+		if c.open {
+			c.avoid(name)
+		}
 		return reply, fmt.Errorf("watch %s: %w", name, err)
 	}
 	return reply, nil
 }
 
-func (c *Client) any() string {
+// current returns the believed leader, or else any keeper.
+func (c *Client) current() string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.open && c.leader != "" {
+		return c.leader
+	}
 	return c.order[c.next%len(c.order)]
 }
 
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -40,6 +40,11 @@
 	fullShare = 0.92
 	// fillCost is what a full engine's slower steps cost, as time.
 	fillCost = 10 * time.Millisecond
+	// sampleNear and sampleFar are the numbers of prefill engines that are
+	// compared, in the own data centre and in others: two choices balance a load
+	// that is known late almost as well as all.
+	sampleNear = 3
+	sampleFar  = 2
 	// stretchCost is what each answer on an engine costs another long one, as
 	// time: it makes all steps longer, and the longest answers may not end within
 	// their time.
@@ -395,7 +400,7 @@
 	if !p.long(a) {
 		target = p.quickest(append(homes, target))
 	}
-	for _, h := range prefill {
+	for _, h := range p.sample(prefill, a) {
 		best.better(p.split(now, a, h, homes[0], target))
 	}
 	for _, h := range homes {
@@ -419,6 +424,29 @@
 	return awayCost
 }
 
+// sample draws the prefill engines that are compared: some of the nearest, some
+// others. The draw differs between requests: what is known of the engines is a
+// heartbeat old, and all instances would send to the one that was free then.
+func (p *Placer) sample(prefill []*host, a *Ask) []*host {
+	if len(prefill) <= sampleNear+sampleFar {
+		return prefill
+	}
+	list := slices.Clone(prefill)
+	draws := make(map[*host]uint64, len(list))
+	for _, h := range list {
+		draws[h] = xxhash.Sum64String(a.ID + "/" + h.engine.Name)
+	}
+	slices.SortFunc(list, func(x, y *host) int {
+		return cmp.Or(cmp.Compare(p.away(x), p.away(y)), cmp.Compare(draws[x], draws[y]))
+	})
+	near := 0
+	for near < len(list) && p.away(list[near]) == 0 {
+		near++
+	}
+	chosen := slices.Clone(list[:min(near, sampleNear)])
+	return append(chosen, list[near:min(len(list), near+sampleFar)]...)
+}
+
 // reserve returns the decode engines that take long answers. The others may
 // prefill long prompts themselves: both on one engine would pause the answers.
 // The order is the same at each instance, and goes round the data centres.
--- a/core/version/roster/roster.go
+++ b/core/version/roster/roster.go
@@ -36,6 +36,9 @@
 	beats    map[string]beat
 	holders  map[string]time.Duration // last heard
 	reports  map[string]proto.Report  // newest, by engine
+
+	total  map[string]proto.Share // work of all instances, by engine
+	summed time.Duration          // when it was made anew
 }
 
 // New returns the roster of a leader whose term began now.
@@ -46,11 +49,16 @@
 		beats:    make(map[string]beat),
 		holders:  make(map[string]time.Duration),
 		reports:  make(map[string]proto.Report),
+		total:    make(map[string]proto.Share),
 	}
 }
 
 // Beat takes a heartbeat.
 func (r *Roster) Beat(now time.Duration, q proto.BeatRequest) {
+	if r.alive(now, q.Member.Name) {
+		r.sum(r.beats[q.Member.Name].loads, -1)
+	}
+	r.sum(q.Loads, 1)
 	r.beats[q.Member.Name] = beat{heard: now, version: q.Version, inFlight: q.InFlight, demand: q.Demand, loads: q.Loads}
 	if q.Holder != "" {
 		r.holders[q.Holder] = now
@@ -141,28 +149,51 @@
 	return total
 }
 
+// sumEvery is the time after which the sum of all work is made anew, so that it
+// forgets instances that were lost.
+const sumEvery = 500 * time.Millisecond
+
 // Others sums the work at the engines of all live instances but one.
 func (r *Roster) Others(now time.Duration, name string) []proto.Share {
-	total := make(map[string]proto.Share)
-	for other, b := range r.beats {
-		if other == name || !r.alive(now, other) {
-			continue
+	if now-r.summed >= sumEvery {
+		r.summed = now
+		clear(r.total)
+		for other, b := range r.beats {
+			if r.alive(now, other) {
+				r.sum(b.loads, 1)
+			}
 		}
-		for _, l := range b.loads {
-			t := total[l.Engine]
-			t.Engine = l.Engine
-			t.Prefill += l.Prefill
-			t.Streams += l.Streams
-			t.Long += l.Long
-			t.Tokens += l.Tokens
-			total[l.Engine] = t
+	}
+	own := make(map[string]proto.Share)
+	if r.alive(now, name) {
+		for _, l := range r.beats[name].loads {
+			own[l.Engine] = l
 		}
 	}
-	list := slices.Collect(maps.Values(total))
+	list := make([]proto.Share, 0, len(r.total))
+	for engine, t := range r.total {
+		o := own[engine]
+		list = append(list, proto.Share{
+			Engine: engine, Prefill: max(0, t.Prefill-o.Prefill), Streams: max(0, t.Streams-o.Streams),
+			Long: max(0, t.Long-o.Long), Tokens: max(0, t.Tokens-o.Tokens),
+		})
+	}
 	slices.SortFunc(list, func(a, b proto.Share) int { return cmp.Compare(a.Engine, b.Engine) })
 	return list
 }
 
+// sum adds loads to the sum of all work, or takes them off it.
+func (r *Roster) sum(loads []proto.Share, sign int) {
+	for _, l := range loads {
+		t := r.total[l.Engine]
+		t.Prefill += sign * l.Prefill
+		t.Streams += sign * l.Streams
+		t.Long += sign * l.Long
+		t.Tokens += sign * l.Tokens
+		r.total[l.Engine] = t
+	}
+}
+
 // Heed takes a load report that the leader read itself.
 func (r *Roster) Heed(p proto.Report) {
 	r.reports[p.Engine] = p
--- a/entryd/beat/beat.go
+++ b/entryd/beat/beat.go
@@ -47,7 +47,6 @@
 type Beat struct {
 	keeper proto.Keeper
 	guide  Traffic
-	period time.Duration
 	watch  *watch.Watch
 	store  *view.Store
 	meter  *meter.Registry
@@ -57,6 +56,7 @@
 	holder Holder
 
 	mutex  sync.Mutex
+	every  time.Duration
 	member state.Member
 	left   bool          // all live instances know that this one is leaving
 	until  time.Duration // end of the lease, on the clock
@@ -69,13 +69,21 @@
 	m state.Member, h Holder, k proto.Keeper, g Traffic, w *watch.Watch, v *view.Store, r *meter.Registry, c clock.Clock,
 ) *Beat {
 	return &Beat{
-		keeper: k, guide: g, period: period, watch: w, store: v, meter: r, clock: c, holder: h, member: m, now: make(chan struct{}, 1), last: c.Elapsed(),
+		keeper: k, guide: g, every: period, watch: w, store: v, meter: r, clock: c, holder: h, member: m, now: make(chan struct{}, 1), last: c.Elapsed(),
 	}
 }
 
-// Every sets the time between heartbeats, before Run.
+// Every sets the time between heartbeats.
 func (b *Beat) Every(period time.Duration) {
-	b.period = period
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.every = period
+}
+
+func (b *Beat) period() time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.every
 }
 
 // Leave makes all further heartbeats say that the instance is leaving.
@@ -134,6 +142,13 @@
 	if err != nil {
 		return hurried
 	}
+	if reply.View != nil {
+		b.watch.Feed(*reply.View)
+	}
+	if reply.Every > 0 {
+		b.watch.Fed()
+		b.Every(reply.Every)
+	}
 	b.watch.Told(reply.Version)
 	b.guide.Heard(b.clock.Now(), reply)
 	b.mutex.Lock()
@@ -141,9 +156,9 @@
 	b.until = sent + reply.Lease
 	b.mutex.Unlock()
 	if r.Settled < r.Version || len(r.InFlight) > 0 {
-		return min(hurried, b.period)
+		return min(hurried, b.period())
 	}
-	return b.period
+	return b.period()
 }
 
 func (b *Beat) request() proto.BeatRequest {
--- a/entryd/watch/watch.go
+++ b/entryd/watch/watch.go
@@ -63,6 +63,7 @@
 	newest uint64        // version that the leader told in a heartbeat
 	told   time.Duration // when
 	avoid  time.Duration // use no parent before
+	fed    time.Duration // when a heartbeat brought the state
 	whole  bool          // a delta didn't fit: ask for everything
 }
 
@@ -106,9 +107,36 @@
 	return proto.WatchReply{View: v, Leader: w.leader, Age: w.clock.Elapsed() - w.fresh}
 }
 
+// feedLife is how long the state needn't be asked for after a heartbeat brought
+// it.
+const feedLife = 700 * time.Millisecond
+
+// Feed takes what changed in the state from a reply to a heartbeat.
+func (w *Watch) Feed(v state.View) {
+	w.take(proto.WatchReply{View: v}, "leader")
+}
+
+// Fed tells that the leader answered a heartbeat with all that was new.
+func (w *Watch) Fed() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.fed = w.clock.Elapsed()
+	w.fresh = w.fed
+}
+
+func (w *Watch) isFed() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.fed > 0 && w.clock.Elapsed()-w.fed < feedLife
+}
+
 // Run follows the state until ctx ends.
 func (w *Watch) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if w.isFed() {
+			clock.Sleep(ctx, pause)
+			continue
+		}
 		parent, ok := w.parent()
 		var err error
 		if ok {
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -49,7 +49,7 @@
 	}
 	reply := proto.BeatReply{Version: l.store.Version(), Lease: time.Duration(l.settings.Member.Lease), Phase: known.Phase}
 	if l.fleet != nil {
-		l.inform(&reply, q.Member.Name)
+		l.inform(&reply, q)
 	}
 	if known.Phase != state.PhaseLeaving {
 		return reply, nil // only those that leave wait for the others to know
@@ -58,12 +58,25 @@
 	return reply, err
 }
 
-// inform adds what the leader knows of the engines and of the keepers.
-func (l *Lead) inform(reply *proto.BeatReply, name string) {
+const (
+	// beatEach is the time between two heartbeats of all instances, as one
+	// leader can take them beside its other duties.
+	beatEach = 4 * time.Millisecond
+	// beatLeast is the shortest time between two heartbeats of an instance.
+	beatLeast = 40 * time.Millisecond
+)
+
+// inform adds what the leader knows: of the state, the engines, the keepers.
+func (l *Lead) inform(reply *proto.BeatReply, q proto.BeatRequest) {
 	_ = l.hold(func(now time.Duration, _ uint64) {
-		reply.Loads = l.roster.Others(now, name)
+		reply.Loads = l.roster.Others(now, q.Member.Name)
 		reply.Reports = l.roster.Reports()
+		reply.Every = max(beatLeast, time.Duration(l.roster.Live(now))*beatEach)
 	})
+	if reply.Version > q.Version {
+		v := l.store.View(q.Version)
+		reply.View = &v
+	}
 	status := l.log.Status()
 	reply.Keepers = append(status.Voters, status.Learners...)
 }
