--- a/core/conn/kept/conn.go
+++ b/core/conn/kept/conn.go
@@ -54,19 +54,16 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	empty := false
 	err := c.control(func(fd int) error {
 		var b [1]byte
-		n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		if err == nil {
-			return fmt.Errorf("%d bytes or the end: %w", n, errUnasked)
-		}
-		return err
+		_, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		empty = errors.Is(err, unix.EAGAIN)
+		return nil
 	})
-	return errors.Is(err, unix.EAGAIN)
+	return err == nil && empty
 }
 
-var errUnasked = errors.New("more arrived than was asked for")
-
 func (c *conn) close() {
 	c.once.Do(func() { _ = c.tcp.Close() })
 }
--- a/core/process/node/group_test.go
+++ b/core/process/node/group_test.go
@@ -135,6 +135,11 @@
 }
 
 func (g *group) keys(name string) *tls.Config {
+	if g.settings[name].Open {
+		config, err := keys.Isolated(name)
+		check(g.tb, err)
+		return config
+	}
 	config, err := keys.Load(keys.Files{
 		Authority: filepath.Join(g.base, keys.AuthorityCert),
 		Cert:      filepath.Join(g.base, name+".crt"),
--- /dev/null
+++ b/core/version/plan/follow_test.go
@@ -0,0 +1,124 @@
+package plan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/version/plan"
+	"verbenahaven.example/core/version/state"
+)
+
+// shift drives the policy with a fleet and the demand of each step; orders
+// take three seconds.
+type shift struct {
+	policy  plan.Policy
+	engines []plan.Engine
+	now     time.Time
+	back    map[string]time.Time
+	changes int
+}
+
+func newShift(t *testing.T, prefill, decode int) *shift {
+	t.Helper()
+	p, err := plan.New(plan.NameFollow, plan.Settings{
+		Price: 8, Dwell: 6 * time.Second, Horizon: 25 * time.Second, Period: 250 * time.Millisecond, Moving: 3, Reserve: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &shift{policy: p, now: time.Unix(1000, 0), back: make(map[string]time.Time)}
+	for i := range prefill + decode {
+		e := plan.Engine{Name: fmt.Sprintf("e%02d", i), Centre: fmt.Sprint(i % 3), Model: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Alive: true, Batch: 48}
+		if i < prefill {
+			e.Role = state.RolePrefill
+		}
+		s.engines = append(s.engines, e)
+	}
+	return s
+}
+
+func (s *shift) count(r state.Role) int {
+	n := 0
+	for _, e := range s.engines {
+		if e.Role == r {
+			n++
+		}
+	}
+	return n
+}
+
+// run lets time pass with a demand for so many tokens a second and answers.
+func (s *shift) run(d time.Duration, tokens float64, answers int) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(250 * time.Millisecond) {
+		decode := s.count(state.RoleDecode)
+		for i := range s.engines {
+			e := &s.engines[i]
+			if e.Phase == state.PhaseChanging && !s.now.Before(s.back[e.Name]) {
+				e.Phase, e.Changed = state.PhaseServing, s.now
+				if e.Role == state.RolePrefill {
+					e.Role = state.RoleDecode
+				} else {
+					e.Role = state.RolePrefill
+				}
+			}
+			e.Running = 0
+			if e.Role == state.RoleDecode {
+				e.Running = answers / decode
+			}
+		}
+		in := plan.Input{Engines: s.engines, Demand: []plan.Demand{{Service: "s", Model: "m", Prefill: tokens}}}
+		c, ok := s.policy.Decide(s.now, in)
+		if !ok {
+			continue
+		}
+		s.changes++
+		for i := range s.engines {
+			if s.engines[i].Name == c.Engine {
+				s.engines[i].Phase = state.PhaseChanging
+				s.back[c.Engine] = s.now.Add(3 * time.Second)
+			}
+		}
+	}
+}
+
+func TestIdleFleetGoesNearAnEvenSplit(t *testing.T) {
+	for _, c := range []struct{ prefill, decode, want int }{{4, 8, 6}, {3, 6, 4}, {9, 3, 6}, {6, 6, 6}, {1, 0, 1}, {1, 1, 1}} {
+		s := newShift(t, c.prefill, c.decode)
+		s.run(30*time.Second, 0, 0)
+		if n := s.count(state.RolePrefill); n != c.want {
+			t.Errorf("of %d and %d engines %d prefill, want %d", c.prefill, c.decode, n, c.want)
+		}
+	}
+}
+
+func TestLastingLackMovesEngines(t *testing.T) {
+	s := newShift(t, 6, 6)
+	s.run(time.Minute, 2_500_000, 20)
+	if n := s.count(state.RolePrefill); n < 8 {
+		t.Fatalf("%d prefill engines for a demand of over ten", n)
+	}
+	s.run(2*time.Minute, 100_000, 300)
+	if n := s.count(state.RoleDecode); n < 7 {
+		t.Fatalf("%d decode engines for 300 answers", n)
+	}
+}
+
+func TestSteadyDemandThatIsMetMovesNothing(t *testing.T) {
+	s := newShift(t, 6, 6)
+	s.run(2*time.Minute, 700_000, 60)
+	if s.changes != 0 {
+		t.Fatalf("%d changes although nothing lacked", s.changes)
+	}
+}
+
+func TestSwingsOfSecondsAreNotFollowed(t *testing.T) {
+	s := newShift(t, 6, 6)
+	for range 20 {
+		s.run(2750*time.Millisecond, 1_500_000, 30)
+		s.run(2750*time.Millisecond, 300_000, 150)
+	}
+	if s.changes > 2 {
+		t.Fatalf("%d changes for swings", s.changes)
+	}
+}
--- /dev/null
+++ b/core/version/state/routing_test.go
@@ -0,0 +1,167 @@
+package state_test
+
+import (
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/version/state"
+)
+
+func table(number uint64, edit func(*state.Routing)) state.Routing {
+	r := state.Routing{
+		Number: number,
+		Routes: []state.Route{
+			{Name: "a", Host: "h", Prefix: "/a/", Timeout: time.Second, Shares: []state.Share{{Pool: "p", Weight: 3}, {Pool: "q", Weight: 1}}},
+			{Name: "b", Host: "h", Prefix: "/a/b/", Timeout: time.Second, Shares: []state.Share{{Pool: "p", Weight: 1}}},
+		},
+		Pools:  []state.Pool{{Name: "p"}, {Name: "q"}},
+		Source: []byte("source"),
+	}
+	if edit != nil {
+		edit(&r)
+	}
+	return r
+}
+
+func TestHighestTableIsInForce(t *testing.T) {
+	s := state.New()
+	for i, step := range []struct{ publish, force uint64 }{{3, 3}, {2, 3}, {3, 3}, {7, 7}, {5, 7}} {
+		s.Advance(uint64(i+1), time.Time{})
+		source := []byte{byte(i)}
+		r := table(step.publish, func(r *state.Routing) { r.Source = source })
+		before := s.Routing()
+		if force := s.Publish(r); force != step.force {
+			t.Fatalf("table %d: %d in force, want %d", step.publish, force, step.force)
+		}
+		if before != nil && step.publish <= before.Number && string(s.Routing().Source) != string(before.Source) {
+			t.Fatalf("table %d replaced the content of %d", step.publish, before.Number)
+		}
+	}
+	if v := s.View(0); v.Routing == nil || v.Routing.Source != nil || v.Routing.Number != 7 {
+		t.Fatalf("view has table %+v", v.Routing)
+	}
+	if v := s.View(s.Version()); v.Routing != nil {
+		t.Fatal("an unchanged table is in the delta")
+	}
+	b, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := state.New()
+	if err := restored.Restore(b); err != nil {
+		t.Fatal(err)
+	}
+	if r := restored.Routing(); r == nil || r.Number != 7 || string(r.Source) != string(s.Routing().Source) {
+		t.Fatalf("restored table %+v", r)
+	}
+}
+
+func TestCheckRefusesWhatCannotBeServed(t *testing.T) {
+	good := table(1, nil)
+	if err := good.Check(); err != nil {
+		t.Fatal(err)
+	}
+	for name, edit := range map[string]func(*state.Routing){
+		"unknown pool":   func(r *state.Routing) { r.Routes[0].Shares[0].Pool = "x" },
+		"same place":     func(r *state.Routing) { r.Routes[1].Prefix = r.Routes[0].Prefix },
+		"no weight":      func(r *state.Routing) { r.Routes[1].Shares[0].Weight = 0 },
+		"negative":       func(r *state.Routing) { r.Routes[0].Shares[1].Weight = -1 },
+		"no shares":      func(r *state.Routing) { r.Routes[1].Shares = nil },
+		"no time":        func(r *state.Routing) { r.Routes[0].Timeout = 0 },
+		"negative time":  func(r *state.Routing) { r.Routes[0].Timeout = -1 },
+		"pools are gone": func(r *state.Routing) { r.Pools = nil },
+	} {
+		if r := table(1, edit); r.Check() == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
+
+func TestLongestPrefixMatches(t *testing.T) {
+	r := table(1, nil)
+	for path, want := range map[string]string{"/a/x": "a", "/a/b/x": "b", "/a/b": "a", "/c/": "", "/a": ""} {
+		got, found := r.Match("h", path)
+		if got.Name != want || found != (want != "") {
+			t.Errorf("%s: route %q", path, got.Name)
+		}
+	}
+	if _, found := r.Match("other", "/a/x"); found {
+		t.Error("a route of another host matched")
+	}
+}
+
+func TestChooseFollowsTheWeights(t *testing.T) {
+	r := table(1, nil)
+	count := make(map[string]int)
+	for draw := range uint64(400) {
+		count[r.Routes[0].Choose(draw)]++
+	}
+	if count["p"] != 300 || count["q"] != 100 {
+		t.Fatalf("drawn %v", count)
+	}
+}
+
+func engine(name string, role state.Role, phase state.Phase) state.Engine {
+	return state.Engine{Name: name, URL: "http://127.0.0.1:1", Role: role, Phase: phase, Pool: "p"}
+}
+
+func TestSyncFollowsThePlatform(t *testing.T) {
+	s := state.New()
+	s.Advance(1, time.Time{})
+	s.Sync(state.Fleet{
+		Engines: []state.Engine{engine("e1", state.RoleDecode, state.PhaseServing), engine("e2", state.RoleDecode, state.PhaseServing)},
+		Servers: []state.Server{{Name: "s1", URL: "http://127.0.0.1:2", Service: "q", Phase: state.PhaseServing}},
+	})
+	version := s.Version()
+	s.Advance(2, time.Time{})
+	o, err := s.Intend(state.Order{Engine: "e1", Role: state.RolePrefill, Term: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// While an order is open the list neither changes the role nor ends the order.
+	s.Advance(3, time.Time{})
+	s.Sync(state.Fleet{Engines: []state.Engine{engine("e1", state.RoleDecode, state.PhaseLeaving)}})
+	if e, _ := s.Engine("e1"); e.Phase != state.PhaseChanging {
+		t.Fatalf("engine with an open order is %s", e.Phase)
+	}
+	if _, found := s.Engine("e2"); found {
+		t.Fatal("an engine that is gone from the list stays")
+	}
+	if v := s.View(version); len(v.Removed) != 2 {
+		t.Fatalf("removed %v", v.Removed)
+	}
+	s.Advance(4, time.Time{})
+	if err := s.Finish(o.Number, state.OrderDone, ""); err != nil {
+		t.Fatal(err)
+	}
+	if e, _ := s.Engine("e1"); e.Phase != state.PhaseLeaving || e.Role != state.RolePrefill {
+		t.Fatalf("after the order the engine is %s as %s", e.Phase, e.Role)
+	}
+	s.Advance(5, time.Time{})
+	version = s.Version()
+	s.Sync(state.Fleet{Engines: []state.Engine{engine("e1", state.RolePrefill, state.PhaseLeaving)}})
+	if s.Version() != version {
+		t.Fatal("an unchanged list made a new version")
+	}
+}
+
+// An engine that vanishes with its order open leaves no order behind.
+func TestSyncEndsOrdersOfLostEngines(t *testing.T) {
+	s := state.New()
+	s.Advance(1, time.Time{})
+	s.Sync(state.Fleet{Engines: []state.Engine{engine("e1", state.RoleDecode, state.PhaseServing)}})
+	s.Advance(2, time.Time{})
+	if _, err := s.Intend(state.Order{Engine: "e1", Role: state.RolePrefill, Term: 1}); err != nil {
+		t.Fatal(err)
+	}
+	s.Advance(3, time.Time{})
+	s.Sync(state.Fleet{})
+	if n := len(s.Open()); n != 0 {
+		t.Fatalf("%d orders are open", n)
+	}
+	s.Advance(4, time.Time{})
+	s.Sync(state.Fleet{Engines: []state.Engine{engine("e1", state.RoleDecode, state.PhaseServing)}})
+	if e, _ := s.Engine("e1"); e.Phase != state.PhaseServing {
+		t.Fatalf("the engine comes back %s", e.Phase)
+	}
+}
