place: reserve decode engines by answers, forget parts after 3 s

Cause: engines read 5,400 tokens for a dossier though placement expected 3,100: each request's own part turns an engine's memory over about once a second at the peaks, so parts don't stay 20 s.

--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -32,7 +32,10 @@
 	longAnswer = 8
 	// fillFirst is the share of its room up to which an engine that is reserved
 	// for long answers gets some before another is reserved.
-	fillFirst = 0.4
+	fillFirst = 0.8
+	// manyAnswers is the number of answers from which the steps of an engine get
+	// so long that the longest answers may not end in time.
+	manyAnswers = 36
 	// reserveShare leaves room for the long answers that begin until the next
 	// heartbeats.
 	reserveShare = 1.15
@@ -66,7 +69,7 @@
 	// them is expected to lack.
 	fetchMiss = 0.3
 	// partLife is how long a part is taken to stay in an engine's cache.
-	partLife = 20 * time.Second
+	partLife = 3 * time.Second
 	// maxParts bounds the parts that are remembered for an engine.
 	maxParts = 4096
 	// reportLife is how long a report counts.
@@ -465,7 +468,7 @@
 	}
 	n := 0
 	for n < len(order) && (n < min(len(turn), (len(order)+1)/2) || room < float64(long)*reserveShare) {
-		room += float64(max(1, order[n].spec.Slots)) * fillFirst
+		room += min(float64(max(1, order[n].spec.Slots))*fillFirst, manyAnswers)
 		n++
 	}
 	return order[:n]
