--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -39,6 +39,12 @@
 	// reserveShare leaves room for the long answers that begin until the next
 	// heartbeats.
 	reserveShare = 1.15
+	// crowdedTime is the expected time to the first event from which prefill
+	// engines count as crowded.
+	crowdedTime = 70 * time.Millisecond
+	// fewAnswers is the number of long answers that may be paused for prompts
+	// while they are: an engine computes more prompts in their time.
+	fewAnswers = 8
 	// fullShare is the share of its room from which an engine counts as full.
 	fullShare = 0.92
 	// fillCost is what a full engine's slower steps cost, as time.
@@ -406,10 +412,15 @@
 	for _, h := range p.sample(prefill, a) {
 		best.better(p.split(now, a, h, homes[0], target))
 	}
-	for _, h := range homes {
-		if best.Expected < 0 || !p.long(a) && h.own.Long+h.others.Long == 0 && !slices.Contains(answers, h) {
-			best.better(p.direct(now, a, h, homes[0]))
-		}
+	if best.Expected < 0 {
+		best.better(p.direct(now, a, homes[0], homes[0]))
+	}
+	if p.long(a) {
+		return best, nil
+	}
+	crowded := best.Expected > crowdedTime
+	for _, h := range p.helpers(decode, answers, homes, crowded) {
+		best.better(p.direct(now, a, h, homes[0]))
 	}
 	return best, nil
 }
@@ -474,6 +485,34 @@
 	return order[:n]
 }
 
+// helpers returns the decode engines that may compute a long prompt themselves:
+// the homes of its parts and the one with the least to do, as far as they
+// aren't reserved for long answers. While all is crowded, a few answers that
+// are left from before don't keep an engine from helping.
+func (p *Placer) helpers(decode, answers, homes []*host, crowded bool) []*host {
+	bear := 0
+	if crowded {
+		bear = fewAnswers
+	}
+	var list []*host
+	var free *host
+	for _, h := range decode {
+		if h.own.Long+h.others.Long > bear || slices.Contains(answers, h) {
+			continue
+		}
+		if slices.Contains(homes, h) {
+			list = append(list, h)
+		}
+		if free == nil || h.queue()+p.away(h) < free.queue()+p.away(free) {
+			free = h
+		}
+	}
+	if free != nil && !slices.Contains(list, free) {
+		list = append(list, free)
+	}
+	return list
+}
+
 // roomiest chooses the engine that decodes a long answer, or one with a short
 // prompt: of those reserved for answers, the nearest with room.
 func (p *Placer) roomiest(decode, answers []*host, a *Ask) *host {
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -75,7 +75,7 @@
 		if first {
 			limit := f.patience()
 			late := plan.Expected+f.fleet.margin(f.clock.Now(), f.target.Name, limit) > limit
-			f.fleet.want(f.target.Name, plan.Work, ask.Prompt.Output, late)
+			f.fleet.want(f.target.Name, plan.Work, ask.Output(), late)
 			if late {
 				reason, wait = "the engines are too busy for its time", max(roomRetry, plan.Expected-f.route.Target)
 				break
