--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -90,7 +90,7 @@
 	Settled bool          `cbor:"4,keyasint"`           // the phase leaving is in force on all live members
 	Loads   []Share       `cbor:"5,keyasint,omitempty"` // work of all other instances
 	Reports []Report      `cbor:"6,keyasint,omitempty"` // that the leader reads for all
-	View    *state.View   `cbor:"8,keyasint,omitempty"` // what changed after the version of the heartbeat
+	News    []byte        `cbor:"8,keyasint,omitempty"` // packed state.View: what changed after the version of the heartbeat
 	Every   time.Duration `cbor:"9,keyasint,omitempty"` // until the next heartbeat
 	Keepers []string      `cbor:"7,keyasint,omitempty"` // link addresses, where these are the keepers' names
 }
--- a/core/version/store/store.go
+++ b/core/version/store/store.go
@@ -22,6 +22,7 @@
 	changed chan struct{} // closed when the version changes
 
 	views map[uint64]state.View // deltas of the current version, by start
+	news  map[uint64][]byte     // the same, packed
 }
 
 var _ node.Machine = (*Store)(nil)
@@ -34,6 +35,7 @@
 		ledger:  ledger.New(ledger.Settings{}),
 		changed: make(chan struct{}),
 		views:   make(map[uint64]state.View),
+		news:    make(map[uint64][]byte),
 	}
 }
 
@@ -62,6 +64,7 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 	clear(s.views)
+	clear(s.news)
 }
 
 func (s *Store) execute(c Command) any {
@@ -243,6 +246,25 @@
 
 const maxViews = 64
 
+// News returns what changed after a version, packed. All instances that ask
+// from one version share the work.
+func (s *Store) News(since uint64) ([]byte, error) {
+	v := s.View(since)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if b, found := s.news[since]; found && v.Version == s.state.Version() {
+		return b, nil
+	}
+	b, err := codec.Pack(v)
+	if err != nil {
+		return nil, fmt.Errorf("pack view: %w", err)
+	}
+	if len(s.news) < maxViews && v.Version == s.state.Version() {
+		s.news[since] = b
+	}
+	return b, nil
+}
+
 // Wait returns the state after a version once there is any. It returns an
 // empty delta when ctx ends before.
 func (s *Store) Wait(ctx context.Context, have uint64) state.View {
--- a/entryd/beat/beat.go
+++ b/entryd/beat/beat.go
@@ -10,6 +10,7 @@
 
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/codec"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
@@ -142,8 +143,14 @@
 	if err != nil {
 		return hurried
 	}
-	if reply.View != nil {
-		b.watch.Feed(*reply.View)
+	if len(reply.News) > 0 {
+		var v state.View
+		if err := codec.Unpack(reply.News, &v); err != nil {
+			b.meter.Count("beat", "bad_news")
+			klog.ErrorS(err, "news not read")
+			return hurried
+		}
+		b.watch.Feed(v)
 	}
 	if reply.Every > 0 {
 		b.watch.Fed()
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -74,8 +74,12 @@
 		reply.Every = max(beatLeast, time.Duration(l.roster.Live(now))*beatEach)
 	})
 	if reply.Version > q.Version {
-		v := l.store.View(q.Version)
-		reply.View = &v
+		news, err := l.store.News(q.Version)
+		if err != nil {
+			klog.ErrorS(err, "news not packed")
+			return
+		}
+		reply.News = news
 	}
 	status := l.log.Status()
 	reply.Keepers = append(status.Voters, status.Learners...)
--- a/keepd/site.go
+++ b/keepd/site.go
@@ -94,6 +94,7 @@
 func siteLog(m *meter.Registry) (*slog.Logger, func()) {
 	l, cleanup := audit.New(os.Stdout, m)
 	klog.SetSlogLogger(l)
+	slog.SetDefault(l) // for libraries that use the standard log
 	return l, cleanup
 }
 
