--- a/core/conn/kept/exchange.go
+++ b/core/conn/kept/exchange.go
@@ -62,14 +62,11 @@
 			return nil, err
 		}
 	}
-	e := &exchange{conn: c, written: make(chan struct{})}
+	e := &exchange{conn: c, written: make(chan struct{}), cause: func() error { return context.Cause(ctx) }}
 	e.stop = context.AfterFunc(ctx, c.close)
 	a, err := e.run(r)
 	if err != nil {
 		e.abandon()
-		if cause := context.Cause(ctx); cause != nil {
-			err = fmt.Errorf("%w: %w", cause, err)
-		}
 		return nil, &Failure{err: fmt.Errorf("ask %s: %w", address, err), sent: e.sent.Load()}
 	}
 	return a, nil
@@ -82,6 +79,7 @@
 	sent    atomic.Bool
 	written chan struct{} // closed once the request was written
 	failed  error         // of the write
+	cause   func() error  // of the end of the request's context, nil while it goes on
 	once    sync.Once
 }
 
@@ -98,7 +96,7 @@
 	for range maxStray {
 		a, err := e.read(r.Method)
 		if err != nil {
-			return nil, e.cause(err)
+			return nil, e.because(err)
 		}
 		if r.Own == nil || r.Own(a) {
 			a.Body = &body{ReadCloser: a.Body, exchange: e, keep: keeps(a), life: life(a.Header.Get("Keep-Alive"))}
@@ -121,8 +119,12 @@
 	}
 }
 
-// cause prefers the error of the write to that of the read which it caused.
-func (e *exchange) cause(err error) error {
+// because adds the reason of a failed read: the end of the request's context,
+// or the failure of the write.
+func (e *exchange) because(err error) error {
+	if cause := e.cause(); cause != nil {
+		return fmt.Errorf("%w: %w", cause, err)
+	}
 	select {
 	case <-e.written:
 		if e.failed != nil {
@@ -196,7 +198,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		return n, fmt.Errorf("read answer: %w", err)
+		return n, b.exchange.because(fmt.Errorf("read answer: %w", err))
 	}
 	return n, nil
 }
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -160,6 +160,13 @@
 	f.placer.Hear(r.Reports, r.Loads)
 }
 
+// age is the time since the leader told of the engines' loads.
+func (f *Fleet) age(now time.Time) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return now.Sub(f.heard)
+}
+
 // Tune changes the bounds of the retry budget.
 func (f *Fleet) Tune(window time.Duration, ratio, slack float64) {
 	f.mutex.Lock()
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -73,8 +73,13 @@
 			break
 		}
 		if first {
-			limit := f.patience()
-			late := plan.Expected+f.fleet.margin(f.clock.Now(), f.target.Name, limit) > limit
+			now, limit := f.clock.Now(), f.patience()
+			margin := f.fleet.margin(now, f.target.Name, limit)
+			late := plan.Expected+margin > limit
+			f.why = []any{
+				"expected_ms", plan.Expected.Milliseconds(), "margin_ms", margin.Milliseconds(), "limit_ms", limit.Milliseconds(),
+				"heard_ms", f.fleet.age(now).Milliseconds(), "state", f.snapshot.Version(),
+			}
 			f.fleet.want(f.target.Name, plan.Work, ask.Output(), late)
 			if late {
 				reason, wait = "the engines are too busy for its time", max(roomRetry, plan.Expected-f.route.Target)
@@ -83,7 +88,8 @@
 		}
 		first = false
 		f.log.Info("placed", "request", f.call.ID, "prefill", plan.Prefill.Name, "decode", plan.Decode.Name, "fetch", plan.Fetch,
-			"expected_ms", plan.Expected.Milliseconds(), "work", plan.Work, "after", out.last, "ms", f.spent())
+			"expected_ms", plan.Expected.Milliseconds(), "work", plan.Work, "after", out.last, "state", f.snapshot.Version(),
+			"heard_ms", f.fleet.age(f.clock.Now()).Milliseconds(), "ms", f.spent())
 		err = f.attempt(ctx, ask, &plan, &out)
 		if err == nil {
 			f.answered(plan.Decode.Name, http.StatusOK, nil)
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -86,6 +86,7 @@
 
 	prefillTook time.Duration // by an engine of its own
 	firstAfter  time.Duration // from the start to the first event
+	why         []any         // inputs of the decision to admit, for the log
 }
 
 // ServeHTTP implements http.Handler.
@@ -217,8 +218,9 @@
 
 // refuse ends the call and logs why.
 func (f *flight) refuse(r server.Refusal) {
-	f.Relay.refuse(f.w, f.call.ID, r, f.began,
-		"route", f.route.Name, "table", f.number(), "pool", f.target.Name, "tries", f.tries, "ran", f.ran)
+	f.Relay.refuse(f.w, f.call.ID, r, f.began, append([]any{
+		"route", f.route.Name, "table", f.number(), "pool", f.target.Name, "tries", f.tries, "ran", f.ran,
+	}, f.why...)...)
 }
 
 func (f *flight) number() uint64 {
