--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -123,7 +123,8 @@
 	others   proto.Share
 	sends    map[string]send
 	own      proto.Share
-	slow     float64 // prefill time against what startRate gives
+	slow     float64  // prefill time against that of the pool's engines of its role
+	common   *float64 // prefill time of the pool's engines of its role against startRate
 	parts    map[string]time.Time
 	rank     uint64 // fixed place among the engines of a pool
 	reported bool
@@ -134,11 +135,18 @@
 	centre string
 	hosts  map[string]*host
 	pools  map[string][]*host // by rank
+	common map[roleKey]*float64
+}
+
+// roleKey names the engines of a pool with one role.
+type roleKey struct {
+	pool string
+	role state.Role
 }
 
 // New returns a placer without engines, for an instance in a data centre.
 func New(centre string) *Placer {
-	return &Placer{centre: centre, hosts: make(map[string]*host), pools: make(map[string][]*host)}
+	return &Placer{centre: centre, hosts: make(map[string]*host), pools: make(map[string][]*host), common: make(map[roleKey]*float64)}
 }
 
 // Update takes the engines of a new version of the state.
@@ -151,6 +159,12 @@
 			h = &host{sends: make(map[string]send), parts: make(map[string]time.Time), slow: 1, rank: xxhash.Sum64String(e.Name)}
 		}
 		h.engine = e
+		key := roleKey{e.Pool, e.Role}
+		if p.common[key] == nil {
+			one := 1.0
+			p.common[key] = &one
+		}
+		h.common = p.common[key]
 		if routing != nil {
 			if pool, ok := routing.Pool(e.Pool); ok && pool.Spec != nil {
 				h.spec = *pool.Spec
@@ -276,20 +290,29 @@
 	}
 }
 
-// slowWeight is the weight of a new observation of an engine's speed.
-const slowWeight = 0.05
+const (
+	// slowWeight is the weight of a new observation of an engine's speed.
+	slowWeight = 0.05
+	// mostRatio bounds what one observation may tell, and how far an engine may
+	// differ from the others.
+	mostRatio = 4.0
+	// mostSlow bounds how far the engines of a pool may differ from startRate.
+	mostSlow = 8.0
+)
 
 func (h *host) learn(plan *Plan, took time.Duration) {
 	expected := plan.Wait + h.prefillTime(plan.Work)
 	if expected <= 0 {
 		return
 	}
-	ratio := min(max(float64(took)/float64(expected), 0.25), 4)
-	h.slow = min(max(h.slow*(1-slowWeight)+h.slow*ratio*slowWeight, 0.25), 8)
+	ratio := min(max(float64(took)/float64(expected), 1/mostRatio), mostRatio)
+	// Each instance sees little of one engine, but soon enough of all together.
+	*h.common = min(max(*h.common*(1+(ratio-1)*slowWeight), 1/mostSlow), mostSlow)
+	h.slow = min(max(h.slow*(1+(ratio-1)*slowWeight/2), 1/mostRatio), mostRatio)
 }
 
 func (h *host) prefillTime(tokens int) time.Duration {
-	d := float64(tokens) * h.slow / startRate * float64(time.Second)
+	d := float64(tokens) * h.slow * *h.common / startRate * float64(time.Second)
 	if h.engine.Role != state.RolePrefill {
 		d /= decodeShare
 	}
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -61,7 +61,7 @@
 const (
 	// beatEach is the time between two heartbeats of all instances, as one
 	// leader can take them beside its other duties.
-	beatEach = 4 * time.Millisecond
+	beatEach = 1500 * time.Microsecond
 	// beatLeast is the shortest time between two heartbeats of an instance.
 	beatLeast = 40 * time.Millisecond
 )
