--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -45,6 +45,8 @@
 	// fewAnswers is the number of long answers that may be paused for prompts
 	// while they are: an engine computes more prompts in their time.
 	fewAnswers = 8
+	// fewShare bounds them as well: one for so many slots of the engine.
+	fewShare = 6
 	// fullShare is the share of its room from which an engine counts as full.
 	fullShare = 0.92
 	// fillCost is what a full engine's slower steps cost, as time.
@@ -427,7 +429,7 @@
 		best.better(p.direct(now, a, p.roomiest(decode, answers, a), nil))
 		return best, nil
 	}
-	homes := homesOf(decode, a)
+	homes := homesOf(p.near(decode), a)
 	target := p.roomiest(decode, answers, a)
 	if !p.long(a) {
 		target = p.quickest(append(homes, target))
@@ -513,13 +515,13 @@
 // aren't reserved for long answers. While all is crowded, a few answers that
 // are left from before don't keep an engine from helping.
 func (p *Placer) helpers(decode, answers, homes []*host, crowded bool) []*host {
-	bear := 0
-	if crowded {
-		bear = fewAnswers
-	}
 	var list []*host
 	var free *host
 	for _, h := range decode {
+		bear := 0
+		if crowded {
+			bear = min(fewAnswers, h.spec.Slots/fewShare)
+		}
 		if h.own.Long+h.others.Long > bear || slices.Contains(answers, h) {
 			continue
 		}
@@ -585,6 +587,25 @@
 	return d
 }
 
+// near returns the engines of the own data centre if there are some to choose
+// from, else all.
+func (p *Placer) near(list []*host) []*host {
+	var own []*host
+	for _, h := range list {
+		if p.away(h) == 0 {
+			own = append(own, h)
+		}
+	}
+	if len(own) < leastNear {
+		return list
+	}
+	return own
+}
+
+// leastNear is the number of decode engines from which a data centre keeps
+// shared parts of its own.
+const leastNear = 4
+
 // homesOf returns up to two decode engines that should hold the shared parts
 // of a prompt: the same at each instance.
 func homesOf(decode []*host, a *Ask) []*host {
