--- a/core/conn/server/server.go
+++ b/core/conn/server/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"time"
 
 	"verbenahaven.example/core/conn/kept"
@@ -104,3 +105,13 @@
 	RefuseHeader  RefusalKind = "header_too_large"
 	RefuseBody    RefusalKind = "body_too_large"
 )
+
+// Address returns the host and port of a backend server's URL, or the text
+// itself if it is none.
+func Address(raw string) string {
+	u, err := url.Parse(raw)
+	if err != nil || u.Host == "" {
+		return raw
+	}
+	return u.Host
+}
--- a/core/request/place/plain.go
+++ b/core/request/place/plain.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -23,6 +24,7 @@
 type Servers struct {
 	centre string
 	known  map[string]*plain
+	list   []*plain // by name
 }
 
 // NewServers returns a choice without servers, for an instance in a data
@@ -34,6 +36,7 @@
 // Update takes the servers of a new version of the state.
 func (s *Servers) Update(list []state.Server) {
 	known := make(map[string]*plain, len(list))
+	s.list = s.list[:0]
 	for _, v := range list {
 		p := s.known[v.Name]
 		if p == nil || p.server.URL != v.URL {
@@ -41,7 +44,9 @@
 		}
 		p.server = v
 		known[v.Name] = p
+		s.list = append(s.list, p)
 	}
+	slices.SortFunc(s.list, func(a, b *plain) int { return cmp.Compare(a.server.Name, b.server.Name) })
 	s.known = known
 }
 
@@ -51,7 +56,7 @@
 	var best *plain
 	var least time.Duration
 	for _, healthy := range []bool{true, false} {
-		for _, p := range s.known {
+		for _, p := range s.list {
 			if p.server.Service != pool || p.server.Phase != state.PhaseServing || slices.Contains(avoid, p.server.Name) {
 				continue
 			}
--- a/entryd/beat/beat.go
+++ b/entryd/beat/beat.go
@@ -46,13 +46,13 @@
 
 // Beat sends heartbeats.
 type Beat struct {
-	keeper proto.Keeper
-	guide  Traffic
-	watch  *watch.Watch
-	store  *view.Store
-	meter  *meter.Registry
-	clock  clock.Clock
-	now    chan struct{}
+	keeper  proto.Keeper
+	traffic Traffic
+	watch   *watch.Watch
+	store   *view.Store
+	meter   *meter.Registry
+	clock   clock.Clock
+	now     chan struct{}
 
 	holder Holder
 
@@ -70,7 +70,7 @@
 	m state.Member, h Holder, k proto.Keeper, g Traffic, w *watch.Watch, v *view.Store, r *meter.Registry, c clock.Clock,
 ) *Beat {
 	return &Beat{
-		keeper: k, guide: g, every: period, watch: w, store: v, meter: r, clock: c, holder: h, member: m, now: make(chan struct{}, 1), last: c.Elapsed(),
+		keeper: k, traffic: g, every: period, watch: w, store: v, meter: r, clock: c, holder: h, member: m, now: make(chan struct{}, 1), last: c.Elapsed(),
 	}
 }
 
@@ -119,7 +119,7 @@
 func (b *Beat) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := b.store.Changed()
-		b.guide.Sweep(b.clock.Now())
+		b.traffic.Sweep(b.clock.Now())
 		wait := b.send(ctx)
 		timer := time.NewTimer(wait)
 		select {
@@ -157,7 +157,7 @@
 		b.Every(reply.Every)
 	}
 	b.watch.Told(reply.Version)
-	b.guide.Heard(b.clock.Now(), reply)
+	b.traffic.Heard(b.clock.Now(), reply)
 	b.mutex.Lock()
 	b.left = reply.Phase == state.PhaseLeaving && reply.Settled
 	b.until = sent + reply.Lease
@@ -175,10 +175,10 @@
 	b.last += passed
 	b.mutex.Unlock()
 	r := proto.BeatRequest{Member: m, Holder: string(b.holder)}
-	r.Version, r.Settled = b.guide.Versions()
-	r.InFlight = b.guide.InFlight()
-	r.Demand, r.Reports = b.guide.Digest(passed)
-	r.Loads = b.guide.Loads()
+	r.Version, r.Settled = b.traffic.Versions()
+	r.InFlight = b.traffic.InFlight()
+	r.Demand, r.Reports = b.traffic.Digest(passed)
+	r.Loads = b.traffic.Loads()
 	return r
 }
 
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"strings"
 
 	"verbenahaven.example/core/conn/engine"
@@ -245,14 +244,6 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxDetail))
 }
 
-func host(raw string) string {
-	u, err := url.Parse(raw)
-	if err != nil {
-		return raw
-	}
-	return u.Host
-}
-
 // Prompt returns the text that an engine computes.
 func Prompt(r *engine.Request) string {
 	if len(r.Messages) == 0 {
--- a/entryd/infer/carry.go
+++ b/entryd/infer/carry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"verbenahaven.example/core/conn/engine"
+	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/request/admit"
 	"verbenahaven.example/core/request/answer"
 	"verbenahaven.example/core/request/once"
@@ -368,7 +369,7 @@
 	case retry.ReasonStatus, retry.ReasonRefused, retry.ReasonGap:
 		return false
 	case retry.ReasonSilent:
-		c.pool.Discard(host(f.server.URL))
+		c.pool.Discard(server.Address(f.server.URL))
 	}
 	if c.alive(ctx, f.server.URL) {
 		return false
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -154,9 +154,9 @@
 		if err != nil {
 			return err
 		}
-		send.Source, send.Handle = address(plan.Prefill.URL), handle
+		send.Source, send.Handle = server.Address(plan.Prefill.URL), handle
 	} else if plan.Fetch != "" {
-		send.Fetch = address(plan.Fetch)
+		send.Fetch = server.Address(plan.Fetch)
 	}
 	f.tries++
 	err := f.decode(ctx, ask, plan, send, out)
@@ -188,19 +188,19 @@
 	defer watch.end()
 	send := &server.Send{Call: f.call, Engine: name, Left: f.left(), Prefill: true, Priority: -1}
 	if plan.Fetch != "" {
-		send.Fetch = address(plan.Fetch)
+		send.Fetch = server.Address(plan.Fetch)
 	}
 	began := f.clock.Now()
 	f.tries++
-	a, err := f.pool.Do(inner, address(plan.Prefill.URL), f.codec.Encode(send))
+	a, err := f.pool.Do(inner, server.Address(plan.Prefill.URL), f.codec.Encode(send))
 	if err != nil {
-		f.failed(ctx, name, address(plan.Prefill.URL), err)
+		f.failed(ctx, name, server.Address(plan.Prefill.URL), err)
 		return "", fmt.Errorf("prefill: %w", err)
 	}
 	defer func() { _ = a.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxHead))
 	if err != nil {
-		f.failed(ctx, name, address(plan.Prefill.URL), err)
+		f.failed(ctx, name, server.Address(plan.Prefill.URL), err)
 		return "", fmt.Errorf("prefill: %w", err)
 	}
 	took := f.clock.Now().Sub(began)
@@ -242,7 +242,7 @@
 
 // decode runs the call at the plan's last engine and passes its stream on.
 func (f *flight) decode(ctx context.Context, ask *place.Ask, plan *place.Plan, send *server.Send, out *stream) error {
-	name, where := plan.Decode.Name, address(plan.Decode.URL)
+	name, where := plan.Decode.Name, server.Address(plan.Decode.URL)
 	patience := time.Duration(0)
 	if f.route.Resume {
 		patience = max(leastSilence, silenceShare*plan.Expected)
--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 
 	"verbenahaven.example/core/conn/server"
@@ -38,7 +37,7 @@
 		free()
 		if err != nil {
 			reason = "the server gave no whole answer"
-			f.failed(ctx, v.Name, address(v.URL), err)
+			f.failed(ctx, v.Name, server.Address(v.URL), err)
 		} else {
 			switch {
 			case a.judged.NotRun:
@@ -69,7 +68,7 @@
 // ask sends the call to a server and reads its whole answer.
 func (f *flight) ask(ctx context.Context, v state.Server) (*whole, error) {
 	request := f.codec.Encode(&server.Send{Call: f.call, Engine: v.Name, Left: f.left(), Priority: -1})
-	a, err := f.pool.Do(ctx, address(v.URL), request)
+	a, err := f.pool.Do(ctx, server.Address(v.URL), request)
 	if err != nil {
 		f.mayHaveRun(v.Name, err)
 		return nil, err //nolint:wrapcheck // it names the address
@@ -106,11 +105,3 @@
 	f.log.Info("answered", "request", f.call.ID, "route", f.route.Name, "table", f.number(), "server", name,
 		"status", status, "tries", f.tries, "prefill_ms", f.prefillTook.Milliseconds(), "first_ms", f.firstAfter.Milliseconds(), "ms", f.spent(), "err", err)
 }
-
-func address(raw string) string {
-	u, err := url.Parse(raw)
-	if err != nil {
-		return raw
-	}
-	return u.Host
-}
--- a/entryd/site.go
+++ b/entryd/site.go
@@ -308,7 +308,7 @@
 	}
 }
 
-func siteHolder(s *platform.Settings) beat.Holder {
+func siteHolder() beat.Holder {
 	return beat.Holder("") // run-once calls of the platform need no ledger
 }
 
--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -104,7 +104,7 @@
 	store := view.New()
 	watchWatch, cleanup4 := watch.New(settings, store, client, fleet, config, registry, clockClock)
 	member := siteMember(s)
-	holder := siteHolder(s)
+	holder := siteHolder()
 	beatBeat := beat.New(member, holder, client, fleet, watchWatch, store, registry, clockClock)
 	server, cleanup5, err := siteLink(s, config, watchWatch, registry)
 	if err != nil {
