quorum: followers tell the leader of instances that want to join

Cause: in an open group a new instance knows only the seeds of its settings. If the leader wasn't one of them it never heard of the newcomer, and a lost voter stayed lost. Followers now introduce whom they meet.

--- a/core/process/quorum/quorum_test.go
+++ b/core/process/quorum/quorum_test.go
@@ -75,6 +75,26 @@
 	t.Logf("%d seeds, %d steps, %s", seeds, total, time.Since(start).Round(time.Millisecond))
 }
 
+// TestOpenGroups runs long schedules for groups that grow from three voters to
+// five, whose other members nobody was told of.
+func TestOpenGroups(t *testing.T) {
+	seeds := max(*soakSeeds, 30)
+	for seed := 1; seed <= seeds; seed++ {
+		o := shapes()[seed%len(shapes())]
+		o.voters, o.spares, o.open, o.wanted = 3, 1+seed%4, true, 5
+		o.length = 30 * time.Second
+		r := rand.New(rand.NewPCG(uint64(seed), 7))
+		p := schedule{
+			gap:    time.Duration(50+r.IntN(400)) * time.Millisecond,
+			length: time.Duration(100+r.IntN(2000)) * time.Millisecond,
+			early:  seed%2 == 0,
+		}
+		if v, steps := run(o, uint64(seed), p.draw(r, o)); v != "" {
+			t.Errorf("seed %d, %d others, step %d: %s", seed, o.spares, steps, v)
+		}
+	}
+}
+
 // TestMalformedMessages gives a member messages that no member sends.
 func TestMalformedMessages(t *testing.T) {
 	meta := &Meta{Index: 5, Term: 9}
--- a/core/process/quorum/send.go
+++ b/core/process/quorum/send.go
@@ -51,6 +51,8 @@
 		c.replied(m)
 	case MessageCampaign:
 		c.takeOver(m)
+	case MessageIntroduce:
+		c.introduced(m)
 	}
 }
 
@@ -68,6 +70,8 @@
 			term = e.Term
 		}
 		return true
+	case MessageIntroduce:
+		return m.Stranger != nil && m.Stranger.Name != "" && m.Stranger.Identity != ""
 	case MessagePiece:
 		return m.Meta != nil && m.Meta.Size >= 0 && m.Offset >= 0 && m.Meta.Term <= m.Term
 	default:
@@ -135,17 +139,37 @@
 	if !c.settings.Open && !slices.Contains(c.settings.Peers, m.From) {
 		return
 	}
-	// An instance has one folder at a time: the newest identity counts.
-	for identity, s := range c.strange {
-		if s.name == m.From {
-			delete(c.strange, identity)
+	c.met(m.FromIdentity, seen{name: m.From, at: c.now, found: m.Found && m.Founder == c.settings.Identity})
+	c.introduce(Member{Name: m.From, Identity: m.FromIdentity})
+}
+
+// met notes an instance that isn't a member. It has one folder at a time: the
+// newest identity counts.
+func (c *Core) met(identity string, s seen) {
+	for other, known := range c.strange {
+		if known.name == s.name {
+			delete(c.strange, other)
 		}
 	}
-	c.strange[m.FromIdentity] = seen{
-		name:  m.From,
-		at:    c.now,
-		found: m.Found && m.Founder == c.settings.Identity,
+	c.strange[identity] = s
+}
+
+// introduce tells the leader of an instance that wants to join: the instance may
+// know only this member.
+func (c *Core) introduce(stranger Member) {
+	leader, known := c.config().Find(c.leader)
+	if !c.settings.Open || c.role == RoleLeader || !known {
+		return
+	}
+	c.send(leader, Message{Kind: MessageIntroduce, Term: c.hard.Term, Stranger: &stranger}, waitHard)
+}
+
+// introduced notes an instance that another member met.
+func (c *Core) introduced(m Message) {
+	if _, known := c.config().Find(m.Stranger.Identity); known || !c.settings.Open || c.role != RoleLeader {
+		return
 	}
+	c.met(m.Stranger.Identity, seen{name: m.Stranger.Name, at: c.now})
 }
 
 // found starts a group once all first voters are here, new, and know this
--- a/core/process/quorum/sim_test.go
+++ b/core/process/quorum/sim_test.go
@@ -11,6 +11,8 @@
 
 // options of a simulated run.
 type options struct {
+	open           bool // instances know only the first voters
+	wanted         int  // voters to grow to
 	voters, spares int
 	length         time.Duration // faults stop after it
 	loss, copies   float64       // share of messages lost and duplicated
--- a/core/process/quorum/simmember_test.go
+++ b/core/process/quorum/simmember_test.go
@@ -109,6 +109,14 @@
 		Replace: s.options.replace, Keep: 20, Batch: s.options.batch,
 		Window: 4, Pending: 300, Waiting: 2000, Piece: simPiece,
 	}
+	if s.options.open {
+		set.Open, set.Wanted = true, s.options.wanted
+		for i := range s.options.voters {
+			name := fmt.Sprintf("m%d", i)
+			set.Peers, set.Voters = append(set.Peers, name), append(set.Voters, name)
+		}
+		return set
+	}
 	for i, o := range s.members {
 		set.Peers = append(set.Peers, o.name)
 		if i < s.options.voters {
--- a/core/process/quorum/types.go
+++ b/core/process/quorum/types.go
@@ -164,7 +164,8 @@
 	MessageAppendReply
 	MessagePiece // part of a snapshot
 	MessagePieceReply
-	MessageCampaign // the leader asks a follower to take over
+	MessageCampaign  // the leader asks a follower to take over
+	MessageIntroduce // a follower tells the leader of an instance that wants to join
 )
 
 // Message is what members send to each other. Which fields are used depends
@@ -191,6 +192,7 @@
 	Data         []byte        `cbor:"19,keyasint,omitempty"`
 	Founder      string        `cbor:"20,keyasint,omitempty"` // hello: identity of the founder last heard
 	Found        bool          `cbor:"21,keyasint,omitempty"` // hello: the sender is new and may take part in founding
+	Stranger     *Member       `cbor:"22,keyasint,omitempty"` // introduce: who wants to join
 }
 
 // Role is the part a member plays in its term.
