--- a/core/process/quorum/send.go
+++ b/core/process/quorum/send.go
@@ -29,6 +29,7 @@
 		return
 	}
 	if m.ToIdentity != c.settings.Identity {
+		c.mistaken(m)
 		return
 	}
 	if !wellFormed(m) {
@@ -56,6 +57,14 @@
 	}
 }
 
+// mistaken answers a message for the folder that this instance had before: its
+// sender is of the group, and perhaps the only member that this one can learn of.
+func (c *Core) mistaken(m Message) {
+	if c.settings.Open && c.leader == "" && m.Group != "" && (c.hard.Group == "" || c.hard.Group == m.Group) {
+		c.sendHello(m.From)
+	}
+}
+
 // wellFormed checks what the handlers of a message rely on, so that a faulty
 // peer can't make this member break its assertions.
 func wellFormed(m Message) bool {
@@ -97,15 +106,19 @@
 	}
 	c.hello = c.now + c.settings.Election/2
 	for _, name := range c.acquainted() {
-		c.send(Member{Name: name}, Message{
-			Kind:    MessageHello,
-			Term:    c.hard.Term,
-			Founder: c.founder,
-			Found:   c.mayFound(),
-		}, waitHard)
+		c.sendHello(name)
 	}
 }
 
+func (c *Core) sendHello(name string) {
+	c.send(Member{Name: name}, Message{
+		Kind:    MessageHello,
+		Term:    c.hard.Term,
+		Founder: c.founder,
+		Found:   c.mayFound(),
+	}, waitHard)
+}
+
 // acquainted lists the other instances that this one knows, each once. Where
 // any instance may join, the members that were met count as well: those of the
 // settings may all be gone.
