--- a/core/conn/kept/kept_test.go
+++ b/core/conn/kept/kept_test.go
@@ -221,14 +221,14 @@
 // An answer without a length ends with its connection, and one that is reset
 // isn't whole.
 func TestUnframedAnswers(t *testing.T) {
-	cut := false
+	var cut atomic.Bool
 	address, _ := serve(t, func(c net.Conn, r *bufio.Reader) bool {
 		q, ok := take(r)
 		if !ok {
 			return false
 		}
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\npart", q.Header.Get("Id"))
-		if cut {
+		if cut.Load() {
 			_ = c.(*net.TCPConn).SetLinger(0)
 		}
 		return false
@@ -237,7 +237,7 @@
 	if b, err := ask(t, p, address, "1", nil); err != nil || b != "part" {
 		t.Fatalf("answer %q, error %v", b, err)
 	}
-	cut = true
+	cut.Store(true)
 	if b, err := ask(t, p, address, "2", nil); err == nil {
 		t.Fatalf("a reset answer counts as whole: %q", b)
 	}
--- a/keepd/conf/conf.go
+++ b/keepd/conf/conf.go
@@ -82,9 +82,7 @@
 
 // Platform names what the platform offers.
 type Platform struct {
-	List   string        `toml:"list"`
-	Every  boot.Duration `toml:"-"` // between two readings of a list that the leader follows
-	Report boot.Duration `toml:"-"` // between two reports of an engine
+	List string `toml:"list"`
 }
 
 // Default returns the defaults.
--- a/keepd/lead/fleet.go
+++ b/keepd/lead/fleet.go
@@ -37,10 +37,16 @@
 	Report(ctx context.Context, e state.Engine) (proto.Report, error)
 }
 
+// Paces are the times between two readings of the list, and of an engine's
+// report.
+type Paces struct {
+	List, Report time.Duration
+}
+
 // Follow makes the leader follow a platform's list and read the engines'
 // reports for all instances. It is called before Serve.
-func (l *Lead) Follow(f Fleet) {
-	l.fleet = f
+func (l *Lead) Follow(f Fleet, p Paces) {
+	l.fleet, l.paces = f, p
 }
 
 // runFleet brings the platform's list into the state while this member leads.
@@ -49,7 +55,7 @@
 		return
 	}
 	lost := false
-	every(ctx, time.Duration(l.settings.Platform.Every), func() {
+	every(ctx, l.paces.List, func() {
 		if l.leading() == 0 {
 			return
 		}
@@ -155,7 +161,7 @@
 	}
 	for ctx.Err() == nil {
 		n := l.askReports(work)
-		wait := max(time.Duration(l.settings.Platform.Report), time.Duration(n)*time.Second/reportRate)
+		wait := max(l.paces.Report, time.Duration(n)*time.Second/reportRate)
 		sleep(ctx, wait)
 	}
 	close(work)
--- a/keepd/lead/lead.go
+++ b/keepd/lead/lead.go
@@ -37,6 +37,7 @@
 	meter    *meter.Registry
 	engines  Engines
 	fleet    Fleet // nil where operators declare the engines
+	paces    Paces // of the fleet
 
 	stopping atomic.Bool
 
--- a/keepd/site.go
+++ b/keepd/site.go
@@ -127,7 +127,6 @@
 		Moving: siteMoving, Reserve: 1,
 	}
 	c.Member = conf.Member{Lease: boot.Duration(siteMember)}
-	c.Platform = conf.Platform{Every: boot.Duration(siteList), Report: boot.Duration(siteReport)}
 	return c
 }
 
@@ -161,7 +160,7 @@
 	s *platform.Settings, metrics metricsSetting, l *lead.Lead, n *node.Node, k *links, c *keeper.Client, e *platform.Client,
 	t tlsConfig, m *meter.Registry, log *slog.Logger,
 ) *site {
-	l.Follow(e)
+	l.Follow(e, lead.Paces{List: siteList, Report: siteReport})
 	return &site{settings: s, metrics: string(metrics), lead: l, member: n, links: k, client: c, keys: t, meter: m, log: log}
 }
 
