--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -234,11 +234,14 @@
 const (
 	// startPace is the time for an output token before any answer was seen.
 	startPace = 0.001 // seconds
+	// paceMargin is how much slower than the mean an answer may be.
+	paceMargin = 1.3
 	// paceWeight is the weight of a new answer.
 	paceWeight = 0.05
 )
 
-// lasts is how long an answer is expected to take after its first event.
+// lasts is how long an answer may take after its first event. Callers' guesses
+// of the length are often far off, so it counts with the most.
 func (f *Fleet) lasts(pool string, a *place.Ask) time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -246,7 +249,7 @@
 	if !found {
 		pace = startPace
 	}
-	return time.Duration(pace * float64(a.Output()) * float64(time.Second))
+	return time.Duration(pace * paceMargin * float64(a.Prompt.Output) * float64(time.Second))
 }
 
 // lasted learns how long an answer took after its first event.
