place, plan, relay: more prefill to start with, late calls behind the others

At an eighth of a second's notice all was refused while decode engines had room: short answers, over in 60 ms, counted with their whole prompt as memory in use, and a batch at 92% as full. On the grown fleets three of 14 changes of role before the traffic were made, three at a time.

Changes: three fifths of an idle fleet prefill, a third of it may be in transition at once; a call that can't be on time goes to the engines behind all that can, if it waits less than a tenth of its time, else it is told to come back as late as callers agree to; memory counts what stays in it, slots what is taken.

--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -80,6 +80,17 @@
 	Streams int    `cbor:"3,keyasint,omitempty"` // answers that are generated
 	Long    int    `cbor:"4,keyasint,omitempty"` // of these, such that a pause would be noticed
 	Tokens  int    `cbor:"5,keyasint,omitempty"` // KV memory that these will need at most
+	Later   int    `cbor:"6,keyasint,omitempty"` // prompt tokens that wait behind all of Prefill
+}
+
+// Add adds the work of another share of the same engine, or takes it off if
+// sign is -1.
+func (s *Share) Add(o *Share, sign int) {
+	s.Prefill += sign * o.Prefill
+	s.Later += sign * o.Later
+	s.Streams += sign * o.Streams
+	s.Long += sign * o.Long
+	s.Tokens += sign * o.Tokens
 }
 
 // BeatReply confirms a heartbeat.
--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -59,7 +59,7 @@
 // the homes of its parts and the one with the least to do, as far as they
 // aren't reserved for long answers. While all is crowded, a few answers that
 // are left from before don't keep an engine from helping.
-func (p *Placer) helpers(decode, answers, homes []*host, crowded bool) []*host {
+func (p *Placer) helpers(a *Ask, decode, answers, homes []*host, crowded bool) []*host {
 	var list []*host
 	var free *host
 	for _, h := range decode {
@@ -73,7 +73,7 @@
 		if slices.Contains(homes, h) {
 			list = append(list, h)
 		}
-		if free == nil || h.queue()+p.away(h) < free.queue()+p.away(free) {
+		if free == nil || h.queue(a)+p.away(h) < free.queue(a)+p.away(free) {
 			free = h
 		}
 	}
@@ -89,17 +89,14 @@
 	var best *host
 	var least time.Duration
 	for _, h := range decode {
-		fill := h.fill()
-		cost := p.away(h) + time.Duration(fill*float64(fillCost))
+		room := h.room()
+		cost := p.away(h) + room
 		if p.long(a) {
-			cost = p.away(h) + time.Duration(h.streams())*stretchCost
+			cost = p.away(h) + time.Duration(h.streams())*stretchCost + h.crowd()
 		}
 		if !slices.Contains(answers, h) {
 			cost += outsideCost
 		}
-		if fill >= fullShare {
-			cost += time.Duration(fill * float64(fullCost))
-		}
 		if best == nil || cost < least {
 			best, least = h, cost
 		}
@@ -109,11 +106,11 @@
 
 // quickest chooses among engines that may decode a short answer; the first are
 // preferred.
-func (p *Placer) quickest(list []*host) *host {
+func (p *Placer) quickest(a *Ask, list []*host) *host {
 	var best *host
 	var least time.Duration
 	for i, h := range list {
-		cost := h.wait() + time.Duration(i)*strayCost
+		cost := h.wait(a) + time.Duration(i)*strayCost
 		if best == nil || cost < least {
 			best, least = h, cost
 		}
@@ -123,13 +120,8 @@
 
 // wait is the time until an engine goes on with a prompt that was prefilled
 // elsewhere.
-func (h *host) wait() time.Duration {
-	fill := h.fill()
-	d := h.queue() + time.Duration(fill*float64(fillCost))
-	if fill >= fullShare {
-		d += time.Duration(fill * float64(fullCost))
-	}
-	return d
+func (h *host) wait(a *Ask) time.Duration {
+	return h.queue(a) + h.room()
 }
 
 // near returns the engines of the own data centre if there are some to choose
--- a/core/request/place/host.go
+++ b/core/request/place/host.go
@@ -12,11 +12,29 @@
 // send is own work at an engine.
 type send struct {
 	prefill int
+	later   bool // the prefill waits behind what isn't late
 	decode  bool
 	long    bool
 	tokens  int
 }
 
+// share is the work as other instances are told of it.
+func (s send) share() proto.Share {
+	w := proto.Share{Tokens: s.tokens}
+	if s.later {
+		w.Later = s.prefill
+	} else {
+		w.Prefill = s.prefill
+	}
+	if s.decode {
+		w.Streams = 1
+	}
+	if s.long {
+		w.Long = 1
+	}
+	return w
+}
+
 // host is one engine as this instance sees it.
 type host struct {
 	health
@@ -36,7 +54,8 @@
 func (h *host) add(id string, s send) {
 	h.drop(id)
 	h.sends[id] = s
-	h.count(s, 1)
+	w := s.share()
+	h.own.Add(&w, 1)
 }
 
 func (h *host) drop(id string) {
@@ -45,18 +64,8 @@
 		return
 	}
 	delete(h.sends, id)
-	h.count(s, -1)
-}
-
-func (h *host) count(s send, sign int) {
-	h.own.Prefill += sign * s.prefill
-	h.own.Tokens += sign * s.tokens
-	if s.decode {
-		h.own.Streams += sign
-	}
-	if s.long {
-		h.own.Long += sign
-	}
+	w := s.share()
+	h.own.Add(&w, -1)
 }
 
 const (
@@ -88,9 +97,13 @@
 	return time.Duration(d)
 }
 
-// queue is the time until the engine has computed what it was given.
-func (h *host) queue() time.Duration {
-	return h.prefillTime(h.own.Prefill + h.others.Prefill)
+// queue is the time until the engine has computed what comes before a request.
+func (h *host) queue(a *Ask) time.Duration {
+	tokens := h.own.Prefill + h.others.Prefill
+	if a.Later {
+		tokens += h.own.Later + h.others.Later
+	}
+	return h.prefillTime(tokens)
 }
 
 // streams is the number of answers that the engine generates or has waiting.
@@ -98,18 +111,36 @@
 	return max(h.own.Streams+h.others.Streams, h.report.Running+h.report.Waiting)
 }
 
-// fill is the share of the engine's room that is taken.
+// fill is the share of the engine's memory that is taken.
 func (h *host) fill() float64 {
 	fill := h.report.Used
-	if h.spec.Slots > 0 {
-		fill = max(fill, float64(h.streams())/float64(h.spec.Slots))
-	}
 	if h.spec.Tokens > 0 {
 		fill = max(fill, float64(h.own.Tokens+h.others.Tokens)/float64(h.spec.Tokens))
 	}
 	return fill
 }
 
+// crowd is the time until the engine has a place in its batch and memory.
+func (h *host) crowd() time.Duration {
+	var d time.Duration
+	if fill := h.fill(); fill >= fullShare {
+		d = time.Duration(fill * float64(fullCost))
+	}
+	if over := h.streams() + spareSlots - h.spec.Slots; h.spec.Slots > 0 && over > 0 {
+		d = max(d, time.Duration(over)*slotTime/time.Duration(h.spec.Slots))
+	}
+	return d
+}
+
+// room is what an engine's answers cost one more.
+func (h *host) room() time.Duration {
+	share := h.fill()
+	if h.spec.Slots > 0 {
+		share = max(share, float64(h.streams())/float64(h.spec.Slots))
+	}
+	return h.crowd() + time.Duration(share*float64(fillCost))
+}
+
 func (h *host) usable(now time.Time, a *Ask) bool {
 	if h.engine.Phase != state.PhaseServing || slices.Contains(a.Avoid, h.engine.Name) || !h.healthy(now) {
 		return false
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -67,7 +67,12 @@
 	// awayCost is what another data centre costs, as time: its distance, and
 	// the price of the bytes between.
 	awayCost = 15 * time.Millisecond
-	// fullCost is what an engine without room costs, as time.
+	// slotTime is how long a long answer takes in an engine's batch: a full batch
+	// frees one of its slots in the time of one answer divided by their number.
+	slotTime = 3 * time.Second
+	// spareSlots are kept free for what other instances send meanwhile.
+	spareSlots = 2
+	// fullCost is what an engine without memory costs, as time.
 	fullCost = 300 * time.Millisecond
 	// handCost is the time to hand a KV cache over.
 	handCost = 6 * time.Millisecond
@@ -93,6 +98,7 @@
 	Pool   string
 	Prompt *server.Prompt
 	Avoid  []string // engines that failed this request
+	Later  bool     // it can't be on time, and waits behind those that can
 }
 
 // Plan is a choice of engines.
@@ -193,14 +199,17 @@
 
 // Sent records own work that goes to the engines of a plan.
 func (p *Placer) Sent(now time.Time, a *Ask, plan *Plan) {
-	target := send{decode: true, long: p.long(a), tokens: a.Prompt.Tokens + a.Output()}
+	target := send{decode: true, long: p.long(a), tokens: a.Output() / 2}
+	if target.long {
+		target.tokens += a.Prompt.Tokens
+	}
 	if plan.Split() {
 		if h := p.hosts[plan.Prefill.Name]; h != nil {
-			h.add(a.ID, send{prefill: plan.Work})
+			h.add(a.ID, send{prefill: plan.Work, later: a.Later})
 			h.remember(now, a)
 		}
 	} else {
-		target.prefill = plan.Work
+		target.prefill, target.later = plan.Work, a.Later
 	}
 	if h := p.hosts[plan.Decode.Name]; h != nil {
 		h.add(a.ID, target)
@@ -221,14 +230,16 @@
 	}
 	if plan.Split() {
 		h.drop(a.ID)
-		h.learn(plan, took)
+		if !a.Later {
+			h.learn(plan, took)
+		}
 		return
 	}
 	if s, found := h.sends[a.ID]; found {
 		s.prefill = 0
 		h.add(a.ID, s)
 	}
-	if plan.Work > shortPrompt {
+	if plan.Work > shortPrompt && !a.Later {
 		h.learn(plan, took)
 	}
 }
@@ -267,7 +278,7 @@
 	homes := homesOf(p.near(decode), a)
 	target := p.roomiest(decode, answers, a)
 	if !p.long(a) {
-		target = p.quickest(append(homes, target))
+		target = p.quickest(a, append(homes, target))
 	}
 	for _, h := range p.sample(prefill, a) {
 		best.better(p.split(now, a, h, homes[0], target))
@@ -275,11 +286,11 @@
 	if best.Expected < 0 {
 		best.better(p.direct(now, a, homes[0], homes[0]))
 	}
-	if p.long(a) {
+	if p.long(a) || a.Later {
 		return best, nil
 	}
 	crowded := best.Expected > crowdedTime
-	for _, h := range p.helpers(decode, answers, homes, crowded) {
+	for _, h := range p.helpers(a, decode, answers, homes, crowded) {
 		best.better(p.direct(now, a, h, homes[0]))
 	}
 	return best, nil
--- a/core/request/place/place_test.go
+++ b/core/request/place/place_test.go
@@ -226,3 +226,68 @@
 		t.Fatalf("error %v", err)
 	}
 }
+
+// What can't be on time waits behind everything else, and delays nothing that
+// can.
+func TestLateCallsWaitBehindTheOthers(t *testing.T) {
+	p := place.New("a")
+	p.Update(engines(2, 2), table)
+	before := pick(t, p, dossier("x", "x")).Wait
+	for i := range 40 {
+		a := dossier(fmt.Sprint("late", i), fmt.Sprint(i))
+		a.Later = true
+		plan := pick(t, p, a)
+		p.Sent(start, a, &plan)
+	}
+	if after := pick(t, p, dossier("y", "y")).Wait; after > before {
+		t.Fatalf("a call that can be on time waits %v, %v without late ones", after, before)
+	}
+	late := dossier("last", "last")
+	late.Later = true
+	if plan := pick(t, p, late); plan.Wait < 200*time.Millisecond {
+		t.Fatalf("a late call waits %v behind forty others", plan.Wait)
+	}
+	told := place.New("b")
+	told.Update(engines(2, 2), table)
+	told.Hear(nil, p.Loads())
+	if plan := pick(t, told, late); plan.Wait < 200*time.Millisecond {
+		t.Fatalf("another instance expects a wait of %v", plan.Wait)
+	}
+}
+
+// An engine with most of its batch taken, but not all, decodes a short answer
+// at once.
+func TestAlmostFullBatchesTakeShortAnswers(t *testing.T) {
+	p := place.New("a")
+	p.Update(engines(2, 1), table)
+	free := pick(t, p, dossier("x", "x")).Expected
+	answers := func(n int) {
+		p.Hear([]proto.Report{{Engine: "e02", At: start, Alive: true, Role: state.RoleDecode, Running: n}}, nil)
+	}
+	answers(45)
+	if d := pick(t, p, dossier("x", "x")).Expected; d > free+20*time.Millisecond {
+		t.Fatalf("45 of 48 slots taken: %v, %v with none", d, free)
+	}
+	answers(60)
+	if d := pick(t, p, dossier("x", "x")).Expected; d < free+300*time.Millisecond {
+		t.Fatalf("12 answers wait for a slot, but %v is expected", d)
+	}
+}
+
+// Prompts whose short answers are over within milliseconds don't count as if
+// they stayed in memory.
+func TestShortAnswersDoNotFillTheMemory(t *testing.T) {
+	p := place.New("a")
+	p.Update(engines(2, 1), table)
+	free := pick(t, p, dossier("x", "x")).Expected
+	p.Hear(nil, []proto.Share{{Engine: "e00", Prefill: 1}})
+	for i := range 40 {
+		a := dossier(fmt.Sprint(i), fmt.Sprint(i))
+		plan := pick(t, p, a)
+		p.Sent(start, a, &plan)
+		p.Prefilled(a, &plan, 20*time.Millisecond)
+	}
+	if d := pick(t, p, dossier("y", "y")).Expected; d > free+100*time.Millisecond {
+		t.Fatalf("%v is expected with forty short answers aboard, %v with none", d, free)
+	}
+}
--- a/core/request/place/plan.go
+++ b/core/request/place/plan.go
@@ -20,10 +20,10 @@
 
 // split is the plan that prefills at h and decodes at target.
 func (p *Placer) split(now time.Time, a *Ask, h, home, target *host) Plan {
-	plan := Plan{Prefill: h.engine, Decode: target.engine, Wait: h.queue()}
+	plan := Plan{Prefill: h.engine, Decode: target.engine, Wait: h.queue(a)}
 	work, fetch := h.missing(now, a, home)
 	plan.Work = work
-	plan.Expected = p.away(h) + handCost + plan.Wait + h.prefillTime(work) + target.wait()
+	plan.Expected = p.away(h) + handCost + plan.Wait + h.prefillTime(work) + target.wait(a)
 	if fetch {
 		plan.Fetch = home.engine.URL
 		plan.Expected += fetchCost
@@ -33,7 +33,7 @@
 
 // direct is the plan in which h prefills and decodes.
 func (p *Placer) direct(now time.Time, a *Ask, h, home *host) Plan {
-	plan := Plan{Decode: h.engine, Wait: h.queue()}
+	plan := Plan{Decode: h.engine, Wait: h.queue(a)}
 	work, fetch := h.missing(now, a, home)
 	plan.Work = work
 	plan.Expected = p.away(h) + plan.Wait + h.prefillTime(work)
@@ -41,8 +41,6 @@
 		plan.Fetch = home.engine.URL
 		plan.Expected += fetchCost
 	}
-	if fill := h.fill(); fill >= fullShare {
-		plan.Expected += time.Duration(fill * float64(fullCost))
-	}
+	plan.Expected += h.crowd()
 	return plan
 }
--- a/core/version/plan/check.go
+++ b/core/version/plan/check.go
@@ -33,12 +33,12 @@
 			chosen = &in.Engines[i]
 		}
 	}
-	if moving >= k.settings.Moving {
-		panic(fmt.Sprintf("plan: change of %s with %d engines in transition", c.Engine, moving))
-	}
 	if chosen == nil || !usable(*chosen) || chosen.Role == c.Role {
 		panic(fmt.Sprintf("plan: change of %s to %s makes no sense", c.Engine, c.Role))
 	}
+	if moving >= k.settings.most(in, chosen.Model) {
+		panic(fmt.Sprintf("plan: change of %s with %d engines in transition", c.Engine, moving))
+	}
 	if now.Sub(chosen.Changed) < k.settings.Dwell {
 		panic(fmt.Sprintf("plan: change of %s within its dwell", c.Engine))
 	}
--- a/core/version/plan/follow.go
+++ b/core/version/plan/follow.go
@@ -18,8 +18,8 @@
 	// followDecode is the share of the decode batches that answers may fill.
 	followDecode = 0.8
 	// startShare is the share of prefill engines before there was any demand: a
-	// little under half, since decode engines can prefill as well.
-	startShare = 0.47
+	// prompt that waits is late at once, while a batch takes a few answers more.
+	startShare = 0.6
 	// startWait is how long no demand must have been seen for that.
 	startWait = time.Second
 	// sideShare is the prefill speed that a decode engine without answers adds:
@@ -66,7 +66,7 @@
 		n.add(now, p.settings.Horizon, wanted(now, f, in.Demand))
 	}
 	for _, f := range fleets {
-		if f.moving >= p.settings.Moving {
+		if f.moving >= p.settings.most(in, f.model) {
 			break
 		}
 		if c, ok := p.choose(now, f); ok {
--- a/core/version/plan/plan.go
+++ b/core/version/plan/plan.go
@@ -73,6 +73,31 @@
 	Reserve int           // engines of each role that always stay
 }
 
+// idleShare is the share of a model's engines that may be in transition at once
+// while nothing is asked of them: nobody misses them, and the first requests
+// may come soon.
+const idleShare = 0.34
+
+// most is how many engines may be in transition at once.
+func (s *Settings) most(in Input, model string) int {
+	engines := 0
+	for _, d := range in.Demand {
+		if d.Model == model && d.Requests > 0 {
+			return s.Moving
+		}
+	}
+	for _, e := range in.Engines {
+		if e.Model != model {
+			continue
+		}
+		if e.Running+e.Waiting > 0 {
+			return s.Moving
+		}
+		engines++
+	}
+	return max(s.Moving, int(idleShare*float64(engines)))
+}
+
 // Names of the policies.
 const (
 	NameGoodput   = "goodput"
--- a/core/version/roster/roster.go
+++ b/core/version/roster/roster.go
@@ -173,10 +173,9 @@
 	list := make([]proto.Share, 0, len(r.total))
 	for engine, t := range r.total {
 		o := own[engine]
-		list = append(list, proto.Share{
-			Engine: engine, Prefill: max(0, t.Prefill-o.Prefill), Streams: max(0, t.Streams-o.Streams),
-			Long: max(0, t.Long-o.Long), Tokens: max(0, t.Tokens-o.Tokens),
-		})
+		t.Add(&o, -1)
+		t.Engine = engine
+		list = append(list, t)
 	}
 	slices.SortFunc(list, func(a, b proto.Share) int { return cmp.Compare(a.Engine, b.Engine) })
 	return list
@@ -184,13 +183,10 @@
 
 // sum adds loads to the sum of all work, or takes them off it.
 func (r *Roster) sum(loads []proto.Share, sign int) {
-	for _, l := range loads {
-		t := r.total[l.Engine]
-		t.Prefill += sign * l.Prefill
-		t.Streams += sign * l.Streams
-		t.Long += sign * l.Long
-		t.Tokens += sign * l.Tokens
-		r.total[l.Engine] = t
+	for i := range loads {
+		t := r.total[loads[i].Engine]
+		t.Add(&loads[i], sign)
+		r.total[loads[i].Engine] = t
 	}
 }
 
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -37,6 +37,7 @@
 	errUnsigned = errors.New("the answer isn't the server's own")
 	errStatus   = errors.New("the engine answered with a failure")
 	errNotRun   = errors.New("the engine had no room")
+	errBusy     = errors.New("the engines are too busy for its time")
 	errSilent   = errors.New("no progress")
 	errCaller   = errors.New("the caller's connection failed")
 	errAnswered = errors.New("the engine's failure was passed on")
@@ -73,22 +74,14 @@
 			break
 		}
 		if first {
-			now, limit := f.clock.Now(), f.patience()
-			margin := f.fleet.margin(now, f.target.Name, limit)
-			late := plan.Expected+margin > limit
-			f.why = []any{
-				"expected_ms", plan.Expected.Milliseconds(), "margin_ms", margin.Milliseconds(), "limit_ms", limit.Milliseconds(),
-				"heard_ms", f.fleet.age(now).Milliseconds(), "state", f.snapshot.Version(),
-			}
-			f.fleet.want(f.target.Name, plan.Work, ask.Output(), late)
-			if late {
-				reason, wait = "the engines are too busy for its time", max(roomRetry, plan.Expected-f.route.Target)
+			if plan, err = f.admit(ask, plan); err != nil {
+				reason, wait = err.Error(), f.later(plan.Expected-f.route.Target)
 				break
 			}
 		}
 		first = false
 		f.log.Info("placed", "request", f.call.ID, "prefill", plan.Prefill.Name, "decode", plan.Decode.Name, "fetch", plan.Fetch,
-			"expected_ms", plan.Expected.Milliseconds(), "work", plan.Work, "after", out.last, "state", f.snapshot.Version(),
+			"expected_ms", plan.Expected.Milliseconds(), "work", plan.Work, "later", ask.Later, "after", out.last, "state", f.snapshot.Version(),
 			"heard_ms", f.fleet.age(f.clock.Now()).Milliseconds(), "ms", f.spent())
 		err = f.attempt(ctx, ask, &plan, &out)
 		if err == nil {
@@ -117,6 +110,62 @@
 	f.giveUp(ctx, reason, wait)
 }
 
+// admit decides whether a call goes to the engines of a plan. One that can't be
+// on time any more may still be answered: it goes behind all that can.
+func (f *flight) admit(ask *place.Ask, plan place.Plan) (place.Plan, error) {
+	now, limit := f.clock.Now(), f.patience()
+	margin := f.fleet.margin(now, f.target.Name, limit)
+	late := plan.Expected+margin > limit
+	f.why = []any{
+		"expected_ms", plan.Expected.Milliseconds(), "margin_ms", margin.Milliseconds(), "limit_ms", limit.Milliseconds(),
+		"heard_ms", f.fleet.age(now).Milliseconds(), "state", f.snapshot.Version(),
+	}
+	f.fleet.want(f.target.Name, plan.Work, ask.Output(), late)
+	if !late {
+		return plan, nil
+	}
+	ask.Later = true
+	behind, err := f.fleet.pick(now, ask)
+	if err != nil {
+		return plan, err
+	}
+	f.why = append(f.why, "behind_ms", behind.Wait.Milliseconds())
+	if behind.Wait > time.Duration(laterShare*float64(f.left())) {
+		return plan, errBusy
+	}
+	f.meter.Count("place", "later")
+	return behind, nil
+}
+
+// laterShare is the share of a caller's time up to which a call may be expected
+// to wait behind others: those that come meanwhile go before it.
+const laterShare = 0.1
+
+// later is when to come back with a call that can't be on time any more: as
+// late as callers agree to, since peaks last for seconds, unless the engines are
+// expected to be free of what they have in the time given.
+func (f *flight) later(free time.Duration) time.Duration {
+	return max(roomRetry, free, min(f.left()/returnShare, latestRetry))
+}
+
+const (
+	// returnShare is the share of their time that callers wait at most.
+	returnShare = 3
+	// latestRetry bounds it for callers with much time.
+	latestRetry = time.Second
+)
+
+// laterPriority is the engines' priority of calls that can't be on time.
+const laterPriority = 9
+
+// urgency is the engines' priority of a call; negative leaves it open.
+func urgency(a *place.Ask) int {
+	if a.Later {
+		return laterPriority
+	}
+	return -1
+}
+
 // admitShare is the share of the time in which the first event is on time up
 // to which the expected time may reach: an engine's queue beyond it would make
 // all answers late.
@@ -148,7 +197,7 @@
 func (f *flight) attempt(ctx context.Context, ask *place.Ask, plan *place.Plan, out *stream) error {
 	f.fleet.sent(f.clock.Now(), ask, plan)
 	defer f.fleet.done(ask, plan)
-	send := &server.Send{Call: f.call, Engine: plan.Decode.Name, After: out.last, Priority: -1}
+	send := &server.Send{Call: f.call, Engine: plan.Decode.Name, After: out.last, Priority: urgency(ask)}
 	if plan.Split() {
 		handle, err := f.prefill(ctx, ask, plan)
 		if err != nil {
@@ -184,9 +233,9 @@
 // prefill computes the prompt at the plan's first engine. It isn't a run.
 func (f *flight) prefill(ctx context.Context, ask *place.Ask, plan *place.Plan) (string, error) {
 	name := plan.Prefill.Name
-	inner, watch := f.watch(ctx, max(leastSilence, silenceShare*plan.Expected))
+	inner, watch := f.watch(ctx, f.silence(ask, plan))
 	defer watch.end()
-	send := &server.Send{Call: f.call, Engine: name, Left: f.left(), Prefill: true, Priority: -1}
+	send := &server.Send{Call: f.call, Engine: name, Left: f.left(), Prefill: true, Priority: urgency(ask)}
 	if plan.Fetch != "" {
 		send.Fetch = server.Address(plan.Fetch)
 	}
@@ -245,7 +294,7 @@
 	name, where := plan.Decode.Name, server.Address(plan.Decode.URL)
 	patience := time.Duration(0)
 	if f.route.Resume {
-		patience = max(leastSilence, silenceShare*plan.Expected)
+		patience = f.silence(ask, plan)
 	}
 	inner, watch := f.watch(ctx, patience)
 	defer watch.end()
@@ -269,7 +318,7 @@
 	err = f.pass(a, watch, out, func() {
 		took := f.clock.Now().Sub(began)
 		f.firstAfter = f.clock.Now().Sub(f.began)
-		if len(f.avoid) == 0 && ask.Prompt.Tokens > 0 {
+		if len(f.avoid) == 0 && ask.Prompt.Tokens > 0 && !ask.Later {
 			f.fleet.learnFirst(f.clock.Now(), f.target.Name, plan.Expected, f.firstAfter)
 		}
 		f.meter.Time(f.firstAfter, "first")
@@ -371,6 +420,14 @@
 	timer  *time.Timer
 }
 
+// silence is how long an engine may take for the first sign of progress.
+func (f *flight) silence(ask *place.Ask, plan *place.Plan) time.Duration {
+	if ask.Later {
+		return f.left()
+	}
+	return max(leastSilence, silenceShare*plan.Expected)
+}
+
 // watch returns a context that ends after a time without progress; 0 is never.
 func (f *flight) watch(ctx context.Context, patience time.Duration) (context.Context, *watch) {
 	inner, cancel := context.WithCancelCause(ctx)
