keepd, relay: outlive a full disk; callers that left aren't broken streams

keeper-full-disk: a failed write stops the member by design, and the process ended with it, was started again, and ended again.

stream-broken-log: a stream whose caller left was logged and counted as broken. It now has the line 'caller left'; a stream that the end of the instance cuts is still broken, and says so (TestBrokenStreamsAreToldFromCallersThatLeft).

--- a/core/process/disk/disk_test.go
+++ b/core/process/disk/disk_test.go
@@ -367,3 +367,20 @@
 		}
 	})
 }
+
+func TestProbeTellsWhetherAFolderTakesWrites(t *testing.T) {
+	m := newMemory()
+	if _, err := m.List("f"); err != nil {
+		t.Fatal(err)
+	}
+	if err := disk.Probe(m, "f"); err != nil {
+		t.Fatalf("with room: %v", err)
+	}
+	m.room = m.size() + 100
+	if err := disk.Probe(m, "f"); err == nil {
+		t.Fatal("a full disk takes writes")
+	}
+	if names, _ := m.List("f"); len(names) != 0 {
+		t.Fatalf("the probe left %v", names)
+	}
+}
--- a/core/process/disk/store.go
+++ b/core/process/disk/store.go
@@ -230,6 +230,29 @@
 	return nil
 }
 
+// probeName is the file that tells whether a folder takes writes.
+const probeName = "probe" + temporary
+
+// probeSize is a page: a full disk may still take a few bytes.
+const probeSize = 4096
+
+// Probe tells whether a folder takes writes.
+func Probe(files FileSystem, folder string) error {
+	path := filepath.Join(folder, probeName)
+	f, err := files.Create(path)
+	if err != nil {
+		return fmt.Errorf("probe folder: %w", err)
+	}
+	_, err = f.Write(make([]byte, probeSize))
+	if err == nil {
+		err = f.Sync()
+	}
+	if err := errors.Join(err, f.Close(), files.Remove(path)); err != nil {
+		return fmt.Errorf("probe folder: %w", err)
+	}
+	return nil
+}
+
 // SetAside moves a refused folder's content into a subfolder, so that the
 // instance can come back as a new member. A folder that lost state must not
 // take part in founding a group.
--- a/entryd/relay/admit_test.go
+++ b/entryd/relay/admit_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -102,3 +104,41 @@
 		t.Errorf("with little left: %v, want %v", d, roomRetry)
 	}
 }
+
+// A caller that leaves in the middle of a stream is no fault of the system; a
+// stream that the instance cuts is.
+func TestBrokenStreamsAreToldFromCallersThatLeft(t *testing.T) {
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	late, end := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer end()
+	for _, c := range []struct {
+		name    string
+		ctx     context.Context
+		leaving bool
+		left    time.Duration
+		counter string
+	}{
+		{"caller left", gone, false, 0, "caller.left"},
+		{"caller left an instance that shuts down", gone, true, time.Second, "caller.left"},
+		{"end of the instance", gone, true, -time.Millisecond, "stream.broken"},
+		{"out of time", late, false, 0, "stream.broken"},
+		{"engine broke off", context.Background(), false, 0, "stream.broken"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, _ := newFlight(t, clock.System())
+			f.log = slog.New(slog.DiscardHandler)
+			f.leaving = func() (time.Duration, bool) { return c.left, c.leaving }
+			f.endBroken(c.ctx, &stream{begun: true, events: 3}, "why")
+			for _, name := range []string{"caller.left", "stream.broken"} {
+				want := int64(0)
+				if name == c.counter {
+					want = 1
+				}
+				if n := f.meter.Value(name); n != want {
+					t.Errorf("%s: %d, want %d", name, n, want)
+				}
+			}
+		})
+	}
+}
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -102,81 +102,25 @@
 		}
 	}
 	if out.begun {
-		f.meter.Count("stream", "broken")
-		f.log.Warn("stream broken", "request", f.call.ID, "events", out.events, "ran", f.ran, "reason", reason, "ms", f.spent())
+		f.endBroken(ctx, &out, reason)
 		// The answer must not look complete.
 		panic(http.ErrAbortHandler)
 	}
 	f.giveUp(ctx, reason, wait)
 }
 
-// admit decides whether a call goes to the engines of a plan. One that can't be
-// on time any more may still be answered: it goes behind all that can.
-func (f *flight) admit(ask *place.Ask, plan place.Plan) (place.Plan, error) {
-	now, limit := f.clock.Now(), f.patience()
-	margin := f.fleet.margin(now, f.target.Name, limit)
-	late := plan.Expected+margin > limit
-	f.why = []any{
-		"expected_ms", plan.Expected.Milliseconds(), "margin_ms", margin.Milliseconds(), "limit_ms", limit.Milliseconds(),
-		"heard_ms", f.fleet.age(now).Milliseconds(), "state", f.snapshot.Version(),
-	}
-	f.fleet.want(f.target.Name, plan.Work, ask.Output(), late)
-	if !late {
-		return plan, nil
-	}
-	ask.Later = true
-	behind, err := f.fleet.pick(now, ask)
-	if err != nil {
-		return plan, err
-	}
-	f.why = append(f.why, "behind_ms", behind.Wait.Milliseconds())
-	if behind.Wait > time.Duration(laterShare*float64(f.left())) {
-		return plan, errBusy
-	}
-	f.meter.Count("place", "later")
-	return behind, nil
-}
-
-// laterShare is the share of a caller's time up to which a call may be expected
-// to wait behind others: those that come meanwhile go before it.
-const laterShare = 0.1
-
-// later is when to come back with a call that can't be on time any more: as
-// late as callers agree to, since peaks last for seconds, unless the engines are
-// expected to be free of what they have in the time given.
-func (f *flight) later(free time.Duration) time.Duration {
-	return max(roomRetry, free, min(f.left()/returnShare, latestRetry))
-}
-
-const (
-	// returnShare is the share of their time that callers wait at most.
-	returnShare = 3
-	// latestRetry bounds it for callers with much time.
-	latestRetry = time.Second
-)
-
-// laterPriority is the engines' priority of calls that can't be on time.
-const laterPriority = 9
-
-// urgency is the engines' priority of a call; negative leaves it open.
-func urgency(a *place.Ask) int {
-	if a.Later {
-		return laterPriority
-	}
-	return -1
-}
-
-// admitShare is the share of the time in which the first event is on time up
-// to which the expected time may reach: an engine's queue beyond it would make
-// all answers late.
-const admitShare = 0.9
-
-// patience is how long the first event may take for the call to be admitted.
-func (f *flight) patience() time.Duration {
-	if f.route.Target <= 0 {
-		return f.left()
+// endBroken logs the end of a stream that isn't whole. A caller that left is no
+// fault; the end of the instance cuts streams as well.
+func (f *flight) endBroken(ctx context.Context, out *stream, reason string) {
+	left, leaving := f.leaving()
+	if errors.Is(ctx.Err(), context.Canceled) && (!leaving || left > 0) {
+		f.meter.Count("caller", "left")
+		f.log.Info("caller left", "request", f.call.ID, "route", f.route.Name, "events", out.events, "ran", f.ran, "ms", f.spent())
+		return
 	}
-	return min(f.left(), time.Duration(admitShare*float64(f.route.Target)))
+	f.meter.Count("stream", "broken")
+	f.log.Warn("stream broken", "request", f.call.ID, "route", f.route.Name, "events", out.events, "ran", f.ran,
+		"leaving", leaving, "reason", reason, "ms", f.spent())
 }
 
 // pause waits a little before all engines that failed are tried again.
--- a/keepd/site.go
+++ b/keepd/site.go
@@ -228,7 +228,7 @@
 	}
 	group.Go(func() { s.follow(ctx) })
 	s.log.Info("started", "name", s.settings.KeeperLink(), "machine", s.settings.Name, "zone", s.settings.Zone, "seeds", s.settings.Seeds,
-		"founding", s.settings.Founding, "disk", s.settings.Folder != "")
+		"founding", s.settings.Founding, "disk", s.member != nil)
 	if s.member != nil {
 		group.Go(func() { s.lead.Serve(ctx) })
 		select {
@@ -298,24 +298,6 @@
 	})
 }
 
-// serveSite runs a keeper on a platform until ctx ends.
-func serveSite(ctx context.Context, metrics string) error {
-	settings, err := platform.Load()
-	if err != nil {
-		return boot.Fail(boot.ExitSettings, err)
-	}
-	build := buildSite
-	if settings.Folder == "" {
-		build = buildPass
-	}
-	s, cleanup, err := build(settings, metricsSetting(metrics))
-	if err != nil {
-		return err
-	}
-	defer cleanup()
-	return s.run(ctx)
-}
-
 // newPass makes a keeper without a disk.
 func newPass(s *platform.Settings, metrics metricsSetting, c *keeper.Client, m *meter.Registry, log *slog.Logger) *site {
 	return &site{settings: s, metrics: string(metrics), client: c, meter: m, log: log}
