place: data centres share the homes of prompts' parts

Cause: with four decode engines or more in a data centre each kept homes of its own.

Change: one home a part in the whole pool. The smaller sites have fewer decode engines a zone and don't change.

--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -124,25 +124,6 @@
 	return h.queue(a) + h.room()
 }
 
-// near returns the engines of the own data centre if there are some to choose
-// from, else all.
-func (p *Placer) near(list []*host) []*host {
-	var own []*host
-	for _, h := range list {
-		if p.away(h) == 0 {
-			own = append(own, h)
-		}
-	}
-	if len(own) < leastNear {
-		return list
-	}
-	return own
-}
-
-// leastNear is the number of decode engines from which a data centre keeps
-// shared parts of its own.
-const leastNear = 4
-
 // homesOf returns up to two decode engines that should hold the shared parts
 // of a prompt: the same at each instance.
 func homesOf(decode []*host, a *Ask) []*host {
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -275,7 +275,7 @@
 		best.better(p.direct(now, a, p.roomiest(decode, answers, a), nil))
 		return best, nil
 	}
-	homes := homesOf(p.near(decode), a)
+	homes := homesOf(decode, a)
 	target := p.roomiest(decode, answers, a)
 	if !p.long(a) {
 		target = p.quickest(a, append(homes, target))
--- a/core/request/place/place_test.go
+++ b/core/request/place/place_test.go
@@ -291,3 +291,18 @@
 		t.Fatalf("%v is expected with forty short answers aboard, %v with none", d, free)
 	}
 }
+
+// The data centres don't keep copies of their own: each would hold its parts
+// for a shorter time, and read more again than the bytes between them cost.
+func TestDataCentresShareTheHomesOfParts(t *testing.T) {
+	list := engines(8, 24)
+	a, b := place.New("a"), place.New("b")
+	a.Update(list, table)
+	b.Update(list, table)
+	for i := range 50 {
+		x, y := pick(t, a, dossier(fmt.Sprint("x", i), fmt.Sprint(i))), pick(t, b, dossier(fmt.Sprint("y", i), fmt.Sprint(i)))
+		if x.Fetch != "" && y.Fetch != "" && x.Fetch != y.Fetch {
+			t.Fatalf("part %d is fetched from %s and from %s", i, x.Fetch, y.Fetch)
+		}
+	}
+}
