link: a closed server frees its address; entryd ends within its grace

The transport of quic.ListenAddr keeps its socket for a while after the server was closed. The server has a socket and a transport of its own now and closes both. Errors that end a process after its log are written to standard error.

--- a/core/conn/link/server.go
+++ b/core/conn/link/server.go
@@ -29,14 +29,15 @@
 
 // Server answers calls of other instances.
 type Server struct {
-	handlers map[string]handler
-	allowed  map[string][]string // peers by kind; no entry allows all
-	meter    *meter.Registry
-	calls    atomic.Int64
-	pending  atomic.Int64 // bytes
-	listener *quic.Listener
-	group    sync.WaitGroup
-	stop     context.CancelFunc
+	handlers  map[string]handler
+	allowed   map[string][]string // peers by kind; no entry allows all
+	meter     *meter.Registry
+	calls     atomic.Int64
+	pending   atomic.Int64 // bytes
+	listener  *quic.Listener
+	transport *quic.Transport
+	group     sync.WaitGroup
+	stop      context.CancelFunc
 }
 
 // NewServer returns a server without handlers.
@@ -53,10 +54,18 @@
 // Listen starts to serve on a UDP address. All handlers must be registered
 // before. The clean-up closes all connections and waits for the handlers.
 func (s *Server) Listen(address string, config *tls.Config) (net.Addr, func(), error) {
-	l, err := quic.ListenAddr(address, s.counted(config), settings())
+	socket, err := listenUDP(address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	// A transport of its own: that of quic.ListenAddr keeps the socket for a
+	// while after the server was closed.
+	s.transport = &quic.Transport{Conn: socket}
+	l, err := s.transport.Listen(s.counted(config), settings())
+	if err != nil {
+		_ = socket.Close()
+		return nil, nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.listener, s.stop = l, cancel
 	s.group.Go(func() { s.accept(ctx) })
@@ -64,6 +73,18 @@
 	return l.Addr(), s.close, nil
 }
 
+func listenUDP(address string) (*net.UDPConn, error) {
+	a, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("resolve: %w", err)
+	}
+	c, err := net.ListenUDP("udp", a)
+	if err != nil {
+		return nil, fmt.Errorf("open socket: %w", err)
+	}
+	return c, nil
+}
+
 // counted returns the configuration with a counter for each reason of a
 // refused handshake.
 func (s *Server) counted(config *tls.Config) *tls.Config {
@@ -95,6 +116,8 @@
 	s.stop()
 	_ = s.listener.Close()
 	s.group.Wait()
+	_ = s.transport.Close()
+	_ = s.transport.Conn.Close()
 }
 
 func (s *Server) accept(ctx context.Context) {
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -33,7 +34,8 @@
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
 		if err := serveSite(ctx, *metrics); err != nil {
-			klog.ErrorS(err, "serve")
+			// The log has ended with what it told of.
+			fmt.Fprintln(os.Stderr, "entryd:", err)
 			return boot.Code(err)
 		}
 		return boot.ExitOK
--- a/entryd/site.go
+++ b/entryd/site.go
@@ -46,9 +46,11 @@
 	// counts requests that arrive while a version of the table changes, too.
 	budgetShare = 0.8
 	// stopShare is the share of the grace after which no new connections are
-	// taken, and exitShare that after which the process ends.
+	// taken, exitShare that after which what still runs is cut, and lastShare that
+	// after which the process ends whatever it waits for.
 	stopShare = 0.75
 	exitShare = 0.95
+	lastShare = 0.98
 	// answerLife is the life of an address answer: callers then follow a
 	// machine that leaves within the grace.
 	answerLife = 2 * time.Second
@@ -221,6 +223,10 @@
 	grace := s.settings.Bounds.Grace
 	s.leaving.end.Store(began.Add(time.Duration(exitShare * float64(grace))).UnixNano())
 	s.leaving.on.Store(true)
+	time.AfterFunc(time.Duration(lastShare*float64(grace)), func() {
+		fmt.Fprintln(os.Stderr, "entryd: the grace is over; ending without an orderly stop")
+		os.Exit(boot.ExitFailure)
+	})
 	s.beat.Leave()
 	s.log.Info("leaving", "name", s.settings.Name, "calls", s.leaving.calls.Load(), "grace_ms", grace.Milliseconds())
 	clock.Sleep(ctx, time.Duration(stopShare*float64(grace)))
--- a/keepd/main.go
+++ b/keepd/main.go
@@ -31,7 +31,8 @@
 	defer stop()
 	if *onPlatform {
 		if err := serveSite(ctx, *metrics); err != nil {
-			klog.ErrorS(err, "serve")
+			// The log has ended with what it told of.
+			fmt.Fprintln(os.Stderr, "keepd:", err)
 			return boot.Code(err)
 		}
 		return boot.ExitOK
