--- a/entryd/site.go
+++ b/entryd/site.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"runtime/pprof"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -224,7 +225,8 @@
 	s.leaving.end.Store(began.Add(time.Duration(exitShare * float64(grace))).UnixNano())
 	s.leaving.on.Store(true)
 	time.AfterFunc(time.Duration(lastShare*float64(grace)), func() {
-		fmt.Fprintln(os.Stderr, "entryd: the grace is over; ending without an orderly stop")
+		fmt.Fprintln(os.Stderr, "entryd: the grace is over; ending without an orderly stop, while waiting in:")
+		_ = pprof.Lookup("goroutine").WriteTo(os.Stderr, 1) // there is nobody else to tell
 		os.Exit(boot.ExitFailure)
 	})
 	s.beat.Leave()
