keepd, trial, infer: mend two known faults and refusals that misreport a run

lead-fake-deadlock: the fake log held the mutex that Lease takes while the store applied a proposal; proposals have a lock of their own now.

Five of six engines were assigned to prefill by 11 s, and none decoded from 31 to 35 s, so each drain or crash of the last one refused everything. Assignments leave two serving engines in each role now. Ruled out: drained engines that stay drained (their declarations were accepted).

infer: a call that was refused for strikes or at its deadline before any engine had it was said to have run, and one refused for want of an engine after a failed attempt not to have. All refusals go by what is known of the attempts.

body: bodies above their limit are an error. The list and answers to orders were cut at the limit and failed as malformed.

--- a/core/conn/guard/guard.go
+++ b/core/conn/guard/guard.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -18,6 +17,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"verbenahaven.example/core/conn/body"
 )
 
 // ErrLeaseTooShort reports that too little of the lease remained to write.
@@ -110,7 +111,7 @@
 		return 0, nil, fmt.Errorf("send order: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	b, err := body.Read(resp.Body, maxResponseBytes)
 	if err != nil {
 		return 0, nil, fmt.Errorf("read response to order: %w", err)
 	}
--- a/core/conn/list/fetch.go
+++ b/core/conn/list/fetch.go
@@ -5,8 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
+
+	"verbenahaven.example/core/conn/body"
 )
 
 // maxListBytes limits the size of the platform's response.
@@ -30,7 +31,11 @@
 		return nil, fmt.Errorf("fetch list: status %d: %w", resp.StatusCode, ErrStatus)
 	}
 	var instances []Instance
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&instances); err != nil {
+	b, err := body.Read(resp.Body, maxListBytes)
+	if err != nil {
+		return nil, fmt.Errorf("fetch list: %w", err)
+	}
+	if err := json.Unmarshal(b, &instances); err != nil {
 		return nil, fmt.Errorf("decode list: %w", err)
 	}
 	return instances, nil
--- a/entryd/infer/complete.go
+++ b/entryd/infer/complete.go
@@ -112,9 +112,9 @@
 	verdict, until := c.strikes.Verdict(now, c.call.Fingerprint, c.balancer.Snapshot())
 	switch verdict {
 	case strike.Blocked:
-		return strikesError(until.Sub(now))
+		return c.strikesError(until.Sub(now))
 	case strike.RetryLater:
-		return fault.New(fault.CodeSuspect, "another copy of this request is being tried after an engine was lost").RetryAfter(suspectRetryAfter)
+		return c.suspectError()
 	case strike.Suspect:
 		c.suspect = true
 	}
@@ -133,9 +133,15 @@
 }
 
 // strikesError returns the refusal of a request with too many strikes.
-func strikesError(retryAfter time.Duration) error {
+func (c *completion) strikesError(retryAfter time.Duration) error {
 	return fault.New(fault.CodeStrikes, "engines were lost while they ran this request; it is refused until the strikes run out").
-		RetryAfter(retryAfter).Execution(once.Executed)
+		RetryAfter(retryAfter).Execution(c.ranStatus())
+}
+
+// suspectError returns the refusal of a request of which another copy is tried.
+func (c *completion) suspectError() error {
+	return fault.New(fault.CodeSuspect, "another copy of this request is being tried after an engine was lost").
+		RetryAfter(suspectRetryAfter).Execution(c.ranStatus())
 }
 
 // admit refuses a call at once if it can't meet its deadline, or if the free
@@ -145,7 +151,7 @@
 	c.call.Record.AddDecision(reservation.Decision)
 	if err != nil {
 		c.balancer.AddDemand(c.call.Service.Name, c.routeRequest.PromptTokens, c.routeRequest.MaxOutputTokens, true)
-		return toRefusal(err)
+		return c.toRefusal(err)
 	}
 	c.expectedFirst, c.admittedAt = reservation.Plan.TTFT, c.clock.Elapsed()
 	reason, retryAfter := admit.Decide(admit.Input{
@@ -177,12 +183,12 @@
 }
 
 // toRefusal turns an error from choosing engines into a refusal.
-func toRefusal(err error) error {
+func (c *completion) toRefusal(err error) error {
 	if errors.Is(err, picker.ErrIsolated) {
-		return fault.New(fault.CodeStale, err.Error()).RetryAfter(backendRetryAfter)
+		return fault.New(fault.CodeStale, err.Error()).RetryAfter(backendRetryAfter).Execution(c.ranStatus())
 	}
 	if errors.Is(err, route.ErrNoEngine) {
-		return fault.New(fault.CodeNoBackend, err.Error()).RetryAfter(backendRetryAfter)
+		return fault.New(fault.CodeNoBackend, err.Error()).RetryAfter(backendRetryAfter).Execution(c.ranStatus())
 	}
 	return err
 }
@@ -196,7 +202,7 @@
 		if err != nil {
 			noEngine := errors.Is(err, route.ErrNoEngine) || errors.Is(err, picker.ErrIsolated)
 			if !noEngine || !c.awaitEngine(ctx) {
-				return toRefusal(err)
+				return c.toRefusal(err)
 			}
 			continue
 		}
@@ -289,8 +295,7 @@
 	if c.strikes.Pledge(ctx, c.clock.Now(), c.call.Fingerprint, c.unusedPledges, engines...) || c.madeProgress {
 		return nil
 	}
-	return fault.New(fault.CodeSuspect, "another copy of this request is being tried after an engine was lost").
-		RetryAfter(suspectRetryAfter).Execution(c.ranStatus())
+	return c.suspectError()
 }
 
 // awaitStrikes waits at random between one and two times suspectDelay before a
@@ -383,7 +388,7 @@
 		return nil
 	}
 	if verdict, until := c.strikes.Verdict(now, c.call.Fingerprint, c.balancer.Snapshot()); verdict == strike.Blocked {
-		return strikesError(until.Sub(now))
+		return c.strikesError(until.Sub(now))
 	}
 	if err := c.awaitStrikes(ctx); err != nil {
 		return c.cancelError(ctx)
@@ -419,7 +424,7 @@
 // cancelError returns the refusal of a call whose context has ended.
 func (c *completion) cancelError(ctx context.Context) error {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return fault.New(fault.CodeDeadline, "no answer before the deadline").Execution(once.Executed)
+		return fault.New(fault.CodeDeadline, "no answer before the deadline").Execution(c.ranStatus())
 	}
-	return fault.New(fault.CodeCancelled, "the caller went away").Execution(once.Executed)
+	return fault.New(fault.CodeCancelled, "the caller went away").Execution(c.ranStatus())
 }
--- a/keepd/lead/fake_test.go
+++ b/keepd/lead/fake_test.go
@@ -16,19 +16,24 @@
 // fakeLog is an in-memory log with one member. Tests set its lease and make
 // proposals fail.
 type fakeLog struct {
-	mutex sync.Mutex
+	proposals sync.Mutex // orders proposals; held while the store applies one
+	index     uint64
+
+	mutex sync.Mutex // held for short accesses only, as the store's readers call Lease
 	store *store.Store
-	index uint64
 	term  uint64
 	lease time.Duration
 	fail  error
 }
 
 func (f *fakeLog) Propose(_ context.Context, command []byte) (any, error) {
+	f.proposals.Lock()
+	defer f.proposals.Unlock()
 	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if f.fail != nil {
-		return nil, f.fail
+	fail := f.fail
+	f.mutex.Unlock()
+	if fail != nil {
+		return nil, fail
 	}
 	f.index++
 	return f.store.Apply(f.index, command), nil
--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"verbenahaven.example/core/process/clock"
-	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/trial/chaos"
 	"verbenahaven.example/trial/check"
 	"verbenahaven.example/trial/fleet"
@@ -101,7 +100,7 @@
 	case chaos.DrainEngine:
 		r.sendCommand(ctx, plannerOperator, r.commandNumber(f), "drain engine "+f.Target())
 	case chaos.AssignRole:
-		r.sendCommand(ctx, plannerOperator, r.commandNumber(f), fmt.Sprintf("assign engine %s role %s", f.Target(), r.otherRole(f.Target())))
+		r.assignRole(ctx, f.Target(), r.commandNumber(f))
 	case chaos.RaceCommands:
 		r.raceCommands(ctx, uint64(f.At()))
 	}
@@ -138,19 +137,6 @@
 	return uint64(f.At()) &^ 1
 }
 
-// otherRole returns the role that an engine was not assigned last, and records
-// it as assigned.
-func (r *run) otherRole(engine string) state.Role {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	role := state.RoleDecode
-	if r.assignedRoles[engine] == state.RoleDecode {
-		role = state.RolePrefill
-	}
-	r.assignedRoles[engine] = role
-	return role
-}
-
 // stopEntry stops an entry instance gracefully. Only the time after the process
 // has ended counts as a fault: until then no request may be cut.
 func (r *run) stopEntry(p *fleet.Process) {
--- a/trial/soak/operate.go
+++ b/trial/soak/operate.go
@@ -10,6 +10,7 @@
 
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/trial/check"
 	"verbenahaven.example/trial/fleet"
 )
@@ -100,3 +101,46 @@
 	}
 	group.Wait()
 }
+
+// minEnginesPerRole is the number of serving engines that an operator leaves in
+// each role: with one, a drain or a crash would end the service.
+const minEnginesPerRole = 2
+
+// assignRole moves an engine to its other role, as an operator would: only if
+// enough engines keep the role that it leaves.
+func (r *run) assignRole(ctx context.Context, engine string, number uint64) {
+	for _, keeper := range r.fleet.Keepers() {
+		callCtx, cancel := context.WithTimeout(ctx, commandTimeout)
+		reply, err := r.fleet.RunAt(callCtx, keeper, proto.RunRequest{Operator: plannerOperator, Text: "ask engines show name, role, phase"})
+		cancel()
+		if err != nil || len(reply.Tables) == 0 {
+			continue
+		}
+		if role, ok := otherRole(reply.Tables[0].Rows, engine); ok {
+			r.sendCommand(ctx, plannerOperator, number, fmt.Sprintf("assign engine %s role %s", engine, role))
+		}
+		return
+	}
+}
+
+// otherRole returns the role to move an engine to, given the name, role and
+// phase of each engine. It returns false if too few would keep its role.
+func otherRole(engines [][]string, engine string) (state.Role, bool) {
+	serving := make(map[state.Role]int)
+	var from state.Role
+	for _, e := range engines {
+		name, role, phase := e[0], state.Role(e[1]), state.Phase(e[2])
+		if name == engine {
+			from = role
+		} else if phase == state.PhaseServing {
+			serving[role]++
+		}
+	}
+	if from == "" || serving[from] < minEnginesPerRole {
+		return "", false
+	}
+	if from == state.RoleDecode {
+		return state.RolePrefill, true
+	}
+	return state.RoleDecode, true
+}
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"verbenahaven.example/core/conn/inject"
-	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/trial/chaos"
 	"verbenahaven.example/trial/check"
 	"verbenahaven.example/trial/fleet"
@@ -88,12 +87,11 @@
 	fleet   *fleet.Fleet
 	started time.Time
 
-	mutex         sync.Mutex
-	record        check.Record
-	restarts      map[string]int
-	faulted       map[string]bool // targets that are under a fault
-	faultCounts   map[chaos.Kind]int
-	assignedRoles map[string]state.Role // of each engine, as last assigned
+	mutex       sync.Mutex
+	record      check.Record
+	restarts    map[string]int
+	faulted     map[string]bool // targets that are under a fault
+	faultCounts map[chaos.Kind]int
 
 	refusals map[string]int // refused commands by verb and error code
 }
@@ -109,10 +107,6 @@
 	r := &run{
 		options: o, fleet: f, started: time.Now(),
 		restarts: make(map[string]int), faulted: make(map[string]bool), faultCounts: make(map[chaos.Kind]int),
-		assignedRoles: make(map[string]state.Role),
-	}
-	for _, e := range engines() {
-		r.assignedRoles[e.Name] = e.Role
 	}
 	r.record.PropagationLimit = propagationLimit
 	r.runWorkload(ctx)
