relay: an answer that is too large isn't passed on cut short

An answer of more than 32 MiB was cut at the limit and delivered as complete. It ends the call with an unknown outcome now, is not tried elsewhere, since each server would answer the same, and doesn't count as a loss of its server. The test got status 200 with 32 MiB before.

--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/version/state"
 )
@@ -37,6 +38,12 @@
 		f.tries++
 		a, err := f.exchange(ctx, v)
 		release()
+		if errors.Is(err, body.ErrTooLarge) {
+			// Any server would send the same answer.
+			f.meter.Count("answer", "too_large")
+			reason = err.Error()
+			break
+		}
 		if err != nil {
 			reason = "the server gave no whole answer"
 			f.recordFailure(ctx, v.Name, server.HostPort(v.URL), err)
@@ -80,14 +87,14 @@
 	if !head.NotExecuted {
 		f.mayHaveRun = append(f.mayHaveRun, v.Name)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxWholeAnswer))
+	content, err := body.Read(a.Body, maxWholeAnswer)
 	if err != nil {
 		return nil, fmt.Errorf("read answer of %s: %w", v.Name, err)
 	}
 	if a.StatusCode < http.StatusMultipleChoices && !head.Signed {
 		return nil, fmt.Errorf("answer of %s: %w", v.Name, errUnsigned)
 	}
-	return &wholeAnswer{response: a, head: head, body: body, server: v.Name}, nil
+	return &wholeAnswer{response: a, head: head, body: content, server: v.Name}, nil
 }
 
 // deliver sends a complete answer to the caller.
