--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -52,16 +52,43 @@
 // Report is the load of one engine as last reported to the sender.
 type Report struct {
 	Engine             string        `cbor:"1,keyasint"`
-	At                 time.Time     `cbor:"2,keyasint"`
-	Role               state.Role    `cbor:"3,keyasint"`
-	Running            int           `cbor:"4,keyasint"`
-	Waiting            int           `cbor:"5,keyasint"`
-	PrefillQueueTokens int           `cbor:"6,keyasint"` // prompt tokens waiting for prefill
-	KVUsage            float64       `cbor:"7,keyasint"` // fraction of KV cache memory in use
-	TPOT               time.Duration `cbor:"8,keyasint"` // time per output token
-	Alive              bool          `cbor:"9,keyasint"`
+	At                 time.Time     `cbor:"2,keyasint,omitzero"` // by the clock of the instance that read it
+	Role               state.Role    `cbor:"3,keyasint,omitempty"`
+	Running            int           `cbor:"4,keyasint,omitempty"`
+	Waiting            int           `cbor:"5,keyasint,omitempty"`
+	PrefillQueueTokens int           `cbor:"6,keyasint,omitempty"` // prompt tokens waiting for prefill
+	KVUsage            float64       `cbor:"7,keyasint,omitempty"` // fraction of KV cache memory in use
+	TPOT               time.Duration `cbor:"8,keyasint,omitempty"` // time per output token
+	Alive              bool          `cbor:"9,keyasint,omitempty"`
 	PrefillRate        float64       `cbor:"10,keyasint,omitempty"` // prefill rate, in prompt tokens per second
+	PrefillDelay       time.Duration `cbor:"14,keyasint,omitempty"` // time of a prefill besides its tokens
 	MaxBatch           int           `cbor:"11,keyasint,omitempty"` // maximum decode batch size
+	StartTime          time.Duration `cbor:"12,keyasint,omitempty"` // until the first event of an answer whose prompt is prefilled elsewhere
+	Age                time.Duration `cbor:"13,keyasint,omitempty"` // in place of At between instances, whose clocks may differ
+}
+
+// EngineSpeed sums up in what time an engine did what work, as an entry instance
+// observed it. Sums are fractional where older observations weigh less.
+type EngineSpeed struct {
+	Engine        string  `cbor:"1,keyasint"`
+	Prefills      float64 `cbor:"2,keyasint,omitempty"` // number of prefills
+	Tokens        float64 `cbor:"3,keyasint,omitempty"` // 1,000 prompt tokens computed, including those queued before
+	Seconds       float64 `cbor:"4,keyasint,omitempty"` // until they were computed
+	TokensSquared float64 `cbor:"5,keyasint,omitempty"` // sum of the squares of Tokens
+	TokensSeconds float64 `cbor:"6,keyasint,omitempty"` // sum of the products of Tokens and Seconds
+	Starts        float64 `cbor:"7,keyasint,omitempty"` // number of answers that started after a prefill elsewhere
+	StartSeconds  float64 `cbor:"8,keyasint,omitempty"` // until their first events
+}
+
+// Add adds other observations of the same engine.
+func (s *EngineSpeed) Add(other *EngineSpeed) {
+	s.Prefills += other.Prefills
+	s.Tokens += other.Tokens
+	s.Seconds += other.Seconds
+	s.TokensSquared += other.TokensSquared
+	s.TokensSeconds += other.TokensSeconds
+	s.Starts += other.Starts
+	s.StartSeconds += other.StartSeconds
 }
 
 // HeartbeatRequest is the heartbeat of an entry instance, with its load.
@@ -71,10 +98,11 @@
 	DrainedVersion  uint64            `cbor:"3,keyasint"` // newest version for which all requests started under older versions have ended
 	Demand          []Demand          `cbor:"4,keyasint,omitempty"`
 	Reports         []Report          `cbor:"5,keyasint,omitempty"`
-	InFlight        map[string]uint32 `cbor:"6,keyasint,omitempty"` // sender's requests by backend server, only for servers that are leaving or changing
-	Holder          string            `cbor:"7,keyasint,omitempty"` // as in OnceRequest; keeps its running calls from being declared unknown
-	OwnWork         []EngineWork      `cbor:"8,keyasint,omitempty"` // sender's work at the engines
-	ReportsRevision uint64            `cbor:"9,keyasint,omitempty"` // newest revision of the reports that the sender has
+	InFlight        map[string]uint32 `cbor:"6,keyasint,omitempty"`  // sender's requests by backend server, only for servers that are leaving or changing
+	Holder          string            `cbor:"7,keyasint,omitempty"`  // as in OnceRequest; keeps its running calls from being declared unknown
+	OwnWork         []EngineWork      `cbor:"8,keyasint,omitempty"`  // sender's work at the engines
+	ReportsRevision uint64            `cbor:"9,keyasint,omitempty"`  // newest revision of the reports that the sender has
+	Speeds          []EngineSpeed     `cbor:"10,keyasint,omitempty"` // what the sender observed since it last sent them
 }
 
 // EngineWork is the outstanding work of entry instances at an engine.
--- a/core/process/codec/codec.go
+++ b/core/process/codec/codec.go
@@ -1,6 +1,7 @@
 // Package codec implements the binary encoding of messages between instances
 // and of the replicated state: CBOR with times to the nanosecond, since the
-// library's default truncates them to seconds.
+// library's default truncates them to seconds, and with floats as short as they
+// can be without loss.
 package codec
 
 import (
@@ -10,7 +11,7 @@
 )
 
 var encMode = func() cbor.EncMode {
-	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano, ShortestFloat: cbor.ShortestFloat16}.EncMode()
 	if err != nil {
 		panic("codec: " + err.Error())
 	}
--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -8,6 +8,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// lostPartDivisor divides the time to compute shared parts on a decode engine
+// into the cost of not keeping them at their home engine: half of them are used
+// again before they leave the cache, and a prefill engine takes half the time.
+const lostPartDivisor = 4
+
 // samplePrefill returns the prefill engines to compare: some in the own data
 // centre, some in others. The selection is by a hash that differs between
 // requests: the known load is as old as the last heartbeat, and with the same
@@ -22,10 +27,10 @@
 		hashes[v] = xxhash.Sum64String(req.ID + "/" + v.engine.Name)
 	}
 	slices.SortFunc(list, func(x, y *engineView) int {
-		return cmp.Or(cmp.Compare(p.distanceCost(x), p.distanceCost(y)), cmp.Compare(hashes[x], hashes[y]))
+		return cmp.Or(cmp.Compare(p.distanceCost(req, x), p.distanceCost(req, y)), cmp.Compare(hashes[x], hashes[y]))
 	})
 	local := 0
-	for local < len(list) && p.distanceCost(list[local]) == 0 {
+	for local < len(list) && p.distanceCost(req, list[local]) == 0 {
 		local++
 	}
 	chosen := slices.Clone(list[:min(local, sampleLocal)])
@@ -76,7 +81,7 @@
 		if slices.Contains(homes, v) {
 			helpers = append(helpers, v)
 		}
-		if idlest == nil || v.queueWait(req)+p.distanceCost(v) < idlest.queueWait(req)+p.distanceCost(idlest) {
+		if idlest == nil || v.queueWait(req)+p.distanceCost(req, v) < idlest.queueWait(req)+p.distanceCost(req, idlest) {
 			idlest = v
 		}
 	}
@@ -94,13 +99,9 @@
 	var best *engineView
 	var lowest time.Duration
 	for _, v := range decode {
-		load := v.loadCost()
-		cost := p.distanceCost(v) + load
-		if p.isLong(req) {
-			cost = p.distanceCost(v) + time.Duration(v.streams())*sharedStepCost + v.slotWait()
-		}
+		cost := p.distanceCost(req, v) + p.answerCost(req, v)
 		if !slices.Contains(reserved, v) {
-			cost += unreservedCost
+			cost += req.share(unreservedShare)
 		}
 		if best == nil || cost < lowest {
 			best, lowest = v, cost
@@ -109,13 +110,24 @@
 	return best
 }
 
-// earliestDecode returns the engine of a list that can decode a short answer
-// soonest. Those earlier in the list are preferred.
+// answerCost returns the cost of decoding an answer on an engine. Long answers
+// go where few others run, since each slows down all.
+func (p *Placer) answerCost(req *Request, v *engineView) time.Duration {
+	if p.isLong(req) {
+		return time.Duration(v.streams())*req.share(sharedStepShare) + v.slotWait(req, p.answerTime(req.Pool))
+	}
+	return v.loadCost(req, p.answerTime(req.Pool))
+}
+
+// earliestDecode returns the engine of a list that can decode the answer to a
+// long prompt soonest: its home engines, then any other. Each further one costs
+// more, since shared parts at it can't be fetched by other requests: a long
+// prompt's parts stay cached at the engine that decodes the answer.
 func (p *Placer) earliestDecode(req *Request, list []*engineView) *engineView {
 	var best *engineView
 	var lowest time.Duration
 	for i, v := range list {
-		cost := v.decodeStart(req) + time.Duration(i)*nonHomeCost
+		cost := v.queueWait(req) + p.answerCost(req, v) + time.Duration(i)*v.computeTime(req.sharedTokens())/lostPartDivisor
 		if best == nil || cost < lowest {
 			best, lowest = v, cost
 		}
@@ -123,10 +135,10 @@
 	return best
 }
 
-// decodeStart returns the expected time until an engine starts decoding after a
+// decodeStart returns the expected wait until an engine starts decoding after a
 // prompt was prefilled elsewhere.
-func (v *engineView) decodeStart(req *Request) time.Duration {
-	return v.queueWait(req) + v.loadCost()
+func (p *Placer) decodeStart(req *Request, v *engineView) time.Duration {
+	return v.queueWait(req) + v.loadCost(req, p.answerTime(req.Pool))
 }
 
 // homeEngines returns the home engines of a prompt: up to two decode engines
--- a/core/request/place/engine.go
+++ b/core/request/place/engine.go
@@ -1,11 +1,13 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/request/speed"
 	"verbenahaven.example/core/version/state"
 )
 
@@ -44,8 +46,9 @@
 	otherWork    proto.EngineWork     // work of the other instances
 	sent         map[string]sentWork  // by the request's ID
 	ownWork      proto.EngineWork     // sum of sent
-	slowdown     float64              // prefill time relative to the pool's engines of the same role
-	roleSlowdown *float64             // prefill time of the pool's engines of this role relative to initialPrefillRate
+	prefillRate  float64              // expected, in prompt tokens per second
+	prefillDelay time.Duration        // expected time of a prefill besides its tokens
+	startTime    time.Duration        // expected, from the request for an answer whose prompt is prefilled to its first event
 	cachedParts  map[string]time.Time // shared parts in the engine's cache and when each was last sent
 	hash         uint64               // fixed order of the engines of a pool
 	reported     bool
@@ -71,48 +74,123 @@
 }
 
 const (
-	// observationWeight is the weight of a new observation of an engine's
-	// speed.
-	observationWeight = 0.05
-	// maxSlowdown bounds the effect of one observation, and by which factor an
-	// engine may differ from the others of its pool and role.
-	maxSlowdown = 4.0
-	// maxRoleSlowdown bounds by which factor the engines of a pool may differ
-	// from initialPrefillRate.
-	maxRoleSlowdown = 8.0
+	// maxSlowdown bounds the effect of one observation: how many times longer
+	// than expected a prefill counts.
+	maxSlowdown = 8
+	// answerWeight is the weight of a new answer in the mean time of answers.
+	answerWeight = 0.05
+	// cacheTurnover is how many times its memory an engine may compute in
+	// prompt tokens while a part that isn't used again stays cached: it
+	// computes for a part of the time only.
+	cacheTurnover = 3.0
+	// minPartTTL and maxPartTTL bound the time that a part is assumed to stay
+	// cached.
+	minPartTTL = time.Second
+	maxPartTTL = 30 * time.Second
 )
 
-// observePrefill adjusts the estimated prefill speeds to an observed prefill
-// time.
-func (v *engineView) observePrefill(plan *Plan, took time.Duration) {
-	expected := plan.QueueWait + v.prefillTime(plan.PrefillTokens)
-	if expected <= 0 {
-		return
+// speedGroup returns the name of the group of engines of a pool and role.
+func speedGroup(pool string, role state.Role) string {
+	return pool + "/" + string(role)
+}
+
+// observe adds an observation of an engine.
+func (p *Placer) observe(s *proto.EngineSpeed) {
+	if total := p.observed[s.Engine]; total != nil {
+		total.Add(s)
+	} else {
+		p.observed[s.Engine] = s
+	}
+	p.own.Observe([]proto.EngineSpeed{*s})
+}
+
+// TakeSpeeds returns what was observed of the engines since the last call.
+func (p *Placer) TakeSpeeds() []proto.EngineSpeed {
+	list := make([]proto.EngineSpeed, 0, len(p.observed))
+	for _, s := range p.observed {
+		list = append(list, *s)
+	}
+	clear(p.observed)
+	slices.SortFunc(list, func(a, b proto.EngineSpeed) int { return cmp.Compare(a.Engine, b.Engine) })
+	p.refreshSpeeds()
+	return list
+}
+
+// refreshSpeeds updates the expected speed of each engine: what its report
+// says, else what this instance observed, else what is known of the pool's
+// engines of the other role.
+func (p *Placer) refreshSpeeds() {
+	for pool, list := range p.pools {
+		known := map[state.Role]speed.Estimate{
+			state.RolePrefill: p.own.Group(speedGroup(pool, state.RolePrefill)),
+			state.RoleDecode:  p.own.Group(speedGroup(pool, state.RoleDecode)),
+		}
+		for _, v := range list {
+			if r := v.lastReport; r.PrefillRate > 0 || r.StartTime > 0 {
+				known[v.engine.Role] = speed.Estimate{PrefillRate: r.PrefillRate, PrefillDelay: r.PrefillDelay, StartTime: r.StartTime}
+			}
+		}
+		prefill, decode := known[state.RolePrefill], known[state.RoleDecode]
+		if prefill.PrefillRate == 0 {
+			prefill.PrefillRate, prefill.PrefillDelay = cmp.Or(decode.PrefillRate/decodePrefillShare, assumedPrefillRate), decode.PrefillDelay
+		}
+		if decode.PrefillRate == 0 {
+			decode.PrefillRate, decode.PrefillDelay = prefill.PrefillRate*decodePrefillShare, prefill.PrefillDelay
+		}
+		for _, v := range list {
+			v.prefillRate, v.prefillDelay = decode.PrefillRate, decode.PrefillDelay
+			if v.engine.Role == state.RolePrefill {
+				v.prefillRate, v.prefillDelay = prefill.PrefillRate, prefill.PrefillDelay
+			}
+			if r := v.lastReport; r.PrefillRate > 0 {
+				v.prefillRate, v.prefillDelay = r.PrefillRate, r.PrefillDelay
+			}
+			v.startTime = cmp.Or(v.lastReport.StartTime, decode.StartTime, assumedStartTime)
+		}
 	}
-	ratio := min(max(float64(took)/float64(expected), 1/maxSlowdown), maxSlowdown)
-	// An instance observes one engine rarely, but all of them together often
-	// enough, so the common factor follows faster.
-	*v.roleSlowdown = min(max(*v.roleSlowdown*(1+(ratio-1)*observationWeight), 1/maxRoleSlowdown), maxRoleSlowdown)
-	v.slowdown = min(max(v.slowdown*(1+(ratio-1)*observationWeight/2), 1/maxSlowdown), maxSlowdown)
 }
 
-// prefillTime returns the time in which the engine computes prompt tokens.
+// computeTime returns the time in which the engine computes prompt tokens.
+func (v *engineView) computeTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / v.prefillRate * float64(time.Second))
+}
+
+// prefillTime returns the time of a prefill that computes prompt tokens.
 func (v *engineView) prefillTime(tokens int) time.Duration {
-	d := float64(tokens) * v.slowdown * *v.roleSlowdown / initialPrefillRate * float64(time.Second)
-	if v.engine.Role != state.RolePrefill {
-		d /= decodePrefillShare
+	return v.prefillDelay + v.computeTime(tokens)
+}
+
+// fetchTime returns the time in which another engine's KV cache of prompt
+// tokens is fetched; a transfer between data centres takes twice as long.
+func (v *engineView) fetchTime(tokens int) time.Duration {
+	const setup = time.Millisecond
+	if v.spec.LinkMbps <= 0 {
+		return setup
 	}
-	return time.Duration(d)
+	bits := 8 * float64(tokens) * float64(v.spec.KVBytesPerToken)
+	return setup + time.Duration(2*bits/(v.spec.LinkMbps*1e6)*float64(time.Second))
 }
 
-// queueWait returns the expected time that a request waits in the prefill
+// partTTL returns how long a part is assumed to stay in the engine's cache.
+func (v *engineView) partTTL() time.Duration {
+	ttl := time.Duration(cacheTurnover * float64(v.spec.KVTokens) / v.prefillRate * float64(time.Second))
+	return min(max(ttl, minPartTTL), maxPartTTL)
+}
+
+// queuedTokens returns the prompt tokens that a request waits for in the prefill
 // queue.
-func (v *engineView) queueWait(req *Request) time.Duration {
+func (v *engineView) queuedTokens(req *Request) int {
 	tokens := v.ownWork.PrefillTokens + v.otherWork.PrefillTokens
 	if req.Deferred {
 		tokens += v.ownWork.DeferredTokens + v.otherWork.DeferredTokens
 	}
-	return v.prefillTime(tokens)
+	return tokens
+}
+
+// queueWait returns the expected time that a request waits in the prefill
+// queue.
+func (v *engineView) queueWait(req *Request) time.Duration {
+	return v.computeTime(v.queuedTokens(req))
 }
 
 // streams returns the number of answers running or queued at the engine.
@@ -130,25 +208,26 @@
 }
 
 // slotWait returns the expected time until the engine has a free batch slot and
-// free memory.
-func (v *engineView) slotWait() time.Duration {
+// free memory. A full batch of answers frees a slot every answer time divided by
+// the number of slots.
+func (v *engineView) slotWait(req *Request, answerTime time.Duration) time.Duration {
 	var wait time.Duration
 	if use := v.memoryUse(); use >= fullMemoryShare {
-		wait = time.Duration(use * float64(fullMemoryCost))
+		wait = time.Duration(use * float64(req.share(fullMemoryShareCost)))
 	}
 	if excess := v.streams() + spareSlots - v.spec.BatchSize; v.spec.BatchSize > 0 && excess > 0 {
-		wait = max(wait, time.Duration(excess)*slotOccupancy/time.Duration(v.spec.BatchSize))
+		wait = max(wait, time.Duration(excess)*answerTime/time.Duration(v.spec.BatchSize))
 	}
 	return wait
 }
 
 // loadCost returns the cost of decoding one more answer on the engine, as time.
-func (v *engineView) loadCost() time.Duration {
+func (v *engineView) loadCost(req *Request, answerTime time.Duration) time.Duration {
 	share := v.memoryUse()
 	if v.spec.BatchSize > 0 {
 		share = max(share, float64(v.streams())/float64(v.spec.BatchSize))
 	}
-	return v.slotWait() + time.Duration(share*float64(fullBatchCost))
+	return v.slotWait(req, answerTime) + time.Duration(share*float64(req.share(fullBatchShare)))
 }
 
 // usable reports whether the engine may take a request.
@@ -162,9 +241,9 @@
 
 // recordParts records that the engine will cache the shared parts of a prompt.
 func (v *engineView) recordParts(now time.Time, req *Request) {
-	if len(v.cachedParts) > maxTrackedParts {
+	if ttl := v.partTTL(); len(v.cachedParts) > maxTrackedParts {
 		for id, at := range v.cachedParts {
-			if now.Sub(at) > partTTL {
+			if now.Sub(at) > ttl {
 				delete(v.cachedParts, id)
 			}
 		}
@@ -180,9 +259,9 @@
 // cachedTokens returns the number of prompt tokens that the engine is assumed
 // to have cached.
 func (v *engineView) cachedTokens(now time.Time, req *Request) int {
-	tokens := 0
+	tokens, ttl := 0, v.partTTL()
 	for _, part := range req.sharedParts() {
-		if at, found := v.cachedParts[part.ID]; !found || now.Sub(at) > partTTL {
+		if at, found := v.cachedParts[part.ID]; !found || now.Sub(at) > ttl {
 			break
 		}
 		tokens += part.Tokens
@@ -199,6 +278,15 @@
 	return r.Prompt.Parts[:len(r.Prompt.Parts)-1]
 }
 
+// sharedTokens returns the number of tokens in the shared parts of the prompt.
+func (r *Request) sharedTokens() int {
+	tokens := 0
+	for _, part := range r.sharedParts() {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // OutputTokens returns the expected length of the answer in tokens.
 func (r *Request) OutputTokens() int {
 	if r.Prompt.OutputHint > 0 {
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -16,6 +16,7 @@
 
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/request/speed"
 	"verbenahaven.example/core/version/state"
 )
 
@@ -27,9 +28,15 @@
 	// decodePrefillShare is the prefill speed of a decode engine relative to a
 	// prefill engine.
 	decodePrefillShare = 0.5
-	// initialPrefillRate is the assumed prefill speed of an engine without
-	// observations, in tokens per second.
-	initialPrefillRate = 250_000.0
+	// assumedPrefillRate is the prefill speed of an engine before anything was
+	// observed, in tokens per second. It is high, since a request sent too
+	// early gives an observation and one refused gives none.
+	assumedPrefillRate = 250_000.0
+	// assumedStartTime is the time from the request for an answer whose prompt
+	// is prefilled to its first event before anything was observed.
+	assumedStartTime = 6 * time.Millisecond
+	// assumedAnswerTime is how long a long answer runs before any was observed.
+	assumedAnswerTime = 3 * time.Second
 	// longAnswerEvents is the number of events above which an answer counts as
 	// long.
 	longAnswerEvents = 8
@@ -43,9 +50,6 @@
 	// engines are reserved: it leaves slots for those that begin before the
 	// next heartbeats.
 	reserveFactor = 1.15
-	// crowdedThreshold is the expected time to the first event above which
-	// prefill engines count as crowded.
-	crowdedThreshold = 70 * time.Millisecond
 	// maxPausedAnswers is the maximum of long answers on an engine that may be
 	// paused by prompts while the prefill engines are crowded: in the time of
 	// these answers the engine computes more prompts.
@@ -56,44 +60,17 @@
 	// fullMemoryShare is the share of used memory from which an engine counts
 	// as full.
 	fullMemoryShare = 0.92
-	// fullBatchCost is the cost of the slower decode steps of a full engine.
-	fullBatchCost = 10 * time.Millisecond
 	// sampleLocal and sampleRemote are the numbers of prefill engines to
 	// compare, in the own data centre and in others. With outdated load data,
 	// two choices balance almost as well as all.
 	sampleLocal  = 3
 	sampleRemote = 2
-	// sharedStepCost is the cost of each answer on an engine for another long
-	// one: it slows down all decode steps, and the longest answers may miss
-	// their deadline.
-	sharedStepCost = 1200 * time.Microsecond
-	// nonHomeCost is the cost of each further engine in the list for a short
-	// answer: the second home engine of its shared parts, then any other.
-	nonHomeCost = 10 * time.Millisecond
-	// unreservedCost is the cost of an engine that isn't reserved for long
-	// answers.
-	unreservedCost = 100 * time.Millisecond
-	// crossCentreCost is the cost of an engine in another data centre: the
-	// latency and the price of the traffic between.
-	crossCentreCost = 15 * time.Millisecond
-	// slotOccupancy is how long a long answer occupies a batch slot. A full
-	// batch frees a slot every slotOccupancy divided by the number of slots.
-	slotOccupancy = 3 * time.Second
 	// spareSlots is the number of slots kept free for requests that other
 	// instances send at the same time.
 	spareSlots = 2
-	// fullMemoryCost is the cost of an engine whose memory is full.
-	fullMemoryCost = 300 * time.Millisecond
-	// transferTime is the time of a KV transfer from the prefill to the decode
-	// engine.
-	transferTime = 6 * time.Millisecond
-	// fetchTime is the time to fetch the KV cache of shared parts.
-	fetchTime = 3 * time.Millisecond
 	// fetchMissShare is the expected share of shared parts that their home
 	// engine doesn't hold.
 	fetchMissShare = 0.3
-	// partTTL is how long a part is assumed to stay in an engine's cache.
-	partTTL = 3 * time.Second
 	// maxTrackedParts is the maximum number of parts tracked per engine.
 	maxTrackedParts = 4096
 	// reportTTL is the time after which a report that an engine is dead is
@@ -101,6 +78,33 @@
 	reportTTL = 2 * time.Second
 )
 
+// assumedTarget is the latency target of a request whose route has none.
+const assumedTarget = 200 * time.Millisecond
+
+// Costs of a choice, as shares of the request's latency target: what is little
+// time for a request that is due in seconds decides over one due at once.
+const (
+	// crowdedShare is the expected time to the first event from which prefill
+	// engines count as crowded.
+	crowdedShare = 0.35
+	// fullBatchShare is the cost of the slower decode steps of a full engine.
+	fullBatchShare = 0.05
+	// sharedStepShare is the cost of each answer on an engine for another long
+	// one: it slows down all decode steps, and the longest answers may miss
+	// their deadline.
+	sharedStepShare = 0.01
+	// unreservedShare is the cost of an engine that isn't reserved for long
+	// answers.
+	unreservedShare = 0.8
+	// crossCentreShare is the cost of an engine in another data centre: the
+	// latency and the price of the traffic between. minCrossCentreCost is its
+	// least, in time.
+	crossCentreShare   = 0.075
+	minCrossCentreCost = 15 * time.Millisecond
+	// fullMemoryShareCost is the cost of an engine whose memory is full.
+	fullMemoryShareCost = 1.5
+)
+
 // ErrNoBackend is returned if no engine or plain server can take the request.
 var ErrNoBackend = errors.New("no backend server can take the request")
 
@@ -109,8 +113,9 @@
 	ID       string // of the attempt
 	Pool     string
 	Prompt   *server.Prompt
-	Avoid    []string // engines at which this request failed
-	Deferred bool     // can't meet its deadline; waits behind requests that can
+	Target   time.Duration // latency target of the first event, 0 if the route has none
+	Avoid    []string      // engines at which this request failed
+	Deferred bool          // can't meet its deadline; waits behind requests that can
 }
 
 // Plan is a choice of engines for a request.
@@ -121,28 +126,42 @@
 	TimeToFirstEvent time.Duration // expected time to the first event
 	PrefillTokens    int           // prompt tokens to compute
 	QueueWait        time.Duration // part of TimeToFirstEvent spent in the prefill queue
+	QueuedTokens     int           // prompt tokens in that queue
+	cost             time.Duration // TimeToFirstEvent with the cost of distance, by which plans are compared
 }
 
 // Split reports whether prefill and decode run on separate engines.
 func (p *Plan) Split() bool { return p.Prefill.Name != "" }
 
-// Placer chooses engines by what this instance knows of them.
-type Placer struct {
-	centre        string
-	engines       map[string]*engineView
-	pools         map[string][]*engineView // ordered by hash
-	roleSlowdowns map[roleKey]*float64     // prefill time relative to initialPrefillRate
+// target returns the latency target that costs are shares of.
+func (r *Request) target() time.Duration {
+	if r.Target <= 0 {
+		return assumedTarget
+	}
+	return r.Target
 }
 
-// roleKey identifies the engines of a pool with one role.
-type roleKey struct {
-	pool string
-	role state.Role
+// share returns a share of the latency target.
+func (r *Request) share(x float64) time.Duration {
+	return time.Duration(x * float64(r.target()))
+}
+
+// Placer chooses engines by what this instance knows of them.
+type Placer struct {
+	centre   string
+	engines  map[string]*engineView
+	pools    map[string][]*engineView      // ordered by hash
+	answers  map[string]time.Duration      // mean time of a long answer, by pool
+	own      *speed.Model                  // of this instance's observations, until the leader tells those of all
+	observed map[string]*proto.EngineSpeed // since the last TakeSpeeds
 }
 
 // New returns a placer without engines for an instance in the data centre.
 func New(centre string) *Placer {
-	return &Placer{centre: centre, engines: make(map[string]*engineView), pools: make(map[string][]*engineView), roleSlowdowns: make(map[roleKey]*float64)}
+	return &Placer{
+		centre: centre, engines: make(map[string]*engineView), pools: make(map[string][]*engineView), answers: make(map[string]time.Duration),
+		own: speed.New(), observed: make(map[string]*proto.EngineSpeed),
+	}
 }
 
 // Update replaces the engines by those of a new version of the state. What is
@@ -150,18 +169,14 @@
 func (p *Placer) Update(engines []state.Engine, routing *state.RoutingTable) {
 	views := make(map[string]*engineView, len(engines))
 	pools := make(map[string][]*engineView)
+	groups := make(map[string]string, len(engines))
 	for _, e := range engines {
 		v := p.engines[e.Name]
 		if v == nil || v.engine.URL != e.URL || v.engine.StartSerial != e.StartSerial || v.engine.Role != e.Role {
-			v = &engineView{sent: make(map[string]sentWork), cachedParts: make(map[string]time.Time), slowdown: 1, hash: xxhash.Sum64String(e.Name)}
+			v = &engineView{sent: make(map[string]sentWork), cachedParts: make(map[string]time.Time), hash: xxhash.Sum64String(e.Name)}
 		}
 		v.engine = e
-		key := roleKey{e.Pool, e.Role}
-		if p.roleSlowdowns[key] == nil {
-			initial := 1.0
-			p.roleSlowdowns[key] = &initial
-		}
-		v.roleSlowdown = p.roleSlowdowns[key]
+		groups[e.Name] = speedGroup(e.Pool, e.Role)
 		if routing != nil {
 			if pool, ok := routing.Pool(e.Pool); ok && pool.Spec != nil {
 				v.spec = *pool.Spec
@@ -176,6 +191,8 @@
 		})
 	}
 	p.engines, p.pools = views, pools
+	p.own.Keep(groups)
+	p.refreshSpeeds()
 }
 
 // ApplyReports applies the load reports of engines and the work of all other
@@ -189,6 +206,9 @@
 			v.lastReport, v.reported = r, true
 		}
 	}
+	if len(reports) > 0 {
+		p.refreshSpeeds()
+	}
 	for _, s := range others {
 		if v := p.engines[s.Engine]; v != nil {
 			v.otherWork = s
@@ -216,7 +236,7 @@
 func (p *Placer) RecordSent(now time.Time, req *Request, plan *Plan) {
 	decode := sentWork{decode: true, longAnswer: p.isLong(req), memoryTokens: req.OutputTokens() / 2}
 	if decode.longAnswer {
-		decode.memoryTokens += req.Prompt.Tokens
+		decode.memoryTokens += req.Prompt.Tokens - req.sharedTokens() // an engine holds shared parts once
 	}
 	if plan.Split() {
 		if v := p.engines[plan.Prefill.Name]; v != nil {
@@ -233,9 +253,9 @@
 }
 
 // RecordPrefill records that the prompt of a request was prefilled and how long
-// it took, which adjusts the estimated speed of the engine. The times of
-// deferred requests, which others overtake, and of short prompts on a decode
-// engine are ignored.
+// it took, or on a decode engine the time to its first event. It adjusts the
+// expected speed of the engine. The times of deferred requests, which others
+// overtake, are ignored.
 func (p *Placer) RecordPrefill(req *Request, plan *Plan, took time.Duration) {
 	name := plan.Prefill.Name
 	if !plan.Split() {
@@ -247,20 +267,45 @@
 	}
 	if plan.Split() {
 		v.removeWork(req.ID)
-		if !req.Deferred {
-			v.observePrefill(plan, took)
-		}
-		return
-	}
-	if s, found := v.sent[req.ID]; found {
+	} else if s, found := v.sent[req.ID]; found {
 		s.prefillTokens = 0
 		v.addWork(req.ID, s)
 	}
-	if plan.PrefillTokens > maxShortPromptTokens && !req.Deferred {
-		v.observePrefill(plan, took)
+	if req.Deferred || took <= 0 {
+		return
+	}
+	limit := maxSlowdown * (plan.QueueWait + v.prefillTime(plan.PrefillTokens))
+	tokens, seconds := float64(plan.QueuedTokens+plan.PrefillTokens)/1000, min(took, limit).Seconds()
+	p.observe(&proto.EngineSpeed{
+		Engine: name, Prefills: 1, Tokens: tokens, Seconds: seconds, TokensSquared: tokens * tokens, TokensSeconds: tokens * seconds,
+	})
+}
+
+// RecordStart records the time from the request for an answer whose prompt was
+// prefilled elsewhere to its first event.
+func (p *Placer) RecordStart(plan *Plan, took time.Duration) {
+	if v := p.engines[plan.Decode.Name]; v != nil && plan.Split() && took > 0 {
+		p.observe(&proto.EngineSpeed{Engine: plan.Decode.Name, Starts: 1, StartSeconds: took.Seconds()})
 	}
 }
 
+// RecordAnswerTime records how long an answer ran.
+func (p *Placer) RecordAnswerTime(req *Request, took time.Duration) {
+	if !p.isLong(req) || took <= 0 {
+		return
+	}
+	mean := p.answerTime(req.Pool)
+	p.answers[req.Pool] = mean + time.Duration(answerWeight*float64(took-mean))
+}
+
+// answerTime returns the mean time of a long answer of a pool.
+func (p *Placer) answerTime(pool string) time.Duration {
+	if t, found := p.answers[pool]; found {
+		return t
+	}
+	return assumedAnswerTime
+}
+
 // RecordDone removes the work of a request at the engines of its plan.
 func (p *Placer) RecordDone(req *Request, plan *Plan) {
 	for _, name := range []string{plan.Prefill.Name, plan.Decode.Name} {
@@ -287,45 +332,42 @@
 		return Plan{}, fmt.Errorf("pool %s: %w", req.Pool, ErrNoBackend)
 	}
 	reserved := p.reserveForLong(decode)
-	best := Plan{TimeToFirstEvent: -1}
+	best := Plan{cost: -1}
 	if req.Prompt.Tokens <= maxShortPromptTokens {
-		best.replaceIfFaster(p.directPlan(now, req, p.leastLoaded(decode, reserved, req), nil))
+		best.replaceIfCheaper(p.directPlan(now, req, p.leastLoaded(decode, reserved, req), nil))
 		return best, nil
 	}
 	homes := homeEngines(decode, req)
-	target := p.leastLoaded(decode, reserved, req)
-	if !p.isLong(req) {
-		target = p.earliestDecode(req, append(homes, target))
-	}
+	target := p.earliestDecode(req, append(homes, p.leastLoaded(decode, reserved, req)))
 	for _, v := range p.samplePrefill(prefill, req) {
-		best.replaceIfFaster(p.splitPlan(now, req, v, homes[0], target))
+		best.replaceIfCheaper(p.splitPlan(now, req, v, homes[0], target))
 	}
-	if best.TimeToFirstEvent < 0 {
-		best.replaceIfFaster(p.directPlan(now, req, homes[0], homes[0]))
+	if best.cost < 0 {
+		best.replaceIfCheaper(p.directPlan(now, req, homes[0], homes[0]))
 	}
 	if p.isLong(req) || req.Deferred {
 		return best, nil
 	}
-	crowded := best.TimeToFirstEvent > crowdedThreshold
+	crowded := best.TimeToFirstEvent > req.share(crowdedShare)
 	for _, v := range p.prefillHelpers(req, decode, reserved, homes, crowded) {
-		best.replaceIfFaster(p.directPlan(now, req, v, homes[0]))
+		best.replaceIfCheaper(p.directPlan(now, req, v, homes[0]))
 	}
 	return best, nil
 }
 
-// replaceIfFaster replaces the plan by q if q has the shorter expected time to
-// the first event. A negative time marks that there is no plan yet.
-func (p *Plan) replaceIfFaster(q Plan) {
-	if p.TimeToFirstEvent < 0 || q.TimeToFirstEvent < p.TimeToFirstEvent {
+// replaceIfCheaper replaces the plan by q if q costs less. A negative cost marks
+// that there is no plan yet.
+func (p *Plan) replaceIfCheaper(q Plan) {
+	if p.cost < 0 || q.cost < p.cost {
 		*p = q
 	}
 }
 
 // distanceCost returns the cost of an engine in another data centre, 0 in the
 // own one.
-func (p *Placer) distanceCost(v *engineView) time.Duration {
+func (p *Placer) distanceCost(req *Request, v *engineView) time.Duration {
 	if v.engine.Centre == p.centre {
 		return 0
 	}
-	return crossCentreCost
+	return max(minCrossCentreCost, req.share(crossCentreShare))
 }
--- a/core/request/place/plain.go
+++ b/core/request/place/plain.go
@@ -68,7 +68,7 @@
 			}
 			cost := time.Duration(p.inFlight) * inFlightCost
 			if p.server.Centre != s.centre {
-				cost += crossCentreCost
+				cost += minCrossCentreCost
 			}
 			if best == nil || cost < lowest || cost == lowest && (tieBreaker&1 == 0) == (p.server.Name < best.server.Name) {
 				best, lowest = p, cost
--- a/core/request/place/plan.go
+++ b/core/request/place/plan.go
@@ -6,10 +6,7 @@
 // given the home engine of the shared parts. Fetch is true if the engine
 // fetches the shared parts from there.
 func (v *engineView) tokensToCompute(now time.Time, req *Request, home *engineView) (tokens int, fetch bool) {
-	sharedTokens := 0
-	for _, part := range req.sharedParts() {
-		sharedTokens += part.Tokens
-	}
+	sharedTokens := req.sharedTokens()
 	own := req.Prompt.Tokens - sharedTokens
 	uncached := sharedTokens - v.cachedTokens(now, req)
 	if uncached <= 0 || home == nil {
@@ -20,27 +17,29 @@
 
 // splitPlan returns the plan that prefills at v and decodes at target.
 func (p *Placer) splitPlan(now time.Time, req *Request, v, home, target *engineView) Plan {
-	plan := Plan{Prefill: v.engine, Decode: target.engine, QueueWait: v.queueWait(req)}
+	plan := Plan{Prefill: v.engine, Decode: target.engine, QueueWait: v.queueWait(req), QueuedTokens: v.queuedTokens(req)}
 	work, fetch := v.tokensToCompute(now, req, home)
 	plan.PrefillTokens = work
-	plan.TimeToFirstEvent = p.distanceCost(v) + transferTime + plan.QueueWait + v.prefillTime(work) + target.decodeStart(req)
+	plan.TimeToFirstEvent = plan.QueueWait + v.prefillTime(work) + target.startTime + p.decodeStart(req, target)
 	if fetch {
 		plan.FetchURL = home.engine.URL
-		plan.TimeToFirstEvent += fetchTime
+		plan.TimeToFirstEvent += v.fetchTime(req.sharedTokens())
 	}
+	plan.cost = plan.TimeToFirstEvent + p.distanceCost(req, v)
 	return plan
 }
 
 // directPlan returns the plan in which v prefills and decodes.
 func (p *Placer) directPlan(now time.Time, req *Request, v, home *engineView) Plan {
-	plan := Plan{Decode: v.engine, QueueWait: v.queueWait(req)}
+	plan := Plan{Decode: v.engine, QueueWait: v.queueWait(req), QueuedTokens: v.queuedTokens(req)}
 	work, fetch := v.tokensToCompute(now, req, home)
 	plan.PrefillTokens = work
-	plan.TimeToFirstEvent = p.distanceCost(v) + plan.QueueWait + v.prefillTime(work)
+	plan.TimeToFirstEvent = plan.QueueWait + v.prefillTime(work)
 	if fetch {
 		plan.FetchURL = home.engine.URL
-		plan.TimeToFirstEvent += fetchTime
+		plan.TimeToFirstEvent += v.fetchTime(req.sharedTokens())
 	}
-	plan.TimeToFirstEvent += v.slotWait()
+	plan.TimeToFirstEvent += v.slotWait(req, p.answerTime(req.Pool))
+	plan.cost = plan.TimeToFirstEvent + p.distanceCost(req, v)
 	return plan
 }
--- a/core/version/roster/load_test.go
+++ b/core/version/roster/load_test.go
@@ -94,3 +94,30 @@
 		}
 	})
 }
+
+// What all instances observe of the engines' speed ends up in the estimates of
+// one roster, and sets how often it is worth hearing of the engines' work.
+func TestSpeedsOfAllInstancesAreLearned(t *testing.T) {
+	r := roster.New(0, roster.Settings{Lease: time.Second})
+	r.SetEngines(map[string]string{"e1": "g", "e2": "g"})
+	if r.PrefillTime() != 0 || r.Speed("e1").PrefillRate != 0 {
+		t.Fatal("a speed is known before anything was observed")
+	}
+	for i := range 40 {
+		tokens := 1 + float64(i%5)
+		seconds := 0.1 + tokens/50
+		r.RecordHeartbeat(time.Duration(i)*time.Millisecond, proto.HeartbeatRequest{
+			Member: state.Member{Name: fmt.Sprint("entry", i%10)},
+			Speeds: []proto.EngineSpeed{{
+				Engine: "e1", Prefills: 1, Tokens: tokens, Seconds: seconds, TokensSquared: tokens * tokens, TokensSeconds: tokens * seconds,
+			}},
+		})
+	}
+	r.SetEngines(map[string]string{"e1": "g", "e2": "g"})
+	if s := r.Speed("e2"); s.PrefillRate != 50_000 || s.PrefillDelay != 100*time.Millisecond {
+		t.Errorf("estimate %+v", s)
+	}
+	if d := r.PrefillTime(); d != 160*time.Millisecond {
+		t.Errorf("mean time of a prefill %v, want 160ms", d)
+	}
+}
--- a/core/version/roster/roster.go
+++ b/core/version/roster/roster.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/request/speed"
 	"verbenahaven.example/core/version/state"
 )
 
@@ -39,6 +40,9 @@
 	reports    map[string]report        // newest, by engine
 	revision   uint64                   // of the newest report with changed content
 
+	speeds      *speed.Model  // of the engines
+	prefillTime time.Duration // mean time of a prefill at the fastest group of engines; 0 if unknown
+
 	totalLoad   map[string]proto.EngineWork // load of all instances, by engine
 	recountedAt time.Duration               // when totalLoad was last computed from scratch
 }
@@ -53,6 +57,7 @@
 		reports:    make(map[string]report),
 		revision:   s.Term << revisionBits,
 		totalLoad:  make(map[string]proto.EngineWork),
+		speeds:     speed.New(),
 	}
 }
 
@@ -66,6 +71,7 @@
 	if q.Holder != "" {
 		r.holders[q.Holder] = now
 	}
+	r.speeds.Observe(q.Speeds)
 	for _, p := range q.Reports {
 		if old, found := r.reports[p.Engine]; !found || !p.At.Before(old.At) {
 			r.RecordReport(p)
@@ -252,3 +258,29 @@
 	}
 	return n
 }
+
+// SetEngines sets the engines whose speed is learned, and the group of equally
+// fast ones that each belongs to.
+func (r *Roster) SetEngines(groups map[string]string) {
+	r.speeds.Keep(groups)
+	r.prefillTime = 0
+	seen := make(map[string]bool)
+	for _, g := range groups {
+		if seen[g] {
+			continue
+		}
+		seen[g] = true
+		if t := r.speeds.Group(g).PrefillTime; t > 0 && (r.prefillTime == 0 || t < r.prefillTime) {
+			r.prefillTime = t
+		}
+	}
+}
+
+// Speed returns what is expected of an engine.
+func (r *Roster) Speed(engine string) speed.Estimate {
+	return r.speeds.Estimate(engine)
+}
+
+// PrefillTime returns the mean time of a prefill at the fastest group of
+// engines, or 0 if it is unknown.
+func (r *Roster) PrefillTime() time.Duration { return r.prefillTime }
--- a/entryd/beat/beat.go
+++ b/entryd/beat/beat.go
@@ -45,6 +45,9 @@
 	Digest(interval time.Duration) ([]proto.Demand, []proto.Report)
 	// OwnWork returns this instance's own work at the engines.
 	OwnWork() []proto.EngineWork
+	// Speeds returns what was observed of the engines' speeds since it last
+	// returned them, if that is due.
+	Speeds(now time.Time) []proto.EngineSpeed
 	// ReportsRevision returns the newest known revision of the reports.
 	ReportsRevision() uint64
 	// ApplyReply takes the leader's reply.
@@ -186,6 +189,7 @@
 	r.InFlight = b.traffic.InFlight()
 	r.Demand, r.Reports = b.traffic.Digest(passed)
 	r.OwnWork, r.ReportsRevision = b.traffic.OwnWork(), b.traffic.ReportsRevision()
+	r.Speeds = b.traffic.Speeds(b.clock.Now())
 	return r
 }
 
--- a/entryd/picker/report.go
+++ b/entryd/picker/report.go
@@ -113,6 +113,9 @@
 // OwnWork returns nil: each instance reads the engines' own reports.
 func (g *Balancer) OwnWork() []proto.EngineWork { return nil }
 
+// Speeds returns nothing: engines report their speed themselves.
+func (g *Balancer) Speeds(time.Time) []proto.EngineSpeed { return nil }
+
 // ReportsRevision returns 0: the reports come from this instance's own polls.
 func (g *Balancer) ReportsRevision() uint64 { return 0 }
 
--- a/entryd/relay/admit_test.go
+++ b/entryd/relay/admit_test.go
@@ -144,3 +144,19 @@
 		})
 	}
 }
+
+// An engine isn't given up while its work may still be on time for a caller
+// with a late target, or while it is expected to take long.
+func TestProgressTimeoutFollowsTarget(t *testing.T) {
+	f, request := newTestCall(t, clock.System())
+	for _, c := range []struct{ target, expected, want time.Duration }{
+		{200 * time.Millisecond, 50 * time.Millisecond, 600 * time.Millisecond},
+		{800 * time.Millisecond, 50 * time.Millisecond, 2400 * time.Millisecond},
+		{200 * time.Millisecond, 400 * time.Millisecond, 1600 * time.Millisecond},
+	} {
+		f.route.LatencyTarget = c.target
+		if d := f.firstProgressTimeout(request, &place.Plan{TimeToFirstEvent: c.expected}); d != c.want {
+			t.Errorf("target %v, %v expected: given up after %v, want %v", c.target, c.expected, d, c.want)
+		}
+	}
+}
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -17,6 +17,10 @@
 // the budget isn't overspent.
 const assumedInstances = 64
 
+// speedInterval is the least time between two reports of the observed speeds of
+// engines: they change with an engine's condition, not with its load.
+const speedInterval = 500 * time.Millisecond
+
 // Fleet is an instance's view of the backend servers, safe for concurrent use:
 // the current state version, request placement, the retry budget, and the
 // requests in flight.
@@ -38,6 +42,7 @@
 	lastReply         time.Time                         // last heartbeat reply of the leader
 	reportRevision    uint64                            // newest known revision of the load reports
 	refetchReports    bool                              // reports of then unknown engines may have been dropped
+	speedsSent        time.Time                         // last call of Speeds that returned them
 }
 
 // NewFleet returns a fleet at state version 0 for an instance in a data centre.
@@ -170,6 +175,9 @@
 	if f.reportRevision = reply.ReportsRevision; f.refetchReports {
 		f.reportRevision, f.refetchReports = 0, false
 	}
+	for i := range reply.Reports {
+		reply.Reports[i].At = now.Add(-reply.Reports[i].Age)
+	}
 	f.placer.ApplyReports(reply.Reports, reply.OtherWork)
 }
 
@@ -282,18 +290,20 @@
 	return time.Duration(perToken * slowAnswerFactor * float64(request.Prompt.MaxOutput) * float64(time.Second))
 }
 
-// observeDecodeTime records how long an answer took after its first event.
-func (f *Fleet) observeDecodeTime(pool string, request *place.Request, took time.Duration) {
+// observeDecodeTime records how long an answer of some tokens took after its
+// first event.
+func (f *Fleet) observeDecodeTime(pool string, request *place.Request, tokens int, took time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if request.OutputTokens() == 0 {
+	f.placer.RecordAnswerTime(request, took)
+	if tokens <= 0 {
 		return
 	}
 	perToken, found := f.secondsPerToken[pool]
 	if !found {
 		perToken = defaultSecondsPerToken
 	}
-	f.secondsPerToken[pool] = perToken*(1-newAnswerWeight) + took.Seconds()/float64(request.OutputTokens())*newAnswerWeight
+	f.secondsPerToken[pool] = perToken*(1-newAnswerWeight) + took.Seconds()/float64(tokens)*newAnswerWeight
 }
 
 // pickEngines chooses engines for a request. beginWork records the work there.
@@ -333,6 +343,26 @@
 	}
 }
 
+// observeStart records the time from the request for an answer whose prompt was
+// prefilled elsewhere to its first event.
+func (f *Fleet) observeStart(plan *place.Plan, took time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.placer.RecordStart(plan, took)
+}
+
+// Speeds returns what was observed of the engines' speeds since the last call
+// that returned any, at most once per speedInterval.
+func (f *Fleet) Speeds(now time.Time) []proto.EngineSpeed {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if now.Sub(f.speedsSent) < speedInterval {
+		return nil
+	}
+	f.speedsSent = now
+	return f.placer.TakeSpeeds()
+}
+
 // observePrefill records that a prompt was prefilled, and how long it took.
 func (f *Fleet) observePrefill(request *place.Request, plan *place.Plan, took time.Duration) {
 	f.mutex.Lock()
--- a/entryd/relay/fleet_test.go
+++ b/entryd/relay/fleet_test.go
@@ -25,7 +25,7 @@
 		t.Fatalf("decode time of 120 tokens: %s, want at most 500ms", d)
 	}
 	for range 200 {
-		f.observeDecodeTime("p", short, 60*time.Millisecond)
+		f.observeDecodeTime("p", short, short.Prompt.MaxOutput, 60*time.Millisecond)
 	}
 	if d := f.estimateDecodeTime("p", short); d < 60*time.Millisecond || d > 100*time.Millisecond {
 		t.Fatalf("decode time after answers of 60ms: %s, want 60ms to 100ms", d)
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/request/place"
@@ -18,6 +19,9 @@
 	// minProgressTimeout is the least time without progress after which a
 	// request that may be retried is cancelled at an engine.
 	minProgressTimeout = 600 * time.Millisecond
+	// progressTargetFactor is how many times the latency target an engine may
+	// take for the first event: callers hang up after four times.
+	progressTargetFactor = 3
 	// progressTimeoutFactor is how many times the expected time to the first
 	// event an engine may take for it.
 	progressTimeoutFactor = 4
@@ -59,7 +63,7 @@
 // on others as far as the route and the retry budget allow. Admission control
 // applies to the first plan only.
 func (f *inflightCall) forwardGeneration(ctx context.Context) {
-	request := &place.Request{ID: f.call.ID, Pool: f.targetPool.Name, Prompt: f.call.Prompt}
+	request := &place.Request{ID: f.call.ID, Pool: f.targetPool.Name, Prompt: f.call.Prompt, Target: f.route.LatencyTarget}
 	var out answerStream
 	reason := "no engine can take the request"
 	retryAfter := busyRetryAfter
@@ -86,12 +90,12 @@
 		}
 		firstPick = false
 		f.log.Info("placed", "request", f.call.ID, "prefill", plan.Prefill.Name, "decode", plan.Decode.Name, "fetch", plan.FetchURL,
-			"expected_ms", plan.TimeToFirstEvent.Milliseconds(), "work", plan.PrefillTokens, "later", request.Deferred, "after", out.lastEventID, "state", f.snapshot.Version(),
+			"expected_ms", plan.TimeToFirstEvent.Milliseconds(), "work", plan.PrefillTokens, "queued", plan.QueuedTokens, "wait_ms", plan.QueueWait.Milliseconds(), "later", request.Deferred, "after", out.lastEventID, "state", f.snapshot.Version(),
 			"heard_ms", f.fleet.reportAge(f.clock.Now()).Milliseconds(), "ms", f.elapsedMS())
 		err = f.attempt(ctx, request, &plan, &out)
 		if err == nil {
 			f.logAnswered(plan.Decode.Name, http.StatusOK, nil)
-			f.fleet.observeDecodeTime(f.targetPool.Name, request, f.clock.Now().Sub(f.start)-f.timeToFirstEvent)
+			f.fleet.observeDecodeTime(f.targetPool.Name, request, f.tokensIn(&out), f.clock.Now().Sub(f.start)-f.timeToFirstEvent)
 			return
 		}
 		if errors.Is(err, errFailureDelivered) {
@@ -114,6 +118,11 @@
 	f.endUnanswered(ctx, reason, retryAfter)
 }
 
+// tokensIn returns the most tokens that the events of an answer may hold.
+func (f *inflightCall) tokensIn(out *answerStream) int {
+	return out.events * max(1, f.targetPool.Spec.MaxTokensPerEvent)
+}
+
 // logIncomplete logs and counts a stream that ended early. A caller that hung
 // up isn't a failure of the system, but its context is also cancelled when a
 // shutdown cuts the stream, which is one.
@@ -199,7 +208,7 @@
 		return "", fmt.Errorf("prefill: %w", err)
 	}
 	defer func() { _ = a.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxPrefillAnswer))
+	content, err := body.Read(a.Body, maxPrefillAnswer)
 	if err != nil {
 		f.recordFailure(ctx, name, server.HostPort(plan.Prefill.URL), err)
 		return "", fmt.Errorf("prefill: %w", err)
@@ -210,7 +219,7 @@
 	if a.StatusCode != http.StatusOK {
 		return "", f.recordRefusal(name, a)
 	}
-	prefilled, err := f.codec.DecodePrefill(body)
+	prefilled, err := f.codec.DecodePrefill(content)
 	if err != nil {
 		f.avoid = append(f.avoid, name)
 		f.fleet.recordAnswer(f.clock.Now(), name, false)
@@ -277,7 +286,11 @@
 			f.fleet.observeFirstEvent(f.clock.Now(), f.targetPool.Name, plan.TimeToFirstEvent, f.timeToFirstEvent)
 		}
 		f.meter.Time(f.timeToFirstEvent, "first")
-		f.fleet.observePrefill(request, plan, took)
+		if plan.Split() {
+			f.fleet.observeStart(plan, took)
+		} else {
+			f.fleet.observePrefill(request, plan, took)
+		}
 	})
 	switch {
 	case err == nil:
@@ -294,7 +307,7 @@
 // failure that the engine itself reports is delivered to the caller, unless the
 // call may be retried on another engine.
 func (f *inflightCall) handleNonStream(ctx context.Context, name string, a *http.Response, out *answerStream) error {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxWholeAnswer))
+	content, err := body.Read(a.Body, maxWholeAnswer)
 	f.avoid = append(f.avoid, name)
 	f.fleet.recordAnswer(f.clock.Now(), name, false)
 	head := f.codec.ParseHead(a)
@@ -302,7 +315,7 @@
 	if err != nil || out.headSent || !head.Signed || retryable || ctx.Err() != nil {
 		return fmt.Errorf("engine %s: status %d: %w", name, a.StatusCode, errStatus)
 	}
-	f.deliver(&wholeAnswer{response: a, head: head, body: body, server: name})
+	f.deliver(&wholeAnswer{response: a, head: head, body: content, server: name})
 	return errFailureDelivered
 }
 
@@ -386,7 +399,7 @@
 	if request.Deferred {
 		return f.timeLeft()
 	}
-	return max(minProgressTimeout, progressTimeoutFactor*plan.TimeToFirstEvent)
+	return max(minProgressTimeout, progressTargetFactor*f.route.LatencyTarget, progressTimeoutFactor*plan.TimeToFirstEvent)
 }
 
 // withProgressTimeout returns a context that is cancelled after a time without
--- a/keepd/lead/discovery.go
+++ b/keepd/lead/discovery.go
@@ -191,6 +191,11 @@
 	}
 	var engines []state.Engine
 	l.readState(func(s *state.State, _ *ledger.Ledger) { engines = s.View(0).Engines })
+	groups := make(map[string]string, len(engines))
+	for _, e := range engines {
+		groups[e.Name] = e.Pool + "/" + string(e.Role)
+	}
+	_ = l.withLease(func(time.Duration, uint64) { l.roster.SetEngines(groups) })
 	for _, e := range engines {
 		select {
 		case work <- e:
@@ -210,5 +215,9 @@
 		p = proto.Report{Engine: e.Name, Role: e.Role}
 	}
 	p.Engine, p.At, p.Alive = e.Name, l.clock.Now(), err == nil
-	_ = l.withLease(func(time.Duration, uint64) { l.roster.RecordReport(p) })
+	_ = l.withLease(func(time.Duration, uint64) {
+		learned := l.roster.Speed(e.Name)
+		p.PrefillRate, p.PrefillDelay, p.StartTime = learned.PrefillRate, learned.PrefillDelay, learned.StartTime
+		l.roster.RecordReport(p)
+	})
 }
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -65,8 +65,14 @@
 	// a leader can sustain beside its other work.
 	beatSpacing = 700 * time.Microsecond
 	// minBeatInterval is the shortest time between two heartbeats of one
-	// instance.
+	// instance, and maxBeatInterval the longest: changes of the state come with
+	// them.
 	minBeatInterval = 20 * time.Millisecond
+	maxBeatInterval = 150 * time.Millisecond
+	// beatsPerPrefill is the number of heartbeats of an instance in the mean time
+	// of a prefill. The work at the engines changes with each prefill, so more
+	// heartbeats tell little new.
+	beatsPerPrefill = 4
 )
 
 // addUpdates adds what the instance doesn't have yet: changes of the state,
@@ -75,8 +81,13 @@
 	_ = l.withLease(func(now time.Duration, _ uint64) {
 		reply.OtherWork = l.roster.LoadsExcept(now, q.Member.Name)
 		reply.Reports, reply.ReportsRevision = l.roster.ReportsSince(q.ReportsRevision)
-		reply.Interval = max(minBeatInterval, time.Duration(l.roster.LiveCount(now))*beatSpacing)
+		reply.Interval = max(minBeatInterval, min(l.roster.PrefillTime()/beatsPerPrefill, maxBeatInterval), time.Duration(l.roster.LiveCount(now))*beatSpacing)
 	})
+	read := l.clock.Now()
+	for i := range reply.Reports {
+		r := &reply.Reports[i]
+		r.Age, r.At = read.Sub(r.At).Truncate(time.Millisecond), time.Time{}
+	}
 	if reply.Version > q.Version {
 		delta, err := l.store.PackedView(q.Version)
 		if err != nil {
