--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -103,6 +103,7 @@
 	OwnWork         []EngineWork      `cbor:"8,keyasint,omitempty"`  // sender's work at the engines
 	ReportsRevision uint64            `cbor:"9,keyasint,omitempty"`  // newest revision of the reports that the sender has
 	Speeds          []EngineSpeed     `cbor:"10,keyasint,omitempty"` // what the sender observed since it last sent them
+	Delegates       bool              `cbor:"11,keyasint,omitempty"` // another instance schedules the sender's generations, so it needs no loads
 }
 
 // EngineWork is the outstanding work of entry instances at an engine.
--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -33,7 +33,11 @@
 	for local < len(list) && p.distanceCost(req, list[local]) == 0 {
 		local++
 	}
-	chosen := slices.Clone(list[:min(local, sampleLocal)])
+	sample := sampleLocal
+	if p.exact {
+		sample = local
+	}
+	chosen := slices.Clone(list[:min(local, sample)])
 	return append(chosen, list[local:min(len(list), local+sampleRemote)]...)
 }
 
@@ -114,9 +118,9 @@
 // go where few others run, since each slows down all.
 func (p *Placer) answerCost(req *Request, v *engineView) time.Duration {
 	if p.isLong(req) {
-		return time.Duration(v.streams())*req.share(sharedStepShare) + v.slotWait(req, p.answerTime(req.Pool))
+		return time.Duration(v.streams())*req.share(sharedStepShare) + v.slotWait(req, p.answerTimes(req.Pool))
 	}
-	return v.loadCost(req, p.answerTime(req.Pool))
+	return v.loadCost(req, p.answerTimes(req.Pool))
 }
 
 // earliestDecode returns the engine of a list that can decode the answer to a
@@ -138,7 +142,7 @@
 // decodeStart returns the expected wait until an engine starts decoding after a
 // prompt was prefilled elsewhere.
 func (p *Placer) decodeStart(req *Request, v *engineView) time.Duration {
-	return v.queueWait(req) + v.loadCost(req, p.answerTime(req.Pool))
+	return v.queueWait(req) + v.loadCost(req, p.answerTimes(req.Pool))
 }
 
 // homeEngines returns the home engines of a prompt: up to two decode engines
--- a/core/request/place/engine.go
+++ b/core/request/place/engine.go
@@ -208,26 +208,31 @@
 }
 
 // slotWait returns the expected time until the engine has a free batch slot and
-// free memory. A full batch of answers frees a slot every answer time divided by
-// the number of slots.
-func (v *engineView) slotWait(req *Request, answerTime time.Duration) time.Duration {
+// free memory. Answers that aren't known here count as long.
+func (v *engineView) slotWait(req *Request, t answerTimes) time.Duration {
 	var wait time.Duration
 	if use := v.memoryUse(); use >= fullMemoryShare {
 		wait = time.Duration(use * float64(req.share(fullMemoryShareCost)))
 	}
-	if excess := v.streams() + spareSlots - v.spec.BatchSize; v.spec.BatchSize > 0 && excess > 0 {
-		wait = max(wait, time.Duration(excess)*answerTime/time.Duration(v.spec.BatchSize))
+	streams := v.streams()
+	excess := streams + spareSlots - v.spec.BatchSize
+	if v.spec.BatchSize <= 0 || excess <= 0 {
+		return wait
 	}
-	return wait
+	short := v.ownWork.Streams + v.otherWork.Streams - v.ownWork.LongStreams - v.otherWork.LongStreams
+	short = min(max(short, 0), streams)
+	ended := float64(short)/(t.short+v.startTime).Seconds() + float64(streams-short)/t.long.Seconds() // a second, if all had a slot
+	ended *= min(1, float64(v.spec.BatchSize)/float64(streams))
+	return max(wait, time.Duration(float64(excess)/ended*float64(time.Second)))
 }
 
 // loadCost returns the cost of decoding one more answer on the engine, as time.
-func (v *engineView) loadCost(req *Request, answerTime time.Duration) time.Duration {
+func (v *engineView) loadCost(req *Request, t answerTimes) time.Duration {
 	share := v.memoryUse()
 	if v.spec.BatchSize > 0 {
 		share = max(share, float64(v.streams())/float64(v.spec.BatchSize))
 	}
-	return v.slotWait(req, answerTime) + time.Duration(share*float64(req.share(fullBatchShare)))
+	return v.slotWait(req, t) + time.Duration(share*float64(req.share(fullBatchShare)))
 }
 
 // usable reports whether the engine may take a request.
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -35,8 +35,10 @@
 	// assumedStartTime is the time from the request for an answer whose prompt
 	// is prefilled to its first event before anything was observed.
 	assumedStartTime = 6 * time.Millisecond
-	// assumedAnswerTime is how long a long answer runs before any was observed.
-	assumedAnswerTime = 3 * time.Second
+	// assumedAnswerTime is how long a long answer runs before any was observed,
+	// and assumedShortAnswerTime a short one.
+	assumedAnswerTime      = 3 * time.Second
+	assumedShortAnswerTime = 50 * time.Millisecond
 	// longAnswerEvents is the number of events above which an answer counts as
 	// long.
 	longAnswerEvents = 8
@@ -149,9 +151,10 @@
 // Placer chooses engines by what this instance knows of them.
 type Placer struct {
 	centre   string
+	exact    bool // all work sent from this data centre is known here
 	engines  map[string]*engineView
 	pools    map[string][]*engineView      // ordered by hash
-	answers  map[string]time.Duration      // mean time of a long answer, by pool
+	answers  map[string]answerTimes        // by pool
 	own      *speed.Model                  // of this instance's observations, until the leader tells those of all
 	observed map[string]*proto.EngineSpeed // since the last TakeSpeeds
 }
@@ -159,11 +162,15 @@
 // New returns a placer without engines for an instance in the data centre.
 func New(centre string) *Placer {
 	return &Placer{
-		centre: centre, engines: make(map[string]*engineView), pools: make(map[string][]*engineView), answers: make(map[string]time.Duration),
+		centre: centre, engines: make(map[string]*engineView), pools: make(map[string][]*engineView), answers: make(map[string]answerTimes),
 		own: speed.New(), observed: make(map[string]*proto.EngineSpeed),
 	}
 }
 
+// SetExact sets whether all work that is sent from this data centre is known
+// here: then all its prefill engines are compared.
+func (p *Placer) SetExact(exact bool) { p.exact = exact }
+
 // Update replaces the engines by those of a new version of the state. What is
 // known of engines that remain unchanged is kept.
 func (p *Placer) Update(engines []state.Engine, routing *state.RoutingTable) {
@@ -243,6 +250,7 @@
 			v.addWork(req.ID, sentWork{prefillTokens: plan.PrefillTokens, deferred: req.Deferred})
 			v.recordParts(now, req)
 		}
+		decode.decode = decode.longAnswer // a short answer takes its slot once the prompt is prefilled
 	} else {
 		decode.prefillTokens, decode.deferred = plan.PrefillTokens, req.Deferred
 	}
@@ -267,6 +275,7 @@
 	}
 	if plan.Split() {
 		v.removeWork(req.ID)
+		p.takeSlot(req, plan)
 	} else if s, found := v.sent[req.ID]; found {
 		s.prefillTokens = 0
 		v.addWork(req.ID, s)
@@ -281,6 +290,18 @@
 	})
 }
 
+// takeSlot counts the answer among those at its decode engine.
+func (p *Placer) takeSlot(req *Request, plan *Plan) {
+	v := p.engines[plan.Decode.Name]
+	if v == nil {
+		return
+	}
+	if s, found := v.sent[req.ID]; found && !s.decode {
+		s.decode = true
+		v.addWork(req.ID, s)
+	}
+}
+
 // RecordStart records the time from the request for an answer whose prompt was
 // prefilled elsewhere to its first event.
 func (p *Placer) RecordStart(plan *Plan, took time.Duration) {
@@ -289,21 +310,26 @@
 	}
 }
 
-// RecordAnswerTime records how long an answer ran.
+// answerTimes is how long answers occupy a batch slot, in the mean.
+type answerTimes struct{ short, long time.Duration }
+
+// RecordAnswerTime records how long an answer ran after its first event.
 func (p *Placer) RecordAnswerTime(req *Request, took time.Duration) {
-	if !p.isLong(req) || took <= 0 {
-		return
+	t := p.answerTimes(req.Pool)
+	mean := &t.short
+	if p.isLong(req) {
+		mean = &t.long
 	}
-	mean := p.answerTime(req.Pool)
-	p.answers[req.Pool] = mean + time.Duration(answerWeight*float64(took-mean))
+	*mean += time.Duration(answerWeight * float64(took-*mean))
+	p.answers[req.Pool] = t
 }
 
-// answerTime returns the mean time of a long answer of a pool.
-func (p *Placer) answerTime(pool string) time.Duration {
+// answerTimes returns the mean times of a pool's answers.
+func (p *Placer) answerTimes(pool string) answerTimes {
 	if t, found := p.answers[pool]; found {
 		return t
 	}
-	return assumedAnswerTime
+	return answerTimes{short: assumedShortAnswerTime, long: assumedAnswerTime}
 }
 
 // RecordDone removes the work of a request at the engines of its plan.
--- a/core/request/place/place_test.go
+++ b/core/request/place/place_test.go
@@ -307,3 +307,34 @@
 		}
 	}
 }
+
+// Prompts that wait for their prefill occupy no batch slot of the engine that
+// will decode their short answers: counted there, a swing of them made all
+// decode engines look full, and requests were deferred that had been on time.
+func TestQueuedPromptsTakeNoBatchSlot(t *testing.T) {
+	spec := &state.EngineSpec{BatchSize: 16, KVTokens: 300_000, MaxTokensPerEvent: 62}
+	p := place.New("a")
+	p.Update(engines(8, 4), &state.RoutingTable{Pools: []state.Pool{{Name: "p", Spec: spec}}})
+	free := pick(t, p, longPrompt("x", "x")).TimeToFirstEvent
+	type sent struct {
+		req  *place.Request
+		plan place.Plan
+	}
+	all := make([]sent, 0, 120)
+	for i := range 120 {
+		req := longPrompt(fmt.Sprint(i), fmt.Sprint(i))
+		req.Deferred = true // no queue for what can be on time
+		plan := pick(t, p, req)
+		p.RecordSent(start, req, &plan)
+		all = append(all, sent{req, plan})
+	}
+	if d := pick(t, p, longPrompt("y", "y")).TimeToFirstEvent; d > free+20*time.Millisecond {
+		t.Fatalf("%v is expected with 120 prompts queued behind, %v with none", d, free)
+	}
+	for _, s := range all {
+		p.RecordPrefill(s.req, &s.plan, 20*time.Millisecond)
+	}
+	if d := pick(t, p, longPrompt("z", "z")).TimeToFirstEvent; d < free+20*time.Millisecond {
+		t.Fatalf("%v is expected with 120 short answers on 64 slots, %v with none", d, free)
+	}
+}
--- a/core/request/place/plan.go
+++ b/core/request/place/plan.go
@@ -39,7 +39,7 @@
 		plan.FetchURL = home.engine.URL
 		plan.TimeToFirstEvent += v.fetchTime(req.sharedTokens())
 	}
-	plan.TimeToFirstEvent += v.slotWait(req, p.answerTime(req.Pool))
+	plan.TimeToFirstEvent += v.slotWait(req, p.answerTimes(req.Pool))
 	plan.cost = plan.TimeToFirstEvent + p.distanceCost(req, v)
 	return plan
 }
--- a/core/version/roster/roster.go
+++ b/core/version/roster/roster.go
@@ -29,6 +29,7 @@
 	inFlight map[string]uint32 // running requests, by backend server
 	demand   []proto.Demand
 	loads    []proto.EngineWork
+	placing  bool // schedules generations, so that it needs the loads of others
 }
 
 // Roster holds the heartbeats. It isn't safe for concurrent use.
@@ -67,7 +68,7 @@
 		r.addLoads(r.heartbeats[q.Member.Name].loads, -1)
 	}
 	r.addLoads(q.OwnWork, 1)
-	r.heartbeats[q.Member.Name] = heartbeat{arrived: now, version: q.Version, inFlight: q.InFlight, demand: q.Demand, loads: q.OwnWork}
+	r.heartbeats[q.Member.Name] = heartbeat{arrived: now, version: q.Version, inFlight: q.InFlight, demand: q.Demand, loads: q.OwnWork, placing: !q.Delegates}
 	if q.Holder != "" {
 		r.holders[q.Holder] = now
 	}
@@ -284,3 +285,15 @@
 // PrefillTime returns the mean time of a prefill at the fastest group of
 // engines, or 0 if it is unknown.
 func (r *Roster) PrefillTime() time.Duration { return r.prefillTime }
+
+// PlacingCount returns the number of live instances that need the loads of
+// others.
+func (r *Roster) PlacingCount(now time.Duration) int {
+	n := 0
+	for _, h := range r.heartbeats {
+		if h.placing && now-h.arrived <= r.settings.Lease {
+			n++
+		}
+	}
+	return n
+}
--- a/entryd/beat/beat.go
+++ b/entryd/beat/beat.go
@@ -48,6 +48,9 @@
 	// Speeds returns what was observed of the engines' speeds since it last
 	// returned them, if that is due.
 	Speeds(now time.Time) []proto.EngineSpeed
+	// Delegates reports whether another instance schedules the generations, so
+	// that this one needs no loads.
+	Delegates() bool
 	// ReportsRevision returns the newest known revision of the reports.
 	ReportsRevision() uint64
 	// ApplyReply takes the leader's reply.
@@ -189,7 +192,7 @@
 	r.InFlight = b.traffic.InFlight()
 	r.Demand, r.Reports = b.traffic.Digest(passed)
 	r.OwnWork, r.ReportsRevision = b.traffic.OwnWork(), b.traffic.ReportsRevision()
-	r.Speeds = b.traffic.Speeds(b.clock.Now())
+	r.Speeds, r.Delegates = b.traffic.Speeds(b.clock.Now()), b.traffic.Delegates()
 	return r
 }
 
--- /dev/null
+++ b/entryd/broker/broker.go
@@ -0,0 +1,240 @@
+// Package broker carries scheduling requests between the entry instances of a
+// data centre and their broker, the instance that schedules for all of them.
+//
+// Messages are UDP datagrams without encryption, like the platform's links
+// meant for an isolated network: they hold no caller's data but the sizes and
+// names of prompts' parts, and a forged one can at worst misplace load.
+package broker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/core/process/codec"
+	"verbenahaven.example/core/process/meter"
+)
+
+const (
+	// askTimeout is how long a broker may take to answer. In a data centre it
+	// takes a millisecond or two; waiting longer costs more than a decision
+	// from older loads.
+	askTimeout = 20 * time.Millisecond
+	// resentEvents is the number of earlier events that each message carries
+	// again, in case the datagrams with them were lost.
+	resentEvents = 3
+	// maxDatagram is the largest datagram that is read, in bytes.
+	maxDatagram = 16 << 10
+	// maxTextBytes bounds names and identifiers in a message.
+	maxTextBytes = 512
+	// maxListItems bounds the lists in a message.
+	maxListItems = 1024
+)
+
+// Errors of Ask.
+var (
+	ErrNoReply = errors.New("the broker didn't answer in time")
+	errMessage = errors.New("malformed message")
+)
+
+// Handler serves the messages of other instances.
+type Handler interface {
+	// Place schedules a request of another instance. Without a decision there
+	// is no reply.
+	Place(r *proto.PlaceRequest) (proto.PlaceReply, bool)
+	// Apply records an event of a request that was placed here.
+	Apply(e *proto.PlaceEvent)
+}
+
+// Conn sends and receives the messages.
+type Conn struct {
+	name  string
+	udp   *net.UDPConn
+	meter *meter.Registry
+
+	mutex   sync.Mutex
+	waiting map[string]chan *proto.PlaceReply // by request
+	recent  map[string][]proto.PlaceEvent     // last events sent, by address
+}
+
+// Listen opens the socket of an instance. Address is that of its links; the
+// messages use the next port.
+func Listen(ctx context.Context, name, address string, m *meter.Registry) (*Conn, func(), error) {
+	at, err := socketAddress(address)
+	if err != nil {
+		return nil, nil, boot.WithExitCode(boot.ExitAddress, err)
+	}
+	var config net.ListenConfig
+	p, err := config.ListenPacket(ctx, "udp4", at.String())
+	if err != nil {
+		return nil, nil, boot.WithExitCode(boot.ExitAddress, fmt.Errorf("listen for scheduling requests: %w", err))
+	}
+	udp, ok := p.(*net.UDPConn)
+	if !ok {
+		_ = p.Close()
+		return nil, nil, fmt.Errorf("listen for scheduling requests: got %T", p)
+	}
+	c := &Conn{name: name, udp: udp, meter: m, waiting: make(map[string]chan *proto.PlaceReply), recent: make(map[string][]proto.PlaceEvent)}
+	return c, func() { _ = udp.Close() }, nil
+}
+
+// socketAddress returns the address of an instance's socket, given that of its
+// links.
+func socketAddress(link string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(link)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("link address %q: %w", link, err)
+	}
+	return netip.AddrPortFrom(a.Addr(), a.Port()+1), nil
+}
+
+// Serve reads messages until ctx ends.
+func (c *Conn) Serve(ctx context.Context, h Handler) {
+	stop := context.AfterFunc(ctx, func() { _ = c.udp.Close() })
+	defer stop()
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := c.udp.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			c.meter.Count("broker", "read_failed") // an ICMP error of an earlier datagram
+			continue
+		}
+		m, err := decode(buffer[:n])
+		if err != nil {
+			c.meter.Count("broker", "malformed")
+			continue
+		}
+		c.handle(h, m, from)
+	}
+}
+
+// decode decodes and checks a message.
+func decode(b []byte) (*proto.PlaceMessage, error) {
+	var m proto.PlaceMessage
+	if err := codec.Unmarshal(b, &m); err != nil {
+		return nil, fmt.Errorf("decode: %w", err)
+	}
+	if len(m.From) > maxTextBytes || len(m.Events) > maxListItems {
+		return nil, errMessage
+	}
+	for i := range m.Events {
+		if e := &m.Events[i]; len(e.ID) > maxTextBytes || len(e.Engine) > maxTextBytes || e.Took < 0 || e.Since < 0 {
+			return nil, errMessage
+		}
+	}
+	if r := m.Ask; r != nil && !validRequest(r) {
+		return nil, errMessage
+	}
+	return &m, nil
+}
+
+func validRequest(r *proto.PlaceRequest) bool {
+	if r.ID == "" || len(r.ID) > maxTextBytes || len(r.Pool) > maxTextBytes || len(r.Parts) > maxListItems || len(r.Avoid) > maxListItems {
+		return false
+	}
+	if r.Tokens < 0 || r.MaxOutput < 0 || r.Hint < 0 || r.Target < 0 || r.TimeLeft < 0 {
+		return false
+	}
+	sum := 0
+	for _, p := range r.Parts {
+		if p.Tokens < 0 || len(p.ID) > maxTextBytes {
+			return false
+		}
+		sum += p.Tokens
+	}
+	return sum >= 0
+}
+
+// handle serves one message.
+func (c *Conn) handle(h Handler, m *proto.PlaceMessage, from netip.AddrPort) {
+	for i := range m.Events {
+		h.Apply(&m.Events[i])
+	}
+	if m.Reply != nil {
+		c.mutex.Lock()
+		w := c.waiting[m.Reply.ID]
+		c.mutex.Unlock()
+		if w == nil {
+			c.meter.Count("broker", "late_reply")
+			return
+		}
+		select {
+		case w <- m.Reply:
+		default: // a second reply to one request
+		}
+	}
+	if m.Ask != nil {
+		if reply, ok := h.Place(m.Ask); ok {
+			c.send(from, &proto.PlaceMessage{From: c.name, Reply: &reply})
+		}
+	}
+}
+
+// send sends a message. What isn't sent counts as lost.
+func (c *Conn) send(to netip.AddrPort, m *proto.PlaceMessage) {
+	b, err := codec.Marshal(m)
+	if err == nil && len(b) <= maxDatagram {
+		_, err = c.udp.WriteToUDPAddrPort(b, to)
+	}
+	if err != nil {
+		c.meter.Count("broker", "not_sent")
+	}
+}
+
+// Ask asks a broker, given by its link address, to place a request.
+func (c *Conn) Ask(ctx context.Context, link string, r *proto.PlaceRequest) (*proto.PlaceReply, error) {
+	to, err := socketAddress(link)
+	if err != nil {
+		return nil, err
+	}
+	answer := make(chan *proto.PlaceReply, 1)
+	c.mutex.Lock()
+	c.waiting[r.ID] = answer
+	m := &proto.PlaceMessage{From: c.name, Ask: r, Events: c.recent[link]}
+	c.mutex.Unlock()
+	defer func() {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		delete(c.waiting, r.ID)
+	}()
+	c.send(to, m)
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	select {
+	case reply := <-answer:
+		return reply, nil
+	case <-timer.C:
+		return nil, ErrNoReply
+	case <-ctx.Done():
+		return nil, fmt.Errorf("ask the broker: %w", context.Cause(ctx))
+	}
+}
+
+// Tell tells a broker, given by its link address, what happened to a request
+// that it placed.
+func (c *Conn) Tell(link string, e *proto.PlaceEvent) {
+	to, err := socketAddress(link)
+	if err != nil {
+		c.meter.Count("broker", "not_sent")
+		return
+	}
+	c.mutex.Lock()
+	recent := c.recent[link]
+	events := append(slices.Clone(recent[max(0, len(recent)+1-resentEvents):]), *e)
+	if len(c.recent) > maxListItems {
+		clear(c.recent)
+	}
+	c.recent[link] = events
+	c.mutex.Unlock()
+	c.send(to, &proto.PlaceMessage{From: c.name, Events: events})
+}
--- /dev/null
+++ b/entryd/broker/broker_test.go
@@ -0,0 +1,138 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/codec"
+	"verbenahaven.example/core/process/meter"
+)
+
+// recorder is a handler that places everything at one engine, but for requests
+// of the pool "none".
+type recorder struct {
+	mutex  sync.Mutex
+	events []proto.PlaceEvent
+}
+
+func (r *recorder) Place(q *proto.PlaceRequest) (proto.PlaceReply, bool) {
+	return proto.PlaceReply{ID: q.ID, Decode: "d", PrefillTokens: q.Tokens}, q.Pool != "none"
+}
+
+func (r *recorder) Apply(e *proto.PlaceEvent) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.events = append(r.events, *e)
+}
+
+// startPair starts a broker and another instance.
+func startPair(t *testing.T) (link string, other *Conn, h *recorder) {
+	t.Helper()
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	ctx, cancel := context.WithCancel(t.Context())
+	h = &recorder{}
+	var group sync.WaitGroup
+	listen := func(name string, handler Handler) (*Conn, string) {
+		for port := 20_000; port < 20_400; port += 2 {
+			address := fmt.Sprintf("127.0.0.1:%d", port)
+			if c, cleanup, err := Listen(ctx, name, address, meter.New()); err == nil {
+				group.Go(func() { c.Serve(ctx, handler) })
+				t.Cleanup(cleanup)
+				return c, address
+			}
+		}
+		t.Fatal("no free port")
+		return nil, ""
+	}
+	_, link = listen("broker", h)
+	other, _ = listen("other", &recorder{})
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return link, other, h
+}
+
+func TestAskAndTell(t *testing.T) {
+	link, other, h := startPair(t)
+	reply, err := other.Ask(t.Context(), link, &proto.PlaceRequest{ID: "1", Tokens: 7})
+	if err != nil || reply.Decode != "d" || reply.PrefillTokens != 7 {
+		t.Fatalf("reply %+v, error %v", reply, err)
+	}
+	for i := range 5 {
+		other.Tell(link, &proto.PlaceEvent{Kind: proto.PlaceEnded, ID: fmt.Sprint(i)})
+	}
+	seen := make(map[string]int)
+	for range 200 {
+		time.Sleep(5 * time.Millisecond)
+		clear(seen)
+		h.mutex.Lock()
+		for _, e := range h.events {
+			seen[e.ID]++
+		}
+		h.mutex.Unlock()
+		if len(seen) == 5 && seen["4"] > 0 {
+			break
+		}
+	}
+	// Each datagram repeats the events before, so that one may be lost.
+	if len(seen) != 5 || seen["0"] < 2 || seen["2"] < 2 {
+		t.Fatalf("events heard, by request: %v", seen)
+	}
+}
+
+func TestAskWithoutAnswer(t *testing.T) {
+	link, other, _ := startPair(t)
+	began := time.Now()
+	if _, err := other.Ask(t.Context(), link, &proto.PlaceRequest{ID: "1", Pool: "none"}); !errors.Is(err, ErrNoReply) {
+		t.Fatalf("error %v", err)
+	}
+	if d := time.Since(began); d > time.Second {
+		t.Fatalf("waited %v for a broker that can't decide", d)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := other.Ask(ended, link, &proto.PlaceRequest{ID: "2", Pool: "none"}); !errors.Is(err, context.Canceled) {
+		t.Fatalf("error %v for a call that has ended", err)
+	}
+	if _, err := other.Ask(t.Context(), "nowhere", &proto.PlaceRequest{ID: "3"}); err == nil {
+		t.Fatal("a broker without an address answered")
+	}
+}
+
+// Whatever arrives, it is refused or within the bounds that the scheduler
+// relies on.
+func FuzzDecode(f *testing.F) {
+	for _, m := range []proto.PlaceMessage{
+		{From: "a", Ask: &proto.PlaceRequest{ID: "1", Pool: "p", Tokens: 9000, Parts: []proto.PlacePart{{ID: "x", Tokens: 5}}}},
+		{From: "a", Reply: &proto.PlaceReply{ID: "1", Decode: "d"}},
+		{From: "a", Events: []proto.PlaceEvent{{Kind: proto.PlaceEnded, ID: "1", Took: time.Second}}},
+	} {
+		b, err := codec.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := decode(b)
+		if err != nil {
+			return
+		}
+		if m.Ask != nil && (m.Ask.ID == "" || m.Ask.Tokens < 0 || m.Ask.TimeLeft < 0) {
+			t.Fatalf("accepted %+v", m.Ask)
+		}
+		for _, e := range m.Events {
+			if e.Took < 0 || len(e.ID) > maxTextBytes {
+				t.Fatalf("accepted %+v", e)
+			}
+		}
+	})
+}
--- a/entryd/picker/report.go
+++ b/entryd/picker/report.go
@@ -113,6 +113,9 @@
 // OwnWork returns nil: each instance reads the engines' own reports.
 func (g *Balancer) OwnWork() []proto.EngineWork { return nil }
 
+// Delegates returns false: each instance routes its own requests.
+func (g *Balancer) Delegates() bool { return false }
+
 // Speeds returns nothing: engines report their speed themselves.
 func (g *Balancer) Speeds(time.Time) []proto.EngineSpeed { return nil }
 
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -27,6 +27,7 @@
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/entryd/beat"
+	"verbenahaven.example/entryd/broker"
 	"verbenahaven.example/entryd/infer"
 	"verbenahaven.example/entryd/relay"
 	"verbenahaven.example/entryd/watch"
@@ -81,6 +82,7 @@
 	leaving  *leaving
 	link     *link.Server
 	keeper   *keeper.Client
+	broker   *broker.Conn
 }
 
 // leaving holds the shutdown state of the instance and counts its running
@@ -138,8 +140,16 @@
 	return window, b.RetryShare * retryBudgetShare, b.RetrySlack * retryBudgetShare
 }
 
-func siteFleet(s *platform.Settings, b *retry.SharedBudget, k *keeper.Client) *relay.Fleet {
-	return relay.NewFleet(s.Name, s.Zone, b, k.SetKeepers)
+func siteBroker(ctx context.Context, s *platform.Settings, m *meter.Registry) (*broker.Conn, func(), error) {
+	c, cleanup, err := broker.Listen(ctx, s.Name, s.EntryLink(), m)
+	if err != nil {
+		return nil, nil, fmt.Errorf("start broker: %w", err)
+	}
+	return c, cleanup, nil
+}
+
+func siteFleet(s *platform.Settings, b *retry.SharedBudget, n relay.Broker, m *meter.Registry, c clock.Clock, k *keeper.Client) *relay.Fleet {
+	return relay.NewFleet(s.Name, s.Zone, b, n, m, c, k.SetKeepers)
 }
 
 func siteStrike(k proto.Keeper, m *meter.Registry) *infer.Strikes {
@@ -180,6 +190,7 @@
 	defer group.Wait()
 	defer stop()
 	s.beat.SetInterval(siteHeartbeatInterval)
+	group.Go(func() { s.broker.Serve(background, s.fleet) })
 	for _, f := range []func(context.Context){s.watch.Run, s.watch.RunPeers, s.beat.Run, s.relay.Run, s.strikes.Run, s.reload} {
 		group.Go(func() { f(background) })
 	}
@@ -303,7 +314,7 @@
 	if err != nil {
 		return boot.WithExitCode(boot.ExitSettings, err)
 	}
-	s, cleanup, err := buildSite(settings, metricsSetting(metrics))
+	s, cleanup, err := buildSite(ctx, settings, metricsSetting(metrics))
 	if err != nil {
 		return err
 	}
@@ -313,11 +324,11 @@
 
 func newSite(
 	settings *platform.Settings, metrics metricsSetting, f *relay.Fleet, r *relay.Proxy, w *watch.Watch, b *beat.Beat,
-	k *infer.Strikes, m *meter.Registry, l *slog.Logger, v *leaving, n *link.Server, c *keeper.Client,
+	k *infer.Strikes, m *meter.Registry, l *slog.Logger, v *leaving, n *link.Server, c *keeper.Client, o *broker.Conn,
 ) *site {
 	return &site{
 		settings: settings, metrics: string(metrics), fleet: f, relay: r, watch: w, beat: b, strikes: k, meter: m, log: l,
-		leaving: v, link: n, keeper: c,
+		leaving: v, link: n, keeper: c, broker: o,
 	}
 }
 
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -5,9 +5,12 @@
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
-	"verbenahaven.example/core/request/admit"
+	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/request/place"
 	"verbenahaven.example/core/request/retry"
+	"verbenahaven.example/core/request/sched"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
 )
@@ -26,40 +29,47 @@
 // requests in flight.
 type Fleet struct {
 	name       string
+	centre     string
+	broker     Broker
+	meter      *meter.Registry
+	clock      clock.Clock
 	setKeepers func(keepers []string) // see NewFleet
 
 	mutex             sync.Mutex
 	snapshot          *view.Snapshot
-	placer            *place.Placer
+	local             *sched.Scheduler // for all of the data centre if this instance is its broker, else while the broker is silent
+	delegate          sched.Delegate
 	servers           *place.Servers
 	budget            *retry.SharedBudget
-	requestsByVersion map[uint64]int                    // running requests by the version they began under
-	inFlight          map[string]uint32                 // generations by engine
-	demand            map[string]*proto.Demand          // by pool, since the last Digest
-	firstEventErrors  map[string]*admit.PredictionError // by pool, of the expected time to the first event
-	secondsPerToken   map[string]float64                // by pool: decode time of an output token
-	pickCount         uint64                            // picks of plain servers, for round robin
-	lastReply         time.Time                         // last heartbeat reply of the leader
-	reportRevision    uint64                            // newest known revision of the load reports
-	refetchReports    bool                              // reports of then unknown engines may have been dropped
-	speedsSent        time.Time                         // last call of Speeds that returned them
+	requestsByVersion map[uint64]int     // running requests by the version they began under
+	inFlight          map[string]int     // generations by engine
+	secondsPerToken   map[string]float64 // by pool: decode time of an output token
+	pickCount         uint64             // picks of plain servers, for round robin
+	lastReply         time.Time          // last heartbeat reply of the leader
+	reportRevision    uint64             // newest known revision of the load reports
+	refetchReports    bool               // reports of then unknown engines may have been dropped
+	speedsSent        time.Time          // last call of Speeds that returned them
 }
 
 // NewFleet returns a fleet at state version 0 for an instance in a data centre.
 // setKeepers is called with the link addresses of the instances that store the
 // state, as the leader reports them.
-func NewFleet(name, centre string, budget *retry.SharedBudget, setKeepers func(keepers []string)) *Fleet {
+func NewFleet(
+	name, centre string, budget *retry.SharedBudget, broker Broker, m *meter.Registry, c clock.Clock, setKeepers func(keepers []string),
+) *Fleet {
 	return &Fleet{
 		name:              name,
+		centre:            centre,
+		broker:            broker,
+		meter:             m,
+		clock:             c,
 		setKeepers:        setKeepers,
 		snapshot:          view.New().Current(),
-		placer:            place.New(centre),
+		local:             sched.New(centre),
 		servers:           place.NewServers(centre),
 		budget:            budget,
 		requestsByVersion: make(map[uint64]int),
-		inFlight:          make(map[string]uint32),
-		demand:            make(map[string]*proto.Demand),
-		firstEventErrors:  make(map[string]*admit.PredictionError),
+		inFlight:          make(map[string]int),
 		secondsPerToken:   make(map[string]float64),
 	}
 }
@@ -74,8 +84,14 @@
 	}
 	f.snapshot = snapshot
 	f.refetchReports = true
-	f.placer.Update(snapshot.Engines(), snapshot.Routing())
+	f.local.Update(snapshot.Engines(), snapshot.Routing())
 	f.servers.Update(snapshot.AllServers())
+	broker, found := sched.Broker(snapshot.LiveEntries(), f.centre)
+	f.local.SetBroker(found && broker.Name == f.name)
+	if !found || broker.Name == f.name {
+		broker.LinkAddress = ""
+	}
+	f.delegate.SetBroker(broker.LinkAddress)
 }
 
 // SetDispatchGuard does nothing: an isolated instance goes on with the state that
@@ -135,7 +151,7 @@
 	list := make(map[string]uint32)
 	for name, n := range f.inFlight {
 		if e, ok := f.snapshot.Engine(name); ok && e.Phase != state.PhaseServing {
-			list[name] = n
+			list[name] = uint32(n)
 		}
 	}
 	return list
@@ -146,22 +162,22 @@
 func (f *Fleet) Digest(interval time.Duration) ([]proto.Demand, []proto.Report) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	list := make([]proto.Demand, 0, len(f.demand))
-	for _, d := range f.demand {
-		seconds := interval.Seconds()
-		list = append(list, proto.Demand{
-			Service: d.Service, RequestRate: d.RequestRate / seconds, PrefillRate: d.PrefillRate / seconds, DecodeRate: d.DecodeRate / seconds, RefusalRate: d.RefusalRate / seconds,
-		})
-	}
-	clear(f.demand)
-	return list, nil
+	return f.local.TakeDemand(interval), nil
 }
 
-// OwnWork returns this instance's work at the engines.
+// OwnWork returns the work at the engines that was scheduled here.
 func (f *Fleet) OwnWork() []proto.EngineWork {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.placer.OutstandingWork()
+	return f.local.OutstandingWork(f.clock.Now())
+}
+
+// Delegates reports whether another instance schedules the generations, so that
+// this one needs no loads.
+func (f *Fleet) Delegates() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.delegate.Relies()
 }
 
 // ApplyReply applies the leader's reply to a heartbeat. After a new state version
@@ -178,7 +194,7 @@
 	for i := range reply.Reports {
 		reply.Reports[i].At = now.Add(-reply.Reports[i].Age)
 	}
-	f.placer.ApplyReports(reply.Reports, reply.OtherWork)
+	f.local.ApplyReports(reply.Reports, reply.OtherWork)
 }
 
 // ReportsRevision returns the newest revision of the load reports that is known
@@ -223,49 +239,6 @@
 	return f.budget.TryRetry(at, pool, instances)
 }
 
-// addDemand adds a request to the demand for a pool, with its prompt tokens to
-// be computed and expected output tokens. A request that can't be on time counts
-// as refused, even if it is deferred.
-func (f *Fleet) addDemand(pool string, prefill, decode int, late bool) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	d := f.demand[pool]
-	if d == nil {
-		d = &proto.Demand{Service: pool}
-		f.demand[pool] = d
-	}
-	if late {
-		d.RefusalRate++
-	}
-	d.RequestRate++
-	d.PrefillRate += float64(prefill)
-	d.DecodeRate += float64(decode)
-}
-
-// firstEventMargin returns the time to be added to an expected time to the
-// first event, learned from how much later the first events of the pool came
-// than expected.
-func (f *Fleet) firstEventMargin(now time.Time, pool string, limit time.Duration) time.Duration {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if e := f.firstEventErrors[pool]; e != nil {
-		return e.Margin(now, limit)
-	}
-	return 0
-}
-
-// observeFirstEvent records the expected and the actual time to a first event.
-func (f *Fleet) observeFirstEvent(now time.Time, pool string, expected, actual time.Duration) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	e := f.firstEventErrors[pool]
-	if e == nil {
-		e = &admit.PredictionError{}
-		f.firstEventErrors[pool] = e
-	}
-	e.Observe(now, expected, actual)
-}
-
 const (
 	// defaultSecondsPerToken is the decode time of an output token before the
 	// first answer.
@@ -280,22 +253,21 @@
 // estimateDecodeTime returns how long an answer may take after its first event.
 // It assumes the maximum output length, since callers' guesses of the length
 // are often far off.
-func (f *Fleet) estimateDecodeTime(pool string, request *place.Request) time.Duration {
+func (f *Fleet) estimateDecodeTime(pool string, prompt *server.Prompt) time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	perToken, found := f.secondsPerToken[pool]
 	if !found {
 		perToken = defaultSecondsPerToken
 	}
-	return time.Duration(perToken * slowAnswerFactor * float64(request.Prompt.MaxOutput) * float64(time.Second))
+	return time.Duration(perToken * slowAnswerFactor * float64(prompt.MaxOutput) * float64(time.Second))
 }
 
 // observeDecodeTime records how long an answer of some tokens took after its
 // first event.
-func (f *Fleet) observeDecodeTime(pool string, request *place.Request, tokens int, took time.Duration) {
+func (f *Fleet) observeDecodeTime(pool string, tokens int, took time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.placer.RecordAnswerTime(request, took)
 	if tokens <= 0 {
 		return
 	}
@@ -306,51 +278,6 @@
 	f.secondsPerToken[pool] = perToken*(1-newAnswerWeight) + took.Seconds()/float64(tokens)*newAnswerWeight
 }
 
-// pickEngines chooses engines for a request. beginWork records the work there.
-func (f *Fleet) pickEngines(now time.Time, request *place.Request) (place.Plan, error) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.placer.Pick(now, request) //nolint:wrapcheck // the error names the pool
-}
-
-// beginWork records a request at the engines of a plan, until endWork.
-func (f *Fleet) beginWork(now time.Time, request *place.Request, plan *place.Plan) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.placer.RecordSent(now, request, plan)
-	f.inFlight[plan.Decode.Name]++
-	if plan.Split() {
-		f.inFlight[plan.Prefill.Name]++
-	}
-}
-
-// endWork removes a request from the engines of a plan.
-func (f *Fleet) endWork(request *place.Request, plan *place.Plan) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.placer.RecordDone(request, plan)
-	f.releaseEngine(plan.Decode.Name)
-	if plan.Split() {
-		f.releaseEngine(plan.Prefill.Name)
-	}
-}
-
-// releaseEngine removes one request in flight at an engine. The caller holds
-// the mutex.
-func (f *Fleet) releaseEngine(name string) {
-	if f.inFlight[name]--; f.inFlight[name] == 0 {
-		delete(f.inFlight, name)
-	}
-}
-
-// observeStart records the time from the request for an answer whose prompt was
-// prefilled elsewhere to its first event.
-func (f *Fleet) observeStart(plan *place.Plan, took time.Duration) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.placer.RecordStart(plan, took)
-}
-
 // Speeds returns what was observed of the engines' speeds since the last call
 // that returned any, at most once per speedInterval.
 func (f *Fleet) Speeds(now time.Time) []proto.EngineSpeed {
@@ -360,14 +287,7 @@
 		return nil
 	}
 	f.speedsSent = now
-	return f.placer.TakeSpeeds()
-}
-
-// observePrefill records that a prompt was prefilled, and how long it took.
-func (f *Fleet) observePrefill(request *place.Request, plan *place.Plan, took time.Duration) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.placer.RecordPrefill(request, plan, took)
+	return f.local.TakeSpeeds()
 }
 
 // pickServer chooses a plain server and counts a request there; release removes
@@ -387,20 +307,18 @@
 	}, nil
 }
 
-// recordLoss records that a backend server couldn't be reached or broke the
+// recordServerLoss records that a plain server couldn't be reached or broke the
 // connection.
-func (f *Fleet) recordLoss(now time.Time, name string) {
+func (f *Fleet) recordServerLoss(now time.Time, name string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.placer.RecordLoss(now, name)
 	f.servers.RecordLoss(now, name)
 }
 
-// recordAnswer records that a backend server answered; ok is false for an
+// recordServerAnswer records that a plain server answered; ok is false for an
 // answer that reports a failure.
-func (f *Fleet) recordAnswer(now time.Time, name string, ok bool) {
+func (f *Fleet) recordServerAnswer(now time.Time, name string, ok bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.placer.RecordAnswer(now, name, ok)
 	f.servers.RecordAnswer(now, name, ok)
 }
--- a/entryd/relay/fleet_test.go
+++ b/entryd/relay/fleet_test.go
@@ -6,8 +6,6 @@
 
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/conn/server"
-	"verbenahaven.example/core/request/place"
-	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/version/view"
 )
 
@@ -15,17 +13,17 @@
 // answer whether to take a call: with the caller's guess, an answer that got
 // longer was cut at the end of the grace period.
 func TestDecodeTimeUsesMaxOutput(t *testing.T) {
-	f := NewFleet("a", "z", retry.NewSharedBudget(time.Second, 0, 0), func([]string) {})
-	lowGuess := &place.Request{Pool: "p", Prompt: &server.Prompt{Tokens: 220, MaxOutput: 12_000, OutputHint: 500}}
+	f := newTestFleet()
+	lowGuess := &server.Prompt{Tokens: 220, MaxOutput: 12_000, OutputHint: 500}
 	if d := f.estimateDecodeTime("p", lowGuess); d < 12*time.Second {
 		t.Fatalf("decode time of 12000 tokens: %s, want at least 12s", d)
 	}
-	short := &place.Request{Pool: "p", Prompt: &server.Prompt{Tokens: 9000, MaxOutput: 120}}
+	short := &server.Prompt{Tokens: 9000, MaxOutput: 120}
 	if d := f.estimateDecodeTime("p", short); d > 500*time.Millisecond {
 		t.Fatalf("decode time of 120 tokens: %s, want at most 500ms", d)
 	}
 	for range 200 {
-		f.observeDecodeTime("p", short, short.Prompt.MaxOutput, 60*time.Millisecond)
+		f.observeDecodeTime("p", short.MaxOutput, 60*time.Millisecond)
 	}
 	if d := f.estimateDecodeTime("p", short); d < 60*time.Millisecond || d > 100*time.Millisecond {
 		t.Fatalf("decode time after answers of 60ms: %s, want 60ms to 100ms", d)
@@ -35,7 +33,7 @@
 // Load reports of engines that weren't known yet are dropped, so all reports
 // are requested again with each new state version.
 func TestNewVersionRefetchesReports(t *testing.T) {
-	f := NewFleet("a", "z", retry.NewSharedBudget(time.Second, 0, 0), func([]string) {})
+	f := newTestFleet()
 	now := time.Unix(1000, 0)
 	f.ApplyReply(now, proto.HeartbeatReply{ReportsRevision: 7})
 	if n := f.ReportsRevision(); n != 7 {
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -12,7 +12,7 @@
 	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/server"
-	"verbenahaven.example/core/request/place"
+	"verbenahaven.example/core/request/sched"
 )
 
 const (
@@ -63,14 +63,18 @@
 // on others as far as the route and the retry budget allow. Admission control
 // applies to the first plan only.
 func (f *inflightCall) forwardGeneration(ctx context.Context) {
-	request := &place.Request{ID: f.call.ID, Pool: f.targetPool.Name, Prompt: f.call.Prompt, Target: f.route.LatencyTarget}
+	request := &sched.Request{Admit: true}
+	request.ID, request.Pool, request.Prompt, request.Target = f.call.ID, f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
 	var out answerStream
 	reason := "no engine can take the request"
 	retryAfter := busyRetryAfter
-	firstPick := true
+	if remaining, draining := f.draining(); draining && f.fleet.estimateDecodeTime(f.targetPool.Name, f.call.Prompt) > remaining {
+		f.endUnanswered(ctx, "the instance is shutting down before the answer could end", drainRetryAfter)
+		return
+	}
 	for {
-		request.Avoid = f.avoid
-		plan, err := f.fleet.pickEngines(f.clock.Now(), request)
+		request.Avoid, request.TimeLeft = f.avoid, f.timeLeft()
+		t, err := f.fleet.schedule(ctx, f.clock.Now(), request)
 		if err != nil {
 			if len(f.avoid) == 0 || !f.waitToRetryAll(ctx) {
 				break
@@ -78,24 +82,20 @@
 			f.avoid = nil
 			continue
 		}
-		if remaining, draining := f.draining(); firstPick && draining && f.fleet.estimateDecodeTime(f.targetPool.Name, request) > remaining {
-			reason, retryAfter = "the instance is shutting down before the answer could end", drainRetryAfter
-			break
+		f.admissionAttrs = []any{
+			"expected_ms", t.Plan.TimeToFirstEvent.Milliseconds(), "margin_ms", t.Margin.Milliseconds(), "limit_ms", t.Limit.Milliseconds(),
+			"wait_ms", t.Plan.QueueWait.Milliseconds(), "by", t.broker, "heard_ms", f.fleet.reportAge(f.clock.Now()).Milliseconds(), "state", f.snapshot.Version(),
 		}
-		if firstPick {
-			if plan, err = f.admit(request, plan); err != nil {
-				reason, retryAfter = err.Error(), f.retryAfterBusy(plan.TimeToFirstEvent-f.route.LatencyTarget)
-				break
-			}
+		if t.Refused {
+			reason, retryAfter = errBusy.Error(), t.RetryAfter
+			break
 		}
-		firstPick = false
-		f.log.Info("placed", "request", f.call.ID, "prefill", plan.Prefill.Name, "decode", plan.Decode.Name, "fetch", plan.FetchURL,
-			"expected_ms", plan.TimeToFirstEvent.Milliseconds(), "work", plan.PrefillTokens, "queued", plan.QueuedTokens, "wait_ms", plan.QueueWait.Milliseconds(), "later", request.Deferred, "after", out.lastEventID, "state", f.snapshot.Version(),
-			"heard_ms", f.fleet.reportAge(f.clock.Now()).Milliseconds(), "ms", f.elapsedMS())
-		err = f.attempt(ctx, request, &plan, &out)
+		request.Admit = false
+		f.logPlaced(t, &out)
+		err = f.attempt(ctx, t, &out)
 		if err == nil {
-			f.logAnswered(plan.Decode.Name, http.StatusOK, nil)
-			f.fleet.observeDecodeTime(f.targetPool.Name, request, f.tokensIn(&out), f.clock.Now().Sub(f.start)-f.timeToFirstEvent)
+			f.logAnswered(t.Plan.Decode.Name, http.StatusOK, nil)
+			f.fleet.observeDecodeTime(f.targetPool.Name, f.tokensIn(&out), f.answerTime())
 			return
 		}
 		if errors.Is(err, errFailureDelivered) {
@@ -118,6 +118,23 @@
 	f.endUnanswered(ctx, reason, retryAfter)
 }
 
+// logPlaced logs where a generation runs.
+func (f *inflightCall) logPlaced(t *ticket, out *answerStream) {
+	if t.Deferred {
+		f.meter.Count("place", "later")
+	}
+	p := &t.Plan
+	f.log.Info("placed", "request", f.call.ID, "prefill", p.Prefill.Name, "decode", p.Decode.Name, "fetch", p.FetchURL,
+		"expected_ms", p.TimeToFirstEvent.Milliseconds(), "work", p.PrefillTokens, "queued", p.QueuedTokens, "wait_ms", p.QueueWait.Milliseconds(),
+		"later", t.Deferred, "after", out.lastEventID, "by", t.broker, "state", f.snapshot.Version(),
+		"heard_ms", f.fleet.reportAge(f.clock.Now()).Milliseconds(), "ms", f.elapsedMS())
+}
+
+// answerTime returns the time since the first event.
+func (f *inflightCall) answerTime() time.Duration {
+	return f.clock.Now().Sub(f.start) - f.timeToFirstEvent
+}
+
 // tokensIn returns the most tokens that the events of an answer may hold.
 func (f *inflightCall) tokensIn(out *answerStream) int {
 	return out.events * max(1, f.targetPool.Spec.MaxTokensPerEvent)
@@ -154,12 +171,13 @@
 }
 
 // attempt runs the call once on the engines of a plan.
-func (f *inflightCall) attempt(ctx context.Context, request *place.Request, plan *place.Plan, out *answerStream) error {
-	f.fleet.beginWork(f.clock.Now(), request, plan)
-	defer f.fleet.endWork(request, plan)
-	send := &server.Request{Call: f.call, ServerID: plan.Decode.Name, LastEventID: out.lastEventID, Priority: enginePriority(request)}
+func (f *inflightCall) attempt(ctx context.Context, t *ticket, out *answerStream) error {
+	answered := time.Duration(0)
+	defer func() { t.end(answered) }()
+	plan := &t.Plan
+	send := &server.Request{Call: f.call, ServerID: plan.Decode.Name, LastEventID: out.lastEventID, Priority: enginePriority(&t.Decision)}
 	if plan.Split() {
-		handle, err := f.prefill(ctx, request, plan)
+		handle, err := f.prefill(ctx, t)
 		if err != nil {
 			return err
 		}
@@ -168,7 +186,10 @@
 		send.PrefixSource = server.HostPort(plan.FetchURL)
 	}
 	f.tries++
-	err := f.decode(ctx, request, plan, send, out)
+	err := f.decode(ctx, t, send, out)
+	if err == nil {
+		answered = max(f.answerTime(), time.Nanosecond)
+	}
 	if err != nil && send.KVHandle != "" && (errors.Is(err, errNotRun) || out.events == 0) {
 		go f.releaseKV(context.WithoutCancel(ctx), send.KVSource, send.KVHandle)
 	}
@@ -192,11 +213,12 @@
 
 // prefill computes the prompt on the plan's prefill engine and returns the
 // handle of its KV cache. It doesn't count as a run of the call.
-func (f *inflightCall) prefill(ctx context.Context, request *place.Request, plan *place.Plan) (string, error) {
+func (f *inflightCall) prefill(ctx context.Context, t *ticket) (string, error) {
+	plan := &t.Plan
 	name := plan.Prefill.Name
-	progressCtx, timer := f.withProgressTimeout(ctx, f.firstProgressTimeout(request, plan))
+	progressCtx, timer := f.withProgressTimeout(ctx, f.firstProgressTimeout(t))
 	defer timer.stop()
-	send := &server.Request{Call: f.call, ServerID: name, TimeLeft: f.timeLeft(), PrefillOnly: true, Priority: enginePriority(request)}
+	send := &server.Request{Call: f.call, ServerID: name, TimeLeft: f.timeLeft(), PrefillOnly: true, Priority: enginePriority(&t.Decision)}
 	if plan.FetchURL != "" {
 		send.PrefixSource = server.HostPort(plan.FetchURL)
 	}
@@ -204,35 +226,34 @@
 	f.tries++
 	a, err := f.pool.Do(progressCtx, server.HostPort(plan.Prefill.URL), f.codec.EncodeRequest(send))
 	if err != nil {
-		f.recordFailure(ctx, name, server.HostPort(plan.Prefill.URL), err)
+		f.recordEngineLoss(ctx, t, name, server.HostPort(plan.Prefill.URL), err)
 		return "", fmt.Errorf("prefill: %w", err)
 	}
 	defer func() { _ = a.Body.Close() }()
 	content, err := body.Read(a.Body, maxPrefillAnswer)
 	if err != nil {
-		f.recordFailure(ctx, name, server.HostPort(plan.Prefill.URL), err)
+		f.recordEngineLoss(ctx, t, name, server.HostPort(plan.Prefill.URL), err)
 		return "", fmt.Errorf("prefill: %w", err)
 	}
 	took := f.clock.Now().Sub(start)
 	f.meter.Time(took, "prefill")
 	f.prefillTime = took
 	if a.StatusCode != http.StatusOK {
-		return "", f.recordRefusal(name, a)
+		return "", f.recordRefusal(t, name, a)
 	}
 	prefilled, err := f.codec.DecodePrefill(content)
 	if err != nil {
 		f.avoid = append(f.avoid, name)
-		f.fleet.recordAnswer(f.clock.Now(), name, false)
+		t.engineFailed(name, false)
 		return "", fmt.Errorf("prefill: %w", err)
 	}
-	f.fleet.recordAnswer(f.clock.Now(), name, true)
-	f.fleet.observePrefill(request, plan, took)
+	t.prefilled(took)
 	return prefilled.KVHandle, nil
 }
 
 // recordRefusal records that an engine answered with a failure status, and
 // returns the error for it.
-func (f *inflightCall) recordRefusal(name string, a *http.Response) error {
+func (f *inflightCall) recordRefusal(t *ticket, name string, a *http.Response) error {
 	f.avoid = append(f.avoid, name)
 	head := f.codec.ParseHead(a)
 	f.log.Info("engine refused", "request", f.call.ID, "engine", name, "status", a.StatusCode, "not_run", head.NotExecuted, "ms", f.elapsedMS())
@@ -240,10 +261,18 @@
 	if head.NotExecuted {
 		return fmt.Errorf("engine %s: %w", name, errNotRun)
 	}
-	f.fleet.recordAnswer(f.clock.Now(), name, false)
+	t.engineFailed(name, false)
 	return fmt.Errorf("engine %s: status %d: %w", name, a.StatusCode, errStatus)
 }
 
+// recordEngineLoss records a failed exchange with an engine, as recordFailure
+// does, and tells the instance that scheduled the call.
+func (f *inflightCall) recordEngineLoss(ctx context.Context, t *ticket, name, address string, err error) {
+	if f.recordFailure(ctx, name, address, err) {
+		t.engineFailed(name, true)
+	}
+}
+
 // recordPossibleRun records that a backend server may have run the call, unless
 // the exchange failed before any byte of the request could reach it.
 func (f *inflightCall) recordPossibleRun(name string, err error) {
@@ -254,11 +283,11 @@
 
 // decode runs the call on the plan's decode engine and forwards its event
 // stream. A stream is only cut for lack of progress if it can be resumed.
-func (f *inflightCall) decode(ctx context.Context, request *place.Request, plan *place.Plan, send *server.Request, out *answerStream) error {
-	name, address := plan.Decode.Name, server.HostPort(plan.Decode.URL)
+func (f *inflightCall) decode(ctx context.Context, t *ticket, send *server.Request, out *answerStream) error {
+	name, address := t.Plan.Decode.Name, server.HostPort(t.Plan.Decode.URL)
 	timeout := time.Duration(0)
 	if f.route.Resumable {
-		timeout = f.firstProgressTimeout(request, plan)
+		timeout = f.firstProgressTimeout(t)
 	}
 	progressCtx, timer := f.withProgressTimeout(ctx, timeout)
 	defer timer.stop()
@@ -267,49 +296,40 @@
 	a, err := f.pool.Do(progressCtx, address, f.codec.EncodeRequest(send))
 	if err != nil {
 		f.recordPossibleRun(name, err)
-		f.recordFailure(ctx, name, address, err)
+		f.recordEngineLoss(ctx, t, name, address, err)
 		return fmt.Errorf("decode: %w", err)
 	}
 	defer func() { _ = a.Body.Close() }()
 	if f.codec.ParseHead(a).NotExecuted {
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxPrefillAnswer)) // so that the connection is kept
-		return f.recordRefusal(name, a)
+		return f.recordRefusal(t, name, a)
 	}
 	f.mayHaveRun = append(f.mayHaveRun, name)
 	if a.StatusCode != http.StatusOK || !f.codec.ParseHead(a).Signed {
-		return f.handleNonStream(ctx, name, a, out)
+		return f.handleNonStream(ctx, t, name, a, out)
 	}
 	err = f.forwardStream(a, timer, out, func() {
-		took := f.clock.Now().Sub(start)
 		f.timeToFirstEvent = f.clock.Now().Sub(f.start)
-		if len(f.avoid) == 0 && request.Prompt.Tokens > 0 && !request.Deferred {
-			f.fleet.observeFirstEvent(f.clock.Now(), f.targetPool.Name, plan.TimeToFirstEvent, f.timeToFirstEvent)
-		}
 		f.meter.Time(f.timeToFirstEvent, "first")
-		if plan.Split() {
-			f.fleet.observeStart(plan, took)
-		} else {
-			f.fleet.observePrefill(request, plan, took)
-		}
+		t.firstEvent(f.clock.Now().Sub(start), f.timeToFirstEvent)
 	})
 	switch {
 	case err == nil:
-		f.fleet.recordAnswer(f.clock.Now(), name, true)
 		return nil
 	case errors.Is(err, errCallerConn):
 		return err
 	}
-	f.recordFailure(ctx, name, address, err)
+	f.recordEngineLoss(ctx, t, name, address, err)
 	return fmt.Errorf("decode: %w", err)
 }
 
 // handleNonStream handles an engine's answer that isn't an event stream. A
 // failure that the engine itself reports is delivered to the caller, unless the
 // call may be retried on another engine.
-func (f *inflightCall) handleNonStream(ctx context.Context, name string, a *http.Response, out *answerStream) error {
+func (f *inflightCall) handleNonStream(ctx context.Context, t *ticket, name string, a *http.Response, out *answerStream) error {
 	content, err := body.Read(a.Body, maxWholeAnswer)
 	f.avoid = append(f.avoid, name)
-	f.fleet.recordAnswer(f.clock.Now(), name, false)
+	t.engineFailed(name, false)
 	head := f.codec.ParseHead(a)
 	retryable := f.route.Resumable && len(f.mayHaveRun) < f.route.MaxAttempts
 	if err != nil || out.headSent || !head.Signed || retryable || ctx.Err() != nil {
@@ -395,11 +415,11 @@
 
 // firstProgressTimeout returns how long an engine may take for its first answer
 // byte or event. A deferred call may wait for as long as it has time.
-func (f *inflightCall) firstProgressTimeout(request *place.Request, plan *place.Plan) time.Duration {
-	if request.Deferred {
+func (f *inflightCall) firstProgressTimeout(t *ticket) time.Duration {
+	if t.Deferred {
 		return f.timeLeft()
 	}
-	return max(minProgressTimeout, progressTargetFactor*f.route.LatencyTarget, progressTimeoutFactor*plan.TimeToFirstEvent)
+	return max(minProgressTimeout, progressTargetFactor*f.route.LatencyTarget, progressTimeoutFactor*t.Plan.TimeToFirstEvent)
 }
 
 // withProgressTimeout returns a context that is cancelled after a time without
--- a/entryd/relay/large_test.go
+++ b/entryd/relay/large_test.go
@@ -30,7 +30,7 @@
 		}
 	}))
 	defer backend.Close()
-	f, _ := newTestCall(t, clock.System())
+	f := newTestCall(t, clock.System())
 	pool, cleanup := httpc.New(f.meter)
 	defer cleanup()
 	f.codec, f.pool, f.log = platform.Codec{}, pool, slog.New(slog.DiscardHandler)
--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -46,7 +46,9 @@
 		}
 		if err != nil {
 			reason = "the server gave no whole answer"
-			f.recordFailure(ctx, v.Name, server.HostPort(v.URL), err)
+			if f.recordFailure(ctx, v.Name, server.HostPort(v.URL), err) {
+				f.fleet.recordServerLoss(f.clock.Now(), v.Name)
+			}
 		} else {
 			switch {
 			case a.head.NotExecuted:
@@ -54,11 +56,11 @@
 				f.avoid = append(f.avoid, v.Name)
 				f.log.Info("not run", "request", f.call.ID, "server", v.Name, "status", a.response.StatusCode, "ms", f.elapsedMS())
 			case a.response.StatusCode < http.StatusInternalServerError:
-				f.fleet.recordAnswer(f.clock.Now(), v.Name, true)
+				f.fleet.recordServerAnswer(f.clock.Now(), v.Name, true)
 				f.deliver(a)
 				return
 			default:
-				f.fleet.recordAnswer(f.clock.Now(), v.Name, false)
+				f.fleet.recordServerAnswer(f.clock.Now(), v.Name, false)
 				f.avoid = append(f.avoid, v.Name)
 				lastFailure = a
 			}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -305,21 +305,21 @@
 
 // recordFailure records a failed exchange with a backend server, closes the
 // idle connections to it, and counts a loss against the request if any byte of
-// it may have reached the server. If the call itself has ended, the server
-// isn't at fault.
-func (f *inflightCall) recordFailure(ctx context.Context, name, address string, err error) {
+// it may have reached the server. If the call itself has ended, the server isn't
+// at fault, and it returns false.
+func (f *inflightCall) recordFailure(ctx context.Context, name, address string, err error) bool {
 	f.avoid = append(f.avoid, name)
 	sent := httpc.MaybeSent(err)
 	f.log.Info("exchange failed", "request", f.call.ID, "server", name, "sent", sent, "err", err.Error(), "ms", f.elapsedMS())
 	f.meter.Count("exchange", "failed")
 	if ctx.Err() != nil {
-		return
+		return false
 	}
-	f.fleet.recordLoss(f.clock.Now(), name)
 	f.pool.CloseIdle(address)
 	if sent {
 		f.queueLoss(name)
 	}
+	return true
 }
 
 const (
--- /dev/null
+++ b/entryd/relay/ticket.go
@@ -0,0 +1,194 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/request/sched"
+	"verbenahaven.example/core/version/state"
+)
+
+// Broker sends scheduling requests to the instance that schedules for the data
+// centre, given by its link address.
+type Broker interface {
+	Ask(ctx context.Context, link string, r *proto.PlaceRequest) (*proto.PlaceReply, error)
+	Tell(link string, e *proto.PlaceEvent)
+}
+
+// ticket is a scheduled generation. What happens to it is told to the instance
+// that scheduled it.
+type ticket struct {
+	sched.Decision
+
+	fleet  *Fleet
+	id     string
+	broker string // link address of the instance that scheduled it; empty for this one
+}
+
+// schedule asks the broker for engines, or chooses them here if it isn't there.
+func (f *Fleet) schedule(ctx context.Context, now time.Time, r *sched.Request) (*ticket, error) {
+	f.mutex.Lock()
+	link, ask := f.delegate.Broker(now)
+	f.mutex.Unlock()
+	if ask {
+		if t := f.askBroker(ctx, link, r); t != nil {
+			return t, nil
+		}
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	d, err := f.local.Decide(now, r)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // the error names the pool
+	}
+	t := &ticket{Decision: d, fleet: f, id: r.ID}
+	t.countInFlight(1)
+	return t, nil
+}
+
+// askBroker returns the broker's decision, or nil if there is none that can be
+// used.
+func (f *Fleet) askBroker(ctx context.Context, link string, r *sched.Request) *ticket {
+	ask := &proto.PlaceRequest{
+		ID: r.ID, Pool: r.Pool, Tokens: r.Prompt.Tokens, MaxOutput: r.Prompt.MaxOutput, Hint: r.Prompt.OutputHint,
+		Target: r.Target, TimeLeft: r.TimeLeft, Avoid: r.Avoid, Admit: r.Admit, Deferred: r.Deferred,
+	}
+	for _, p := range r.Prompt.Parts {
+		ask.Parts = append(ask.Parts, proto.PlacePart{ID: p.ID, Tokens: p.Tokens})
+	}
+	reply, err := f.broker.Ask(ctx, link, ask)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if ctx.Err() == nil {
+		f.delegate.Record(f.clock.Now(), err == nil)
+	}
+	if err != nil {
+		f.meter.Count("broker", "no_reply")
+		return nil
+	}
+	t := &ticket{fleet: f, id: r.ID, broker: link}
+	if !t.apply(reply, f.snapshot.Engine) {
+		f.meter.Count("broker", "not_used")
+		f.broker.Tell(link, &proto.PlaceEvent{Kind: proto.PlaceEnded, ID: r.ID})
+		return nil
+	}
+	r.Deferred = t.Deferred
+	if !t.Refused {
+		t.countInFlight(1)
+	}
+	return t
+}
+
+// apply sets the decision to that of a reply. It returns false if the reply
+// names no engine, or one that isn't serving as far as this instance knows: then
+// it decides itself.
+func (t *ticket) apply(r *proto.PlaceReply, engine func(string) (state.Engine, bool)) bool {
+	decode, found := engine(r.Decode)
+	if !found || decode.Phase != state.PhaseServing {
+		return false
+	}
+	var prefill state.Engine
+	if r.Prefill != "" {
+		if prefill, found = engine(r.Prefill); !found || prefill.Phase != state.PhaseServing {
+			return false
+		}
+	}
+	t.Plan.Prefill, t.Plan.Decode, t.Plan.FetchURL = prefill, decode, r.Fetch
+	t.Plan.TimeToFirstEvent, t.Plan.PrefillTokens = r.Expected, r.PrefillTokens
+	t.Plan.QueuedTokens, t.Plan.QueueWait = r.QueuedTokens, r.QueueWait
+	t.Deferred, t.Refused, t.RetryAfter, t.Margin, t.Limit = r.Deferred, r.Refused, r.RetryAfter, r.Margin, r.Limit
+	return true
+}
+
+// countInFlight adds the generation to those in flight at its engines, or
+// removes it. The caller holds the mutex.
+func (t *ticket) countInFlight(n int) {
+	for _, name := range []string{t.Plan.Prefill.Name, t.Plan.Decode.Name} {
+		if name == "" {
+			continue
+		}
+		if t.fleet.inFlight[name] += n; t.fleet.inFlight[name] == 0 {
+			delete(t.fleet.inFlight, name)
+		}
+	}
+}
+
+// tell tells the instance that scheduled the generation what happened to it.
+func (t *ticket) tell(e *proto.PlaceEvent) {
+	e.ID = t.id
+	if t.broker != "" {
+		t.fleet.broker.Tell(t.broker, e)
+		return
+	}
+	t.fleet.mutex.Lock()
+	defer t.fleet.mutex.Unlock()
+	t.fleet.local.Apply(t.fleet.clock.Now(), e)
+}
+
+// prefilled records that the prompt was computed at the prefill engine.
+func (t *ticket) prefilled(took time.Duration) {
+	t.tell(&proto.PlaceEvent{Kind: proto.PlacePrefilled, Took: took})
+}
+
+// firstEvent records the time from the request to the decode engine, and from
+// the caller's, to the first event.
+func (t *ticket) firstEvent(took, since time.Duration) {
+	t.tell(&proto.PlaceEvent{Kind: proto.PlaceStarted, Took: took, Since: since})
+}
+
+// end removes the generation from its engines. Took is the time of its answer
+// after the first event, 0 if it has no complete one.
+func (t *ticket) end(took time.Duration) {
+	t.fleet.mutex.Lock()
+	t.countInFlight(-1)
+	t.fleet.mutex.Unlock()
+	t.tell(&proto.PlaceEvent{Kind: proto.PlaceEnded, Took: took})
+}
+
+// engineFailed records that an engine answered with a failure, or that it
+// couldn't be reached or broke the connection.
+func (t *ticket) engineFailed(name string, lost bool) {
+	kind := proto.PlaceFailed
+	if lost {
+		kind = proto.PlaceLost
+	}
+	if t.broker != "" {
+		t.tell(&proto.PlaceEvent{Kind: kind, Engine: name})
+	}
+	t.fleet.mutex.Lock()
+	defer t.fleet.mutex.Unlock()
+	t.fleet.local.Apply(t.fleet.clock.Now(), &proto.PlaceEvent{Kind: kind, Engine: name})
+}
+
+// Place schedules a request of another instance. It implements
+// broker.Handler.
+func (f *Fleet) Place(r *proto.PlaceRequest) (proto.PlaceReply, bool) {
+	prompt := &server.Prompt{Tokens: r.Tokens, MaxOutput: r.MaxOutput, OutputHint: r.Hint}
+	for _, p := range r.Parts {
+		prompt.Parts = append(prompt.Parts, server.Part{ID: p.ID, Tokens: p.Tokens})
+	}
+	request := &sched.Request{TimeLeft: r.TimeLeft, Admit: r.Admit}
+	request.ID, request.Pool, request.Prompt, request.Target = r.ID, r.Pool, prompt, r.Target
+	request.Avoid, request.Deferred = r.Avoid, r.Deferred
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	d, err := f.local.Decide(f.clock.Now(), request)
+	if err != nil {
+		return proto.PlaceReply{}, false // the asking instance decides itself
+	}
+	return proto.PlaceReply{
+		ID: r.ID, Prefill: d.Plan.Prefill.Name, Decode: d.Plan.Decode.Name, Fetch: d.Plan.FetchURL,
+		Expected: d.Plan.TimeToFirstEvent, PrefillTokens: d.Plan.PrefillTokens, QueuedTokens: d.Plan.QueuedTokens, QueueWait: d.Plan.QueueWait,
+		Deferred: d.Deferred, Refused: d.Refused, RetryAfter: d.RetryAfter, Margin: d.Margin, Limit: d.Limit,
+	}, true
+}
+
+// Apply records an event of a request that this instance scheduled for another.
+// It implements broker.Handler.
+func (f *Fleet) Apply(e *proto.PlaceEvent) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.local.Apply(f.clock.Now(), e)
+}
--- a/entryd/wire.go
+++ b/entryd/wire.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"context"
+
 	"github.com/google/wire"
 
 	"verbenahaven.example/core/conn/keeper"
@@ -12,6 +14,7 @@
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/version/view"
 	"verbenahaven.example/entryd/beat"
+	"verbenahaven.example/entryd/broker"
 	"verbenahaven.example/entryd/front"
 	"verbenahaven.example/entryd/infer"
 	"verbenahaven.example/entryd/picker"
@@ -40,15 +43,16 @@
 }
 
 // buildSite makes an entry instance on a platform and its clean-up.
-func buildSite(s *platform.Settings, m metricsSetting) (*site, func(), error) {
+func buildSite(ctx context.Context, s *platform.Settings, m metricsSetting) (*site, func(), error) {
 	wire.Build(
 		clock.System, meter.New, view.New,
-		siteLog, siteKeys, siteKeeper, siteBudget, siteFleet, siteStrike, siteRelay, siteWatch, siteMember, siteLink, siteHolder,
+		siteLog, siteKeys, siteKeeper, siteBudget, siteBroker, siteFleet, siteStrike, siteRelay, siteWatch, siteMember, siteLink, siteHolder,
 		sitePool, newLeaving, newSite,
 		watch.New, beat.New,
 		wire.Bind(new(proto.Keeper), new(*keeper.Client)),
 		wire.Bind(new(watch.Subscriber), new(*relay.Fleet)),
 		wire.Bind(new(beat.Traffic), new(*relay.Fleet)),
+		wire.Bind(new(relay.Broker), new(*broker.Conn)),
 	)
 	return nil, nil, nil
 }
--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -7,6 +7,7 @@
 package main
 
 import (
+	"context"
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
@@ -84,38 +85,45 @@
 }
 
 // buildSite makes an entry instance on a platform and its clean-up.
-func buildSite(s *platform.Settings, m metricsSetting) (*site, func(), error) {
+func buildSite(ctx context.Context, s *platform.Settings, m metricsSetting) (*site, func(), error) {
 	sharedBudget := siteBudget(s)
 	registry := meter.New()
-	logger, cleanup := siteLog(registry)
+	conn, cleanup, err := siteBroker(ctx, s, registry)
+	if err != nil {
+		return nil, nil, err
+	}
+	clockClock := clock.System()
+	logger, cleanup2 := siteLog(registry)
 	config, err := siteKeys(s, logger)
 	if err != nil {
+		cleanup2()
 		cleanup()
 		return nil, nil, err
 	}
-	client, cleanup2 := siteKeeper(s, config)
-	fleet := siteFleet(s, sharedBudget, client)
-	httpcPool, cleanup3 := sitePool(registry)
+	client, cleanup3 := siteKeeper(s, config)
+	fleet := siteFleet(s, sharedBudget, conn, registry, clockClock, client)
+	httpcPool, cleanup4 := sitePool(registry)
 	strikes := siteStrike(client, registry)
-	clockClock := clock.System()
 	mainLeaving := newLeaving()
 	proxy := siteRelay(httpcPool, fleet, strikes, registry, logger, clockClock, mainLeaving)
 	settings := siteWatch(s)
 	store := view.New()
-	watchWatch, cleanup4 := watch.New(settings, store, client, fleet, config, registry, clockClock)
+	watchWatch, cleanup5 := watch.New(settings, store, client, fleet, config, registry, clockClock)
 	member := siteMember(s)
 	holder := siteHolder()
 	beatBeat := beat.New(member, holder, client, fleet, watchWatch, store, registry, clockClock)
-	server, cleanup5, err := siteLink(s, config, watchWatch, registry)
+	server, cleanup6, err := siteLink(s, config, watchWatch, registry)
 	if err != nil {
+		cleanup5()
 		cleanup4()
 		cleanup3()
 		cleanup2()
 		cleanup()
 		return nil, nil, err
 	}
-	mainSite := newSite(s, m, fleet, proxy, watchWatch, beatBeat, strikes, registry, logger, mainLeaving, server, client)
+	mainSite := newSite(s, m, fleet, proxy, watchWatch, beatBeat, strikes, registry, logger, mainLeaving, server, client, conn)
 	return mainSite, func() {
+		cleanup6()
 		cleanup5()
 		cleanup4()
 		cleanup3()
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -69,6 +69,9 @@
 	// them.
 	minBeatInterval = 20 * time.Millisecond
 	maxBeatInterval = 150 * time.Millisecond
+	// delegatingInterval is the time between two heartbeats of an instance that
+	// needs no loads, only changes of the state.
+	delegatingInterval = 200 * time.Millisecond
 	// beatsPerPrefill is the number of heartbeats of an instance in the mean time
 	// of a prefill. The work at the engines changes with each prefill, so more
 	// heartbeats tell little new.
@@ -79,9 +82,15 @@
 // load of the engines, the keepers, and the interval to its next heartbeat.
 func (l *Leader) addUpdates(reply *proto.HeartbeatReply, q proto.HeartbeatRequest) {
 	_ = l.withLease(func(now time.Duration, _ uint64) {
+		live := l.roster.LiveCount(now)
+		if q.Delegates {
+			reply.ReportsRevision = q.ReportsRevision
+			reply.Interval = max(delegatingInterval, time.Duration(live)*beatSpacing)
+			return
+		}
 		reply.OtherWork = l.roster.LoadsExcept(now, q.Member.Name)
 		reply.Reports, reply.ReportsRevision = l.roster.ReportsSince(q.ReportsRevision)
-		reply.Interval = max(minBeatInterval, min(l.roster.PrefillTime()/beatsPerPrefill, maxBeatInterval), time.Duration(l.roster.LiveCount(now))*beatSpacing)
+		reply.Interval = max(minBeatInterval, min(l.roster.PrefillTime()/beatsPerPrefill, maxBeatInterval), time.Duration(l.roster.PlacingCount(now))*beatSpacing)
 	})
 	read := l.clock.Now()
 	for i := range reply.Reports {
