link: a handshake without an answer starts anew; relay: a truer time to return at the start

A dial now makes handshakes of 250 ms, twice, then of 500 ms and 1 s.

Ruled out: the election (the leader came 0.3 s after the first instances had the state from keepers that didn't lead yet).

--- a/core/conn/link/client.go
+++ b/core/conn/link/client.go
@@ -11,8 +11,10 @@
 	"github.com/quic-go/quic-go"
 )
 
+// dialTimeouts are those of the handshakes of one dial, one after the other.
+var dialTimeouts = []time.Duration{250 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second}
+
 const (
-	dialTimeout = 2 * time.Second
 	// silenceTimeout is how long a connection with waiting calls may go without a
 	// received packet before it counts as silent. An acknowledgement takes one
 	// round trip plus at most 25 ms.
@@ -108,9 +110,7 @@
 }
 
 func (c *Client) dial(a *dialAttempt) {
-	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
-	defer cancel()
-	conn, err := quic.DialAddr(ctx, c.address, c.config, quicConfig())
+	conn, err := c.handshake()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.dialing = nil
@@ -126,6 +126,23 @@
 	close(a.done)
 }
 
+// handshake opens a connection. It starts anew if the peer doesn't answer soon:
+// QUIC repeats its first packet at growing intervals, so a peer that begins to
+// listen a moment after that packet would be reached a second later.
+func (c *Client) handshake() (*quic.Conn, error) {
+	var conn *quic.Conn
+	var err error
+	for _, timeout := range dialTimeouts {
+		ctx, cancel := context.WithTimeout(c.ctx, timeout)
+		conn, err = quic.DialAddr(ctx, c.address, c.config, quicConfig())
+		cancel()
+		if err == nil || c.ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
+			break
+		}
+	}
+	return conn, err //nolint:wrapcheck // wrapped by connect
+}
+
 // drop closes a connection on which a call failed, so that the next call dials a
 // new one instead of retrying on a silent connection.
 func (c *Client) drop(conn *quic.Conn) {
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -31,8 +31,8 @@
 
 const (
 	// startupRetryAfter is the Retry-After of an instance without a routing
-	// table.
-	startupRetryAfter = 500 * time.Millisecond
+	// table: it gets one within a second after it and the keepers start.
+	startupRetryAfter = time.Second
 	// busyRetryAfter is the least Retry-After when all backend servers are busy
 	// or unavailable.
 	busyRetryAfter = 300 * time.Millisecond
