--- a/trial/flow/flow.go
+++ b/trial/flow/flow.go
@@ -53,6 +53,15 @@
 // PrefillEngines returns the number of engines in the prefill role.
 func (f *Fleet) PrefillEngines() int { return int(math.Round(f.PrefillShare * float64(f.Engines))) }
 
+// Capacity returns the requests of a load per second that the engines can serve
+// if no shared part is cached: prompts at the prefill engines, answers at the
+// others.
+func (f *Fleet) Capacity(l *Load) float64 {
+	prompts := float64(f.PrefillEngines()) * f.Rate / float64(l.Shared+l.Own)
+	answer := f.Start + time.Duration(l.MaxOutput)*f.Step
+	return min(prompts, float64((f.Engines-f.PrefillEngines())*f.Spec.BatchSize)/answer.Seconds())
+}
+
 // Load describes the requests: long prompts with short answers.
 type Load struct {
 	Rate      float64 // requests per second, in the mean
--- a/trial/flow/flow_test.go
+++ b/trial/flow/flow_test.go
@@ -26,14 +26,6 @@
 	}
 }
 
-// capacity returns the requests per second that the engines can serve if no
-// shared part is cached: prompts at the prefill engines, answers at the others.
-func capacity(f flow.Fleet, l flow.Load) float64 {
-	prompts := float64(f.PrefillEngines()) * f.Rate / float64(l.Shared+l.Own)
-	answer := f.Start + time.Duration(l.MaxOutput)*f.Step
-	return min(prompts, float64(f.Engines-f.PrefillEngines())*float64(f.Spec.BatchSize)/answer.Seconds())
-}
-
 // At two hundred instances, callers get what the engines can give: below the
 // capacity nearly all answers are on time, and above it nearly as many as the
 // engines can compute, since what can't be on time doesn't delay the rest.
@@ -41,7 +33,7 @@
 	f := largeFleet(true)
 	for _, relative := range []float64{0.3, 0.6, 0.9, 1.2, 1.6} {
 		l := dossiers(0, 0)
-		l.Rate = relative * capacity(f, l)
+		l.Rate = relative * f.Capacity(&l)
 		r := flow.Simulate(f, l, 1)
 		t.Logf("%.1f of the capacity: %.3f on time, %d late, %d refused of %d", relative, r.OnTimeShare(), r.Late, r.Refused, r.Asked)
 		if want := 0.9 * min(1, 1/relative); r.OnTimeShare() < want {
@@ -54,8 +46,9 @@
 // on time than instances that hear of each other's work several prefills late.
 func TestBrokersServeMoreThanInstancesAlone(t *testing.T) {
 	l := dossiers(0, 0.6)
-	l.Rate = 0.8 * capacity(largeFleet(true), l)
-	brokers, alone := flow.Simulate(largeFleet(true), l, 1), flow.Simulate(largeFleet(false), l, 1)
+	f := largeFleet(true)
+	l.Rate = 0.8 * f.Capacity(&l)
+	brokers, alone := flow.Simulate(f, l, 1), flow.Simulate(largeFleet(false), l, 1)
 	t.Logf("brokers: %+v", brokers)
 	t.Logf("alone: %+v", alone)
 	if brokers.OnTimeShare() < 0.8 {
@@ -82,7 +75,7 @@
 				l.Target = time.Duration(float64(l.Target) / speed)
 				l.TimeLeft = time.Duration(float64(l.TimeLeft) / speed)
 				for _, relative := range []float64{0.6, 1.3} {
-					l.Rate = relative * capacity(f, l)
+					l.Rate = relative * f.Capacity(&l)
 					l.Length = time.Duration(2500 / l.Rate * float64(time.Second))
 					r := flow.Simulate(f, l, 1)
 					name := fmt.Sprintf("speed %v, batch %d, memory %v, load %v", speed, batch, memory, relative)
