state, roster: a full strike table keeps known requests; a returning instance counts once

Two faults noted while the code was reworded. A hit on a known fingerprint evicted the strikes that expire first even if they were its own, so a request that crashes engines began anew among ten thousand others; only a new one evicts now. An instance that returned after its lease, but before its old work was dropped from the sums, was counted twice for up to half a second.

--- a/core/version/roster/load_test.go
+++ b/core/version/roster/load_test.go
@@ -121,3 +121,18 @@
 		t.Errorf("mean time of a prefill %v, want 160ms", d)
 	}
 }
+
+// An instance that returns after its lease, but before its old load was dropped,
+// counts once.
+func TestReturningInstanceCountsOnce(t *testing.T) {
+	r := roster.New(0, roster.Settings{Lease: time.Second})
+	beat := func(now time.Duration) {
+		r.RecordHeartbeat(now, proto.HeartbeatRequest{Member: state.Member{Name: "a"}, OwnWork: []proto.EngineWork{{Engine: "e", Streams: 3}}})
+	}
+	beat(0)
+	r.LoadsExcept(900*time.Millisecond, "b") // counts all loads anew
+	beat(1100 * time.Millisecond)
+	if loads := r.LoadsExcept(1100*time.Millisecond, "b"); len(loads) != 1 || loads[0].Streams != 3 {
+		t.Fatalf("loads %+v, want 3 streams", loads)
+	}
+}
--- a/core/version/roster/roster.go
+++ b/core/version/roster/roster.go
@@ -29,6 +29,7 @@
 	inFlight map[string]uint32 // running requests, by backend server
 	demand   []proto.Demand
 	loads    []proto.EngineWork
+	counted  bool // loads are part of the total
 	placing  bool // schedules generations, so that it needs the loads of others
 }
 
@@ -64,11 +65,11 @@
 
 // RecordHeartbeat stores a heartbeat and the newer ones of its engine reports.
 func (r *Roster) RecordHeartbeat(now time.Duration, q proto.HeartbeatRequest) {
-	if r.alive(now, q.Member.Name) {
-		r.addLoads(r.heartbeats[q.Member.Name].loads, -1)
+	if old := r.heartbeats[q.Member.Name]; old.counted {
+		r.addLoads(old.loads, -1)
 	}
 	r.addLoads(q.OwnWork, 1)
-	r.heartbeats[q.Member.Name] = heartbeat{arrived: now, version: q.Version, inFlight: q.InFlight, demand: q.Demand, loads: q.OwnWork, placing: !q.Delegates}
+	r.heartbeats[q.Member.Name] = heartbeat{arrived: now, version: q.Version, inFlight: q.InFlight, demand: q.Demand, loads: q.OwnWork, counted: true, placing: !q.Delegates}
 	if q.Holder != "" {
 		r.holders[q.Holder] = now
 	}
@@ -172,14 +173,16 @@
 		r.recountedAt = now
 		clear(r.totalLoad)
 		for instance, h := range r.heartbeats {
-			if r.alive(now, instance) {
+			h.counted = r.alive(now, instance)
+			if h.counted {
 				r.addLoads(h.loads, 1)
 			}
+			r.heartbeats[instance] = h
 		}
 	}
 	ownLoads := make(map[string]proto.EngineWork)
-	if r.alive(now, name) {
-		for _, l := range r.heartbeats[name].loads {
+	if own := r.heartbeats[name]; own.counted {
+		for _, l := range own.loads {
 			ownLoads[l.Engine] = l
 		}
 	}
--- a/core/version/state/member.go
+++ b/core/version/state/member.go
@@ -53,7 +53,10 @@
 // request.
 func (s *State) AddStrike(fingerprint, engine string) Strike {
 	s.expireStrikes()
-	v := s.strikes.rows[fingerprint]
+	v, known := s.strikes.rows[fingerprint]
+	if !known && len(s.strikes.rows) >= maxStrikes {
+		drop(s, &s.strikes, s.earliestStrike())
+	}
 	v.Fingerprint = fingerprint
 	if !slices.Contains(v.LostEngines, engine) {
 		v.LostEngines = append(slices.Clone(v.LostEngines), engine)
@@ -68,22 +71,24 @@
 	drop(s, &s.strikes, fingerprint)
 }
 
-// expireStrikes removes expired strikes, and if too many remain the one that
-// expires first.
+// expireStrikes removes expired strikes.
 func (s *State) expireStrikes() {
-	earliest, expiry := "", time.Time{}
 	for _, v := range s.strikes.after(0) { // sorted: replicas must write the same tombstones
 		if v.ExpiresAt.Before(s.now) {
 			drop(s, &s.strikes, v.Fingerprint)
-			continue
 		}
+	}
+}
+
+// earliestStrike returns the fingerprint of the strikes that expire first.
+func (s *State) earliestStrike() string {
+	earliest, expiry := "", time.Time{}
+	for _, v := range s.strikes.after(0) {
 		if earliest == "" || v.ExpiresAt.Before(expiry) {
 			earliest, expiry = v.Fingerprint, v.ExpiresAt
 		}
 	}
-	if len(s.strikes.rows) >= maxStrikes {
-		drop(s, &s.strikes, earliest)
-	}
+	return earliest
 }
 
 // RecordDecision records a decision of the planner and returns it with its number
