--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 FUZZTIME ?= 10s
 
 .DEFAULT_GOAL := help
-.PHONY: help build demo test unit race lint fmt generate check-generated trial soak bench fuzz clean tools
+.PHONY: help build demo test unit race lint fmt generate check-generated trial flow soak bench fuzz clean tools
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | awk -F':.*## ' '{printf "%-18s %s\n", $$1, $$2}'
@@ -51,6 +51,9 @@
 trial: build ## compare the policies under load; writes out/
 	@$(BIN)/trial run -bin $(BIN) -out $(CURDIR)/out
 
+flow: build ## simulate the scheduler under load, by size; writes out/flow.svg
+	@$(BIN)/trial flow -out $(CURDIR)/out
+
 soak: build ## long random runs: SEEDS of the consensus, MINUTES of real processes
 	@cd core && $(GO) test ./process/quorum -run TestSoak -soak.seeds $(SEEDS) -timeout 2h -v
 	@$(BIN)/trial soak -bin $(BIN) -minutes $(MINUTES)
--- a/core/request/place/engine.go
+++ b/core/request/place/engine.go
@@ -1,13 +1,11 @@
 package place
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/conn/server"
-	"verbenahaven.example/core/request/speed"
 	"verbenahaven.example/core/version/state"
 )
 
@@ -77,11 +75,6 @@
 }
 
 const (
-	// maxSlowdown bounds the effect of one observation: how many times longer
-	// than expected a prefill counts.
-	maxSlowdown = 8
-	// answerWeight is the weight of a new answer in the mean time of answers.
-	answerWeight = 0.05
 	// cacheTurnover is how many times its memory an engine may compute in
 	// prompt tokens while a part that isn't used again stays cached: it
 	// computes for a part of the time only.
@@ -92,67 +85,6 @@
 	maxPartTTL = 30 * time.Second
 )
 
-// speedGroup returns the name of the group of engines of a pool and role.
-func speedGroup(pool string, role state.Role) string {
-	return pool + "/" + string(role)
-}
-
-// observe adds an observation of an engine.
-func (p *Placer) observe(s *proto.EngineSpeed) {
-	if total := p.observed[s.Engine]; total != nil {
-		total.Add(s)
-	} else {
-		p.observed[s.Engine] = s
-	}
-	p.own.Observe([]proto.EngineSpeed{*s})
-}
-
-// TakeSpeeds returns what was observed of the engines since the last call.
-func (p *Placer) TakeSpeeds() []proto.EngineSpeed {
-	list := make([]proto.EngineSpeed, 0, len(p.observed))
-	for _, s := range p.observed {
-		list = append(list, *s)
-	}
-	clear(p.observed)
-	slices.SortFunc(list, func(a, b proto.EngineSpeed) int { return cmp.Compare(a.Engine, b.Engine) })
-	p.refreshSpeeds()
-	return list
-}
-
-// refreshSpeeds updates the expected speed of each engine: what its report
-// says, else what this instance observed, else what is known of the pool's
-// engines of the other role.
-func (p *Placer) refreshSpeeds() {
-	for pool, list := range p.pools {
-		known := map[state.Role]speed.Estimate{
-			state.RolePrefill: p.own.Group(speedGroup(pool, state.RolePrefill)),
-			state.RoleDecode:  p.own.Group(speedGroup(pool, state.RoleDecode)),
-		}
-		for _, v := range list {
-			if r := v.lastReport; r.PrefillRate > 0 || r.StartTime > 0 {
-				known[v.engine.Role] = speed.Estimate{PrefillRate: r.PrefillRate, PrefillDelay: r.PrefillDelay, StartTime: r.StartTime}
-			}
-		}
-		prefill, decode := known[state.RolePrefill], known[state.RoleDecode]
-		if prefill.PrefillRate == 0 {
-			prefill.PrefillRate, prefill.PrefillDelay = cmp.Or(decode.PrefillRate/decodePrefillShare, assumedPrefillRate), decode.PrefillDelay
-		}
-		if decode.PrefillRate == 0 {
-			decode.PrefillRate, decode.PrefillDelay = prefill.PrefillRate*decodePrefillShare, prefill.PrefillDelay
-		}
-		for _, v := range list {
-			v.prefillRate, v.prefillDelay = decode.PrefillRate, decode.PrefillDelay
-			if v.engine.Role == state.RolePrefill {
-				v.prefillRate, v.prefillDelay = prefill.PrefillRate, prefill.PrefillDelay
-			}
-			if r := v.lastReport; r.PrefillRate > 0 {
-				v.prefillRate, v.prefillDelay = r.PrefillRate, r.PrefillDelay
-			}
-			v.startTime = cmp.Or(v.lastReport.StartTime, decode.StartTime, assumedStartTime)
-		}
-	}
-}
-
 // computeTime returns the time in which the engine computes prompt tokens.
 func (v *engineView) computeTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / v.prefillRate * float64(time.Second))
@@ -240,7 +172,7 @@
 // free.
 func (v *engineView) memoryWait(req *Request) time.Duration {
 	if use := v.memoryUse(); use >= fullMemoryShare {
-		return time.Duration(use * float64(req.share(fullMemoryShareCost)))
+		return time.Duration(use * float64(req.share(fullMemoryCostShare)))
 	}
 	return 0
 }
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -103,8 +103,8 @@
 	// least, in time.
 	crossCentreShare   = 0.075
 	minCrossCentreCost = 15 * time.Millisecond
-	// fullMemoryShareCost is the cost of an engine whose memory is full.
-	fullMemoryShareCost = 1.5
+	// fullMemoryCostShare is the cost of an engine whose memory is full.
+	fullMemoryCostShare = 1.5
 )
 
 // ErrNoBackend is returned if no engine or plain server can take the request.
@@ -261,38 +261,6 @@
 	}
 }
 
-// RecordPrefill records that the prompt of a request was prefilled and how long
-// it took, or on a decode engine the time to its first event. It adjusts the
-// expected speed of the engine. Others overtake deferred requests, so their
-// times tell only that an engine is faster than expected: one that is believed
-// to be too slow for anything else is found out by them.
-func (p *Placer) RecordPrefill(req *Request, plan *Plan, took time.Duration) {
-	name := plan.Prefill.Name
-	if !plan.Split() {
-		name = plan.Decode.Name
-	}
-	v := p.engines[name]
-	if v == nil {
-		return
-	}
-	if plan.Split() {
-		v.removeWork(req.ID)
-		p.takeSlot(req, plan)
-	} else if s, found := v.sent[req.ID]; found {
-		s.prefillTokens = 0
-		v.addWork(req.ID, s)
-	}
-	expected := plan.QueueWait + v.prefillTime(plan.PrefillTokens)
-	if took <= 0 || req.Deferred && took > expected {
-		return
-	}
-	limit := maxSlowdown * expected
-	tokens, seconds := float64(plan.QueuedTokens+plan.PrefillTokens)/1000, min(took, limit).Seconds()
-	p.observe(&proto.EngineSpeed{
-		Engine: name, Prefills: 1, Tokens: tokens, Seconds: seconds, TokensSquared: tokens * tokens, TokensSeconds: tokens * seconds,
-	})
-}
-
 // takeSlot counts the answer among those at its decode engine.
 func (p *Placer) takeSlot(req *Request, plan *Plan) {
 	v := p.engines[plan.Decode.Name]
@@ -305,37 +273,6 @@
 	}
 }
 
-// RecordStart records the time from the request for an answer whose prompt was
-// prefilled elsewhere to its first event. A wait for a slot isn't part of an
-// engine's speed, so times with one are ignored.
-func (p *Placer) RecordStart(plan *Plan, took time.Duration) {
-	if v := p.engines[plan.Decode.Name]; v != nil && plan.Split() && took > 0 && plan.SlotWait == 0 {
-		p.observe(&proto.EngineSpeed{Engine: plan.Decode.Name, Starts: 1, StartSeconds: took.Seconds()})
-	}
-}
-
-// answerTimes is how long answers occupy a batch slot, in the mean.
-type answerTimes struct{ short, long time.Duration }
-
-// RecordAnswerTime records how long an answer ran after its first event.
-func (p *Placer) RecordAnswerTime(req *Request, took time.Duration) {
-	t := p.answerTimes(req.Pool)
-	mean := &t.short
-	if p.isLong(req) {
-		mean = &t.long
-	}
-	*mean += time.Duration(answerWeight * float64(took-*mean))
-	p.answers[req.Pool] = t
-}
-
-// answerTimes returns the mean times of a pool's answers.
-func (p *Placer) answerTimes(pool string) answerTimes {
-	if t, found := p.answers[pool]; found {
-		return t
-	}
-	return answerTimes{short: assumedShortAnswerTime, long: assumedAnswerTime}
-}
-
 // RecordDone removes the work of a request at the engines of its plan.
 func (p *Placer) RecordDone(req *Request, plan *Plan) {
 	for _, name := range []string{plan.Prefill.Name, plan.Decode.Name} {
--- a/core/request/sched/sched.go
+++ b/core/request/sched/sched.go
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -55,9 +54,6 @@
 	defaultTimeLeft = time.Minute
 )
 
-// ErrNoBackend is returned if no engine can take a request.
-var ErrNoBackend = place.ErrNoBackend
-
 // Request is a generation to be scheduled.
 type Request struct {
 	place.Request
@@ -128,6 +124,7 @@
 }
 
 // Decide schedules a request, and books the work at the engines until it ends.
+// The error wraps place.ErrNoBackend if no engine can take it.
 func (s *Scheduler) Decide(now time.Time, r *Request) (Decision, error) {
 	s.expire(now)
 	plan, err := s.placer.Pick(now, &r.Request)
@@ -319,7 +316,3 @@
 // TakeSpeeds returns what was observed of the engines' speeds since the last
 // call.
 func (s *Scheduler) TakeSpeeds() []proto.EngineSpeed { return s.placer.TakeSpeeds() }
-
-// IsNoBackend reports whether a decision failed since no engine can take the
-// request.
-func IsNoBackend(err error) bool { return errors.Is(err, ErrNoBackend) }
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -65,7 +65,6 @@
 	// siteMaxHeaderBytes bounds a request header before the routing table is known.
 	siteMaxHeaderBytes = 256 << 10
 	siteHeaderTimeout  = 10 * time.Second
-	drainPollPeriod    = 20 * time.Millisecond
 )
 
 // site is an entry instance that runs on a platform.
