relay: the log says how an answer was framed and where a stream ended

It now has the framing of the server's answer, the number of events and the bytes after the last whole event.

--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -150,10 +150,31 @@
 	}
 }
 
+// Framing is what marks the end of a response body.
+type Framing string
+
+// Framings of a response body.
+const (
+	FramedByLength     Framing = "length"
+	FramedByChunks     Framing = "chunks"
+	FramedByConnection Framing = "connection" // the end of the connection
+)
+
+// FramingOf returns the framing of a response.
+func FramingOf(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	case resp.ContentLength >= 0:
+		return FramedByLength
+	default:
+		return FramedByConnection
+	}
+}
+
 // keepsConn reports whether the server keeps the connection open after a response.
 func keepsConn(resp *http.Response) bool {
-	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return !resp.Close && delimited && resp.ProtoAtLeast(1, 1)
+	return !resp.Close && FramingOf(resp) != FramedByConnection && resp.ProtoAtLeast(1, 1)
 }
 
 func (e *exchange) discard() {
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -56,7 +56,9 @@
 	headSent    bool   // the HTTP header was sent
 	lastEventID string // of the last complete event
 	events      int
-	partial     []byte // start of an incomplete event, not yet sent
+	partial     []byte        // start of an incomplete event, not yet sent
+	framing     httpc.Framing // of the last engine's answer
+	tailBytes   int           // after the last complete event, when the answer ended
 }
 
 // forwardGeneration runs a generation on the engines of a plan, and retries it
@@ -94,7 +96,7 @@
 		f.logPlaced(t, &out)
 		err = f.attempt(ctx, t, &out)
 		if err == nil {
-			f.logAnswered(t.Plan.Decode.Name, http.StatusOK, nil)
+			f.logAnswered(t.Plan.Decode.Name, http.StatusOK, nil, "events", out.events, "framing", out.framing, "tail_bytes", out.tailBytes)
 			f.fleet.observeDecodeTime(f.targetPool.Name, f.tokensIn(&out), f.answerTime())
 			return
 		}
@@ -342,7 +344,7 @@
 // forwardStream forwards complete events to the caller as they arrive. It calls
 // onFirst before the first one.
 func (f *inflightCall) forwardStream(a *http.Response, timer *progressTimer, out *answerStream, onFirst func()) error {
-	out.partial = out.partial[:0]
+	out.partial, out.framing = out.partial[:0], httpc.FramingOf(a)
 	buffer := make([]byte, readBufferSize)
 	control := http.NewResponseController(f.w)
 	for {
@@ -351,6 +353,10 @@
 		end := bytes.LastIndex(out.partial, []byte("\n\n")) + 2
 		ended := errors.Is(err, io.EOF)
 		if ended {
+			out.tailBytes = len(out.partial)
+			if end >= 2 {
+				out.tailBytes -= end
+			}
 			end = len(out.partial)
 		}
 		if end >= 2 {
--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"verbenahaven.example/core/conn/body"
+	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/version/state"
 )
@@ -106,13 +107,15 @@
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	f.w.WriteHeader(a.response.StatusCode)
 	_, err := f.w.Write(a.body)
-	f.logAnswered(a.server, a.response.StatusCode, err)
+	f.logAnswered(a.server, a.response.StatusCode, err, "framing", httpc.FramingOf(a.response))
 }
 
 // logAnswered logs and counts the end of a call that a backend server answered.
-func (f *inflightCall) logAnswered(name string, status int, err error) {
+func (f *inflightCall) logAnswered(name string, status int, err error, attrs ...any) {
 	f.meter.Count("answered", strconv.Itoa(status/100)+"xx")
 	f.meter.Time(f.clock.Now().Sub(f.start), "answer", string(f.route.Kind))
-	f.log.Info("answered", "request", f.call.ID, "route", f.route.Name, "table", f.tableNumber(), "server", name,
-		"status", status, "tries", f.tries, "prefill_ms", f.prefillTime.Milliseconds(), "first_ms", f.timeToFirstEvent.Milliseconds(), "ms", f.elapsedMS(), "err", err)
+	f.log.Info("answered", append([]any{
+		"request", f.call.ID, "route", f.route.Name, "table", f.tableNumber(), "server", name, "status", status, "tries", f.tries,
+		"prefill_ms", f.prefillTime.Milliseconds(), "first_ms", f.timeToFirstEvent.Milliseconds(), "ms", f.elapsedMS(), "err", err,
+	}, attrs...)...)
 }
