httpc, relay: tests that fail: a stream cut inside an event passes as complete

A backend server that breaks off inside an event, with an answer framed by the end of its connection, is passed on whole: status 200, the partial event, a last chunk. The same with framings that claim to be complete. On the way of whole answers (a service without prompts) the truncated stream is delivered with a length.

--- /dev/null
+++ b/entryd/relay/broken_test.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"verbenahaven.example/core/conn/httpc"
+	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/platform"
+)
+
+// scriptedBackend answers each request with the next of its answers and closes
+// the connection after it.
+type scriptedBackend struct {
+	answers      []string // "FRAMING QUOTED-BODY"
+	resumedAfter []string
+}
+
+func (b *scriptedBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	framing, quoted, _ := strings.Cut(b.answers[0], " ")
+	b.answers = b.answers[1:]
+	if id := r.Header.Get("Last-Event-Id"); id != "" {
+		b.resumedAfter = append(b.resumedAfter, id)
+	}
+	body, err := strconv.Unquote(quoted)
+	if err != nil {
+		panic(err)
+	}
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = c.Close() }()
+	field := ""
+	switch httpc.Framing(framing) {
+	case httpc.FramedByLength:
+		field = fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	case httpc.FramedByChunks:
+		field, body = "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n%s\r\n%s", field, body)
+}
+
+// newScriptedCall returns a call to a backend that stands for all servers of its
+// fleet.
+func newScriptedCall(t *testing.T, b *scriptedBackend, kind string) *inflightCall {
+	t.Helper()
+	backend := httptest.NewServer(b)
+	t.Cleanup(backend.Close)
+	f := newTestCall(t, clock.System())
+	pool, cleanup := httpc.New(f.meter)
+	t.Cleanup(cleanup)
+	f.codec, f.pool, f.log = platform.Codec{}, pool, slog.New(slog.DiscardHandler)
+	f.losses = make(chan engineLoss, lossQueueSize)
+	f.draining = func() (time.Duration, bool) { return 0, false }
+	f.fleet.budget.SetLimits(time.Second, 1, assumedInstances)
+	f.route = state.Route{Kind: state.RouteKind(kind), MaxAttempts: 2, LatencyTarget: time.Second}
+	if kind == "resumable" {
+		f.route.Kind, f.route.Resumable = state.RouteStream, true
+	}
+	engines, servers := []state.Engine{}, []state.Server{}
+	for _, name := range []string{"a", "b"} {
+		engines = append(engines, state.Engine{
+			Name: name, URL: backend.URL, Pool: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Centre: "z",
+		})
+		servers = append(servers, state.Server{Name: name, URL: backend.URL, Service: "m", Phase: state.PhaseServing})
+	}
+	f.targetPool.Spec = &state.EngineSpec{}
+	f.fleet.local.Update(engines, nil)
+	f.fleet.servers.Update(servers)
+	f.call = &server.Call{ID: "1", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Request-Id": {"1"}}, Prompt: f.call.Prompt}
+	f.deadline = f.clock.Now().Add(10 * time.Second)
+	return f
+}
+
+// deliverTo runs a call for one caller and returns what the caller gets.
+func deliverTo(t *testing.T, f *inflightCall) string {
+	t.Helper()
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.w = w
+		if f.route.Kind == state.RouteStream {
+			f.forwardGeneration(r.Context())
+			return
+		}
+		f.forwardWhole(r.Context())
+	}))
+	defer front.Close()
+	c, err := net.Dial("tcp", front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	body, err := io.ReadAll(a.Body)
+	if a.StatusCode != http.StatusOK {
+		return fmt.Sprintln(a.StatusCode)
+	}
+	framed := "whole"
+	if err != nil {
+		framed = "broken off"
+	}
+	return fmt.Sprintf("%d %q %s\n", a.StatusCode, body, framed)
+}
+
+func TestBrokenOffStreamIsNotDeliveredAsComplete(t *testing.T) {
+	datadriven.RunTest(t, "testdata/broken", func(t *testing.T, d *datadriven.TestData) string {
+		var kind string
+		d.ScanArgs(t, "route", &kind)
+		backend := &scriptedBackend{answers: strings.Split(d.Input, "\n")}
+		out := deliverTo(t, newScriptedCall(t, backend, kind))
+		for _, id := range backend.resumedAfter {
+			out += fmt.Sprintf("resumed after %s\n", id)
+		}
+		return out
+	})
+}
