stream, httpc, relay: a stream that ends inside an event is broken off

Callers saw a stream that a crashed engine had cut, with half an event, as a complete answer. Cause: the end of a body was taken from its framing alone. An answer with neither length nor chunks ends with its connection, and a crash that closes it in order looks like that end; relay even flushed the partial event and ended the chunked answer to the caller.

The client of backend servers now follows the events of a body and reports one that ends inside an event as cut short, with any framing, so the paths for streams and for whole answers treat it like a reset: resume after the last whole event where the route allows it, else break off at the caller, or send it elsewhere. Only whole events are passed on.

--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"verbenahaven.example/core/conn/stream"
 )
 
 const (
@@ -55,7 +57,8 @@
 
 // Do sends a request and returns its response, with the body still to be read. The
 // caller must close the body; the connection is reused if the body was read to its
-// end. If ctx ends first, the connection is closed. Errors are of type
+// end. Reading an event stream that ends inside an event fails with
+// stream.ErrCutInsideEvent, however it is framed. If ctx ends first, the connection is closed. Errors are of type
 // *ExchangeError.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*http.Response, error) {
 	c := p.takeIdle(address)
@@ -102,7 +105,10 @@
 			return nil, e.withCause(err)
 		}
 		if r.Matches == nil || r.Matches(resp) {
-			resp.Body = &body{ReadCloser: resp.Body, exchange: e, keepConn: keepsConn(resp), idleTimeout: keepAliveTimeout(resp.Header.Get("Keep-Alive"))}
+			resp.Body = &body{
+				ReadCloser: stream.Whole(resp), exchange: e, framing: FramingOf(resp), keepConn: keepsConn(resp),
+				idleTimeout: keepAliveTimeout(resp.Header.Get("Keep-Alive")),
+			}
 			return resp, nil
 		}
 		e.conn.pool.counter.Count("conn", "stray")
@@ -209,6 +215,7 @@
 type body struct {
 	io.ReadCloser
 	exchange    *exchange
+	framing     Framing
 	keepConn    bool
 	idleTimeout time.Duration
 	reachedEOF  bool
@@ -222,7 +229,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		return n, b.exchange.withCause(fmt.Errorf("read answer: %w", err))
+		return n, b.exchange.withCause(fmt.Errorf("read answer framed by %s: %w", b.framing, err))
 	}
 	return n, nil
 }
--- /dev/null
+++ b/core/conn/stream/cursor.go
@@ -0,0 +1,90 @@
+package stream
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+)
+
+// ContentType is the media type of server-sent events.
+const ContentType = "text/event-stream"
+
+// ErrCutInsideEvent reports that a stream ended inside an event.
+var ErrCutInsideEvent = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
+
+const lineEndings = "\r\n"
+
+// Cursor follows the bytes of a stream of server-sent events and finds where
+// events end. The zero value is at the start of a stream.
+type Cursor struct {
+	insideLine bool
+	hasField   bool // the current event has begun
+	afterCR    bool // a line feed would belong to the line that has just ended
+}
+
+// Between reports whether the cursor is between two events.
+func (c *Cursor) Between() bool { return !c.insideLine && !c.hasField }
+
+// Advance moves the cursor over b. It returns the length of the longest prefix of
+// b that ends between two events, or 0 if there is none.
+func (c *Cursor) Advance(b []byte) int {
+	end := 0
+	for i := 0; i < len(b); {
+		i += c.advanceLine(b[i:])
+		if c.Between() {
+			end = i
+		}
+	}
+	return end
+}
+
+// advanceLine moves the cursor to the end of the current line, or over all of b if
+// that has no line ending. It returns the number of bytes moved over.
+func (c *Cursor) advanceLine(b []byte) int {
+	if c.afterCR && b[0] == '\n' {
+		c.afterCR = false
+		return 1
+	}
+	n := bytes.IndexAny(b, lineEndings)
+	if n == 0 && !c.insideLine {
+		c.hasField = false // an empty line ends the event
+	} else if !c.insideLine && b[0] != ':' {
+		c.hasField = true
+	}
+	c.insideLine = n < 0
+	c.afterCR = n >= 0 && b[n] == '\r'
+	if n < 0 {
+		return len(b)
+	}
+	return n + 1
+}
+
+// Whole returns the body of a response, whose reader gets ErrCutInsideEvent
+// instead of io.EOF if the body is a stream of server-sent events that ends inside
+// an event. No framing shows that: the end of a connection, or a last chunk, may
+// also follow a crash of the server.
+func Whole(r *http.Response) io.ReadCloser {
+	if mediaType, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || mediaType != ContentType {
+		return r.Body
+	}
+	return &wholeEvents{ReadCloser: r.Body}
+}
+
+// wholeEvents is a body of server-sent events.
+type wholeEvents struct {
+	io.ReadCloser
+	cursor Cursor
+}
+
+// Read implements io.Reader.
+func (w *wholeEvents) Read(p []byte) (int, error) {
+	n, err := w.ReadCloser.Read(p)
+	w.cursor.Advance(p[:n])
+	if errors.Is(err, io.EOF) && !w.cursor.Between() {
+		return n, ErrCutInsideEvent
+	}
+	return n, err //nolint:wrapcheck // io.EOF must be returned as it is
+}
--- a/core/conn/stream/stream_test.go
+++ b/core/conn/stream/stream_test.go
@@ -84,3 +84,35 @@
 		}
 	})
 }
+
+// A stream may be read in pieces of any size and be cut anywhere.
+func TestCursorFindsEndOfEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ending := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "ending")
+		blocks := rapid.SliceOf(rapid.SampledFrom([]string{": c|", "data: x||", "id: 1|: c|data|data: x||", "|"})).Draw(t, "blocks")
+		b, ends := make([]byte, 0, 8*len(blocks)), make([]int, 1, 1+2*len(blocks))
+		for _, block := range blocks {
+			b = append(b, strings.ReplaceAll(block, "|", ending)...)
+			ends = append(ends, len(b)-len(ending)+1, len(b)) // the line feed after a carriage return may be missing
+		}
+		cut := rapid.IntRange(0, len(b)).Draw(t, "cut")
+		want := 0
+		for _, end := range ends {
+			if end <= cut {
+				want = end
+			}
+		}
+		var c stream.Cursor
+		got := 0
+		for read := 0; read < cut; {
+			n := rapid.IntRange(1, cut-read).Draw(t, "read")
+			if end := c.Advance(b[read : read+n]); end > 0 {
+				got = read + end
+			}
+			read += n
+		}
+		if got != want || c.Between() != (got == cut) {
+			t.Fatalf("%q: the last event ends at %d, want %d", b[:cut], got, want)
+		}
+	})
+}
--- a/entryd/relay/broken_test.go
+++ b/entryd/relay/broken_test.go
@@ -71,12 +71,11 @@
 	if kind == "resumable" {
 		f.route.Kind, f.route.Resumable = state.RouteStream, true
 	}
-	engines, servers := []state.Engine{}, []state.Server{}
-	for _, name := range []string{"a", "b"} {
-		engines = append(engines, state.Engine{
-			Name: name, URL: backend.URL, Pool: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Centre: "z",
-		})
-		servers = append(servers, state.Server{Name: name, URL: backend.URL, Service: "m", Phase: state.PhaseServing})
+	names := []string{"a", "b"}
+	engines, servers := make([]state.Engine, len(names)), make([]state.Server, len(names))
+	for i, name := range names {
+		engines[i] = state.Engine{Name: name, URL: backend.URL, Pool: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Centre: "z"}
+		servers[i] = state.Server{Name: name, URL: backend.URL, Service: "m", Phase: state.PhaseServing}
 	}
 	f.targetPool.Spec = &state.EngineSpec{}
 	f.fleet.local.Update(engines, nil)
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -12,6 +12,7 @@
 	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/conn/stream"
 	"verbenahaven.example/core/request/sched"
 )
 
@@ -58,7 +59,6 @@
 	events      int
 	partial     []byte        // start of an incomplete event, not yet sent
 	framing     httpc.Framing // of the last engine's answer
-	tailBytes   int           // after the last complete event, when the answer ended
 }
 
 // forwardGeneration runs a generation on the engines of a plan, and retries it
@@ -96,7 +96,7 @@
 		f.logPlaced(t, &out)
 		err = f.attempt(ctx, t, &out)
 		if err == nil {
-			f.logAnswered(t.Plan.Decode.Name, http.StatusOK, nil, "events", out.events, "framing", out.framing, "tail_bytes", out.tailBytes)
+			f.logAnswered(t.Plan.Decode.Name, http.StatusOK, nil, "events", out.events, "framing", out.framing)
 			f.fleet.observeDecodeTime(f.targetPool.Name, f.tokensIn(&out), f.answerTime())
 			return
 		}
@@ -347,19 +347,19 @@
 	out.partial, out.framing = out.partial[:0], httpc.FramingOf(a)
 	buffer := make([]byte, readBufferSize)
 	control := http.NewResponseController(f.w)
+	var cursor stream.Cursor
 	for {
 		n, err := a.Body.Read(buffer)
+		end := cursor.Advance(buffer[:n])
+		if end > 0 {
+			end += len(out.partial)
+		}
 		out.partial = append(out.partial, buffer[:n]...)
-		end := bytes.LastIndex(out.partial, []byte("\n\n")) + 2
 		ended := errors.Is(err, io.EOF)
 		if ended {
-			out.tailBytes = len(out.partial)
-			if end >= 2 {
-				out.tailBytes -= end
-			}
-			end = len(out.partial)
+			end = len(out.partial) // also the end of an answer that isn't an event stream
 		}
-		if end >= 2 {
+		if end > 0 {
 			if onFirst != nil {
 				onFirst()
 				onFirst = nil
