plain: an event stream of a service that ends inside an event is broken off

It now counts as a broken attempt: sent again where that is allowed, else reported as of unknown outcome.

TestEventStreamOfServiceCutInsideEventIsNotDelivered failed before: both kinds of call got the truncated stream. The path of completions (infer) needs no change: it requires the end marker of a stream. Lists, reports, prefills and orders are JSON documents, which don't decode when truncated; links have frames with a length.

--- a/entryd/front/front_test.go
+++ b/entryd/front/front_test.go
@@ -224,6 +224,39 @@
 	}
 }
 
+func TestEventStreamOfServiceCutInsideEventIsNotDelivered(t *testing.T) {
+	var ran atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: a\n\nda")
+		if ran.Add(1)%2 == 0 {
+			_, _ = io.WriteString(c, "ta: b\n\n")
+		}
+	}))
+	t.Cleanup(s.Close)
+	for _, once := range []bool{false, true} {
+		b := newTestEntry(t, state.View{
+			Services: []state.Service{{Name: "feed", Kind: state.KindPlain, AtMostOnce: once}},
+			Servers: []state.Server{
+				{Name: "s1", URL: s.URL, Centre: "north", Service: "feed", Phase: state.PhaseServing},
+				{Name: "s2", URL: s.URL, Centre: "north", Service: "feed", Phase: state.PhaseServing},
+			},
+		})
+		want := "data: a\n\ndata: b\n\n" // of the second attempt
+		if once {
+			want = `"ran":"unknown"`
+		}
+		a := b.send(t, http.MethodPost, "/s/feed/x", "{}", "Idempotency-Key", "k1")
+		if body, _ := io.ReadAll(a.Body); !strings.Contains(string(body), want) {
+			t.Errorf("run once %v: status %d, %q, want %q", once, a.StatusCode, body, want)
+		}
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	e := newEngine(t)
 	v := modelState(engineAt("m", e.URL, state.RoleMixed))
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -16,6 +16,7 @@
 
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/conn/stream"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/request/once"
@@ -168,7 +169,7 @@
 		return once.Result{}, false, err
 	}
 	defer func() { _ = a.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
+	b, err := io.ReadAll(io.LimitReader(stream.Whole(a), maxAnswerBytes+1))
 	if err != nil {
 		return once.Result{}, true, fmt.Errorf("read answer: %w", err)
 	}
