plain: a call that broke off isn't refused as not run for want of another server

Cause: the refusal described the last choice of a server, not the attempts before. What the attempts leave possible is now kept over all of them; failed dials alone are reported as not run.

TestBrokenCallWithoutAnotherServerIsNotReportedAsNotRun failed before.

--- a/entryd/front/front_test.go
+++ b/entryd/front/front_test.go
@@ -257,6 +257,19 @@
 	}
 }
 
+func TestBrokenCallWithoutAnotherServerIsNotReportedAsNotRun(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	t.Cleanup(s.Close)
+	b := newTestEntry(t, state.View{
+		Services: []state.Service{{Name: "feed", Kind: state.KindPlain}},
+		Servers:  []state.Server{{Name: "s1", URL: s.URL, Centre: "north", Service: "feed", Phase: state.PhaseServing}},
+	})
+	a := b.send(t, http.MethodPost, "/s/feed/x", "{}")
+	if body, _ := io.ReadAll(a.Body); !strings.Contains(string(body), `"ran":"unknown"`) {
+		t.Fatalf("status %d: %s", a.StatusCode, body)
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	e := newEngine(t)
 	v := modelState(engineAt("m", e.URL, state.RoleMixed))
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -104,13 +104,14 @@
 // doRetryable sends a call that may be retried on other servers.
 func (s *Dispatcher) doRetryable(ctx context.Context, c *Call) (Answer, error) {
 	var avoid []string
+	ran := once.NotExecuted
 	for number := 1; ; number++ {
 		v, release, err := s.balancer.ReserveServer(s.clock.Now(), c.Service.Name, avoid)
 		if errors.Is(err, picker.ErrIsolated) {
-			return Answer{}, fault.New(fault.CodeStale, err.Error()).RetryAfter(retryAfter)
+			return Answer{}, fault.New(fault.CodeStale, err.Error()).Execution(ran).RetryAfter(retryAfter)
 		}
 		if err != nil {
-			return Answer{}, fault.New(fault.CodeNoBackend, "no server of "+c.Service.Name+" is serving").RetryAfter(retryAfter)
+			return Answer{}, fault.New(fault.CodeNoBackend, "no server of "+c.Service.Name+" is serving").Execution(ran).RetryAfter(retryAfter)
 		}
 		r, _, err := s.send(ctx, c, v, number, s.pool.Do)
 		release()
@@ -120,15 +121,18 @@
 			return Answer{Result: r}, nil
 		}
 		reason := pool.RetryReason(err)
+		if reason != retry.ReasonDial {
+			ran = once.ExecutionUnknown
+		}
 		s.meter.Count("attempt", "failed", string(reason))
 		s.recordFailure(v, reason)
 		avoid = append(avoid, v.Name)
 		if ctx.Err() != nil {
-			return Answer{}, fault.New(fault.CodeDeadline, "no answer before the deadline").Execution(once.ExecutionUnknown)
+			return Answer{}, fault.New(fault.CodeDeadline, "no answer before the deadline").Execution(ran)
 		}
 		if number >= maxAttempts || !s.tryRetry(v.Name, c.IsRetry) {
 			s.meter.Count("retry", "refused", string(reason))
-			return Answer{}, fault.New(fault.CodeBackendFailed, err.Error()).Execution(once.ExecutionUnknown).RetryAfter(retryAfter)
+			return Answer{}, fault.New(fault.CodeBackendFailed, err.Error()).Execution(ran).RetryAfter(retryAfter)
 		}
 		s.meter.Count("retry", string(reason))
 		s.backOff(ctx, number)
