abort: a response cut short doesn't look complete to an HTTP/1.0 caller

Now it is reset, unless the handler completed the response.

TestAbortedResponseDoesNotLookCompleteToHTTP10Caller failed before: the caller read the half response without an error.

--- a/entryd/front/front.go
+++ b/entryd/front/front.go
@@ -11,6 +11,7 @@
 
 	"github.com/emicklei/go-restful/v3"
 
+	"verbenahaven.example/core/conn/abort"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/entryd/fault"
@@ -83,13 +84,15 @@
 
 // Server returns the HTTP server.
 func (f *API) Server() *http.Server {
-	return &http.Server{
+	s := &http.Server{
 		Handler:           f.handler(),
 		ReadHeaderTimeout: f.settings.ReadTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    f.settings.MaxHeaderBytes,
 		ConnState:         f.connState,
 	}
+	abort.Install(s)
+	return s
 }
 
 func (f *API) connState(_ net.Conn, s http.ConnState) {
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -14,6 +14,7 @@
 
 	"k8s.io/klog/v2"
 
+	"verbenahaven.example/core/conn/abort"
 	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/keeper"
 	"verbenahaven.example/core/conn/link"
@@ -196,6 +197,7 @@
 	callers := &http.Server{
 		Handler: s.countCalls(s.relay), ReadHeaderTimeout: siteHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: siteMaxHeaderBytes,
 	}
+	abort.Install(callers)
 	servers := map[string]*http.Server{
 		s.settings.Listen.Callers: callers,
 		s.settings.Listen.Ready:   {Handler: platform.ReadyHandler(s.ready), ReadHeaderTimeout: siteHeaderTimeout},
