platform, relay: the log says which software version an engine runs

The list's version was dropped when it was read, the caller's reference was passed on without a look. Both are kept now and stand in the line 'placed'. Nothing is decided by them yet.

--- a/core/conn/server/server.go
+++ b/core/conn/server/server.go
@@ -22,6 +22,7 @@
 	Body        []byte
 	TimeLeft    time.Duration // time left until the caller's deadline, 0 for none
 	LastEventID string        // ID of the last event that the caller received
+	Resumes     string        // ID of the caller's request that brought the first event of a stream that this one continues
 	Prompt      *Prompt       // nil if the request has no prompt
 }
 
--- a/core/version/state/object.go
+++ b/core/version/state/object.go
@@ -82,6 +82,7 @@
 	Version       uint64 `cbor:"10,keyasint" json:"version"`
 	Pool          string `cbor:"11,keyasint,omitempty" json:"pool,omitempty"`   // in the routing table; "" if operators declare services instead
 	StartSerial   int64  `cbor:"12,keyasint,omitempty" json:"serial,omitempty"` // increases with each start of the engine, which loses its cache
+	Build         string `cbor:"13,keyasint,omitempty" json:"build,omitempty"`  // version of its software
 }
 
 // Server is a backend server of a plain service.
@@ -92,6 +93,7 @@
 	Service string `cbor:"4,keyasint" json:"service"`
 	Phase   Phase  `cbor:"5,keyasint" json:"phase"`
 	Version uint64 `cbor:"6,keyasint" json:"version"`
+	Build   string `cbor:"7,keyasint,omitempty" json:"build,omitempty"` // version of its software
 }
 
 // Account is a client or operator account.
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -128,7 +128,7 @@
 	p := &t.Plan
 	f.log.Info("placed", "request", f.call.ID, "prefill", p.Prefill.Name, "decode", p.Decode.Name, "fetch", p.FetchURL,
 		"expected_ms", p.TimeToFirstEvent.Milliseconds(), "work", p.PrefillTokens, "queued", p.QueuedTokens, "wait_ms", p.QueueWait.Milliseconds(),
-		"later", t.Deferred, "after", out.lastEventID, "by", t.broker, "state", f.snapshot.Version(),
+		"build", p.Decode.Build, "later", t.Deferred, "resumes", f.call.Resumes, "after", out.lastEventID, "by", t.broker, "state", f.snapshot.Version(),
 		"heard_ms", f.fleet.reportAge(f.clock.Now()).Milliseconds(), "ms", f.elapsedMS())
 }
 
