relay: a stream isn't taken up from an old view of the builds

It asks the stream's holders in any case now, and relies on the one build that it knows only while the leader's last heartbeat is fresh.

Two cases of TestCallerTakesStreamUpOnlyAtItsBuild failed before: cut off, and another build than the one known here.

--- a/entryd/relay/build_test.go
+++ b/entryd/relay/build_test.go
@@ -77,6 +77,7 @@
 		builds  []string
 		origins []proto.StreamOrigin
 		plain   bool
+		stale   bool
 		answer  string
 		want    string
 		runs    string
@@ -85,12 +86,17 @@
 		{name: "known, service without prompts", builds: mixed, origins: []proto.StreamOrigin{{ID: "first", Pool: "m", Build: "v2"}}, plain: true, answer: secondHalf, want: "200", runs: "v2"},
 		{name: "unknown", builds: mixed, want: "503"},
 		{name: "unknown, one build", builds: []string{"v2", "v2"}, answer: secondHalf, want: "200", runs: "v2"},
+		{name: "unknown, one build, cut off", builds: []string{"v2", "v2"}, stale: true, want: "503"},
+		{name: "another build than the one known here", builds: []string{"v2", "v2"}, origins: []proto.StreamOrigin{{ID: "first", Pool: "m", Build: "v3"}}, want: "503"},
 		{name: "build is gone", builds: []string{"v2", "v2"}, origins: []proto.StreamOrigin{{ID: "first", Pool: "m", Build: "v1"}}, want: "503"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := &scriptedBackend{answers: []string{c.answer}}
 			f := newScriptedCall(t, b, "resumable", c.builds...)
 			f.fleet.broker = &knowingBroker{origins: c.origins}
+			if !c.stale {
+				f.fleet.ApplyReply(f.clock.Now(), proto.HeartbeatReply{})
+			}
 			f.call.LastEventID, f.call.Resumes = "1", "first"
 			if c.plain {
 				f.targetPool.Spec = nil
--- a/entryd/relay/origin.go
+++ b/entryd/relay/origin.go
@@ -9,6 +9,10 @@
 	"verbenahaven.example/core/request/origin"
 )
 
+// freshness is the age of the leader's last reply up to which the builds of a pool
+// count as known: heartbeats, which bring changes, are less than a second apart.
+const freshness = 1500 * time.Millisecond
+
 // streamMemory is how long callers may take up a stream that broke off, at least.
 const streamMemory = 30 * time.Second
 
@@ -65,23 +69,31 @@
 }
 
 // findOrigin returns the origin of a stream in a pool, or nil, and where it was
-// found. No stream is older than within.
+// found. No stream is older than within. The holders are asked even if one build is
+// known here: others may know of another one sooner.
 func (f *Fleet) findOrigin(ctx context.Context, now time.Time, id, pool string, within time.Duration) (o *proto.StreamOrigin, how string) {
 	f.mutex.Lock()
 	known, found := f.origins.Find(now, id)
-	build, sole := f.builds.Sole(now, pool, within)
+	build, sole := f.soleBuild(now, pool, within)
 	links := f.holderLinks(id)
 	f.mutex.Unlock()
-	switch {
-	case found:
+	if found {
 		return &known, "known"
-	case sole:
-		return &proto.StreamOrigin{ID: id, Pool: pool, Build: build}, "sole_build"
 	}
-	if o = f.broker.Find(ctx, links, id); o == nil {
-		return nil, "unknown"
+	if o = f.broker.Find(ctx, links, id); o != nil {
+		return o, "found"
+	}
+	if sole {
+		return &proto.StreamOrigin{ID: id, Pool: pool, Build: build}, "sole_build"
 	}
-	return o, "found"
+	return nil, "unknown"
+}
+
+// soleBuild returns the only build that has served in a pool for some time, as far
+// as this instance can know. The caller holds the mutex.
+func (f *Fleet) soleBuild(now time.Time, pool string, within time.Duration) (string, bool) {
+	build, sole := f.builds.Sole(now, pool, within)
+	return build, sole && now.Sub(f.lastReply) <= freshness
 }
 
 // recordOrigin keeps the origin of a stream, and shares it while streams of its
@@ -92,7 +104,7 @@
 	if !f.origins.Record(now, o) {
 		f.meter.Count("origin", "no_room")
 	}
-	if _, sole := f.builds.Sole(now, o.Pool, o.Left); !sole {
+	if _, sole := f.soleBuild(now, o.Pool, o.Left); !sole {
 		f.shareOrigins([]proto.StreamOrigin{o})
 	}
 }
