infer, route: a completion goes on only at the weights and software that began it

Kin of the streams on the platform, in the product's own interface: a service that names no revision may be served by engines with several, and an answer that broke off went on at any of them, so its text came from two sets of weights. Once its first token is delivered, only engines with the same revision and build may go on with it. Operators declare the build of an engine's software; it has a column of its own, so the scripted outputs of the language gain it.

--- a/core/request/route/engine.go
+++ b/core/request/route/engine.go
@@ -54,6 +54,8 @@
 		return "other_adapter"
 	case req.Revision != "" && v.engine.Revision != req.Revision:
 		return "other_revision"
+	case req.Continues != nil && OutputOf(&v.engine) != *req.Continues:
+		return "other_output"
 	}
 	for _, name := range req.Avoid {
 		if name == v.engine.Name {
--- a/core/request/route/route.go
+++ b/core/request/route/route.go
@@ -61,8 +61,18 @@
 	MaxOutputTokens int      // maximum number of output tokens; 0 for no limit
 	Avoid           []string // engines at which this request failed
 	Suspect         bool     // an engine was lost while it ran this request
+	Continues       *Output  // what began the answer and must go on with it, nil before its first token
 }
 
+// Output is what decides which text an engine writes for a request. Texts of two
+// outputs don't fit together.
+type Output struct {
+	Revision, Build string
+}
+
+// OutputOf returns the output of an engine.
+func OutputOf(e *state.Engine) Output { return Output{Revision: e.Revision, Build: e.Build} }
+
 func (r *Request) outputTokens() int {
 	if r.MaxOutputTokens > 0 {
 		return r.MaxOutputTokens
--- a/core/version/lang/lang_test.go
+++ b/core/version/lang/lang_test.go
@@ -30,5 +30,5 @@
 	// line 1, column 19: engine has no column "rule"
 	//   ask engines where rule = decode
 	//                     ^
-	// expected one of name, url, centre, role, model, adapter, revision, phase, fenced, version
+	// expected one of name, url, centre, role, model, adapter, revision, build, phase, fenced, version
 }
--- a/core/version/lang/nouns.go
+++ b/core/version/lang/nouns.go
@@ -43,6 +43,7 @@
 			textColumn("model", func(o state.Engine) string { return o.Model }),
 			textColumn("adapter", func(o state.Engine) string { return o.Adapter }),
 			textColumn("revision", func(o state.Engine) string { return o.Revision }),
+			textColumn("build", func(o state.Engine) string { return o.Build }),
 			textColumn("phase", func(o state.Engine) state.Phase { return o.Phase }),
 			boolColumn("fenced", func(o state.Engine) bool { return o.ChecksFencing }),
 			numberColumn("version", func(o state.Engine) uint64 { return o.Version }),
--- a/core/version/lang/words.go
+++ b/core/version/lang/words.go
@@ -29,7 +29,7 @@
 var declarableKeys = map[state.Noun][]string{
 	state.NounService: {"kind", "model", "adapter", "revision", "class", "deadline", "first", "once"},
 	state.NounModel:   {"revision", "adapters"},
-	state.NounEngine:  {"url", "centre", "role", "model", "adapter", "revision", "fenced"},
+	state.NounEngine:  {"url", "centre", "role", "model", "adapter", "revision", "build", "fenced"},
 	state.NounServer:  {"url", "centre", "service"},
 	state.NounAccount: {"digest", "token", "tokens", "requests", "operator"},
 	state.NounMember:  {}, // members register themselves; declare undoes a drain
--- a/core/version/state/declare.go
+++ b/core/version/state/declare.go
@@ -99,12 +99,13 @@
 	p.identifier("model", &v.Model)
 	p.identifier("adapter", &v.Adapter)
 	p.identifier("revision", &v.Revision)
+	p.identifier("build", &v.Build)
 	p.boolean("fenced", &v.ChecksFencing)
 	p.require("url", v.URL)
 	if found && (v.Role != old.Role || v.Model != old.Model || v.Adapter != old.Adapter || v.Revision != old.Revision) {
 		p.fail("role", "what a known engine runs is changed by assign")
 	}
-	if err := p.finish("url, centre, role, model, adapter, revision, fenced"); err != nil {
+	if err := p.finish("url, centre, role, model, adapter, revision, build, fenced"); err != nil {
 		return err
 	}
 	if _, open := s.openOrders[name]; open && (v.URL != old.URL || v.ChecksFencing != old.ChecksFencing) {
--- a/entryd/front/front_test.go
+++ b/entryd/front/front_test.go
@@ -153,6 +153,39 @@
 	}
 }
 
+// Half of the engines hold other weights, and the service names none.
+func TestStreamDoesNotGoOnAtOtherWeights(t *testing.T) {
+	engines := make(map[string]*fakeEngine)
+	names := []string{"r1-a", "r2-a", "r1-b", "r2-b"}
+	list := make([]state.Engine, len(names))
+	for i, name := range names {
+		if engines[name] = newEngine(t); strings.HasSuffix(name, "-a") {
+			engines[name].faults = []streamFault{abortAt(7), abortAt(7), abortAt(7)}
+		}
+		e := engineAt(name, engines[name].URL, state.RoleMixed)
+		e.Revision, _, _ = strings.Cut(name, "-")
+		list[i] = e
+	}
+	b := newTestEntry(t, modelState(list...))
+	for i := range 12 {
+		request := strings.Replace(chatRequest, "Which", fmt.Sprint("Which ", i), 1)
+		if got := readStream(t, b.send(t, http.MethodPost, "/v1/chat/completions", request)); got != wholeText() {
+			t.Fatalf("got %q", got)
+		}
+	}
+	weights := make(map[string]string) // by request
+	for name, e := range engines {
+		revision, _, _ := strings.Cut(name, "-")
+		for _, q := range e.received {
+			id := q.Attempt[:strings.LastIndexByte(q.Attempt, '-')]
+			if other, known := weights[id]; known && other != revision {
+				t.Errorf("request %s ran with weights %s and %s", id, other, revision)
+			}
+			weights[id] = revision
+		}
+	}
+}
+
 func repeatToken(i int, e *engine.Event, at int) bool {
 	if i == at {
 		e.Token--
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -146,6 +146,7 @@
 		switch outcome := c.assembly.Add(e); outcome {
 		case answer.Deliver:
 			c.observeFirstToken(e)
+			c.recordOutput(&reservation.Plan.Decode)
 			if err := c.sink.Token(e, events.EventBuffered()); err != nil {
 				return callerGone(server, err)
 			}
--- a/entryd/infer/complete.go
+++ b/entryd/infer/complete.go
@@ -182,6 +182,15 @@
 	}
 }
 
+// recordOutput records that an engine has begun the answer: only engines with the
+// same output may go on with it.
+func (c *completion) recordOutput(e *state.Engine) {
+	if c.routeRequest.Continues == nil {
+		o := route.OutputOf(e)
+		c.routeRequest.Continues = &o
+	}
+}
+
 // toRefusal turns an error from choosing engines into a refusal.
 func (c *completion) toRefusal(err error) error {
 	if errors.Is(err, picker.ErrIsolated) {
