httpc: the head of an answer is limited

A server in trouble may send bytes that are no answer until the caller closes. A head, with the interim answers before it, may have 64 KiB now; past that the connection is closed and the exchange counts as failed, like one that broke. Failed before: a status line, a field and a list of fields without end, and interim answers without end.

--- a/core/conn/httpc/conn.go
+++ b/core/conn/httpc/conn.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -21,14 +23,16 @@
 	pool        *Pool
 	address     string
 	tcp         *net.TCPConn
-	reader      *bufio.Reader
-	idleTimeout time.Duration // maximum time in the pool
-	idleUntil   time.Time     // deadline for reuse from the pool
+	limited     *io.LimitedReader // of tcp
+	reader      *bufio.Reader     // of limited
+	idleTimeout time.Duration     // maximum time in the pool
+	idleUntil   time.Time         // deadline for reuse from the pool
 	once        sync.Once
 }
 
 func newConn(p *Pool, address string, tcp *net.TCPConn) *conn {
-	c := &conn{pool: p, address: address, tcp: tcp, reader: bufio.NewReaderSize(tcp, bufferSize), idleTimeout: defaultIdleTimeout}
+	c := &conn{pool: p, address: address, tcp: tcp, limited: &io.LimitedReader{R: tcp, N: math.MaxInt64}, idleTimeout: defaultIdleTimeout}
+	c.reader = bufio.NewReaderSize(c.limited, bufferSize)
 	if err := c.withSocket(func(fd int) error {
 		return unix.SetsockoptInt(fd, syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
 	}); err != nil {
--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -23,10 +24,17 @@
 	// maxUnmatchedResponses limits the responses to other requests that are
 	// skipped.
 	maxUnmatchedResponses = 4
+	// maxHeadBytes limits the head of a response, with all interim responses before
+	// it, in bytes.
+	maxHeadBytes = 64 << 10
 	// maxUnmatchedBody limits the body of a skipped response, in bytes.
 	maxUnmatchedBody = 1 << 20
 )
 
+// ErrHeadTooLarge means that the head of a response is larger than an HTTP
+// response needs, or has no end.
+var ErrHeadTooLarge = errors.New("the head of the answer is too large")
+
 // ErrUnmatchedResponse means that only responses to other requests arrived.
 var ErrUnmatchedResponse = errors.New("the answer belongs to another request")
 
@@ -145,8 +153,13 @@
 }
 
 func (e *exchange) readResponse(method string) (*http.Response, error) {
+	e.conn.limited.N = maxHeadBytes
+	defer func() { e.conn.limited.N = math.MaxInt64 }()
 	for {
 		resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: method})
+		if err != nil && e.conn.limited.N <= 0 {
+			err = ErrHeadTooLarge
+		}
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
--- a/core/conn/httpc/httpc_test.go
+++ b/core/conn/httpc/httpc_test.go
@@ -285,3 +285,41 @@
 		t.Fatal("the connection stayed open")
 	}
 }
+
+// A server in trouble may send bytes until the caller closes.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	for name, piece := range map[string]string{
+		"status line":     "x",
+		"header":          "X: " + strings.Repeat("a", 100) + "\r\n",
+		"one field":       "a",
+		"interim answers": "HTTP/1.1 102 Processing\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			address, _ := startServer(t, func(c net.Conn, r *bufio.Reader) bool {
+				if _, ok := readRequest(r); !ok {
+					return false
+				}
+				switch name {
+				case "header":
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\n")
+				case "one field":
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX: ")
+				}
+				for block := strings.Repeat(piece, 1000); ; {
+					n, err := io.WriteString(c, block)
+					sent.Add(int64(n))
+					if err != nil {
+						return false
+					}
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, err := newPool(t).Do(ctx, address, &httpc.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			if err == nil || ctx.Err() != nil || !httpc.MaybeSent(err) {
+				t.Fatalf("error %v after %d bytes", err, sent.Load())
+			}
+		})
+	}
+}
