relay: an event without end is given up

The rest of an event that hadn't ended was buffered without a bound: 179 MB in the two seconds of TestEventWithoutEndIsGivenUp, and the caller waited for its whole time. Past 1 MiB, the bound that completions have, the engine counts as failed at once; the caller's stream goes on elsewhere or breaks off. Failed before.

--- a/entryd/relay/broken_test.go
+++ b/entryd/relay/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
@@ -10,6 +11,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +19,7 @@
 
 	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/conn/stream"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/platform"
@@ -132,3 +135,30 @@
 		return out
 	})
 }
+
+// A server in trouble may send bytes until the caller closes.
+func TestEventWithoutEndIsGivenUp(t *testing.T) {
+	var sent atomic.Int64
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Request-Id", "1")
+		w.Header().Set("Server-Signature", "s")
+		w.Header().Set("Content-Type", stream.ContentType)
+		for block := bytes.Repeat([]byte("data"), 4<<10); ; {
+			n, err := w.Write(block)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}))
+	defer backend.Close()
+	f := newScriptedCall(t, &scriptedBackend{}, "stream", "v1")
+	f.fleet.local.Update([]state.Engine{{Name: "a", URL: backend.URL, Pool: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Centre: "z"}}, nil)
+	f.call.TimeLeft = 2 * time.Second
+	if got := strings.TrimSpace(deliverTo(t, f)); got != "502" || f.timeLeft() < time.Second {
+		t.Errorf("the caller gets %q with %v left", got, f.timeLeft())
+	}
+	if n := sent.Load(); n > 32<<20 {
+		t.Errorf("%d bytes were read", n)
+	}
+}
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -378,6 +378,8 @@
 			return nil
 		case err != nil:
 			return err //nolint:wrapcheck // wrapped by decode
+		case len(out.partial) > stream.MaxEventBytes:
+			return stream.ErrTooLarge
 		}
 	}
 }
