body, relay: the answers buffered at one time are bounded together

An answer may have 32 MiB before it is given up, and each call had that for itself: TestLargeAnswersAtOnceAreBounded holds eight answers of 24 MiB, which is two thirds of an instance's memory, through the servers' silence. Large answers share 64 MiB now; one that doesn't fit is refused at once as of unknown outcome. A success without a signature isn't read at all. Failed before: none of the eight calls ended.

--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -330,7 +330,7 @@
 // failure that the engine itself reports is delivered to the caller, unless the
 // call may be retried on another engine.
 func (f *inflightCall) handleNonStream(ctx context.Context, t *ticket, name string, a *http.Response, out *answerStream) error {
-	content, err := body.Read(a.Body, maxWholeAnswer)
+	content, err := f.buffer(a)
 	f.avoid = append(f.avoid, name)
 	t.engineFailed(name, false)
 	head := f.codec.ParseHead(a)
--- a/entryd/relay/generate_test.go
+++ b/entryd/relay/generate_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
@@ -30,7 +31,7 @@
 		{Name: "p", URL: "http://10.0.0.1:1", Pool: "m", Role: state.RolePrefill, Phase: state.PhaseServing, Centre: "z"},
 		{Name: "d", URL: "http://10.0.0.2:1", Pool: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Centre: "z"},
 	}, nil)
-	r := &Proxy{fleet: f, meter: meter.New(), clock: c}
+	r := &Proxy{fleet: f, meter: meter.New(), clock: c, answers: body.NewBudget(maxBufferedAnswers)}
 	serverCall := &server.Call{ID: "1", Prompt: &server.Prompt{
 		Tokens: 9000, MaxOutput: 100, Parts: []server.Part{{ID: "shared", Tokens: 6000}, {ID: "own", Tokens: 3000}},
 	}}
--- a/entryd/relay/large_test.go
+++ b/entryd/relay/large_test.go
@@ -14,6 +14,54 @@
 	"verbenahaven.example/platform"
 )
 
+// Servers in trouble send more and more of their answers until the caller closes.
+func TestLargeAnswersAtOnceAreBounded(t *testing.T) {
+	const calls, fitting = 8, maxBufferedAnswers / maxWholeAnswer
+	end := make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Request-Id", "1")
+		w.Header().Set("Server-Signature", "s")
+		chunk := make([]byte, 1<<20)
+		for range maxWholeAnswer * 3 / 4 / len(chunk) {
+			if _, err := w.Write(chunk); err != nil {
+				return
+			}
+		}
+		<-end
+	}))
+	defer backend.Close()
+	f := newScriptedCall(t, &scriptedBackend{}, "unsafe", "v1")
+	f.fleet.servers.Update([]state.Server{{Name: "s", URL: backend.URL, Service: "m", Phase: state.PhaseServing}})
+	ended := make(chan int, calls)
+	for range calls {
+		go func() {
+			one := *f
+			recorder := httptest.NewRecorder()
+			one.w = recorder
+			one.forward(t.Context())
+			ended <- recorder.Code
+		}()
+	}
+	for i := range calls - fitting {
+		select {
+		case code := <-ended:
+			if code != http.StatusBadGateway {
+				t.Errorf("status %d", code)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("%d of %d calls ended, %d answers are buffered", i, calls, calls-i)
+			close(end)
+			return
+		}
+	}
+	close(end)
+	for range fitting {
+		if code := <-ended; code != http.StatusOK {
+			t.Errorf("status %d of an answer that fits", code)
+		}
+	}
+}
+
 // An answer that is too large to buffer must not reach the caller cut short as
 // if it were complete, and its server isn't lost.
 func TestTooLargeAnswerIsNotDelivered(t *testing.T) {
--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -14,8 +14,11 @@
 )
 
 // maxWholeAnswer bounds an answer that is buffered before it is delivered, in
-// bytes.
-const maxWholeAnswer = 32 << 20
+// bytes, and maxBufferedAnswers all of them together.
+const (
+	maxWholeAnswer     = 32 << 20
+	maxBufferedAnswers = 2 * maxWholeAnswer
+)
 
 // wholeAnswer is a backend server's complete answer.
 type wholeAnswer struct {
@@ -39,7 +42,7 @@
 		f.tries++
 		a, err := f.exchange(ctx, v)
 		release()
-		if errors.Is(err, body.ErrTooLarge) {
+		if errors.Is(err, body.ErrTooLarge) || errors.Is(err, body.ErrNoRoom) {
 			// Any server would send the same answer.
 			f.meter.Count("answer", "too_large")
 			reason = err.Error()
@@ -91,16 +94,25 @@
 	if !head.NotExecuted {
 		f.mayHaveRun = append(f.mayHaveRun, v.Name)
 	}
-	content, err := body.Read(a.Body, maxWholeAnswer)
-	if err != nil {
-		return nil, fmt.Errorf("read answer of %s: %w", v.Name, err)
-	}
 	if a.StatusCode < http.StatusMultipleChoices && !head.Signed {
 		return nil, fmt.Errorf("answer of %s: %w", v.Name, errUnsigned)
 	}
+	content, err := f.buffer(a)
+	if err != nil {
+		return nil, fmt.Errorf("read answer of %s: %w", v.Name, err)
+	}
 	return &wholeAnswer{response: a, head: head, body: content, server: v.Name}, nil
 }
 
+// buffer reads a complete answer, whose memory counts until the call ends.
+func (f *inflightCall) buffer(a *http.Response) ([]byte, error) {
+	content, release, err := f.answers.Read(a.Body, maxWholeAnswer)
+	if err == nil {
+		f.releases = append(f.releases, release)
+	}
+	return content, err //nolint:wrapcheck // wrapped by the callers
+}
+
 // deliver sends a complete answer to the caller.
 func (f *inflightCall) deliver(a *wholeAnswer) {
 	h := f.w.Header()
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -19,6 +19,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/process/clock"
@@ -66,6 +67,7 @@
 	log      *slog.Logger
 	clock    clock.Clock
 	losses   chan engineLoss
+	answers  *body.Budget // of buffered answers
 	draining func() (left time.Duration, active bool)
 }
 
@@ -90,6 +92,7 @@
 		log:      log,
 		clock:    clock,
 		losses:   make(chan engineLoss, lossQueueSize),
+		answers:  body.NewBudget(maxBufferedAnswers),
 		draining: draining,
 	}
 }
@@ -107,6 +110,7 @@
 	tries       int      // counted against maxTries
 	mayHaveRun  []string // backend servers that may have executed the call
 	avoid       []string // backend servers that failed or refused the call
+	releases    []func() // of the answers that are buffered
 	build       *string  // software build that must go on with the stream, nil for any
 	fingerprint string   // equal for copies of the same request
 
@@ -165,6 +169,11 @@
 	f.deadline = f.start.Add(timeout)
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
 	defer cancel()
+	defer func() {
+		for _, release := range f.releases {
+			release()
+		}
+	}()
 	known := f.resolveOrigin(ctx)
 	f.fleet.countRequest(f.clock.Elapsed(), f.targetPool.Name)
 	if !known {
