--- a/core/conn/body/budget.go
+++ b/core/conn/body/budget.go
@@ -11,8 +11,12 @@
 // ErrNoRoom reports a body that doesn't fit beside the other large ones.
 var ErrNoRoom = errors.New("too many large bodies at once")
 
-// smallBody is the size up to which a body isn't counted, in bytes.
-const smallBody = 64 << 10
+const (
+	// smallBody is the size up to which a body isn't counted, in bytes.
+	smallBody = 64 << 10
+	// minRead is the size of the first buffer, in bytes.
+	minRead = 1 << 10
+)
 
 // Budget bounds the memory of the large bodies that are held at one time.
 type Budget struct {
@@ -73,6 +77,3 @@
 		}
 	}
 }
-
-// minRead is the size of the first buffer, in bytes.
-const minRead = 1 << 10
--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -66,8 +66,8 @@
 // Do sends a request and returns its response, with the body still to be read. The
 // caller must close the body; the connection is reused if the body was read to its
 // end. Reading an event stream that ends inside an event fails with
-// stream.ErrCutInsideEvent, however it is framed. If ctx ends first, the connection is closed. Errors are of type
-// *ExchangeError.
+// stream.ErrCutInsideEvent, however it is framed. If ctx ends first, the connection
+// is closed. Errors are of type *ExchangeError.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*http.Response, error) {
 	c := p.takeIdle(address)
 	if c == nil {
--- a/entryd/broker/broker.go
+++ b/entryd/broker/broker.go
@@ -151,16 +151,8 @@
 	return !slices.ContainsFunc(list, func(text string) bool { return len(text) > maxTextBytes })
 }
 
-// build returns the build that a request asks for, or "".
-func build(r *proto.PlaceRequest) string {
-	if r.Build == nil {
-		return ""
-	}
-	return *r.Build
-}
-
 func validRequest(r *proto.PlaceRequest) bool {
-	if r.ID == "" || !validTexts(r.ID, r.Pool, build(r)) || len(r.Parts) > maxListItems || len(r.Avoid) > maxListItems {
+	if r.ID == "" || !validTexts(r.ID, r.Pool) || r.Build != nil && !validTexts(*r.Build) || len(r.Parts) > maxListItems || len(r.Avoid) > maxListItems {
 		return false
 	}
 	if r.Tokens < 0 || r.MaxOutput < 0 || r.Hint < 0 || r.Target < 0 || r.TimeLeft < 0 {
