--- a/core/request/origin/origin.go
+++ b/core/request/origin/origin.go
@@ -1,7 +1,9 @@
 // Package origin keeps track of the software build that began each stream. What
 // two builds write doesn't fit together, so a stream that broke off may only go on
 // at the build that began it, also when its caller takes it up at another
-// instance. It is a state machine without I/O.
+// instance. It answers the load of a release during which engines crash and
+// instances are lost: streams break off by the hundred while several builds serve,
+// and each must find its own. It is a state machine without I/O.
 package origin
 
 import (
--- a/entryd/relay/build_test.go
+++ b/entryd/relay/build_test.go
@@ -78,6 +78,7 @@
 		origins []proto.StreamOrigin
 		plain   bool
 		stale   bool
+		unnamed bool
 		answer  string
 		want    string
 		runs    string
@@ -88,6 +89,7 @@
 		{name: "unknown, one build", builds: []string{"v2", "v2"}, answer: secondHalf, want: "200", runs: "v2"},
 		{name: "unknown, one build, cut off", builds: []string{"v2", "v2"}, stale: true, want: "503"},
 		{name: "another build than the one known here", builds: []string{"v2", "v2"}, origins: []proto.StreamOrigin{{ID: "first", Pool: "m", Build: "v3"}}, want: "503"},
+		{name: "caller names no stream", builds: []string{"v2", "v2"}, origins: []proto.StreamOrigin{{ID: "", Pool: "m", Build: "v3"}}, unnamed: true, answer: secondHalf, want: "200", runs: "v2"},
 		{name: "build is gone", builds: []string{"v2", "v2"}, origins: []proto.StreamOrigin{{ID: "first", Pool: "m", Build: "v1"}}, want: "503"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -98,6 +100,9 @@
 				f.fleet.ApplyReply(f.clock.Now(), proto.HeartbeatReply{})
 			}
 			f.call.LastEventID, f.call.Resumes = "1", "first"
+			if c.unnamed {
+				f.call.Resumes = ""
+			}
 			if c.plain {
 				f.targetPool.Spec = nil
 			}
--- a/entryd/relay/origin.go
+++ b/entryd/relay/origin.go
@@ -39,7 +39,7 @@
 	if !f.resumes() {
 		return true
 	}
-	o, how := f.fleet.findOrigin(ctx, f.clock.Now(), f.streamID(), f.targetPool.Name, f.streamAge())
+	o, how := f.fleet.findOrigin(ctx, f.clock.Now(), f.call.Resumes, f.targetPool.Name, f.streamAge())
 	f.meter.Count("origin", how)
 	if o == nil {
 		return false
@@ -69,7 +69,8 @@
 }
 
 // findOrigin returns the origin of a stream in a pool, or nil, and where it was
-// found. No stream is older than within. The holders are asked even if one build is
+// found. The ID is empty if the caller names no stream. No stream is older than
+// within. The holders are asked even if one build is
 // known here: others may know of another one sooner.
 func (f *Fleet) findOrigin(ctx context.Context, now time.Time, id, pool string, within time.Duration) (o *proto.StreamOrigin, how string) {
 	f.mutex.Lock()
@@ -80,8 +81,10 @@
 	if found {
 		return &known, "known"
 	}
-	if o = f.broker.Find(ctx, links, id); o != nil {
-		return o, "found"
+	if id != "" {
+		if o = f.broker.Find(ctx, links, id); o != nil {
+			return o, "found"
+		}
 	}
 	if sole {
 		return &proto.StreamOrigin{ID: id, Pool: pool, Build: build}, "sole_build"
