--- a/core/conn/stream/stream_test.go
+++ b/core/conn/stream/stream_test.go
@@ -116,3 +116,19 @@
 		}
 	})
 }
+
+// Whatever the bytes are, it doesn't matter how they are split.
+func FuzzCursor(f *testing.F) {
+	f.Add([]byte("id: 1\r\ndata: x\r\n\r\n: c\rdata\n\n\r\rd"), 7)
+	f.Fuzz(func(t *testing.T, b []byte, split int) {
+		split = min(max(split, 0), len(b))
+		var whole, parts stream.Cursor
+		want, got := whole.Advance(b), parts.Advance(b[:split])
+		if end := parts.Advance(b[split:]); end > 0 {
+			got = split + end
+		}
+		if got != want || whole != parts || whole.Between() != (want == len(b)) {
+			t.Fatalf("%q split at %d: events end at %d, whole at %d", b, split, got, want)
+		}
+	})
+}
