relay: event IDs are found with any line ending

Lines that end with a carriage return alone weren't split, so the ID to go on from held the rest of the event as well. Kin of the ends of events, which know all three endings since. The case in testdata/broken failed before: the second engine was asked to resume after '1 data: a'.

--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -379,7 +379,7 @@
 		f.w.WriteHeader(a.StatusCode)
 		out.headSent = true
 	}
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
+	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			out.lastEventID = string(bytes.TrimSpace(id))
 			out.events++
