--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -116,7 +116,21 @@
 	f.log.Info("placed", "request", f.call.ID, "prefill", p.Prefill.Name, "decode", p.Decode.Name, "fetch", p.FetchURL,
 		"expected_ms", p.TimeToFirstEvent.Milliseconds(), "work", p.PrefillTokens, "queued", p.QueuedTokens, "wait_ms", p.QueueWait.Milliseconds(),
 		"build", p.Decode.Build, "later", t.Deferred, "resumes", f.call.Resumes, "after", out.lastEventID, "by", t.broker, "state", f.snapshot.Version(),
-		"heard_ms", f.fleet.reportAge(f.clock.Now()).Milliseconds(), "ms", f.elapsedMS())
+		"heard_ms", f.fleet.reportAge(f.clock.Now()).Milliseconds(), "parts", f.sharedParts(), "ms", f.elapsedMS())
+}
+
+// sharedParts returns the IDs of the parts of the call's prompt that other calls
+// may share: all but the last.
+func (f *inflightCall) sharedParts() []string {
+	if f.call.Prompt == nil || len(f.call.Prompt.Parts) < 2 {
+		return nil
+	}
+	shared := f.call.Prompt.Parts[:len(f.call.Prompt.Parts)-1]
+	list := make([]string, 0, len(shared))
+	for _, p := range shared {
+		list = append(list, p.ID)
+	}
+	return list
 }
 
 // answerTime returns the time since the first event.
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -325,7 +325,7 @@
 func (f *inflightCall) recordFailure(ctx context.Context, name, address string, err error) bool {
 	f.avoid = append(f.avoid, name)
 	sent := httpc.MaybeSent(err)
-	f.log.Info("exchange failed", "request", f.call.ID, "server", name, "sent", sent, "err", err.Error(), "ms", f.elapsedMS())
+	f.log.Info("exchange failed", "request", f.call.ID, "server", name, "sent", sent, "parts", f.sharedParts(), "err", err.Error(), "ms", f.elapsedMS())
 	f.meter.Count("exchange", "failed")
 	if ctx.Err() != nil {
 		return false
