screen, state, relay, infer: requests that share a part that crashes engines are bounded together

Cause: losses were counted by whole requests only, under a hash of path, caller and body, so requests that differ started without any; the relay asked for a verdict on arrival and neither before a send nor before the retries of a call.

An engine that is lost while it begins an answer is now a loss of each part of the prompt but the last, and of the request. A complete answer clears them. Attempts with a suspected cause need a permission of the replicated state, which bounds losses and open trials together; then one is tried at a time, ever later. Calls that are held back are refused as not run, before they are placed.

--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -14,6 +14,7 @@
 
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/version/state"
 )
 
 const (
@@ -141,6 +142,12 @@
 	return callLeader[proto.StrikeRequest, proto.StrikeReply](ctx, c, proto.KindStrike, r)
 }
 
+// Screen records what may have crashed an engine, and asks for a trial, at the
+// leader.
+func (c *Client) Screen(ctx context.Context, r state.Screening) (state.Permission, error) {
+	return callLeader[state.Screening, state.Permission](ctx, c, proto.KindScreen, r)
+}
+
 // Watch long-polls a keeper, which needn't be the leader, for newer state.
 func (c *Client) Watch(ctx context.Context, r proto.WatchRequest) (proto.WatchReply, error) {
 	name := c.watchTarget()
--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -19,6 +19,7 @@
 	KindOnce      = "once"   // entryd to the leading keepd
 	KindGrants    = "slice"  // entryd to the leading keepd
 	KindStrike    = "strike" // entryd to the leading keepd
+	KindScreen    = "screen" // entryd to the leading keepd
 	KindRun       = "run"    // keepd to the leading keepd
 	KindPublish   = "post"   // keepd to the leading keepd
 	KindRouting   = "table"  // keepd to the leading keepd
@@ -279,4 +280,5 @@
 	Once(ctx context.Context, r OnceRequest) (OnceReply, error)
 	RequestGrants(ctx context.Context, r GrantRequest) (GrantReply, error)
 	Strike(ctx context.Context, r StrikeRequest) (StrikeReply, error)
+	Screen(ctx context.Context, r state.Screening) (state.Permission, error)
 }
--- /dev/null
+++ b/core/version/state/cause_test.go
@@ -0,0 +1,131 @@
+package state
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// attempt is one that was sent to an engine and hasn't ended.
+type attempt struct {
+	causes   []string
+	trial    string
+	deadline time.Time
+}
+
+// A part that crashes all engines costs no more than testLimit engines beyond those
+// that were at it before its first loss was known, whatever is lost, late or
+// repeated, and hardly any attempt later.
+func TestTrialsOfCauseAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		now, index := time.Unix(1_000_000, 0), uint64(0)
+		screen := func(r Screening) Permission {
+			index++
+			s.BeginCommand(index, now)
+			return s.Screen(r)
+		}
+		var running []attempt
+		var fifth time.Time
+		trials, trialLosses, lateTrials := 0, 0, 0
+		lose := func(i int, engine string) {
+			a := running[i]
+			running = append(running[:i], running[i+1:]...)
+			l := &Loss{Engine: engine, Trial: a.trial}
+			for _, name := range a.causes {
+				l.Causes = append(l.Causes, Cause{Name: name, Proven: name == "part/first"})
+			}
+			screen(Screening{Loss: l})
+			if a.trial != "" {
+				trialLosses++
+			}
+			if n := len(s.strikes.rows["part/bad"].LostEngines); n >= testLimit && fifth.IsZero() {
+				fifth = now
+			}
+		}
+		for i := range rapid.IntRange(1, 4).Draw(t, "copies at once") {
+			running = append(running, attempt{causes: []string{"part/first", "part/t0", "part/bad", "request/0"}})
+			lose(0, fmt.Sprint("d", i))
+		}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(rapid.SampledFrom([]time.Duration{0, time.Millisecond, 100 * time.Millisecond, 2 * time.Second, 20 * time.Second}).Draw(t, "pause"))
+			running = slices.DeleteFunc(running, func(a attempt) bool { return now.After(a.deadline) })
+			request := rapid.IntRange(0, 20).Draw(t, "request")
+			causes := []string{"part/first", fmt.Sprint("part/t", request%3), "part/bad", fmt.Sprint("request/", request)}
+			switch rapid.SampledFrom([]string{"send", "send", "crash", "crash", "silence", "sound", "unsent"}).Draw(t, "action") {
+			case "send", "unsent":
+				r := Screening{Trial: fmt.Sprint("trial", step), Causes: causes, Left: 10 * time.Second}
+				p := screen(r)
+				if again := screen(r); again.Allowed != p.Allowed {
+					t.Fatalf("a repeated question is answered %v, then %v", p, again)
+				}
+				if !p.Allowed {
+					continue
+				}
+				if rapid.IntRange(0, 3).Draw(t, "not sent") == 0 {
+					screen(Screening{Trial: r.Trial, Causes: causes, Unused: true})
+					continue
+				}
+				running = append(running, attempt{causes, r.Trial, now.Add(r.Left)})
+				if trials++; !fifth.IsZero() && now.After(fifth.Add(3*time.Second)) && now.Before(fifth.Add(3*time.Minute)) {
+					lateTrials++
+				}
+			case "crash":
+				if len(running) > 0 {
+					lose(rapid.IntRange(0, len(running)-1).Draw(t, "which"), rapid.SampledFrom([]string{"e", "f", fmt.Sprint("g", step)}).Draw(t, "engine"))
+				}
+			case "silence": // the instance of an attempt is killed
+				if len(running) > 0 {
+					running = running[1:]
+				}
+			case "sound":
+				screen(Screening{Clear: []string{"part/first", fmt.Sprint("part/t", request%3)}})
+			}
+		}
+		if trialLosses > testLimit {
+			t.Fatalf("trials lost %d engines, at most %d allowed", trialLosses, testLimit)
+		}
+		if lateTrials > 1 {
+			t.Fatalf("%d trials from 3 s to 3 min after the fifth loss", lateTrials)
+		}
+	})
+}
+
+// Parts that were in the same requests as the one that crashes engines are told
+// apart by requests that lack it.
+func TestVictimsOfCauseAreCleared(t *testing.T) {
+	s := New()
+	now := time.Unix(1_000_000, 0)
+	crashing, sound := []string{"part/t", "part/bad", "request/1"}, []string{"part/t", "part/x", "request/2"}
+	for i := range lossLimit {
+		s.BeginCommand(uint64(i+1), now)
+		l := &Loss{Engine: fmt.Sprint("e", i)}
+		for _, name := range crashing {
+			l.Causes = append(l.Causes, Cause{Name: name})
+		}
+		s.Screen(Screening{Loss: l})
+	}
+	s.BeginCommand(10, now)
+	if p := s.Screen(Screening{Trial: "a", Causes: crashing}); p.Allowed || p.Wait < trialDelay {
+		t.Fatalf("the same request again: %+v", p)
+	}
+	if p := s.Screen(Screening{Trial: "b", Causes: sound}); !p.Allowed {
+		t.Fatalf("a request with one of the parts: %+v", p)
+	}
+	s.BeginCommand(11, now)
+	s.Screen(Screening{Clear: sound})
+	if p := s.Screen(Screening{Trial: "c", Causes: []string{"part/t", "part/y"}}); !p.Allowed {
+		t.Fatalf("after its answer: %+v", p)
+	}
+	if p := s.Screen(Screening{Trial: "d", Causes: []string{"part/u", "part/bad", "request/3"}}); !p.Allowed {
+		t.Fatalf("another request with the part that crashes, as a test: %+v", p)
+	}
+	s.BeginCommand(12, now)
+	s.Screen(Screening{Loss: &Loss{Engine: "e9", Trial: "d", Causes: []Cause{{Name: "part/u"}, {Name: "part/bad"}, {Name: "request/3"}}}})
+	if p := s.Screen(Screening{Trial: "e", Causes: []string{"part/v", "part/bad", "request/4"}}); p.Allowed || p.Wait < trialDelay {
+		t.Fatalf("once the part is found: %+v", p)
+	}
+}
--- a/core/version/state/object.go
+++ b/core/version/state/object.go
@@ -128,12 +128,24 @@
 }
 
 // Strike records the engines that were lost while they ran a request, found by
-// its fingerprint.
+// its fingerprint, or requests with a common cause, found by its name.
 type Strike struct {
 	Fingerprint string    `cbor:"1,keyasint" json:"fingerprint"`
 	LostEngines []string  `cbor:"2,keyasint" json:"engines"`
 	ExpiresAt   time.Time `cbor:"3,keyasint" json:"until"`
 	Version     uint64    `cbor:"4,keyasint" json:"version"`
+
+	// These are set for causes only.
+	Trials    []Trial   `cbor:"5,keyasint,omitempty" json:"trials,omitempty"`
+	NextTrial time.Time `cbor:"6,keyasint,omitzero" json:"next,omitzero"` // none may start before, once lossLimit engines are lost
+	Proven    bool      `cbor:"7,keyasint,omitempty" json:"proven,omitempty"`
+}
+
+// Trial is an attempt that may cost another engine.
+type Trial struct {
+	ID        string    `cbor:"1,keyasint" json:"id"`
+	ExpiresAt time.Time `cbor:"2,keyasint" json:"until"`
+	Spaced    bool      `cbor:"3,keyasint,omitempty" json:"spaced,omitempty"` // it started after lossLimit losses
 }
 
 // View is the part of one version of the state that instances need. A delta has
--- a/core/version/store/command.go
+++ b/core/version/store/command.go
@@ -32,6 +32,7 @@
 	Bootstrap      *Bootstrap          `cbor:"14,keyasint,omitempty"`
 	SyncFleet      *state.Fleet        `cbor:"15,keyasint,omitempty"` // backend servers listed by the platform
 	PublishRouting *state.RoutingTable `cbor:"16,keyasint,omitempty"` // a newly published routing table
+	Screen         *state.Screening    `cbor:"17,keyasint,omitempty"` // what may crash engines
 }
 
 // ObjectRef identifies an object by noun and name.
--- a/core/version/store/store.go
+++ b/core/version/store/store.go
@@ -84,6 +84,8 @@
 		s.state.MarkLost(c.MarkLost.Name)
 	case c.ChangeStrike != nil:
 		return s.updateStrike(*c.ChangeStrike)
+	case c.Screen != nil:
+		return s.state.Screen(*c.Screen)
 	case c.Bootstrap != nil:
 		s.bootstrap(*c.Bootstrap)
 	case c.RecordDecision != nil:
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -8,6 +8,8 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"errors"
+	"iter"
+	"maps"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -169,6 +171,9 @@
 	return v, ok
 }
 
+// Strikes returns all strikes, in any order.
+func (s *Snapshot) Strikes() iter.Seq[state.Strike] { return maps.Values(s.strikes) }
+
 // Routing returns the routing table, or nil if none was published.
 func (s *Snapshot) Routing() *state.RoutingTable { return s.routing }
 
--- a/entryd/app.go
+++ b/entryd/app.go
@@ -19,6 +19,7 @@
 	"verbenahaven.example/entryd/listed"
 	"verbenahaven.example/entryd/poll"
 	"verbenahaven.example/entryd/quota"
+	"verbenahaven.example/entryd/screen"
 	"verbenahaven.example/entryd/setup"
 	"verbenahaven.example/entryd/watch"
 )
@@ -40,6 +41,7 @@
 	quota    *quota.Quota
 	infer    *infer.Dispatcher
 	strikes  *infer.Strikes
+	screen   *screen.Screen
 	listed   *listed.Listed
 	link     *link.Server
 }
@@ -56,7 +58,7 @@
 	defer stop()
 	for _, f := range []func(context.Context){
 		a.watch.Run, a.watch.RunPeers, a.beat.Run, a.poll.Run, a.quota.Run, a.infer.Run, a.strikes.Run,
-		a.listed.Run,
+		a.screen.Run, a.listed.Run,
 	} {
 		group.Add(1)
 		go func() {
--- a/entryd/front/fake_test.go
+++ b/entryd/front/fake_test.go
@@ -6,9 +6,11 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,6 +32,7 @@
 	"verbenahaven.example/entryd/picker"
 	"verbenahaven.example/entryd/plain"
 	"verbenahaven.example/entryd/quota"
+	"verbenahaven.example/entryd/screen"
 	"verbenahaven.example/entryd/trail"
 	"verbenahaven.example/entryd/watch"
 )
@@ -38,15 +41,16 @@
 
 // fakeKeeper holds the run-once ledger and the strikes in memory.
 type fakeKeeper struct {
-	mutex   sync.Mutex
-	calls   map[string]proto.OnceRequest
-	strikes map[string]map[string]bool
-	failing bool // strike and ledger calls time out
-	view    state.View
+	mutex    sync.Mutex
+	calls    map[string]proto.OnceRequest
+	strikes  map[string]map[string]bool
+	screened *state.State
+	failing  bool // strike and ledger calls time out
+	view     state.View
 }
 
 func newKeeper() *fakeKeeper {
-	return &fakeKeeper{calls: map[string]proto.OnceRequest{}, strikes: map[string]map[string]bool{}}
+	return &fakeKeeper{calls: map[string]proto.OnceRequest{}, strikes: map[string]map[string]bool{}, screened: state.New()}
 }
 
 func (k *fakeKeeper) Watch(ctx context.Context, r proto.WatchRequest) (proto.WatchReply, error) {
@@ -86,6 +90,16 @@
 	return proto.StrikeReply{Count: len(k.strikes[r.Fingerprint])}, nil
 }
 
+func (k *fakeKeeper) Screen(_ context.Context, r state.Screening) (state.Permission, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.failing {
+		return state.Permission{}, context.DeadlineExceeded
+	}
+	k.screened.BeginCommand(k.screened.Index()+1, time.Now())
+	return k.screened.Screen(r), nil
+}
+
 func (k *fakeKeeper) Once(_ context.Context, r proto.OnceRequest) (proto.OnceReply, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -123,6 +137,9 @@
 	mutex    sync.Mutex
 	faults   []streamFault
 	received []engine.Request
+
+	crashText string // message that ends the engine when it begins an answer
+	crashed   bool
 }
 
 type streamFault func(i int, e *engine.Event, w http.ResponseWriter) bool // returns false to drop the event
@@ -168,6 +185,7 @@
 
 func (f *fakeEngine) chat(w http.ResponseWriter, r *http.Request) {
 	q := f.decodeRequest(r)
+	f.crashOn(&q)
 	apply := f.nextFault()
 	for i := q.DeliveredTokens; i < answerTokens; i++ {
 		e := engine.Event{ID: "x", Attempt: q.Attempt, Token: i, Choices: []engine.Choice{{Delta: engine.Message{Content: fmt.Sprintf("%d ", i)}}}}
@@ -190,6 +208,19 @@
 	_, _ = w.Write(stream.AppendEvent(nil, []byte(engine.EndOfStream)))
 }
 
+// crashOn ends the engine if the request has its crashText.
+func (f *fakeEngine) crashOn(q *engine.Request) {
+	if f.crashText == "" || !slices.ContainsFunc(q.Messages, func(m engine.Message) bool { return m.Content == f.crashText }) {
+		return
+	}
+	f.mutex.Lock()
+	f.crashed = true
+	f.mutex.Unlock()
+	_ = f.Listener.Close()
+	go f.CloseClientConnections()
+	panic(http.ErrAbortHandler)
+}
+
 // testEntry is an entry instance that runs in the test process.
 type testEntry struct {
 	*httptest.Server
@@ -215,7 +246,8 @@
 	w, cleanWatch := watch.New(watch.Settings{Name: "entry1", Fanout: 2, StaleAfter: time.Minute}, b.store, k, b.balancer, nil, m, c)
 	p, cleanPool := pool.New()
 	policy := retry.NewPolicy(0.1, time.Millisecond)
-	i := infer.New(infer.Settings{SilenceTimeout: 200 * time.Millisecond, Retry: policy}, b.balancer, p, infer.NewStrikes(k, m, 2), m, c)
+	sc := screen.New(k, b.balancer, m, slog.New(slog.DiscardHandler), c)
+	i := infer.New(infer.Settings{SilenceTimeout: 200 * time.Millisecond, Retry: policy}, b.balancer, p, infer.NewStrikes(k, m, 2), sc, m, c)
 	s, cleanPlain := plain.New(plain.Settings{Holder: "entry1/1", Retry: policy}, b.balancer, p, k, m, c)
 	f := front.New(front.Settings{
 		Name: "entry1", Centre: "north", AddressTTL: time.Second, MaxAddresses: 2, MaxBodyBytes: 1 << 16, MaxHeaderBytes: 1 << 14, ReadTimeout: 200 * time.Millisecond,
@@ -237,9 +269,15 @@
 		defer close(done)
 		w.Run(ctx)
 	}()
+	screened := make(chan struct{})
+	go func() {
+		defer close(screened)
+		sc.Run(ctx)
+	}()
 	t.Cleanup(func() {
 		stop()
 		<-done
+		<-screened
 	})
 	for b.balancer.Snapshot().Version() == 0 {
 		select {
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -8,8 +8,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/conn/stream"
@@ -279,6 +282,19 @@
 	return b.String()
 }
 
+// sharedMessages returns hashes of the messages that other requests may share: all
+// but the last.
+func sharedMessages(r *engine.Request) []string {
+	if len(r.Messages) < 2 {
+		return nil
+	}
+	list := make([]string, 0, len(r.Messages)-1)
+	for _, m := range r.Messages[:len(r.Messages)-1] {
+		list = append(list, strconv.FormatUint(xxhash.Sum64String(m.Role+"\n"+m.Content), 16))
+	}
+	return list
+}
+
 // messageSeparators are the separator between role and content and the one
 // after the content.
 const messageSeparators = "\t\n"
--- a/entryd/infer/complete.go
+++ b/entryd/infer/complete.go
@@ -19,6 +19,7 @@
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/entryd/fault"
 	"verbenahaven.example/entryd/picker"
+	"verbenahaven.example/entryd/screen"
 	"verbenahaven.example/entryd/trail"
 )
 
@@ -58,6 +59,7 @@
 	*Dispatcher
 	call              *Call
 	sink              Sink
+	pass              *screen.Pass
 	routeRequest      route.Request
 	assembly          answer.Assembler
 	attemptCount      int           // numbers the attempts in their IDs
@@ -97,6 +99,11 @@
 	if err := c.checkStrikes(); err != nil {
 		return err
 	}
+	c.pass = s.screen.Begin(call.ID, "", strike.PartCauses(sharedMessages(&call.Request)))
+	defer c.pass.Close()
+	if err := c.pass.Held(); err != nil {
+		return c.heldError(err)
+	}
 	c.setRoutingKey()
 	if err := c.admit(); err != nil {
 		return err
@@ -138,6 +145,16 @@
 		RetryAfter(retryAfter).Execution(c.ranStatus())
 }
 
+// heldError returns the refusal of a request with a message that may crash
+// engines, or the error itself if it is another one.
+func (c *completion) heldError(err error) error {
+	var held *screen.HeldError
+	if !errors.As(err, &held) {
+		return err
+	}
+	return fault.New(fault.CodeStrikes, held.Error()).RetryAfter(held.Wait).Execution(c.ranStatus())
+}
+
 // suspectError returns the refusal of a request of which another copy is tried.
 func (c *completion) suspectError() error {
 	return fault.New(fault.CodeSuspect, "another copy of this request is being tried after an engine was lost").
@@ -243,6 +260,7 @@
 // recordSuccess records that the call succeeded on the engines that it reserved,
 // and clears its strikes.
 func (c *completion) recordSuccess(reservation *picker.Reservation) {
+	c.pass.Completed()
 	c.strikes.RecordSuccess(c.call.Fingerprint)
 	c.recordSuccesses(reservation.Plan.Prefill.Name, reservation.Plan.Decode.Name)
 	if c.suspect || c.currentPledge != "" {
@@ -256,11 +274,15 @@
 func (c *completion) chooseEngines(ctx context.Context) (*picker.Reservation, error) {
 	c.routeRequest.ID, c.routeRequest.Suspect = c.attemptID(), c.suspect
 	c.setRoutingKey()
+	if err := c.pass.Permit(ctx); err != nil {
+		return nil, c.heldError(err)
+	}
 	reservation, err := c.balancer.Choose(c.clock.Now(), &c.routeRequest)
 	if c.attemptCount > 1 {
 		c.call.Record.AddDecision(reservation.Decision)
 	}
 	if err != nil {
+		c.pass.Spared(false)
 		// Engines that failed this request before are better than none.
 		c.routeRequest.Avoid = nil
 		return nil, err //nolint:wrapcheck // the caller checks for its kind
@@ -341,12 +363,14 @@
 		return f.err
 	}
 	if f.reason == retry.ReasonDraining {
+		c.pass.Spared(true)
 		c.meter.Count("stream", "moved")
 		c.attemptsSinceMove = 0
 		return nil
 	}
 	lost := c.probeLost(ctx, f)
 	c.updateExclusions(f, lost)
+	c.screenFailure(f, lost)
 	if lost && f.mayHaveRun {
 		if err := c.handleLoss(ctx, f); err != nil {
 			return err
@@ -369,6 +393,15 @@
 	return nil
 }
 
+// screenFailure records whether the engine of a failed attempt was lost under it.
+func (c *completion) screenFailure(f *failure, lost bool) {
+	if lost && f.mayHaveRun {
+		c.pass.Lost(f.server.Name, c.assembly.NextToken() > c.tokensBefore)
+		return
+	}
+	c.pass.Spared(f.mayHaveRun)
+}
+
 // updateExclusions records what a failed attempt means for the next choice. A
 // pledged engine that wasn't lost may be tried again. The pledge of an engine
 // that was lost before it received the request stays unused.
--- a/entryd/infer/infer.go
+++ b/entryd/infer/infer.go
@@ -22,6 +22,7 @@
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/entryd/picker"
+	"verbenahaven.example/entryd/screen"
 	"verbenahaven.example/entryd/trail"
 )
 
@@ -37,6 +38,7 @@
 	balancer *picker.Balancer
 	pool     *pool.Pool
 	strikes  *Strikes
+	screen   *screen.Screen
 	meter    *meter.Registry
 	clock    clock.Clock
 	cancels  chan cancelRequest
@@ -56,13 +58,14 @@
 
 // New returns a dispatcher.
 func New(
-	settings Settings, balancer *picker.Balancer, pool *pool.Pool, strikes *Strikes, meter *meter.Registry, clock clock.Clock,
+	settings Settings, balancer *picker.Balancer, pool *pool.Pool, strikes *Strikes, screen *screen.Screen, meter *meter.Registry, clock clock.Clock,
 ) *Dispatcher {
 	return &Dispatcher{
 		settings:         settings,
 		balancer:         balancer,
 		pool:             pool,
 		strikes:          strikes,
+		screen:           screen,
 		meter:            meter,
 		clock:            clock,
 		cancels:          make(chan cancelRequest, cancelQueueSize),
--- a/entryd/infer/slow_test.go
+++ b/entryd/infer/slow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
 	"verbenahaven.example/entryd/picker"
+	"verbenahaven.example/entryd/screen"
 	"verbenahaven.example/entryd/trail"
 )
 
@@ -67,7 +69,7 @@
 	}
 	g.SetSnapshot(store.Current())
 	settings := Settings{SilenceTimeout: 50 * time.Millisecond, Retry: retry.NewPolicy(0.1, time.Millisecond)}
-	s := New(settings, g, p, NewStrikes(nil, m, 2), m, clock.System())
+	s := New(settings, g, p, NewStrikes(nil, m, 2), screen.New(nil, g, m, slog.New(slog.DiscardHandler), clock.System()), m, clock.System())
 	sink := &slowSink{}
 	err := s.Complete(t.Context(), &Call{
 		ID: "r1", Service: state.Service{Model: "spec"}, Path: engine.PathChat, Record: &trail.Record{},
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -18,7 +18,6 @@
 	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/keeper"
 	"verbenahaven.example/core/conn/link"
-	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/process/boot"
 	"verbenahaven.example/core/process/clock"
@@ -29,8 +28,8 @@
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/entryd/beat"
 	"verbenahaven.example/entryd/broker"
-	"verbenahaven.example/entryd/infer"
 	"verbenahaven.example/entryd/relay"
+	"verbenahaven.example/entryd/screen"
 	"verbenahaven.example/entryd/watch"
 	"verbenahaven.example/platform"
 )
@@ -44,9 +43,6 @@
 	// siteFanout is the maximum number of children in the distribution tree of the
 	// state.
 	siteFanout = 4
-	// siteStrikeLimit is the number of engines that may be lost while running one
-	// request.
-	siteStrikeLimit = 3
 	// retryBudgetShare is the share of the platform's retry budget that is used:
 	// the budget also counts requests that arrive while the version of the
 	// routing table changes.
@@ -76,7 +72,7 @@
 	relay    *relay.Proxy
 	watch    *watch.Watch
 	beat     *beat.Beat
-	strikes  *infer.Strikes
+	screen   *screen.Screen
 	meter    *meter.Registry
 	log      *slog.Logger
 	leaving  *leaving
@@ -152,12 +148,8 @@
 	return relay.NewFleet(s.Name, s.Zone, b, n, m, c, k.SetKeepers)
 }
 
-func siteStrike(k proto.Keeper, m *meter.Registry) *infer.Strikes {
-	return infer.NewStrikes(k, m, siteStrikeLimit)
-}
-
 func siteRelay(
-	p *httpc.Pool, f *relay.Fleet, k *infer.Strikes, m *meter.Registry, l *slog.Logger, c clock.Clock, v *leaving,
+	p *httpc.Pool, f *relay.Fleet, k *screen.Screen, m *meter.Registry, l *slog.Logger, c clock.Clock, v *leaving,
 ) *relay.Proxy {
 	return relay.New(server.Codec(platform.Codec{}), p, f, k, m, l, c, v.untilCut)
 }
@@ -191,7 +183,7 @@
 	defer stop()
 	s.beat.SetInterval(siteHeartbeatInterval)
 	group.Go(func() { s.broker.Serve(background, s.fleet) })
-	for _, f := range []func(context.Context){s.watch.Run, s.watch.RunPeers, s.beat.Run, s.relay.Run, s.strikes.Run, s.reload} {
+	for _, f := range []func(context.Context){s.watch.Run, s.watch.RunPeers, s.beat.Run, s.relay.Run, s.screen.Run, s.reload} {
 		group.Go(func() { f(background) })
 	}
 	callers := &http.Server{
@@ -325,10 +317,10 @@
 
 func newSite(
 	settings *platform.Settings, metrics metricsSetting, f *relay.Fleet, r *relay.Proxy, w *watch.Watch, b *beat.Beat,
-	k *infer.Strikes, m *meter.Registry, l *slog.Logger, v *leaving, n *link.Server, c *keeper.Client, o *broker.Conn,
+	k *screen.Screen, m *meter.Registry, l *slog.Logger, v *leaving, n *link.Server, c *keeper.Client, o *broker.Conn,
 ) *site {
 	return &site{
-		settings: settings, metrics: string(metrics), fleet: f, relay: r, watch: w, beat: b, strikes: k, meter: m, log: l,
+		settings: settings, metrics: string(metrics), fleet: f, relay: r, watch: w, beat: b, screen: k, meter: m, log: l,
 		leaving: v, link: n, keeper: c, broker: o,
 	}
 }
--- a/entryd/relay/broken_test.go
+++ b/entryd/relay/broken_test.go
@@ -69,7 +69,6 @@
 	pool, cleanup := httpc.New(f.meter)
 	t.Cleanup(cleanup)
 	f.codec, f.pool, f.log = platform.Codec{}, pool, slog.New(slog.DiscardHandler)
-	f.losses = make(chan engineLoss, lossQueueSize)
 	f.draining = func() (time.Duration, bool) { return 0, false }
 	f.start = f.clock.Now()
 	f.fleet.budget.SetLimits(time.Second, 1, assumedInstances)
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -14,6 +14,7 @@
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/conn/stream"
 	"verbenahaven.example/core/request/sched"
+	"verbenahaven.example/entryd/screen"
 )
 
 const (
@@ -62,9 +63,14 @@
 		return
 	}
 	for {
+		if err := f.pass.Permit(ctx); err != nil {
+			reason, retryAfter = err.Error(), retryAfterOf(err)
+			break
+		}
 		request.Avoid, request.Build, request.TimeLeft = f.avoid, f.build, f.timeLeft()
 		t, err := f.fleet.schedule(ctx, f.clock.Now(), request)
 		if err != nil {
+			f.pass.Spared(false)
 			if len(f.avoid) == 0 || !f.waitToRetryAll(ctx) {
 				break
 			}
@@ -76,6 +82,7 @@
 			"wait_ms", t.Plan.QueueWait.Milliseconds(), "by", t.broker, "heard_ms", f.fleet.reportAge(f.clock.Now()).Milliseconds(), "state", f.snapshot.Version(),
 		}
 		if t.Refused {
+			f.pass.Spared(false)
 			reason, retryAfter = errBusy.Error(), t.RetryAfter
 			break
 		}
@@ -83,6 +90,7 @@
 		f.logPlaced(t, &out)
 		err = f.attempt(ctx, t, &out)
 		if err == nil {
+			f.pass.Completed()
 			f.logAnswered(t.Plan.Decode.Name, http.StatusOK, nil, "events", out.events, "framing", out.framing)
 			f.fleet.observeDecodeTime(f.targetPool.Name, f.tokensIn(&out), f.answerTime())
 			return
@@ -95,6 +103,10 @@
 			return
 		}
 		reason = err.Error()
+		if held := new(screen.HeldError); errors.As(err, &held) {
+			retryAfter = held.Wait
+			break
+		}
 		if !f.allowRetry(ctx, f.route.Resumable) {
 			break
 		}
@@ -189,7 +201,10 @@
 		send.PrefixSource = server.HostPort(plan.FetchURL)
 	}
 	f.tries++
-	err := f.decode(ctx, t, send, out)
+	err := f.pass.Permit(ctx) // the prefill took a while
+	if err == nil {
+		err = f.decode(ctx, t, send, out)
+	}
 	if err == nil {
 		answered = max(f.answerTime(), time.Nanosecond)
 	}
@@ -229,13 +244,13 @@
 	f.tries++
 	a, err := f.pool.Do(progressCtx, server.HostPort(plan.Prefill.URL), f.codec.EncodeRequest(send))
 	if err != nil {
-		f.recordEngineLoss(ctx, t, name, server.HostPort(plan.Prefill.URL), err)
+		f.recordEngineLoss(ctx, t, name, server.HostPort(plan.Prefill.URL), false, err)
 		return "", fmt.Errorf("prefill: %w", err)
 	}
 	defer func() { _ = a.Body.Close() }()
 	content, err := body.Read(a.Body, maxPrefillAnswer)
 	if err != nil {
-		f.recordEngineLoss(ctx, t, name, server.HostPort(plan.Prefill.URL), err)
+		f.recordEngineLoss(ctx, t, name, server.HostPort(plan.Prefill.URL), false, err)
 		return "", fmt.Errorf("prefill: %w", err)
 	}
 	took := f.clock.Now().Sub(start)
@@ -247,6 +262,7 @@
 	prefilled, err := f.codec.DecodePrefill(content)
 	if err != nil {
 		f.avoid = append(f.avoid, name)
+		f.pass.Spared(true)
 		t.engineFailed(name, false)
 		return "", fmt.Errorf("prefill: %w", err)
 	}
@@ -258,6 +274,7 @@
 // returns the error for it.
 func (f *inflightCall) recordRefusal(t *ticket, name string, a *http.Response) error {
 	f.avoid = append(f.avoid, name)
+	f.pass.Spared(true)
 	head := f.codec.ParseHead(a)
 	f.log.Info("engine refused", "request", f.call.ID, "engine", name, "status", a.StatusCode, "not_run", head.NotExecuted, "ms", f.elapsedMS())
 	f.meter.Count("engine", "refused")
@@ -270,8 +287,8 @@
 
 // recordEngineLoss records a failed exchange with an engine, as recordFailure
 // does, and tells the instance that scheduled the call.
-func (f *inflightCall) recordEngineLoss(ctx context.Context, t *ticket, name, address string, err error) {
-	if f.recordFailure(ctx, name, address, err) {
+func (f *inflightCall) recordEngineLoss(ctx context.Context, t *ticket, name, address string, begun bool, err error) {
+	if f.recordFailure(ctx, name, address, begun, err) {
 		t.engineFailed(name, true)
 	}
 }
@@ -299,7 +316,7 @@
 	a, err := f.pool.Do(progressCtx, address, f.codec.EncodeRequest(send))
 	if err != nil {
 		f.recordPossibleRun(name, err)
-		f.recordEngineLoss(ctx, t, name, address, err)
+		f.recordEngineLoss(ctx, t, name, address, false, err)
 		return fmt.Errorf("decode: %w", err)
 	}
 	defer func() { _ = a.Body.Close() }()
@@ -311,7 +328,9 @@
 	if a.StatusCode != http.StatusOK || !f.codec.ParseHead(a).Signed {
 		return f.handleNonStream(ctx, t, name, a, out)
 	}
+	begun := false
 	err = f.forwardStream(a, timer, out, func() {
+		begun = true
 		f.recordOrigin(t.Plan.Decode.Build)
 		f.timeToFirstEvent = f.clock.Now().Sub(f.start)
 		f.meter.Time(f.timeToFirstEvent, "first")
@@ -323,7 +342,7 @@
 	case errors.Is(err, errCallerConn):
 		return err
 	}
-	f.recordEngineLoss(ctx, t, name, address, err)
+	f.recordEngineLoss(ctx, t, name, address, begun, err)
 	return fmt.Errorf("decode: %w", err)
 }
 
@@ -333,6 +352,7 @@
 func (f *inflightCall) handleNonStream(ctx context.Context, t *ticket, name string, a *http.Response, out *answerStream) error {
 	content, err := f.buffer(a)
 	f.avoid = append(f.avoid, name)
+	f.pass.Spared(true)
 	t.engineFailed(name, false)
 	head := f.codec.ParseHead(a)
 	retryable := f.route.Resumable && len(f.mayHaveRun) < f.route.MaxAttempts
--- a/entryd/relay/generate_test.go
+++ b/entryd/relay/generate_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
 	"verbenahaven.example/core/conn/body"
+	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
@@ -15,6 +17,7 @@
 	"verbenahaven.example/core/request/sched"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
+	"verbenahaven.example/entryd/screen"
 )
 
 // newTestFleet returns a fleet that schedules its own calls.
@@ -22,6 +25,20 @@
 	return NewFleet("a", "z", retry.NewSharedBudget(time.Second, 0, 0), nil, meter.New(), clock.System(), func([]string) {})
 }
 
+// stateKeeper is a keeper that can be reached at any time.
+type stateKeeper struct {
+	proto.Keeper
+	mutex sync.Mutex
+	state *state.State
+}
+
+func (k *stateKeeper) Screen(_ context.Context, r state.Screening) (state.Permission, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.state.BeginCommand(k.state.Index()+1, time.Now())
+	return k.state.Screen(r), nil
+}
+
 // newTestCall returns a call with a prompt that hasn't been admitted yet, in a
 // fleet of one prefill and one decode engine.
 func newTestCall(t *testing.T, c clock.Clock) *inflightCall {
@@ -32,12 +49,14 @@
 		{Name: "d", URL: "http://10.0.0.2:1", Pool: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Centre: "z"},
 	}, nil)
 	r := &Proxy{fleet: f, meter: meter.New(), clock: c, answers: body.NewBudget(maxBufferedAnswers)}
+	r.screen = screen.New(&stateKeeper{state: state.New()}, f, r.meter, slog.New(slog.DiscardHandler), c)
 	serverCall := &server.Call{ID: "1", Prompt: &server.Prompt{
 		Tokens: 9000, MaxOutput: 100, Parts: []server.Part{{ID: "shared", Tokens: 6000}, {ID: "own", Tokens: 3000}},
 	}}
 	return &inflightCall{
 		Proxy: r, call: serverCall, snapshot: view.New().Current(), targetPool: state.Pool{Name: "m"},
 		route: state.Route{LatencyTarget: 200 * time.Millisecond}, deadline: c.Now().Add(2 * time.Second),
+		pass: r.screen.Begin("1", "", nil),
 	}
 }
 
--- a/entryd/relay/large_test.go
+++ b/entryd/relay/large_test.go
@@ -82,7 +82,6 @@
 	pool, cleanup := httpc.New(f.meter)
 	defer cleanup()
 	f.codec, f.pool, f.log = platform.Codec{}, pool, slog.New(slog.DiscardHandler)
-	f.losses = make(chan engineLoss, 1)
 	f.draining = func() (time.Duration, bool) { return 0, false }
 	f.route = state.Route{Kind: state.RouteIdempotent, MaxAttempts: 2}
 	f.fleet.servers.Update([]state.Server{{Name: "s", URL: backend.URL, Service: "m", Phase: state.PhaseServing}})
@@ -94,7 +93,7 @@
 	if recorder.Code != http.StatusBadGateway || recorder.Body.Len() >= maxWholeAnswer {
 		t.Fatalf("status %d with %d bytes, want an error without the answer", recorder.Code, recorder.Body.Len())
 	}
-	if runs != 1 || len(f.losses) != 0 {
-		t.Fatalf("%d runs and %d losses, want 1 and none", runs, len(f.losses))
+	if lost := f.meter.Value("screen", "lost"); runs != 1 || lost != 0 {
+		t.Fatalf("%d runs and %d losses, want 1 and none", runs, lost)
 	}
 }
--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -34,9 +34,15 @@
 	retryable := f.route.Kind == state.RouteIdempotent
 	var lastFailure *wholeAnswer // delivered if no server succeeds
 	reason := "no server can take the call"
+	retryAfter := busyRetryAfter
 	for {
+		if err := f.pass.Permit(ctx); err != nil {
+			reason, retryAfter = err.Error(), retryAfterOf(err)
+			break
+		}
 		v, release, err := f.fleet.pickServer(f.clock.Now(), f.targetPool.Name, f.avoid, f.build)
 		if err != nil {
+			f.pass.Spared(false)
 			break
 		}
 		f.tries++
@@ -44,27 +50,31 @@
 		release()
 		if errors.Is(err, body.ErrTooLarge) || errors.Is(err, body.ErrNoRoom) {
 			// Any server would send the same answer.
+			f.pass.Spared(true)
 			f.meter.Count("answer", "too_large")
 			reason = err.Error()
 			break
 		}
 		if err != nil {
 			reason = "the server gave no whole answer"
-			if f.recordFailure(ctx, v.Name, server.HostPort(v.URL), err) {
+			if f.recordFailure(ctx, v.Name, server.HostPort(v.URL), false, err) {
 				f.fleet.recordServerLoss(f.clock.Now(), v.Name)
 			}
 		} else {
 			switch {
 			case a.head.NotExecuted:
+				f.pass.Spared(true)
 				reason = "the server had no room"
 				f.avoid = append(f.avoid, v.Name)
 				f.log.Info("not run", "request", f.call.ID, "server", v.Name, "status", a.response.StatusCode, "ms", f.elapsedMS())
 			case a.response.StatusCode < http.StatusInternalServerError:
+				f.pass.Completed()
 				f.fleet.recordServerAnswer(f.clock.Now(), v.Name, true)
 				f.recordOrigin(v.Build)
 				f.deliver(a)
 				return
 			default:
+				f.pass.Spared(true)
 				f.fleet.recordServerAnswer(f.clock.Now(), v.Name, false)
 				f.avoid = append(f.avoid, v.Name)
 				lastFailure = a
@@ -78,7 +88,7 @@
 		f.deliver(lastFailure)
 		return
 	}
-	f.endUnanswered(ctx, reason, busyRetryAfter)
+	f.endUnanswered(ctx, reason, retryAfter)
 }
 
 // exchange sends the call to a server and reads its complete answer.
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -27,7 +27,7 @@
 	"verbenahaven.example/core/request/strike"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
-	"verbenahaven.example/entryd/infer"
+	"verbenahaven.example/entryd/screen"
 )
 
 const (
@@ -37,9 +37,6 @@
 	// busyRetryAfter is the least Retry-After when all backend servers are busy
 	// or unavailable.
 	busyRetryAfter = 300 * time.Millisecond
-	// strikeRetryAfter is the Retry-After of a request that was running on too
-	// many engines when they were lost.
-	strikeRetryAfter = 10 * time.Second
 	// headerFieldOverhead is the size of a header field besides its name and
 	// value: colon, space and line end, in bytes.
 	headerFieldOverhead = 4
@@ -62,11 +59,10 @@
 	codec    server.Codec
 	pool     *httpc.Pool
 	fleet    *Fleet
-	strikes  *infer.Strikes
+	screen   *screen.Screen
 	meter    *meter.Registry
 	log      *slog.Logger
 	clock    clock.Clock
-	losses   chan engineLoss
 	answers  *body.Budget // of buffered answers
 	draining func() (left time.Duration, active bool)
 }
@@ -77,7 +73,7 @@
 	codec server.Codec,
 	pool *httpc.Pool,
 	fleet *Fleet,
-	strikes *infer.Strikes,
+	screen *screen.Screen,
 	meter *meter.Registry,
 	log *slog.Logger,
 	clock clock.Clock,
@@ -87,11 +83,10 @@
 		codec:    codec,
 		pool:     pool,
 		fleet:    fleet,
-		strikes:  strikes,
+		screen:   screen,
 		meter:    meter,
 		log:      log,
 		clock:    clock,
-		losses:   make(chan engineLoss, lossQueueSize),
 		answers:  body.NewBudget(maxBufferedAnswers),
 		draining: draining,
 	}
@@ -100,19 +95,19 @@
 // inflightCall is the state of one call while it is forwarded.
 type inflightCall struct {
 	*Proxy
-	w           http.ResponseWriter
-	call        *server.Call
-	snapshot    *view.Snapshot
-	route       state.Route
-	targetPool  state.Pool
-	start       time.Time
-	deadline    time.Time
-	tries       int      // counted against maxTries
-	mayHaveRun  []string // backend servers that may have executed the call
-	avoid       []string // backend servers that failed or refused the call
-	releases    []func() // of the answers that are buffered
-	build       *string  // software build that must go on with the stream, nil for any
-	fingerprint string   // equal for copies of the same request
+	w          http.ResponseWriter
+	call       *server.Call
+	snapshot   *view.Snapshot
+	route      state.Route
+	targetPool state.Pool
+	start      time.Time
+	deadline   time.Time
+	tries      int      // counted against maxTries
+	mayHaveRun []string // backend servers that may have executed the call
+	avoid      []string // backend servers that failed or refused the call
+	releases   []func() // of the answers that are buffered
+	build      *string  // software build that must go on with the stream, nil for any
+	pass       *screen.Pass
 
 	prefillTime      time.Duration // on a separate prefill engine; 0 without one
 	timeToFirstEvent time.Duration // from start
@@ -149,9 +144,10 @@
 	}
 	poolName := f.route.ChoosePool(xxhash.Sum64String(f.streamID()))
 	f.targetPool, _ = table.Pool(poolName)
-	f.fingerprint = f.computeFingerprint()
-	if verdict, _ := s.strikes.Verdict(start, f.fingerprint, snapshot); verdict == strike.Blocked {
-		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: strikeRetryAfter, Message: "engines were lost while they ran this request"})
+	f.pass = s.screen.Begin(call.ID, strike.RequestCause(f.fingerprint()), strike.PartCauses(f.sharedParts()))
+	defer f.pass.Close()
+	if err := f.pass.Held(); err != nil {
+		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: retryAfterOf(err), Message: err.Error()})
 		return
 	}
 	f.forward(r.Context())
@@ -241,9 +237,9 @@
 	return strings.ToLower(host)
 }
 
-// computeFingerprint returns a hash of the request that is equal for copies of
-// the same request.
-func (f *inflightCall) computeFingerprint() string {
+// fingerprint returns a hash of the request that is equal for copies of the same
+// request.
+func (f *inflightCall) fingerprint() string {
 	var digest xxhash.Digest
 	digest.Reset()
 	for _, text := range []string{f.call.Method, f.call.Host, f.call.Target} {
@@ -320,9 +316,9 @@
 
 // recordFailure records a failed exchange with a backend server, closes the
 // idle connections to it, and counts a loss against the request if any byte of
-// it may have reached the server. If the call itself has ended, the server isn't
-// at fault, and it returns false.
-func (f *inflightCall) recordFailure(ctx context.Context, name, address string, err error) bool {
+// it may have reached the server. begun tells that the server had begun its answer.
+// If the call itself has ended, the server isn't at fault, and it returns false.
+func (f *inflightCall) recordFailure(ctx context.Context, name, address string, begun bool, err error) bool {
 	f.avoid = append(f.avoid, name)
 	sent := httpc.MaybeSent(err)
 	f.log.Info("exchange failed", "request", f.call.ID, "server", name, "sent", sent, "parts", f.sharedParts(), "err", err.Error(), "ms", f.elapsedMS())
@@ -332,55 +328,40 @@
 	}
 	f.pool.CloseIdle(address)
 	if sent {
-		f.queueLoss(name)
+		f.pass.Lost(f.startOf(name), begun)
+	} else {
+		f.pass.Spared(false)
 	}
 	return true
 }
 
-const (
-	lossQueueSize = 1024
-	// lossWorkers is the number of losses recorded in parallel: each waits for
-	// a quorum.
-	lossWorkers = 4
-)
-
-// engineLoss is a backend server that failed while it held a request.
-type engineLoss struct {
-	fingerprint, server string
+// startOf returns the name of a backend server with its start, since a server that
+// restarts may keep its name.
+func (f *inflightCall) startOf(name string) string {
+	if e, found := f.fleet.Snapshot().Engine(name); found && e.StartSerial != 0 {
+		return name + "@" + strconv.FormatInt(e.StartSerial, 10)
+	}
+	return name
 }
 
-// queueLoss hands a loss to Run, or drops and counts it if the queue is full.
-func (f *inflightCall) queueLoss(server string) {
-	select {
-	case f.losses <- engineLoss{f.fingerprint, server}:
-	default:
-		f.meter.Count("strike", "dropped")
+// retryAfterOf returns when to retry a call that was held back, or else the time
+// to retry when all backend servers are busy.
+func retryAfterOf(err error) time.Duration {
+	var held *screen.HeldError
+	if errors.As(err, &held) {
+		return held.Wait
 	}
+	return busyRetryAfter
 }
 
-// Run records the queued losses and closes connections that were idle for too
-// long, until ctx ends.
+// Run closes connections that were idle for too long, until ctx ends.
 func (s *Proxy) Run(ctx context.Context) {
-	done := make(chan struct{})
-	for range lossWorkers {
-		go func() {
-			defer func() { done <- struct{}{} }()
-			for {
-				select {
-				case <-ctx.Done():
-					return
-				case l := <-s.losses:
-					s.strikes.RecordLoss(ctx, s.clock.Now(), l.fingerprint, l.server)
-				}
-			}
-		}()
-	}
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
-	for stopped := 0; stopped < lossWorkers; {
+	for {
 		select {
-		case <-done:
-			stopped++
+		case <-ctx.Done():
+			return
 		case now := <-ticker.C:
 			s.pool.CloseExpired(now)
 		}
--- a/entryd/wire.go
+++ b/entryd/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"github.com/google/wire"
 
@@ -21,6 +22,7 @@
 	"verbenahaven.example/entryd/plain"
 	"verbenahaven.example/entryd/poll"
 	"verbenahaven.example/entryd/relay"
+	"verbenahaven.example/entryd/screen"
 	"verbenahaven.example/entryd/setup"
 	"verbenahaven.example/entryd/trail"
 	"verbenahaven.example/entryd/watch"
@@ -33,9 +35,10 @@
 		clock.System, meter.New, view.New, trail.New, pool.New,
 		provideTLS, provideKeeper, provideBalancer, provideStrikes, provideRetry, provideInfer, provideHolder, providePlain,
 		provideFront, provideWatch, providePoll, provideQuota, provideMember, provideLink, provideListed,
-		infer.New, plain.New, watch.New, beat.New, poll.New, front.New,
+		slog.Default, screen.New, infer.New, plain.New, watch.New, beat.New, poll.New, front.New,
 		wire.Bind(new(front.Lease), new(*beat.Beat)),
 		wire.Bind(new(watch.Subscriber), new(*picker.Balancer)),
+		wire.Bind(new(screen.Snapshots), new(*picker.Balancer)),
 		wire.Bind(new(beat.Traffic), new(*picker.Balancer)),
 		wire.Struct(new(app), "*"),
 	)
@@ -46,10 +49,11 @@
 func buildSite(ctx context.Context, s *platform.Settings, m metricsSetting) (*site, func(), error) {
 	wire.Build(
 		clock.System, meter.New, view.New,
-		siteLog, siteKeys, siteKeeper, siteBudget, siteBroker, siteFleet, siteStrike, siteRelay, siteWatch, siteMember, siteLink, siteHolder,
+		siteLog, siteKeys, siteKeeper, siteBudget, siteBroker, siteFleet, siteRelay, siteWatch, siteMember, siteLink, siteHolder,
 		sitePool, newLeaving, newSite,
-		watch.New, beat.New,
+		watch.New, beat.New, screen.New,
 		wire.Bind(new(proto.Keeper), new(*keeper.Client)),
+		wire.Bind(new(screen.Snapshots), new(*relay.Fleet)),
 		wire.Bind(new(watch.Subscriber), new(*relay.Fleet)),
 		wire.Bind(new(beat.Traffic), new(*relay.Fleet)),
 		wire.Bind(new(relay.Broker), new(*broker.Conn)),
--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
@@ -17,6 +18,7 @@
 	"verbenahaven.example/entryd/infer"
 	"verbenahaven.example/entryd/plain"
 	"verbenahaven.example/entryd/poll"
+	"verbenahaven.example/entryd/screen"
 	"verbenahaven.example/entryd/setup"
 	"verbenahaven.example/entryd/trail"
 	"verbenahaven.example/entryd/watch"
@@ -43,7 +45,9 @@
 	inferSettings := provideInfer(s, policy)
 	poolPool, cleanup3 := pool.New()
 	strikes := provideStrikes(s, keeper, registry)
-	dispatcher := infer.New(inferSettings, balancer, poolPool, strikes, registry, clockClock)
+	logger := slog.Default()
+	screenScreen := screen.New(keeper, balancer, registry, logger, clockClock)
+	dispatcher := infer.New(inferSettings, balancer, poolPool, strikes, screenScreen, registry, clockClock)
 	holder := provideHolder(s, clockClock)
 	plainSettings := providePlain(holder, policy)
 	plainDispatcher, cleanup4 := plain.New(plainSettings, balancer, poolPool, keeper, registry, clockClock)
@@ -72,6 +76,7 @@
 		quota:    quota,
 		infer:    dispatcher,
 		strikes:  strikes,
+		screen:   screenScreen,
 		listed:   listed,
 		link:     server,
 	}
@@ -103,9 +108,9 @@
 	client, cleanup3 := siteKeeper(s, config)
 	fleet := siteFleet(s, sharedBudget, conn, registry, clockClock, client)
 	httpcPool, cleanup4 := sitePool(registry)
-	strikes := siteStrike(client, registry)
+	screenScreen := screen.New(client, fleet, registry, logger, clockClock)
 	mainLeaving := newLeaving()
-	proxy := siteRelay(httpcPool, fleet, strikes, registry, logger, clockClock, mainLeaving)
+	proxy := siteRelay(httpcPool, fleet, screenScreen, registry, logger, clockClock, mainLeaving)
 	settings := siteWatch(s)
 	store := view.New()
 	watchWatch, cleanup5 := watch.New(settings, store, client, fleet, config, registry, clockClock)
@@ -121,7 +126,7 @@
 		cleanup()
 		return nil, nil, err
 	}
-	mainSite := newSite(s, m, fleet, proxy, watchWatch, beatBeat, strikes, registry, logger, mainLeaving, server, client, conn)
+	mainSite := newSite(s, m, fleet, proxy, watchWatch, beatBeat, screenScreen, registry, logger, mainLeaving, server, client, conn)
 	return mainSite, func() {
 		cleanup6()
 		cleanup5()
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -234,3 +234,34 @@
 	}
 	return proto.StrikeReply{Count: len(s.LostEngines), ExpiresAt: s.ExpiresAt, Engines: s.LostEngines}, nil
 }
+
+// maxCauses bounds the causes of one request: the parts of its prompt and the
+// request itself.
+const maxCauses = 256
+
+// Screen records what may have crashed an engine, and decides whether a request
+// that may crash another one is sent.
+func (l *Leader) Screen(ctx context.Context, _ string, q state.Screening) (state.Permission, error) {
+	names := slices.Concat(q.Causes, q.Clear, []string{q.Trial})
+	if q.Loss != nil {
+		names = append(names, q.Loss.Engine, q.Loss.Trial)
+		for _, c := range q.Loss.Causes {
+			names = append(names, c.Name)
+		}
+	}
+	tooLong := slices.ContainsFunc(names, func(name string) bool { return len(name) > maxTextBytes })
+	if tooLong || len(names) > maxCauses {
+		return state.Permission{}, l.badRequest("screen")
+	}
+	p, err := propose[state.Permission](ctx, l, store.Command{Screen: &q})
+	if err != nil {
+		return state.Permission{}, err
+	}
+	if q.Loss != nil {
+		l.meter.Count("screen", "loss")
+	}
+	if !p.Allowed {
+		l.meter.Count("screen", "held")
+	}
+	return p, nil
+}
--- a/keepd/serve/serve.go
+++ b/keepd/serve/serve.go
@@ -45,6 +45,7 @@
 	link.Handle(s, proto.KindPublish, l.PublishRouting)
 	link.Handle(s, proto.KindRouting, l.ReadRouting)
 	link.Handle(s, proto.KindStrike, l.Strike)
+	link.Handle(s, proto.KindScreen, l.Screen)
 	link.Handle(s, proto.KindRun, l.RunCommands)
 }
 
