stream: a connection that ends before the first event breaks the stream off

An engine that ends as it begins an unframed answer leaves a head and no event. Its caller got an empty body, framed as whole, and the crash counted as a success of the request, which clears the record of what may have caused it.

Cause: a body of events with neither length nor chunks was whole wherever its connection ended between two events, also before the first.

--- a/core/conn/stream/cursor.go
+++ b/core/conn/stream/cursor.go
@@ -15,6 +15,9 @@
 // ErrCutInsideEvent reports that a stream ended inside an event.
 var ErrCutInsideEvent = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
 
+// ErrNoEvent reports that a connection ended where a stream should begin.
+var ErrNoEvent = fmt.Errorf("the stream ended before its first event: %w", io.ErrUnexpectedEOF)
+
 const lineEndings = "\r\n"
 
 // Cursor follows the bytes of a stream of server-sent events and finds where
@@ -23,6 +26,7 @@
 	insideLine bool
 	hasField   bool // the current event has begun
 	afterCR    bool // a line feed would belong to the line that has just ended
+	anyEvent   bool // an event has begun
 }
 
 // Between reports whether the cursor is between two events.
@@ -52,7 +56,7 @@
 	if n == 0 && !c.insideLine {
 		c.hasField = false // an empty line ends the event
 	} else if !c.insideLine && b[0] != ':' {
-		c.hasField = true
+		c.hasField, c.anyEvent = true, true
 	}
 	c.insideLine = n < 0
 	c.afterCR = n >= 0 && b[n] == '\r'
@@ -65,26 +69,33 @@
 // Whole returns the body of a response, whose reader gets ErrCutInsideEvent
 // instead of io.EOF if the body is a stream of server-sent events that ends inside
 // an event. No framing shows that: the end of a connection, or a last chunk, may
-// also follow a crash of the server.
+// also follow a crash of the server. It gets ErrNoEvent if the connection ends
+// before the first event of a body that is framed by nothing else.
 func Whole(r *http.Response) io.ReadCloser {
-	if mediaType, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || mediaType != ContentType {
+	mediaType, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil || mediaType != ContentType || r.Body == http.NoBody {
 		return r.Body
 	}
-	return &wholeEvents{ReadCloser: r.Body}
+	return &wholeEvents{ReadCloser: r.Body, unframed: r.ContentLength < 0 && len(r.TransferEncoding) == 0}
 }
 
 // wholeEvents is a body of server-sent events.
 type wholeEvents struct {
 	io.ReadCloser
-	cursor Cursor
+	cursor   Cursor
+	unframed bool // the end of the connection ends the body
 }
 
 // Read implements io.Reader.
 func (w *wholeEvents) Read(p []byte) (int, error) {
 	n, err := w.ReadCloser.Read(p)
 	w.cursor.Advance(p[:n])
-	if errors.Is(err, io.EOF) && !w.cursor.Between() {
+	switch {
+	case !errors.Is(err, io.EOF):
+	case !w.cursor.Between():
 		return n, ErrCutInsideEvent
+	case w.unframed && !w.cursor.anyEvent:
+		return n, ErrNoEvent
 	}
 	return n, err //nolint:wrapcheck // io.EOF must be returned as it is
 }
