plain: calls of plain services that end each server are held back

Calls of plain services are screened as a whole, like completions. A run-once call is refused before it is sent, once its attempt is closed at the ledger, so that 'not run' is true and recorded answers are still replayed. Since equal calls are common there, a request that was answered before is tried again sooner (1, 4, 16, 64 s): otherwise calls would be refused for a minute after all servers had been down. Parts of prompts keep the longer times after five losses.

--- a/core/version/state/cause.go
+++ b/core/version/state/cause.go
@@ -11,15 +11,15 @@
 	// lossLimit is the number of engines that a cause may cost before its trials
 	// are spaced out.
 	lossLimit = 3
-	// provenLimit is the same for a cause that is known from complete answers:
-	// it is more likely a victim of other losses.
-	provenLimit = 5
 	// testLimit is the number of engines that a cause may cost while requests are
 	// tried to tell it apart from others.
 	testLimit = 5
-	// provenDelay is the delay of the first trial of such a cause after
-	// lossLimit engines; it grows by delayFactor with each further loss.
+	// provenDelay is the delay of the first trial after lossLimit engines of a
+	// cause that is known from complete answers, since it is more likely a victim
+	// of other losses. It grows by delayFactor with each further loss; for a part
+	// it becomes trialDelay after provenLimit losses.
 	provenDelay = time.Second
+	provenLimit = 5
 	// trialDelay is the delay of the first trial after the last engine that may
 	// be lost; it grows by delayFactor with each further loss, up to
 	// maxTrialDelay.
@@ -41,6 +41,7 @@
 type Cause struct {
 	Name   string `cbor:"1,keyasint"`
 	Proven bool   `cbor:"2,keyasint,omitempty"` // answers to requests with it were completed before
+	Part   bool   `cbor:"3,keyasint,omitempty"` // it is a part of prompts, not one request
 }
 
 // Loss reports that an engine was lost while it began an answer.
@@ -97,7 +98,7 @@
 func (s *State) recordLoss(l *Loss) {
 	for _, c := range l.Causes {
 		v := s.causeToChange(c.Name)
-		v.AddLoss(s.now, c.Proven, l.Engine, l.Trial)
+		v.AddLoss(s.now, c, l.Engine, l.Trial)
 		put(s, &s.strikes, v)
 	}
 }
@@ -150,7 +151,7 @@
 
 // AddLoss records a lost engine. A trial counts of its own, since an engine that
 // restarts may keep its name.
-func (s *Strike) AddLoss(now time.Time, proven bool, engine, trial string) {
+func (s *Strike) AddLoss(now time.Time, c Cause, engine, trial string) {
 	s.removeTrial(now, trial)
 	if trial != "" {
 		engine += "/" + trial
@@ -162,7 +163,7 @@
 	if n := len(s.LostEngines); n > maxLostEngines {
 		s.LostEngines = s.LostEngines[n-maxLostEngines:]
 	}
-	s.Proven = s.Proven || proven
+	s.Proven, s.Part = s.Proven || c.Proven, c.Part
 	s.postpone(now)
 }
 
@@ -256,7 +257,7 @@
 	switch {
 	case n < 0:
 		delay = 0
-	case s.Proven && n < provenLimit-lossLimit:
+	case s.Proven && (!s.Part || n < provenLimit-lossLimit):
 		delay = provenDelay
 	case s.Proven:
 		n -= provenLimit - lossLimit
--- a/core/version/state/cause_test.go
+++ b/core/version/state/cause_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -36,7 +37,7 @@
 			running = append(running[:i], running[i+1:]...)
 			l := &Loss{Engine: engine, Trial: a.trial}
 			for _, name := range a.causes {
-				l.Causes = append(l.Causes, Cause{Name: name, Proven: name == "part/first"})
+				l.Causes = append(l.Causes, Cause{Name: name, Proven: name == "part/first", Part: strings.HasPrefix(name, "part/")})
 			}
 			screen(Screening{Loss: l})
 			if a.trial != "" {
@@ -129,3 +130,26 @@
 		t.Fatalf("once the part is found: %+v", p)
 	}
 }
+
+// Trials are spaced out ever more with each lost engine, less for what was answered
+// before.
+func TestTrialsAreSpacedOut(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	for _, c := range []struct {
+		cause Cause
+		want  []time.Duration // after each loss
+	}{
+		{Cause{Name: "part/p", Part: true}, []time.Duration{0, 0, time.Minute, 4 * time.Minute, 16 * time.Minute, time.Hour, time.Hour}},
+		{Cause{Name: "request/r"}, []time.Duration{0, 0, time.Minute, 4 * time.Minute}},
+		{Cause{Name: "part/p", Part: true, Proven: true}, []time.Duration{0, 0, time.Second, 4 * time.Second, time.Minute, 4 * time.Minute}},
+		{Cause{Name: "request/r", Proven: true}, []time.Duration{0, 0, time.Second, 4 * time.Second, 16 * time.Second, 64 * time.Second}},
+	} {
+		var v Strike
+		for n, want := range c.want {
+			v.AddLoss(start, c.cause, fmt.Sprint("e", n), "")
+			if got := v.NextTrial.Sub(start); got != want {
+				t.Errorf("%+v: next trial %v after loss %d, want %v", c.cause, got, n+1, want)
+			}
+		}
+	}
+}
--- a/core/version/state/object.go
+++ b/core/version/state/object.go
@@ -139,6 +139,7 @@
 	Trials    []Trial   `cbor:"5,keyasint,omitempty" json:"trials,omitempty"`
 	NextTrial time.Time `cbor:"6,keyasint,omitzero" json:"next,omitzero"` // none may start before, once lossLimit engines are lost
 	Proven    bool      `cbor:"7,keyasint,omitempty" json:"proven,omitempty"`
+	Part      bool      `cbor:"8,keyasint,omitempty" json:"part,omitempty"`
 }
 
 // Trial is an attempt that may cost another engine.
--- a/entryd/front/crash_test.go
+++ b/entryd/front/crash_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"verbenahaven.example/core/version/state"
@@ -50,3 +55,41 @@
 		}
 	}
 }
+
+// A call that ends each server that runs it, also under other idempotency keys, is
+// held back like a completion. Others are answered.
+func TestCallThatCrashesServersIsHeldBack(t *testing.T) {
+	const maxRuns, calls = 5, 20
+	for _, once := range []bool{false, true} {
+		var crashes atomic.Int32
+		s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if b, _ := io.ReadAll(r.Body); string(b) == "bad" {
+				crashes.Add(1)
+				panic(http.ErrAbortHandler)
+			}
+		}))
+		t.Cleanup(s.Close)
+		b := newTestEntry(t, state.View{
+			Services: []state.Service{{Name: "feed", Kind: state.KindPlain, AtMostOnce: once}},
+			Servers: []state.Server{
+				{Name: "s1", URL: s.URL, Centre: "north", Service: "feed", Phase: state.PhaseServing},
+				{Name: "s2", URL: s.URL, Centre: "north", Service: "feed", Phase: state.PhaseServing},
+				{Name: "s3", URL: s.URL, Centre: "north", Service: "feed", Phase: state.PhaseServing},
+			},
+		})
+		var last *http.Response
+		for i := range calls {
+			last = b.send(t, http.MethodPost, "/s/feed/x", "bad", "Idempotency-Key", fmt.Sprint("k", i))
+			if a := b.send(t, http.MethodPost, "/s/feed/x", "good", "Idempotency-Key", fmt.Sprint("g", i)); a.StatusCode != http.StatusOK {
+				t.Fatalf("run once %v: another call has status %d", once, a.StatusCode)
+			}
+		}
+		if n := crashes.Load(); n > maxRuns {
+			t.Errorf("run once %v: %d runs of a call that crashes servers, at most %d allowed", once, n, maxRuns)
+		}
+		body, _ := io.ReadAll(last.Body)
+		if wait, _ := strconv.Atoi(last.Header.Get("Retry-After")); wait < 10 || !strings.Contains(string(body), `"ran":"not_run"`) {
+			t.Errorf("run once %v: the last call has Retry-After %q: %s", once, last.Header.Get("Retry-After"), body)
+		}
+	}
+}
--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -9,10 +9,12 @@
 	"net/url"
 	"time"
 
+	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/request/once"
 	"verbenahaven.example/entryd/fault"
+	"verbenahaven.example/entryd/screen"
 )
 
 const (
@@ -27,10 +29,12 @@
 	call        *Call
 	state       *once.Call
 	baseRequest proto.OnceRequest
+	pass        *screen.Pass
+	held        error // why the call wasn't sent, if it may crash servers
 }
 
 func (s *Dispatcher) doOnce(ctx context.Context, c *Call) (Answer, error) {
-	o := &onceCall{Dispatcher: s, call: c, state: once.New(), baseRequest: proto.OnceRequest{
+	o := &onceCall{Dispatcher: s, call: c, state: once.New(), pass: s.beginPass(c), baseRequest: proto.OnceRequest{
 		Account:     c.Account,
 		Service:     c.Service.Name,
 		Key:         c.Key,
@@ -38,6 +42,7 @@
 		Attempt:     c.ID,
 		Holder:      s.settings.Holder,
 	}}
+	defer o.pass.Close()
 	action := once.RecordStart
 	for action != once.Respond {
 		action = o.perform(ctx, action)
@@ -103,8 +108,12 @@
 	if number > maxAttempts {
 		return o.state.Abandon(once.ReasonNotSent)
 	}
+	if o.held = o.pass.Permit(ctx); o.held != nil {
+		return o.state.Abandon(once.ReasonNotSent)
+	}
 	v, release, err := o.balancer.ReserveServer(o.clock.Now(), o.call.Service.Name, nil)
 	if err != nil {
+		o.pass.Spared(false)
 		return o.state.Abandon(once.ReasonNotSent)
 	}
 	defer release()
@@ -117,11 +126,14 @@
 	o.call.Record.AddStep(o.traceStep(o.call, v, number, err))
 	switch {
 	case err == nil:
+		o.pass.Completed()
 		return o.state.OnSent(once.SendAnswered, r)
 	case written || answered:
+		screenFailure(o.pass, v.Name, pool.RetryReason(err), err)
 		o.meter.Count("once", "broken")
 		return o.state.OnSent(once.SendBroken, once.Result{})
 	default:
+		o.pass.Spared(false)
 		o.meter.Count("retry", "unsent")
 		o.balancer.AvoidServer(o.clock.Now(), v.Name)
 		action := o.state.OnSent(once.SendWroteNothing, once.Result{})
@@ -170,6 +182,9 @@
 	if reason == once.ReasonNone {
 		return Answer{Result: result, Replayed: o.state.Replayed()}, nil
 	}
+	if o.held != nil && ran == once.NotExecuted {
+		return Answer{}, heldFault(o.held, ran)
+	}
 	code, ok := faultCodes[reason]
 	if !ok {
 		panic("plain: no code for reason " + string(reason))
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -21,9 +21,11 @@
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/request/once"
 	"verbenahaven.example/core/request/retry"
+	"verbenahaven.example/core/request/strike"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/entryd/fault"
 	"verbenahaven.example/entryd/picker"
+	"verbenahaven.example/entryd/screen"
 	"verbenahaven.example/entryd/trail"
 )
 
@@ -48,6 +50,7 @@
 	balancer  *picker.Balancer
 	pool      *pool.Pool
 	keeper    proto.Keeper
+	screen    *screen.Screen
 	meter     *meter.Registry
 	clock     clock.Clock
 	recording sync.WaitGroup
@@ -58,8 +61,10 @@
 
 // New returns a dispatcher and a clean-up that waits until outcomes in progress
 // are recorded.
-func New(s Settings, g *picker.Balancer, p *pool.Pool, k proto.Keeper, m *meter.Registry, c clock.Clock) (*Dispatcher, func()) {
-	v := &Dispatcher{settings: s, balancer: g, pool: p, keeper: k, meter: m, clock: c, budgets: retry.NewBudgets(s.Retry)}
+func New(
+	s Settings, g *picker.Balancer, p *pool.Pool, k proto.Keeper, n *screen.Screen, m *meter.Registry, c clock.Clock,
+) (*Dispatcher, func()) {
+	v := &Dispatcher{settings: s, balancer: g, pool: p, keeper: k, screen: n, meter: m, clock: c, budgets: retry.NewBudgets(s.Retry)}
 	return v, v.recording.Wait
 }
 
@@ -105,8 +110,16 @@
 func (s *Dispatcher) doRetryable(ctx context.Context, c *Call) (Answer, error) {
 	var avoid []string
 	ran := once.NotExecuted
+	pass := s.beginPass(c)
+	defer pass.Close()
 	for number := 1; ; number++ {
+		if err := pass.Permit(ctx); err != nil {
+			return Answer{}, heldFault(err, ran)
+		}
 		v, release, err := s.balancer.ReserveServer(s.clock.Now(), c.Service.Name, avoid)
+		if err != nil {
+			pass.Spared(false)
+		}
 		if errors.Is(err, picker.ErrIsolated) {
 			return Answer{}, fault.New(fault.CodeStale, err.Error()).Execution(ran).RetryAfter(retryAfter)
 		}
@@ -117,6 +130,7 @@
 		release()
 		c.Record.AddStep(s.traceStep(c, v, number, err))
 		if err == nil {
+			pass.Completed()
 			s.recordSuccess(v.Name)
 			return Answer{Result: r}, nil
 		}
@@ -126,6 +140,7 @@
 		}
 		s.meter.Count("attempt", "failed", string(reason))
 		s.recordFailure(v, reason)
+		screenFailure(pass, v.Name, reason, err)
 		avoid = append(avoid, v.Name)
 		if ctx.Err() != nil {
 			return Answer{}, fault.New(fault.CodeDeadline, "no answer before the deadline").Execution(ran)
@@ -139,6 +154,31 @@
 	}
 }
 
+// beginPass returns the pass of a call, which is the only cause of what it crashes:
+// calls of plain services have no parts that others share.
+func (s *Dispatcher) beginPass(c *Call) *screen.Pass {
+	return s.screen.Begin(c.ID, strike.RequestCause(c.Service.Name+"/"+c.Account+"/"+fingerprint(c)), nil)
+}
+
+// screenFailure records what a failed attempt means for a server.
+func screenFailure(p *screen.Pass, server string, reason retry.Reason, err error) {
+	if reason == retry.ReasonDial || errors.Is(err, errAnswerTooLarge) {
+		p.Spared(reason != retry.ReasonDial)
+		return
+	}
+	p.Lost(server, false)
+}
+
+// heldFault returns the refusal of a call that may crash servers, or the error
+// itself if it is another one.
+func heldFault(err error, ran once.Execution) error {
+	var held *screen.HeldError
+	if !errors.As(err, &held) {
+		return fault.New(fault.CodeDeadline, err.Error()).Execution(ran)
+	}
+	return fault.New(fault.CodeStrikes, held.Error()).RetryAfter(held.Wait).Execution(ran)
+}
+
 func (s *Dispatcher) traceStep(c *Call, v state.Server, number int, err error) trail.Step {
 	t := trail.Step{Attempt: attemptID(c, number), At: s.clock.Now(), Server: v.Name, End: "done"}
 	if err != nil {
--- a/entryd/screen/pass.go
+++ b/entryd/screen/pass.go
@@ -30,12 +30,7 @@
 	return &Pass{screen: s, id: id, request: request, parts: parts}
 }
 
-func (p *Pass) causes() []string {
-	if p.request == "" {
-		return p.parts
-	}
-	return slices.Concat(p.parts, []string{p.request})
-}
+func (p *Pass) causes() []string { return causesOf(p.request, p.parts) }
 
 // Held returns the refusal of a call that no attempt is permitted for, or nil.
 func (p *Pass) Held() error {
@@ -112,22 +107,30 @@
 // engine had begun the answer: then its parts are no cause.
 func (p *Pass) Lost(engine string, begun bool) {
 	s, now := p.screen, p.screen.clock.Now()
-	causes := p.causes()
+	parts := p.parts
 	if begun {
-		causes = causes[len(p.parts):]
+		parts = nil
 	}
 	p.flush()
-	l := s.lossOf(now, causes, engine, p.trial)
+	l := s.lossOf(now, p.request, parts, engine, p.trial)
 	p.trial, p.tried = "", nil
 	if len(l.Causes) == 0 {
 		return
 	}
 	s.meter.Count("screen", "lost")
-	s.log.Info("engine lost under a request", "request", p.id, "engine", engine, "begun", begun, "causes", causes, "trial", l.Trial)
+	s.log.Info("engine lost under a request", "request", p.id, "engine", engine, "begun", begun, "causes", namesOf(l.Causes), "trial", l.Trial)
 	s.recordLoss(now, l)
 	p.loss = l
 }
 
+func namesOf(causes []state.Cause) []string {
+	list := make([]string, 0, len(causes))
+	for _, c := range causes {
+		list = append(list, c.Name)
+	}
+	return list
+}
+
 // Spared records that an attempt ended and that its engine goes on. sent tells
 // whether the engine got it.
 func (p *Pass) Spared(sent bool) { p.end(!sent) }
--- a/entryd/screen/screen.go
+++ b/entryd/screen/screen.go
@@ -29,7 +29,7 @@
 	// recentCompletion is the age of a completed answer below which its parts
 	// don't count as lost: a part that crashes engines completes none.
 	recentCompletion = time.Second
-	// completionCapacity is the least number of parts remembered.
+	// completionCapacity is the least number of parts, and of requests, remembered.
 	completionCapacity = 4096
 	// askTimeout bounds the question for a permission, and recordTimeout other
 	// changes of the record.
@@ -65,9 +65,10 @@
 
 	mutex     sync.Mutex
 	own       map[string]*ownRecord // by cause
-	completed *strike.Completions
-	cleared   map[string]time.Time // causes reported as cleared lately
-	skipUntil time.Time            // keepers aren't asked before
+	completed *strike.Completions   // of parts
+	answered  *strike.Completions   // of requests
+	cleared   map[string]time.Time  // causes reported as cleared lately
+	skipUntil time.Time             // keepers aren't asked before
 }
 
 // ownRecord holds the losses and trials of a cause on this instance while those of
@@ -82,7 +83,8 @@
 func New(k proto.Keeper, s Snapshots, m *meter.Registry, l *slog.Logger, c clock.Clock) *Screen {
 	return &Screen{
 		keeper: k, snapshots: s, meter: m, log: l, clock: c, reports: make(chan state.Screening, queueSize),
-		own: make(map[string]*ownRecord), completed: strike.NewCompletions(completionCapacity), cleared: make(map[string]time.Time),
+		own: make(map[string]*ownRecord), completed: strike.NewCompletions(completionCapacity), answered: strike.NewCompletions(completionCapacity),
+		cleared: make(map[string]time.Time),
 	}
 }
 
@@ -151,6 +153,15 @@
 	}
 }
 
+// causesOf returns the causes of a request: the parts of its prompt, and itself
+// unless it is empty.
+func causesOf(request string, parts []string) []string {
+	if request == "" {
+		return parts
+	}
+	return append(slices.Clip(parts), request)
+}
+
 // find returns what is known of a cause, here and from the keepers: the record
 // with more losses. The caller holds the mutex.
 func (s *Screen) find(now time.Time, snapshot *view.Snapshot, cause string) (state.Strike, bool) {
@@ -183,10 +194,19 @@
 	return list, losses
 }
 
-// completedLately reports whether a part was in a prompt whose answer was completed
+// lastCompletion returns when an answer to a request with a cause was last completed
+// here. The caller holds the mutex.
+func (s *Screen) lastCompletion(cause string) (time.Time, bool) {
+	if at, found := s.completed.Last(cause); found {
+		return at, true
+	}
+	return s.answered.Last(cause)
+}
+
+// completedLately reports whether an answer to a request with a cause was completed
 // here so lately that it can't be the cause of a loss. The caller holds the mutex.
 func (s *Screen) completedLately(now time.Time, cause string) bool {
-	at, found := s.completed.Last(cause)
+	at, found := s.lastCompletion(cause)
 	return found && now.Sub(at) < recentCompletion
 }
 
@@ -294,22 +314,22 @@
 			s.own[c.Name] = v
 		}
 		v.recorded = 0
-		v.AddLoss(now, c.Proven, l.Engine, l.Trial)
+		v.AddLoss(now, c, l.Engine, l.Trial)
 	}
 }
 
 // lossOf returns the loss of an engine with the causes of a request that may have
-// caused it.
-func (s *Screen) lossOf(now time.Time, causes []string, engine, trial string) *state.Loss {
+// caused it: the request itself, or parts of its prompt.
+func (s *Screen) lossOf(now time.Time, request string, parts []string, engine, trial string) *state.Loss {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	l := &state.Loss{Engine: engine, Trial: trial}
-	for _, cause := range causes {
+	for _, cause := range causesOf(request, parts) {
 		if s.completedLately(now, cause) {
 			continue
 		}
-		_, proven := s.completed.Last(cause)
-		l.Causes = append(l.Causes, state.Cause{Name: cause, Proven: proven})
+		_, proven := s.lastCompletion(cause)
+		l.Causes = append(l.Causes, state.Cause{Name: cause, Proven: proven, Part: cause != request})
 	}
 	return l
 }
@@ -321,7 +341,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var suspected []string
-	for _, cause := range slices.Concat(parts, []string{request}) {
+	for _, cause := range causesOf(request, parts) {
 		if _, found := s.find(now, snapshot, cause); found {
 			suspected = append(suspected, cause)
 		}
@@ -329,6 +349,9 @@
 	for _, part := range parts {
 		s.completed.Add(now, part)
 	}
+	if request != "" {
+		s.answered.Add(now, request)
+	}
 	if len(suspected) > 0 {
 		s.clear(now, suspected)
 	}
--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -50,7 +50,7 @@
 	dispatcher := infer.New(inferSettings, balancer, poolPool, strikes, screenScreen, registry, clockClock)
 	holder := provideHolder(s, clockClock)
 	plainSettings := providePlain(holder, policy)
-	plainDispatcher, cleanup4 := plain.New(plainSettings, balancer, poolPool, keeper, registry, clockClock)
+	plainDispatcher, cleanup4 := plain.New(plainSettings, balancer, poolPool, keeper, screenScreen, registry, clockClock)
 	quota := provideQuota(s, keeper, balancer, registry, clockClock)
 	trailTrail := trail.New()
 	member := provideMember(s)
