--- a/core/conn/server/server.go
+++ b/core/conn/server/server.go
@@ -57,9 +57,11 @@
 
 // ResponseHead is what the status and header of a backend server's response say.
 type ResponseHead struct {
-	NotExecuted bool // the server states that it didn't execute the request
-	Misdirected bool // another server uses the address now
-	Signed      bool // the server itself produced the response
+	NotExecuted bool    // the server states that it didn't execute the request
+	Misdirected bool    // another server uses the address now
+	Signed      bool    // the server itself produced the response
+	Limited     bool    // the server names the requests that it takes
+	Limit       float64 // requests a second from all instances together, if Limited
 }
 
 // PrefillResult is the result of a prefill.
