pace, sched, place, relay, lead: limits that servers name are kept by all instances together

A server of the pension tracing site that had named a limit of 11 requests a second got 129 in 4 s, 72 were allowed (LIMIT); another 130 of 62.

Cause: nothing read the limit; both engines were sent as many requests as before, for as long as they named it.

Each answer's limit, or its end, is now taken by the instance that gets it, told to the broker of the data centre and, by the leader's replies, to all. Few instances send to such a server, with fixed shares: the broker of an engine's data centre, and as many senders to a plain server as it takes requests a second, so the limit holds without an exchange for each request. Each prefill, run and retry takes one. What no server has room for is refused at once as not run.

--- a/core/conn/proto/place.go
+++ b/core/conn/proto/place.go
@@ -13,6 +13,7 @@
 	Origins []StreamOrigin `cbor:"5,keyasint,omitempty"`
 	Find    string         `cbor:"6,keyasint,omitempty"` // ID of a stream whose origin is asked for
 	Found   *FindReply     `cbor:"7,keyasint,omitempty"`
+	Limits  []ServerLimit  `cbor:"8,keyasint,omitempty"` // heard by the sender just now
 }
 
 // StreamOrigin is the software build that began a stream.
--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -105,6 +105,15 @@
 	ReportsRevision uint64            `cbor:"9,keyasint,omitempty"`  // newest revision of the reports that the sender has
 	Speeds          []EngineSpeed     `cbor:"10,keyasint,omitempty"` // what the sender observed since it last sent them
 	Delegates       bool              `cbor:"11,keyasint,omitempty"` // another instance schedules the sender's generations, so it needs no loads
+	Limits          []ServerLimit     `cbor:"12,keyasint,omitempty"` // what the sender heard of limits since it last sent them
+}
+
+// ServerLimit is what a backend server said of the requests that it takes.
+type ServerLimit struct {
+	Server  string        `cbor:"1,keyasint"`
+	Limited bool          `cbor:"2,keyasint,omitempty"` // false: it named no limit any more
+	Rate    float64       `cbor:"3,keyasint,omitempty"` // requests a second from all instances together
+	Age     time.Duration `cbor:"4,keyasint,omitempty"` // since it said so
 }
 
 // EngineWork is the outstanding work of entry instances at an engine.
@@ -140,6 +149,7 @@
 	Reports         []Report      `cbor:"6,keyasint,omitempty"`  // engine reports collected by the leader that are newer than the request's ReportsRevision
 	ReportsRevision uint64        `cbor:"10,keyasint,omitempty"` // revision of the reports including these
 	Delta           []byte        `cbor:"8,keyasint,omitempty"`  // packed state.View: delta since the version of the heartbeat
+	Limits          []ServerLimit `cbor:"11,keyasint,omitempty"` // the newest that any instance heard of limits
 	Interval        time.Duration `cbor:"9,keyasint,omitempty"`  // interval until the next heartbeat
 	KeeperAddresses []string      `cbor:"7,keyasint,omitempty"`  // keepers' link addresses, if keepers are named by address
 }
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -16,6 +16,7 @@
 
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/request/pace"
 	"verbenahaven.example/core/request/speed"
 	"verbenahaven.example/core/version/state"
 )
@@ -159,6 +160,7 @@
 	answers  map[string]answerTimes        // by pool
 	own      *speed.Model                  // of this instance's observations, until the leader tells those of all
 	observed map[string]*proto.EngineSpeed // since the last TakeSpeeds
+	limits   *pace.Table                   // of the engines' own limits, nil for none
 }
 
 // New returns a placer without engines for an instance in the data centre.
@@ -173,6 +175,9 @@
 // here: then all its prefill engines are compared.
 func (p *Placer) SetExact(exact bool) { p.exact = exact }
 
+// SetLimits sets the table of the limits that engines name.
+func (p *Placer) SetLimits(t *pace.Table) { p.limits = t }
+
 // Update replaces the engines by those of a new version of the state. What is
 // known of engines that remain unchanged is kept.
 func (p *Placer) Update(engines []state.Engine, routing *state.RoutingTable) {
@@ -243,6 +248,8 @@
 
 // RecordSent records that a request is sent to the engines of a plan.
 func (p *Placer) RecordSent(now time.Time, req *Request, plan *Plan) {
+	p.limits.Take(plan.Prefill.Name)
+	p.limits.Take(plan.Decode.Name)
 	decode := sentWork{decode: true, deferred: req.Deferred, longAnswer: p.isLong(req), memoryTokens: req.OutputTokens() / 2}
 	if decode.longAnswer {
 		decode.memoryTokens += req.Prompt.Tokens - req.sharedTokens() // an engine holds shared parts once
@@ -283,13 +290,47 @@
 	}
 }
 
+// LimitedError reports that nothing can take a request because the backend servers
+// that could have named limits which are used up. It wraps ErrNoBackend.
+type LimitedError struct {
+	pool string
+	wait time.Duration
+}
+
+// Error implements error.
+func (e *LimitedError) Error() string {
+	return fmt.Sprintf("pool %s: the limits of the servers are used up: %v", e.pool, ErrNoBackend)
+}
+
+// Unwrap returns ErrNoBackend.
+func (e *LimitedError) Unwrap() error { return ErrNoBackend }
+
+// Wait returns when a server takes another request.
+func (e *LimitedError) Wait() time.Duration { return e.wait }
+
+// noBackend returns the error for a pool without a usable server. wait is the shortest
+// wait for one that is only limited.
+func noBackend(pool string, wait time.Duration) error {
+	if wait < pace.Forever {
+		return &LimitedError{pool: pool, wait: wait}
+	}
+	return fmt.Errorf("pool %s: %w", pool, ErrNoBackend)
+}
+
 // Pick chooses the engines of a request.
 func (p *Placer) Pick(now time.Time, req *Request) (Plan, error) {
 	var prefill, decode []*engineView
+	limited := pace.Forever
 	for _, v := range p.pools[req.Pool] {
 		if !v.usable(now, req) {
 			continue
 		}
+		if wait := p.limits.Wait(now, v.engine.Name); wait > 0 {
+			if v.engine.Role != state.RolePrefill {
+				limited = min(limited, wait)
+			}
+			continue
+		}
 		if v.engine.Role == state.RolePrefill {
 			prefill = append(prefill, v)
 		} else if req.Build == nil || v.engine.Build == *req.Build {
@@ -297,7 +338,7 @@
 		}
 	}
 	if len(decode) == 0 {
-		return Plan{}, fmt.Errorf("pool %s: %w", req.Pool, ErrNoBackend)
+		return Plan{}, noBackend(req.Pool, limited)
 	}
 	reserved := p.reserveForLong(decode)
 	best := Plan{cost: -1}
--- a/core/request/place/plain.go
+++ b/core/request/place/plain.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
+	"verbenahaven.example/core/request/pace"
 	"verbenahaven.example/core/version/state"
 )
 
@@ -26,6 +26,7 @@
 	centre  string
 	byName  map[string]*plainServer
 	servers []*plainServer // by name
+	limits  *pace.Table    // of the servers' own limits, nil for none
 }
 
 // NewServers returns a load balancer without servers for an instance in the
@@ -34,6 +35,9 @@
 	return &Servers{centre: centre, byName: make(map[string]*plainServer)}
 }
 
+// SetLimits sets the table of the limits that servers name.
+func (s *Servers) SetLimits(t *pace.Table) { s.limits = t }
+
 // Update replaces the servers by those of a new version of the state. What is
 // known of servers that remain is kept.
 func (s *Servers) Update(list []state.Server) {
@@ -67,11 +71,16 @@
 func (s *Servers) Pick(now time.Time, pool string, avoid []string, build *string, tieBreaker uint64) (state.Server, error) {
 	var best *plainServer
 	var lowest time.Duration
+	limited := pace.Forever
 	for _, healthy := range []bool{true, false} {
 		for _, p := range s.servers {
 			if !p.accepts(pool, avoid, build) || healthy && !p.healthy(now) {
 				continue
 			}
+			if wait := s.limits.Wait(now, p.server.Name); wait > 0 {
+				limited = min(limited, wait)
+				continue
+			}
 			cost := time.Duration(p.inFlight) * inFlightCost
 			if p.server.Centre != s.centre {
 				cost += minCrossCentreCost
@@ -82,10 +91,11 @@
 		}
 		if best != nil {
 			best.inFlight++
+			s.limits.Take(best.server.Name)
 			return best.server, nil
 		}
 	}
-	return state.Server{}, fmt.Errorf("pool %s: %w", pool, ErrNoBackend)
+	return state.Server{}, noBackend(pool, limited)
 }
 
 // RecordDone removes a request that was in flight at a server.
--- a/core/request/sched/sched.go
+++ b/core/request/sched/sched.go
@@ -11,12 +11,14 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/request/admit"
+	"verbenahaven.example/core/request/pace"
 	"verbenahaven.example/core/request/place"
 	"verbenahaven.example/core/version/state"
 )
@@ -118,16 +120,23 @@
 // SetBroker sets whether all generations of the data centre are scheduled here.
 func (s *Scheduler) SetBroker(broker bool) { s.placer.SetExact(broker) }
 
+// SetLimits sets the table of the limits that engines name.
+func (s *Scheduler) SetLimits(t *pace.Table) { s.placer.SetLimits(t) }
+
 // ApplyReports applies the engines' reports and the work that others sent them.
 func (s *Scheduler) ApplyReports(reports []proto.Report, others []proto.EngineWork) {
 	s.placer.ApplyReports(reports, others)
 }
 
-// Decide schedules a request, and books the work at the engines until it ends.
+// Decide schedules a request, and books the work at the engines until it ends. A
+// request for which all engines have used up their limits is refused without a plan.
 // The error wraps place.ErrNoBackend if no engine can take it.
 func (s *Scheduler) Decide(now time.Time, r *Request) (Decision, error) {
 	s.expire(now)
 	plan, err := s.placer.Pick(now, &r.Request)
+	if limited := new(place.LimitedError); errors.As(err, &limited) {
+		return Decision{Refused: true, RetryAfter: min(max(minRetryAfter, limited.Wait()), maxRetryAfter)}, nil
+	}
 	if err != nil {
 		return Decision{}, fmt.Errorf("pick engines: %w", err)
 	}
--- a/entryd/beat/beat.go
+++ b/entryd/beat/beat.go
@@ -48,6 +48,8 @@
 	// Speeds returns what was observed of the engines' speeds since it last
 	// returned them, if that is due.
 	Speeds(now time.Time) []proto.EngineSpeed
+	// Limits returns what was heard of backend servers' limits since the last call.
+	Limits(now time.Time) []proto.ServerLimit
 	// Delegates reports whether another instance schedules the generations, so
 	// that this one needs no loads.
 	Delegates() bool
@@ -193,6 +195,7 @@
 	r.Demand, r.Reports = b.traffic.Digest(passed)
 	r.OwnWork, r.ReportsRevision = b.traffic.OwnWork(), b.traffic.ReportsRevision()
 	r.Speeds, r.Delegates = b.traffic.Speeds(b.clock.Now()), b.traffic.Delegates()
+	r.Limits = b.traffic.Limits(b.clock.Now())
 	return r
 }
 
--- a/entryd/broker/broker.go
+++ b/entryd/broker/broker.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -54,6 +55,8 @@
 	Apply(e *proto.PlaceEvent)
 	// Remember records the origins of streams of other instances.
 	Remember(origins []proto.StreamOrigin)
+	// LearnLimits takes what other instances have just heard of limits.
+	LearnLimits(limits []proto.ServerLimit)
 	// Origin returns the origin of a stream.
 	Origin(id string) (proto.StreamOrigin, bool)
 }
@@ -133,7 +136,7 @@
 	if err := codec.Unmarshal(b, &m); err != nil {
 		return nil, fmt.Errorf("decode: %w", err)
 	}
-	if len(m.From) > maxTextBytes || len(m.Events) > maxListItems || !validOrigins(&m) {
+	if len(m.From) > maxTextBytes || len(m.Events) > maxListItems || !validOrigins(&m) || !validLimits(m.Limits) {
 		return nil, errMessage
 	}
 	for i := range m.Events {
@@ -147,6 +150,12 @@
 	return &m, nil
 }
 
+func validLimits(list []proto.ServerLimit) bool {
+	return len(list) <= maxListItems && !slices.ContainsFunc(list, func(l proto.ServerLimit) bool {
+		return !validTexts(l.Server) || !(l.Rate >= 0) || math.IsInf(l.Rate, 0) || l.Age < 0
+	})
+}
+
 func validTexts(list ...string) bool {
 	return !slices.ContainsFunc(list, func(text string) bool { return len(text) > maxTextBytes })
 }
@@ -186,6 +195,9 @@
 		default: // a second reply to one request
 		}
 	}
+	if len(m.Limits) > 0 {
+		h.LearnLimits(m.Limits)
+	}
 	if len(m.Origins) > 0 {
 		h.Remember(m.Origins)
 	}
@@ -246,6 +258,17 @@
 	}
 }
 
+// TellLimits tells a broker, given by its link address, what servers have just said of
+// their limits. It isn't repeated: the next answers say it again.
+func (c *Conn) TellLimits(link string, limits []proto.ServerLimit) {
+	to, err := socketAddress(link)
+	if err != nil {
+		c.meter.Count("broker", "not_sent")
+		return
+	}
+	c.send(to, &proto.PlaceMessage{From: c.name, Limits: limits})
+}
+
 // Tell tells a broker, given by its link address, what happened to a request
 // that it placed.
 func (c *Conn) Tell(link string, e *proto.PlaceEvent) {
--- a/entryd/broker/broker_test.go
+++ b/entryd/broker/broker_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +23,7 @@
 	mutex  sync.Mutex
 	events []proto.PlaceEvent
 	known  []proto.StreamOrigin
+	limits []proto.ServerLimit
 }
 
 func (r *recorder) Place(q *proto.PlaceRequest) (proto.PlaceReply, bool) {
@@ -39,6 +42,12 @@
 	r.known = append(r.known, list...)
 }
 
+func (r *recorder) LearnLimits(list []proto.ServerLimit) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.limits = append(r.limits, list...)
+}
+
 func (r *recorder) Origin(id string) (proto.StreamOrigin, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -106,6 +115,27 @@
 	}
 }
 
+func TestTellLimits(t *testing.T) {
+	link, other, h := startPair(t)
+	other.TellLimits(link, []proto.ServerLimit{{Server: "bad", Limited: true, Rate: math.NaN()}})
+	want := proto.ServerLimit{Server: "e", Limited: true, Rate: 9.4}
+	for range 200 {
+		other.TellLimits(link, []proto.ServerLimit{want})
+		time.Sleep(5 * time.Millisecond)
+		h.mutex.Lock()
+		heard := slices.Clone(h.limits)
+		h.mutex.Unlock()
+		if len(heard) == 0 {
+			continue
+		}
+		if heard[0] != want {
+			t.Fatalf("heard %+v, want %+v", heard, want)
+		}
+		return
+	}
+	t.Fatal("nothing heard")
+}
+
 func TestAskWithoutAnswer(t *testing.T) {
 	link, other, _ := startPair(t)
 	began := time.Now()
--- a/entryd/picker/report.go
+++ b/entryd/picker/report.go
@@ -122,5 +122,8 @@
 // ReportsRevision returns 0: the reports come from this instance's own polls.
 func (g *Balancer) ReportsRevision() uint64 { return 0 }
 
+// Limits returns none: the engines of the product's own interface name no limits.
+func (g *Balancer) Limits(time.Time) []proto.ServerLimit { return nil }
+
 // ApplyReply ignores the loads in the leader's reply.
 func (g *Balancer) ApplyReply(time.Time, proto.HeartbeatReply) {}
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -9,6 +9,7 @@
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/request/origin"
+	"verbenahaven.example/core/request/pace"
 	"verbenahaven.example/core/request/place"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/request/sched"
@@ -41,6 +42,11 @@
 	local             *sched.Scheduler // for all of the data centre if this instance is its broker, else while the broker is silent
 	delegate          sched.Delegate
 	servers           *place.Servers
+	limits            *pace.Table
+	limitsTold        map[string]time.Time // last message to the broker, by limited server
+	serving           []state.Member
+	self              state.Member
+	isBroker          bool
 	origins           *origin.Table
 	builds            *origin.Builds
 	budget            *retry.SharedBudget
@@ -60,7 +66,7 @@
 func NewFleet(
 	name, centre string, budget *retry.SharedBudget, broker Broker, m *meter.Registry, c clock.Clock, setKeepers func(keepers []string),
 ) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		name:              name,
 		centre:            centre,
 		broker:            broker,
@@ -77,6 +83,10 @@
 		inFlight:          make(map[string]int),
 		secondsPerToken:   make(map[string]float64),
 	}
+	f.limits, f.limitsTold = pace.New(f.limitShare), make(map[string]time.Time)
+	f.local.SetLimits(f.limits)
+	f.servers.SetLimits(f.limits)
+	return f
 }
 
 // SetSnapshot makes a newer state version current. An older one is a programming
@@ -93,7 +103,8 @@
 	f.local.Update(snapshot.Engines(), snapshot.Routing())
 	f.servers.Update(snapshot.AllServers())
 	broker, found := sched.Broker(snapshot.LiveEntries(), f.centre)
-	f.local.SetBroker(found && broker.Name == f.name)
+	f.updateSenders(found && broker.Name == f.name)
+	f.local.SetBroker(f.isBroker)
 	if !found || broker.Name == f.name {
 		broker.LinkAddress = ""
 	}
@@ -204,6 +215,7 @@
 		reply.Reports[i].At = now.Add(-reply.Reports[i].Age)
 	}
 	f.local.ApplyReports(reply.Reports, reply.OtherWork)
+	f.limits.Learn(now, reply.Limits)
 }
 
 // ReportsRevision returns the newest revision of the load reports that is known
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -253,6 +253,7 @@
 		f.recordEngineLoss(ctx, t, name, server.HostPort(plan.Prefill.URL), false, err)
 		return "", fmt.Errorf("prefill: %w", err)
 	}
+	f.parseHead(name, a)
 	took := f.clock.Now().Sub(start)
 	f.meter.Time(took, "prefill")
 	f.prefillTime = took
@@ -320,12 +321,13 @@
 		return fmt.Errorf("decode: %w", err)
 	}
 	defer func() { _ = a.Body.Close() }()
-	if f.codec.ParseHead(a).NotExecuted {
+	head := f.parseHead(name, a)
+	if head.NotExecuted {
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxPrefillAnswer)) // so that the connection is kept
 		return f.recordRefusal(t, name, a)
 	}
 	f.mayHaveRun = append(f.mayHaveRun, name)
-	if a.StatusCode != http.StatusOK || !f.codec.ParseHead(a).Signed {
+	if a.StatusCode != http.StatusOK || !head.Signed {
 		return f.handleNonStream(ctx, t, name, a, out)
 	}
 	begun := false
--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -10,6 +10,7 @@
 	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/request/place"
 	"verbenahaven.example/core/version/state"
 )
 
@@ -43,6 +44,9 @@
 		v, release, err := f.fleet.pickServer(f.clock.Now(), f.targetPool.Name, f.avoid, f.build)
 		if err != nil {
 			f.pass.Spared(false)
+			if limited := new(place.LimitedError); errors.As(err, &limited) {
+				reason, retryAfter = "the servers' limits are used up", max(busyRetryAfter, limited.Wait())
+			}
 			break
 		}
 		f.tries++
@@ -100,7 +104,7 @@
 		return nil, err //nolint:wrapcheck // the error names the address
 	}
 	defer func() { _ = a.Body.Close() }()
-	head := f.codec.ParseHead(a)
+	head := f.parseHead(v.Name, a)
 	if !head.NotExecuted {
 		f.mayHaveRun = append(f.mayHaveRun, v.Name)
 	}
--- a/entryd/relay/ticket.go
+++ b/entryd/relay/ticket.go
@@ -17,6 +17,7 @@
 	Ask(ctx context.Context, link string, r *proto.PlaceRequest) (*proto.PlaceReply, error)
 	Tell(link string, e *proto.PlaceEvent)
 	Share(link string, origins []proto.StreamOrigin)
+	TellLimits(link string, limits []proto.ServerLimit)
 	Find(ctx context.Context, links []string, id string) *proto.StreamOrigin
 }
 
@@ -47,7 +48,9 @@
 		return nil, err //nolint:wrapcheck // the error names the pool
 	}
 	t := &ticket{Decision: d, fleet: f, id: r.ID}
-	t.countInFlight(1)
+	if !t.Refused {
+		t.countInFlight(1)
+	}
 	return t, nil
 }
 
@@ -88,6 +91,10 @@
 // names no engine, or one that isn't serving or of another build than asked for
 // as far as this instance knows: then it decides itself.
 func (t *ticket) apply(r *proto.PlaceReply, build *string, engine func(string) (state.Engine, bool)) bool {
+	if r.Refused && r.Decode == "" {
+		t.Refused, t.RetryAfter = true, r.RetryAfter
+		return true
+	}
 	decode, found := engine(r.Decode)
 	if !found || decode.Phase != state.PhaseServing || build != nil && decode.Build != *build {
 		return false
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -42,7 +42,11 @@
 	if peer != q.Member.Name || q.Member.Kind != state.MemberEntry {
 		return proto.HeartbeatReply{}, l.badRequest("member")
 	}
-	if err := l.withLease(func(now time.Duration, _ uint64) { l.roster.RecordHeartbeat(now, q) }); err != nil {
+	err := l.withLease(func(now time.Duration, _ uint64) {
+		l.roster.RecordHeartbeat(now, q)
+		l.limits.Put(time.Unix(0, 0).Add(now), q.Limits)
+	})
+	if err != nil {
 		return proto.HeartbeatReply{}, err
 	}
 	known, err := l.registerMember(ctx, q.Member)
@@ -83,6 +87,7 @@
 func (l *Leader) addUpdates(reply *proto.HeartbeatReply, q proto.HeartbeatRequest) {
 	_ = l.withLease(func(now time.Duration, _ uint64) {
 		live := l.roster.LiveCount(now)
+		reply.Limits = l.limits.List(time.Unix(0, 0).Add(now))
 		if q.Delegates {
 			reply.ReportsRevision = q.ReportsRevision
 			reply.Interval = max(delegatingInterval, time.Duration(live)*beatSpacing)
