screen, state: a trial whose prompt was prefilled counts as sent; strikes expire once a loss

A trial of a part that had ended many engines reached a prefill engine, its decode engine couldn't be dialled, and the next trial was permitted at once, so that such requests could go on reaching prefill engines. TestPrefilledTrialCounts failed before.

The record of strikes was sorted for each cause of a loss, to find expired ones; it is now only looked through once a loss.

--- a/core/version/state/cause.go
+++ b/core/version/state/cause.go
@@ -96,6 +96,7 @@
 
 // recordLoss records a lost engine with all causes that it may have.
 func (s *State) recordLoss(l *Loss) {
+	s.expireStrikes()
 	for _, c := range l.Causes {
 		v := s.causeToChange(c.Name)
 		v.AddLoss(s.now, c, l.Engine, l.Trial)
@@ -140,7 +141,6 @@
 // causeToChange returns the record of a cause, or a new one, for which it makes
 // room.
 func (s *State) causeToChange(name string) Strike {
-	s.expireStrikes()
 	v, found := s.strikes.rows[name]
 	if !found && len(s.strikes.rows) >= maxStrikes {
 		drop(s, &s.strikes, s.earliestStrike())
--- a/core/version/state/member.go
+++ b/core/version/state/member.go
@@ -73,6 +73,13 @@
 
 // expireStrikes removes expired strikes.
 func (s *State) expireStrikes() {
+	expired := false
+	for _, v := range s.strikes.rows {
+		expired = expired || v.ExpiresAt.Before(s.now)
+	}
+	if !expired {
+		return
+	}
 	for _, v := range s.strikes.after(0) { // sorted: replicas must write the same tombstones
 		if v.ExpiresAt.Before(s.now) {
 			drop(s, &s.strikes, v.Fingerprint)
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -267,6 +267,7 @@
 		t.engineFailed(name, false)
 		return "", fmt.Errorf("prefill: %w", err)
 	}
+	f.pass.Prefilled()
 	t.prefilled(took)
 	return prefilled.KVHandle, nil
 }
--- a/entryd/screen/pass.go
+++ b/entryd/screen/pass.go
@@ -21,6 +21,7 @@
 	trial    string      // the attempt that was permitted last, empty without one
 	tried    []string    // its causes
 	losses   int         // of these when it was permitted
+	sent     bool        // an engine got a request of it
 	loss     *state.Loss // not reported yet
 }
 
@@ -113,7 +114,7 @@
 	}
 	p.flush()
 	l := s.lossOf(now, p.request, parts, engine, p.trial)
-	p.trial, p.tried = "", nil
+	p.trial, p.tried, p.sent = "", nil, false
 	if len(l.Causes) == 0 {
 		return
 	}
@@ -131,6 +132,10 @@
 	return list
 }
 
+// Prefilled records that an engine got a request of the attempt, and that another one
+// follows.
+func (p *Pass) Prefilled() { p.sent = true }
+
 // Spared records that an attempt ended and that its engine goes on. sent tells
 // whether the engine got it.
 func (p *Pass) Spared(sent bool) { p.end(!sent) }
@@ -138,7 +143,7 @@
 // Completed records that the call was answered completely.
 func (p *Pass) Completed() {
 	p.screen.recordCompletion(p.screen.clock.Now(), p.request, p.parts)
-	p.trial, p.tried = "", nil
+	p.trial, p.tried, p.sent = "", nil, false
 }
 
 // Close reports what the call hasn't reported yet. A trial whose end isn't known
@@ -159,6 +164,7 @@
 		return
 	}
 	s, now := p.screen, p.screen.clock.Now()
+	unused = unused && !p.sent
 	if len(p.tried) > 0 {
 		s.report(state.Screening{Trial: p.trial, Causes: p.tried, Ended: !unused, Unused: unused})
 		s.mutex.Lock()
@@ -169,5 +175,5 @@
 		}
 		s.mutex.Unlock()
 	}
-	p.trial, p.tried = "", nil
+	p.trial, p.tried, p.sent = "", nil, false
 }
--- a/entryd/screen/screen_test.go
+++ b/entryd/screen/screen_test.go
@@ -33,8 +33,13 @@
 	if k.silent {
 		return state.Permission{}, context.DeadlineExceeded
 	}
-	k.state.BeginCommand(k.state.Index()+1, time.Now())
-	return k.state.Screen(r), nil
+	return k.screenAt(time.Now(), r), nil
+}
+
+// screenAt applies a screening at a time. The caller holds the mutex or is alone.
+func (k *fakeKeeper) screenAt(now time.Time, r state.Screening) state.Permission {
+	k.state.BeginCommand(k.state.Index()+1, now)
+	return k.state.Screen(r)
 }
 
 func (k *fakeKeeper) fallSilent() {
@@ -192,3 +197,37 @@
 		p.Close()
 	}
 }
+
+// Of a part that has ended many engines, one request is tried after a while. If its
+// prompt was prefilled and it then ran nowhere, the next one isn't tried at once.
+func TestPrefilledTrialCounts(t *testing.T) {
+	for _, prefilled := range []bool{false, true} {
+		k := newKeeper()
+		i := newInstance(t, k)
+		for n := range 5 {
+			l := &state.Loss{Engine: fmt.Sprint("e", n), Causes: []state.Cause{{Name: "part/bad", Part: true}}}
+			k.screenAt(time.Now().Add(-time.Hour), state.Screening{Loss: l})
+		}
+		i.learn(t, k)
+		p := i.Begin("a", "", []string{"part/bad"})
+		if err := p.Permit(t.Context()); err != nil {
+			t.Fatalf("the first trial: %v", err)
+		}
+		if prefilled {
+			p.Prefilled()
+		}
+		p.Spared(false)
+		patience := 2 * time.Second
+		if prefilled {
+			patience = 200 * time.Millisecond
+		}
+		deadline, allowed := time.Now().Add(patience), false
+		for !allowed && time.Now().Before(deadline) {
+			next := i.Begin("b", "", []string{"part/bad"})
+			allowed = next.Permit(t.Context()) == nil
+		}
+		if allowed == prefilled {
+			t.Errorf("prefilled %v: another trial is permitted: %v", prefilled, allowed)
+		}
+	}
+}
