relay: an engine that left while a prompt was prefilled gets no request

Its prompt had waited 3.1 s at the prefill engine, and the plan from before was carried out.

The plan is checked again between the prefill and the decode, where the permission for suspected parts is; the call goes to another engine as a retry within the budget. TestEngineThatLeftDuringPrefillGetsNoRequest failed before.

--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -137,6 +137,12 @@
 	}
 }
 
+// isServing reports whether an engine may take new requests.
+func (f *Fleet) isServing(name string) bool {
+	e, found := f.Snapshot().Engine(name)
+	return found && e.Phase == state.PhaseServing
+}
+
 // Snapshot returns the current state version.
 func (f *Fleet) Snapshot() *view.Snapshot {
 	f.mutex.Lock()
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -13,6 +13,7 @@
 	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/conn/stream"
+	"verbenahaven.example/core/request/place"
 	"verbenahaven.example/core/request/sched"
 	"verbenahaven.example/entryd/screen"
 )
@@ -34,6 +35,7 @@
 	errUnsigned         = errors.New("the answer isn't the server's own")
 	errStatus           = errors.New("the engine answered with a failure")
 	errNotRun           = errors.New("the engine had no room")
+	errLeaving          = errors.New("the engine is leaving")
 	errBusy             = errors.New("the engines are too busy for its time")
 	errCallerConn       = errors.New("the caller's connection failed")
 	errFailureDelivered = errors.New("the engine's failure was passed on")
@@ -201,19 +203,34 @@
 		send.PrefixSource = server.HostPort(plan.FetchURL)
 	}
 	f.tries++
-	err := f.pass.Permit(ctx) // the prefill took a while
+	err := f.recheck(ctx, plan)
 	if err == nil {
 		err = f.decode(ctx, t, send, out)
 	}
 	if err == nil {
 		answered = max(f.answerTime(), time.Nanosecond)
 	}
-	if err != nil && send.KVHandle != "" && (errors.Is(err, errNotRun) || out.events == 0) {
+	if err != nil && send.KVHandle != "" && (errors.Is(err, errNotRun) || errors.Is(err, errLeaving) || out.events == 0) {
 		go f.releaseKV(context.WithoutCancel(ctx), send.KVSource, send.KVHandle)
 	}
 	return err
 }
 
+// recheck decides again whether a call is sent to its decode engine: a prefill may
+// have taken seconds.
+func (f *inflightCall) recheck(ctx context.Context, plan *place.Plan) error {
+	if err := f.pass.Permit(ctx); err != nil {
+		return err //nolint:wrapcheck // the error says why the call is held back
+	}
+	if plan.Split() && !f.fleet.isServing(plan.Decode.Name) {
+		f.avoid = append(f.avoid, plan.Decode.Name)
+		f.pass.Spared(true)
+		f.meter.Count("engine", "left")
+		return fmt.Errorf("engine %s: %w", plan.Decode.Name, errLeaving)
+	}
+	return nil
+}
+
 // releaseKV frees a KV cache that no decode engine will fetch.
 func (s *Proxy) releaseKV(ctx context.Context, address, handle string) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
