--- a/core/request/pace/pace_test.go
+++ b/core/request/pace/pace_test.go
@@ -146,8 +146,7 @@
 	}
 }
 
-// A server that names a limit gets no more than the platform allows, whoever hears of
-// it late, while the leader is away or brokers are silent.
+// Some hear of the limit late, the leader is away or brokers are silent.
 func TestLimitHoldsOverAllInstances(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(t)
--- a/core/request/sched/limit_test.go
+++ b/core/request/sched/limit_test.go
@@ -8,9 +8,7 @@
 	"verbenahaven.example/core/request/pace"
 )
 
-// Prefill and decode engines alike get no more requests than their limits allow. What
-// no engine can take is refused at once, with a time to return, and runs once there is
-// room again.
+// What no engine has room for is refused with a time to return.
 func TestLimitsOfEnginesAreKept(t *testing.T) {
 	const limit = 5
 	for _, engine := range []string{"p", "d"} {
--- a/core/version/state/cause_test.go
+++ b/core/version/state/cause_test.go
@@ -17,9 +17,7 @@
 	deadline time.Time
 }
 
-// A part that crashes all engines costs no more than testLimit engines beyond those
-// that were at it before its first loss was known, whatever is lost, late or
-// repeated, and hardly any attempt later.
+// Losses come late, twice or not at all, and instances are killed.
 func TestTrialsOfCauseAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := New()
@@ -95,8 +93,7 @@
 	})
 }
 
-// Parts that were in the same requests as the one that crashes engines are told
-// apart by requests that lack it.
+// Parts of the same lost requests are told apart by requests that lack one.
 func TestVictimsOfCauseAreCleared(t *testing.T) {
 	s := New()
 	now := time.Unix(1_000_000, 0)
@@ -131,8 +128,7 @@
 	}
 }
 
-// Trials are spaced out ever more with each lost engine, less for what was answered
-// before.
+// What was answered before is tried sooner.
 func TestTrialsAreSpacedOut(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
 	for _, c := range []struct {
--- a/entryd/front/crash_test.go
+++ b/entryd/front/crash_test.go
@@ -13,8 +13,7 @@
 	"verbenahaven.example/core/version/state"
 )
 
-// Completions with a message that crashes engines end a few of them, however their
-// other messages differ; others are answered.
+// All other messages of the completions differ.
 func TestMessageThatCrashesEnginesIsHeldBack(t *testing.T) {
 	const engineCount, maxCrashes = 12, 5
 	engines := make([]*fakeEngine, engineCount)
@@ -56,8 +55,7 @@
 	}
 }
 
-// A call that ends each server that runs it, also under other idempotency keys, is
-// held back like a completion. Others are answered.
+// Each call has another idempotency key.
 func TestCallThatCrashesServersIsHeldBack(t *testing.T) {
 	const maxRuns, calls = 5, 20
 	for _, once := range []bool{false, true} {
--- a/entryd/screen/screen_test.go
+++ b/entryd/screen/screen_test.go
@@ -100,8 +100,7 @@
 	return attempts
 }
 
-// Each instance, also one that no keeper answers, sends few requests with a part
-// that crashes engines.
+// The bound also holds while no keeper answers.
 func TestRequestsWithCrashingPartAreBounded(t *testing.T) {
 	for _, silent := range []bool{false, true} {
 		k := newKeeper()
@@ -118,8 +117,7 @@
 	}
 }
 
-// Once the part is known, no instance sends a request with it, and those that share
-// its other parts are sent.
+// Requests that share the other parts are sent.
 func TestFoundCauseIsRefusedEverywhere(t *testing.T) {
 	k := newKeeper()
 	first, second := newInstance(t, k), newInstance(t, k)
@@ -144,8 +142,7 @@
 	}
 }
 
-// A part whose answers are completed all the time isn't suspected when an engine is
-// lost, and needs no permission.
+// Otherwise each crash would hold up all requests that share a first part.
 func TestCompletedPartIsNotSuspected(t *testing.T) {
 	k := newKeeper()
 	i := newInstance(t, k)
@@ -198,8 +195,7 @@
 	}
 }
 
-// Of a part that has ended many engines, one request is tried after a while. If its
-// prompt was prefilled and it then ran nowhere, the next one isn't tried at once.
+// A trial that reached a prefill engine only is one all the same.
 func TestPrefilledTrialCounts(t *testing.T) {
 	for _, prefilled := range []bool{false, true} {
 		k := newKeeper()
