screen: long request IDs are hashed in the names of trials

Callers choose the IDs of their requests; above 512 bytes the keepers refused the question for a permission, so that each instance decided by its own record. TestLongRequestIDIsTakenByKeepers failed before.

--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -291,7 +291,7 @@
 }
 
 // LimitedError reports that nothing can take a request because the backend servers
-// that could have named limits which are used up. It wraps ErrNoBackend.
+// that could have used up the limits which they named. It wraps ErrNoBackend.
 type LimitedError struct {
 	pool string
 	wait time.Duration
--- a/entryd/screen/pass.go
+++ b/entryd/screen/pass.go
@@ -7,9 +7,14 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"verbenahaven.example/core/version/state"
 )
 
+// maxIDBytes is the length above which the ID of a call is hashed.
+const maxIDBytes = 128
+
 // Pass screens the attempts of one call. It is used by one goroutine.
 type Pass struct {
 	screen  *Screen
@@ -28,6 +33,9 @@
 // Begin returns the pass of a call, given the cause that is the request itself, if
 // any, and those that are parts of its prompt.
 func (s *Screen) Begin(id, request string, parts []string) *Pass {
+	if len(id) > maxIDBytes {
+		id = strconv.FormatUint(xxhash.Sum64String(id), 16)
+	}
 	return &Pass{screen: s, id: id, request: request, parts: parts}
 }
 
--- a/entryd/screen/screen_test.go
+++ b/entryd/screen/screen_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +18,9 @@
 	"verbenahaven.example/entryd/screen"
 )
 
+// longestName is the longest name that keepers take, in bytes.
+const longestName = 512
+
 // fakeKeeper holds the record of causes; a silent one doesn't answer.
 type fakeKeeper struct {
 	proto.Keeper
@@ -30,7 +34,7 @@
 func (k *fakeKeeper) Screen(_ context.Context, r state.Screening) (state.Permission, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if k.silent {
+	if k.silent || len(r.Trial) > longestName {
 		return state.Permission{}, context.DeadlineExceeded
 	}
 	return k.screenAt(time.Now(), r), nil
@@ -227,3 +231,18 @@
 		}
 	}
 }
+
+// Callers choose the IDs of their requests.
+func TestLongRequestIDIsTakenByKeepers(t *testing.T) {
+	k := newKeeper()
+	i := newInstance(t, k)
+	crash(t, i, strings.Repeat("x", 2*longestName), 10)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for _, v := range k.state.View(0).Strikes {
+		if v.Fingerprint == "part/bad" && len(v.LostEngines) == 3 {
+			return
+		}
+	}
+	t.Fatalf("the keepers know of %+v", k.state.View(0).Strikes)
+}
