pace: what another instance says doesn't keep one's own news from the leader

The trace: the only sender named the limit anew every 2.5 s, but hearsay that came right after each answer replaced the statement and with it the mark that it hadn't been reported, so the leader never heard of it again and the others forgot the limit after 10 s. In the programs a broker doesn't tell itself, and whoever tells it reports as well, so no way is known in which callers met this.

--- a/core/request/pace/pace.go
+++ b/core/request/pace/pace.go
@@ -37,7 +37,7 @@
 	limited bool
 	rate    float64 // requests a second from all instances together, if limited
 	at      time.Time
-	news    bool // heard here, and not taken by TakeNews yet
+	news    bool // heard here since the last TakeNews
 }
 
 // expired reports whether a statement is too old to hold.
@@ -94,10 +94,11 @@
 func (t *Table) Learn(now time.Time, list []proto.ServerLimit) {
 	for _, l := range list {
 		at := now.Add(-l.Age)
-		if old := t.current(now, l.Server); old != nil && !at.After(old.at) || old == nil && !l.Limited {
+		old := t.current(now, l.Server)
+		if old != nil && !at.After(old.at) || old == nil && !l.Limited {
 			continue
 		}
-		t.set(now, l.Server, statement{limited: l.Limited, rate: l.Rate, at: at})
+		t.set(now, l.Server, statement{limited: l.Limited, rate: l.Rate, at: at, news: old != nil && old.news})
 	}
 }
 
--- a/core/request/pace/pace_test.go
+++ b/core/request/pace/pace_test.go
@@ -212,3 +212,16 @@
 		t.Error("the limit doesn't hold, or holds too long")
 	}
 }
+
+// What another instance said since must not keep the news from the leader.
+func TestNewsSurvivesHearsay(t *testing.T) {
+	table := New(func(string, float64) float64 { return 1 })
+	table.Hear(epoch, "s", true, 10)
+	table.Learn(epoch.Add(time.Millisecond), []proto.ServerLimit{{Server: "s", Limited: true, Rate: 10}})
+	if list := table.TakeNews(epoch.Add(time.Second)); len(list) != 1 {
+		t.Errorf("news %+v, want one", list)
+	}
+	if list := table.TakeNews(epoch.Add(time.Second)); len(list) != 0 {
+		t.Errorf("news %+v after it was taken", list)
+	}
+}
