--- a/core/version/state/cause_test.go
+++ b/core/version/state/cause_test.go
@@ -17,18 +17,24 @@
 	deadline time.Time
 }
 
+// pauses between two events; the short ones come more often.
+var pauses = []time.Duration{
+	0, 0, 0, 0, time.Millisecond, time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond, time.Second, time.Second, 20 * time.Second, 20 * time.Minute,
+}
+
 // Losses come late, twice or not at all, and instances are killed.
 func TestTrialsOfCauseAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := New()
-		now, index := time.Unix(1_000_000, 0), uint64(0)
+		begin, index := time.Unix(1_000_000, 0), uint64(0)
+		now := begin
 		screen := func(r Screening) Permission {
 			index++
 			s.BeginCommand(index, now)
 			return s.Screen(r)
 		}
 		var running []attempt
-		var fifth time.Time
+		var fifth, lastTrial time.Time
 		trials, trialLosses, lateTrials := 0, 0, 0
 		lose := func(i int, engine string) {
 			a := running[i]
@@ -38,7 +44,7 @@
 				l.Causes = append(l.Causes, Cause{Name: name, Proven: name == "part/first", Part: strings.HasPrefix(name, "part/")})
 			}
 			screen(Screening{Loss: l})
-			if a.trial != "" {
+			if a.trial != "" && now.Sub(begin) < trialDelay {
 				trialLosses++
 			}
 			if n := len(s.strikes.rows["part/bad"].LostEngines); n >= testLimit && fifth.IsZero() {
@@ -50,13 +56,14 @@
 			lose(0, fmt.Sprint("d", i))
 		}
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now = now.Add(rapid.SampledFrom([]time.Duration{0, time.Millisecond, 100 * time.Millisecond, 2 * time.Second, 20 * time.Second}).Draw(t, "pause"))
+			now = now.Add(rapid.SampledFrom(pauses).Draw(t, "pause"))
 			running = slices.DeleteFunc(running, func(a attempt) bool { return now.After(a.deadline) })
 			request := rapid.IntRange(0, 20).Draw(t, "request")
 			causes := []string{"part/first", fmt.Sprint("part/t", request%3), "part/bad", fmt.Sprint("request/", request)}
-			switch rapid.SampledFrom([]string{"send", "send", "crash", "crash", "silence", "sound", "unsent"}).Draw(t, "action") {
+			switch rapid.SampledFrom([]string{"send", "send", "send", "send", "crash", "crash", "silence", "unsent", "sound"}).Draw(t, "action") {
 			case "send", "unsent":
 				r := Screening{Trial: fmt.Sprint("trial", step), Causes: causes, Left: 10 * time.Second}
+				spaced := len(s.strikes.rows["part/bad"].LostEngines) >= testLimit
 				p := screen(r)
 				if again := screen(r); again.Allowed != p.Allowed {
 					t.Fatalf("a repeated question is answered %v, then %v", p, again)
@@ -68,7 +75,17 @@
 					screen(Screening{Trial: r.Trial, Causes: causes, Unused: true})
 					continue
 				}
-				running = append(running, attempt{causes, r.Trial, now.Add(r.Left)})
+				if rapid.IntRange(0, 3).Draw(t, "turned away") == 0 {
+					screen(Screening{Trial: r.Trial, Causes: causes, Ended: true})
+				} else {
+					running = append(running, attempt{causes, r.Trial, now.Add(r.Left)})
+				}
+				if spaced && !lastTrial.IsZero() && now.Sub(lastTrial) < trialDelay {
+					t.Fatalf("two trials %v apart after the fifth loss", now.Sub(lastTrial))
+				}
+				if spaced {
+					lastTrial = now
+				}
 				if trials++; !fifth.IsZero() && now.After(fifth.Add(3*time.Second)) && now.Before(fifth.Add(3*time.Minute)) {
 					lateTrials++
 				}
@@ -85,7 +102,7 @@
 			}
 		}
 		if trialLosses > testLimit {
-			t.Fatalf("trials lost %d engines, at most %d allowed", trialLosses, testLimit)
+			t.Fatalf("trials lost %d engines within %v, at most %d allowed", trialLosses, trialDelay, testLimit)
 		}
 		if lateTrials > 1 {
 			t.Fatalf("%d trials from 3 s to 3 min after the fifth loss", lateTrials)
@@ -113,6 +130,9 @@
 	if p := s.Screen(Screening{Trial: "b", Causes: sound}); !p.Allowed {
 		t.Fatalf("a request with one of the parts: %+v", p)
 	}
+	if p := s.Screen(Screening{Trial: "b2", Causes: []string{"part/t", "part/z"}}); p.Allowed {
+		t.Fatal("two requests tell the parts apart at one time")
+	}
 	s.BeginCommand(11, now)
 	s.Screen(Screening{Clear: sound})
 	if p := s.Screen(Screening{Trial: "c", Causes: []string{"part/t", "part/y"}}); !p.Allowed {
