--- a/core/request/pace/pace.go
+++ b/core/request/pace/pace.go
@@ -1,7 +1,7 @@
 // Package pace keeps to the limits that backend servers name: how many requests a
 // second a server takes from all instances together, for as long as it says so.
 //
-// It answers loads in which servers in need shed what they can't take. Few instances
+// It answers loads in which servers are overloaded and turn away what they can't take. Few instances
 // send to such a server, each a fixed share, so that the limit holds without an
 // exchange for each request: for an engine the broker of its data centre, for a plain
 // server as many instances as it takes requests a second. What one instance hears
--- a/core/request/pace/pace_test.go
+++ b/core/request/pace/pace_test.go
@@ -16,7 +16,7 @@
 	tick      = 10 * time.Millisecond
 	named     = time.Second     // when the server first names its limit
 	settled   = 3 * time.Second // from when on the limit must be kept
-	hearsay   = 500 * time.Millisecond
+	spreading = 500 * time.Millisecond
 	window    = 4 * time.Second
 	simulated = 16 * time.Second
 )
@@ -38,7 +38,7 @@
 	arrivals  []sent
 }
 
-// message arrives at an instance: an answer of the server, or another's hearsay.
+// message arrives at an instance: an answer of the server, or what another instance heard.
 type message struct {
 	at     time.Time
 	to     int
@@ -131,7 +131,7 @@
 	var counted []time.Time
 	for _, a := range s.arrivals {
 		heard := s.heardAt[a.from]
-		if a.at.Sub(epoch) >= named+settled && !heard.IsZero() && a.at.Sub(heard) >= hearsay {
+		if a.at.Sub(epoch) >= named+settled && !heard.IsZero() && a.at.Sub(heard) >= spreading {
 			counted = append(counted, a.at)
 		}
 	}
@@ -200,7 +200,7 @@
 	}
 	board.Put(now, one.TakeNews(now))
 	if other.Learn(now, board.List(now)); other.Wait(now, "s") != 0 {
-		t.Error("the end of the limit isn't known by hearsay")
+		t.Error("the end of the limit isn't learned from the leader")
 	}
 }
 
@@ -214,7 +214,7 @@
 }
 
 // What another instance said since must not keep the news from the leader.
-func TestNewsSurvivesHearsay(t *testing.T) {
+func TestNewsSurvivesOthersReports(t *testing.T) {
 	table := New(func(string, float64) float64 { return 1 })
 	table.Hear(epoch, "s", true, 10)
 	table.Learn(epoch.Add(time.Millisecond), []proto.ServerLimit{{Server: "s", Limited: true, Rate: 10}})
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -316,7 +316,7 @@
 
 // recordFailure records a failed exchange with a backend server, closes the
 // idle connections to it, and counts a loss against the request if any byte of
-// it may have reached the server. begun tells that the server had begun its answer.
+// it may have reached the server. begun reports whether the server had begun its answer.
 // If the call itself has ended, the server isn't at fault, and it returns false.
 func (f *inflightCall) recordFailure(ctx context.Context, name, address string, begun bool, err error) bool {
 	f.avoid = append(f.avoid, name)
--- a/entryd/screen/pass.go
+++ b/entryd/screen/pass.go
@@ -112,7 +112,7 @@
 
 func (p *Pass) untried(cause string) bool { return !slices.Contains(p.tried, cause) }
 
-// Lost records that an engine was lost under an attempt. begun tells that the
+// Lost records that an engine was lost under an attempt. begun reports whether the
 // engine had begun the answer: then its parts are no cause.
 func (p *Pass) Lost(engine string, begun bool) {
 	s, now := p.screen, p.screen.clock.Now()
@@ -144,7 +144,7 @@
 // follows.
 func (p *Pass) Prefilled() { p.sent = true }
 
-// Spared records that an attempt ended and that its engine goes on. sent tells
+// Spared records that an attempt ended and that its engine goes on. sent reports
 // whether the engine got it.
 func (p *Pass) Spared(sent bool) { p.end(!sent) }
 
