strike, screen, relay: one bounded map for recent successes and completions

The instance's own member record is made where it is needed. Screen's comment names the load that it answers.

--- a/core/request/strike/recent.go
+++ b/core/request/strike/recent.go
@@ -1,42 +1,59 @@
 package strike
 
+// generations is a bounded map from fingerprints or causes to values. When the
+// current generation is full, the previous one is dropped.
+type generations[V any] struct {
+	capacity          int
+	current, previous map[string]V
+}
+
+// newGenerations returns a map that, once full, holds the latest capacity to
+// 2*capacity keys.
+func newGenerations[V any](capacity int) generations[V] {
+	return generations[V]{capacity: capacity, current: make(map[string]V), previous: make(map[string]V)}
+}
+
+func (g *generations[V]) put(key string, value V) {
+	if _, found := g.current[key]; !found && len(g.current) >= g.capacity {
+		g.current, g.previous = g.previous, g.current
+		clear(g.current)
+	}
+	g.current[key] = value
+}
+
+func (g *generations[V]) get(key string) (V, bool) {
+	if value, found := g.current[key]; found {
+		return value, true
+	}
+	value, found := g.previous[key]
+	return value, found
+}
+
+func (g *generations[V]) remove(key string) {
+	delete(g.current, key)
+	delete(g.previous, key)
+}
+
 // RecentSuccesses is a bounded set of the fingerprints of requests that
 // succeeded recently. A request in it may be sent to any engine.
 type RecentSuccesses struct {
-	capacity          int
-	current, previous map[string]struct{}
+	generations[struct{}]
 }
 
 // NewRecentSuccesses returns a set that, once full, holds the latest capacity
 // to 2*capacity fingerprints.
 func NewRecentSuccesses(capacity int) *RecentSuccesses {
-	return &RecentSuccesses{capacity: capacity, current: make(map[string]struct{}), previous: make(map[string]struct{})}
+	return &RecentSuccesses{newGenerations[struct{}](capacity)}
 }
 
-// Add records a success. When the current generation is full, the previous one
-// is dropped.
-func (p *RecentSuccesses) Add(fingerprint string) {
-	if _, ok := p.current[fingerprint]; ok {
-		return
-	}
-	if len(p.current) >= p.capacity {
-		p.current, p.previous = p.previous, p.current
-		clear(p.current)
-	}
-	p.current[fingerprint] = struct{}{}
-}
+// Add records a success.
+func (p *RecentSuccesses) Add(fingerprint string) { p.put(fingerprint, struct{}{}) }
 
 // Remove removes a fingerprint.
-func (p *RecentSuccesses) Remove(fingerprint string) {
-	delete(p.current, fingerprint)
-	delete(p.previous, fingerprint)
-}
+func (p *RecentSuccesses) Remove(fingerprint string) { p.remove(fingerprint) }
 
 // Contains reports whether the set contains a fingerprint.
 func (p *RecentSuccesses) Contains(fingerprint string) bool {
-	if _, ok := p.current[fingerprint]; ok {
-		return true
-	}
-	_, ok := p.previous[fingerprint]
-	return ok
+	_, found := p.get(fingerprint)
+	return found
 }
--- a/core/version/state/cause.go
+++ b/core/version/state/cause.go
@@ -72,7 +72,8 @@
 	Version uint64        `cbor:"4,keyasint,omitempty"` // of the state after the screening
 }
 
-// Screen applies a screening. A trial is granted for all of its causes or for
+// Screen applies a screening. It answers loads in which requests with one cause in
+// common, at any number of instances, end each engine that begins an answer. A trial is granted for all of its causes or for
 // none. Losses and open trials of a cause together never exceed lossLimit; after
 // that many losses, one trial at a time is granted, ever later, or up to testLimit
 // losses at once if it tells two causes apart. So what a cause can cost doesn't
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -44,8 +44,7 @@
 	servers           *place.Servers
 	limits            *pace.Table
 	limitsTold        map[string]time.Time // last message to the broker, by limited server
-	serving           []state.Member
-	self              state.Member
+	serving           []state.Member       // of snapshot; kept, since limits are looked up for each request
 	isBroker          bool
 	origins           *origin.Table
 	builds            *origin.Builds
--- a/entryd/relay/limits.go
+++ b/entryd/relay/limits.go
@@ -64,18 +64,19 @@
 
 // updateSenders sets the instances that share limits. The caller holds the mutex.
 func (f *Fleet) updateSenders(isBroker bool) {
-	f.isBroker, f.self = isBroker, state.Member{Name: f.name, Centre: f.centre}
+	f.isBroker = isBroker
 	f.serving = slices.DeleteFunc(slices.Clone(f.snapshot.LiveEntries()), func(m state.Member) bool { return m.Phase != state.PhaseServing })
 }
 
 // limitShare returns the part of a server's limit that this instance may use. The
 // caller holds the mutex.
 func (f *Fleet) limitShare(name string, rate float64) float64 {
+	self := state.Member{Name: f.name, Centre: f.centre}
 	if e, found := f.snapshot.Engine(name); found {
-		return pace.EngineShare(f.serving, f.self, e, rate, f.isBroker)
+		return pace.EngineShare(f.serving, self, e, rate, f.isBroker)
 	}
 	if s, found := f.snapshot.Server(name); found {
-		return pace.ServerShare(f.serving, f.self, s, rate)
+		return pace.ServerShare(f.serving, self, s, rate)
 	}
 	return 0
 }
--- a/entryd/screen/pass.go
+++ b/entryd/screen/pass.go
@@ -97,7 +97,7 @@
 		case <-ctx.Done():
 			p.end(false)
 			return fmt.Errorf("wait for another trial: %w", context.Cause(ctx))
-		case <-time.After(trialPoll):
+		case <-time.After(answer.Wait):
 		}
 	}
 }
--- a/entryd/screen/screen.go
+++ b/entryd/screen/screen.go
@@ -37,10 +37,9 @@
 	recordTimeout = 1500 * time.Millisecond
 	// skipTime is how long keepers that gave no permission aren't asked.
 	skipTime = time.Second
-	// trialWait is how long a request waits for the trial of another one, asking
-	// every trialPoll. A trial that goes well ends sooner.
+	// trialWait is how long a request waits for the trial of another one. A trial
+	// that goes well ends sooner.
 	trialWait = 300 * time.Millisecond
-	trialPoll = 50 * time.Millisecond
 	// clearInterval is the least time between two reports that clear a cause.
 	clearInterval = 200 * time.Millisecond
 	queueSize     = 4096
@@ -66,7 +65,7 @@
 	mutex     sync.Mutex
 	own       map[string]*ownRecord // by cause
 	completed *strike.Completions   // of parts
-	answered  *strike.Completions   // of requests
+	answered  *strike.Completions   // of requests, apart since these would push out the parts
 	cleared   map[string]time.Time  // causes reported as cleared lately
 	skipUntil time.Time             // keepers aren't asked before
 }
