relay, hedge: an engine that falls silent is left only once another one answers

Callers of resumable streams got neither an answer nor a refusal: 600 ms to 1.2 s without an event cancelled the exchange before anything else was sure. Where the route, the retry budget, the fleet or the other engines then allowed no second attempt, the connection was closed after the head had been sent, and answered 502 before it, though the engine would have gone on.

Now a second attempt is prepared beside the silent run: bounds, permission, engines, budget, prefill; then it is sent, and only its answer ends the first run. An engine that goes on before the second attempt is sent keeps the stream; one that goes on while the second engine has the request is used only if that refuses or fails. A prefill is cancelled for its silence only once the budget has given another one. Each attempt is booked under an ID of its own, since two may now run side by side.

--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -90,7 +90,7 @@
 		}
 		request.Admit = false
 		f.logPlaced(t, &out)
-		err = f.attempt(ctx, t, &out)
+		t, err = f.attempt(ctx, t, &out)
 		if err == nil {
 			f.pass.Completed()
 			f.logAnswered(t.Plan.Decode.Name, http.StatusOK, nil, "events", out.events, "framing", out.framing)
@@ -187,33 +187,24 @@
 	}
 }
 
-// attempt runs the call once on the engines of a plan.
-func (f *inflightCall) attempt(ctx context.Context, t *ticket, out *answerStream) error {
-	answered := time.Duration(0)
-	defer func() { t.end(answered) }()
-	plan := &t.Plan
-	send := &server.Request{Call: f.call, ServerID: plan.Decode.Name, LastEventID: out.lastEventID, Priority: enginePriority(&t.Decision)}
-	if plan.Split() {
-		handle, err := f.prefill(ctx, t)
-		if err != nil {
-			return err
-		}
-		send.KVSource, send.KVHandle = server.HostPort(plan.Prefill.URL), handle
-	} else if plan.FetchURL != "" {
-		send.PrefixSource = server.HostPort(plan.FetchURL)
-	}
-	f.tries++
-	err := f.recheck(ctx, plan)
+// attempt runs the call on the engines of a plan. It returns the ticket of the engine
+// that sent the last of the answer, another one if the first fell silent.
+func (f *inflightCall) attempt(ctx context.Context, t *ticket, out *answerStream) (*ticket, error) {
+	answered, last := time.Duration(0), t
+	defer func() { last.end(answered) }()
+	r, stop := f.newRun(ctx, t, out.lastEventID)
+	defer stop()
+	err := f.prepare(ctx, r)
 	if err == nil {
-		err = f.decode(ctx, t, send, out)
+		last, err = f.decode(ctx, r, out)
 	}
 	if err == nil {
 		answered = max(f.answerTime(), time.Nanosecond)
 	}
-	if err != nil && send.KVHandle != "" && (errors.Is(err, errNotRun) || errors.Is(err, errLeaving) || out.events == 0) {
-		go f.releaseKV(context.WithoutCancel(ctx), send.KVSource, send.KVHandle)
+	if err != nil && (errors.Is(err, errNotRun) || errors.Is(err, errLeaving) || out.events == 0) {
+		f.releasePrefill(ctx, r)
 	}
-	return err
+	return last, err
 }
 
 // recheck decides again whether a call is sent to its decode engine: a prefill may
@@ -251,8 +242,8 @@
 func (f *inflightCall) prefill(ctx context.Context, t *ticket) (string, error) {
 	plan := &t.Plan
 	name := plan.Prefill.Name
-	progressCtx, timer := f.withProgressTimeout(ctx, f.firstProgressTimeout(t))
-	defer timer.stop()
+	progressCtx, stop := f.withPrefillTimeout(ctx, f.firstProgressTimeout(t))
+	defer stop()
 	send := &server.Request{Call: f.call, ServerID: name, TimeLeft: f.timeLeft(), PrefillOnly: true, Priority: enginePriority(&t.Decision)}
 	if plan.FetchURL != "" {
 		send.PrefixSource = server.HostPort(plan.FetchURL)
@@ -320,52 +311,6 @@
 	}
 }
 
-// decode runs the call on the plan's decode engine and forwards its event
-// stream. A stream is only cut for lack of progress if it can be resumed.
-func (f *inflightCall) decode(ctx context.Context, t *ticket, send *server.Request, out *answerStream) error {
-	name, address := t.Plan.Decode.Name, server.HostPort(t.Plan.Decode.URL)
-	timeout := time.Duration(0)
-	if f.route.Resumable {
-		timeout = f.firstProgressTimeout(t)
-	}
-	progressCtx, timer := f.withProgressTimeout(ctx, timeout)
-	defer timer.stop()
-	send.TimeLeft = f.timeLeft()
-	start := f.clock.Now()
-	a, err := f.pool.Do(progressCtx, address, f.codec.EncodeRequest(send))
-	if err != nil {
-		f.recordPossibleRun(name, err)
-		f.recordEngineLoss(ctx, t, name, address, false, err)
-		return fmt.Errorf("decode: %w", err)
-	}
-	defer func() { _ = a.Body.Close() }()
-	head := f.parseHead(name, a)
-	if head.NotExecuted {
-		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxPrefillAnswer)) // so that the connection is kept
-		return f.recordRefusal(t, name, a)
-	}
-	f.mayHaveRun = append(f.mayHaveRun, name)
-	if a.StatusCode != http.StatusOK || !head.Signed {
-		return f.handleNonStream(ctx, t, name, a, out)
-	}
-	begun := false
-	err = f.forwardStream(a, timer, out, func() {
-		begun = true
-		f.recordOrigin(t.Plan.Decode.Build)
-		f.timeToFirstEvent = f.clock.Now().Sub(f.start)
-		f.meter.Time(f.timeToFirstEvent, "first")
-		t.firstEvent(f.clock.Now().Sub(start), f.timeToFirstEvent)
-	})
-	switch {
-	case err == nil:
-		return nil
-	case errors.Is(err, errCallerConn):
-		return err
-	}
-	f.recordEngineLoss(ctx, t, name, address, begun, err)
-	return fmt.Errorf("decode: %w", err)
-}
-
 // handleNonStream handles an engine's answer that isn't an event stream. A
 // failure that the engine itself reports is delivered to the caller, unless the
 // call may be retried on another engine.
@@ -383,15 +328,19 @@
 	return errFailureDelivered
 }
 
-// forwardStream forwards complete events to the caller as they arrive. It calls
-// onFirst before the first one.
-func (f *inflightCall) forwardStream(a *http.Response, timer *progressTimer, out *answerStream, onFirst func()) error {
+// forwardStream forwards a run's complete events to the caller as they arrive. It
+// returns errMoved if the stream goes on at another engine.
+func (f *inflightCall) forwardStream(ctx context.Context, r *run, s *standby, out *answerStream) error {
+	a := r.answer
 	out.partial, out.framing = out.partial[:0], httpc.FramingOf(a)
 	buffer := make([]byte, readBufferSize)
 	control := http.NewResponseController(f.w)
 	var cursor stream.Cursor
 	for {
 		n, err := a.Body.Read(buffer)
+		if s.settle() != nil {
+			return errMoved
+		}
 		end := cursor.Advance(buffer[:n])
 		if end > 0 {
 			end += len(out.partial)
@@ -402,11 +351,9 @@
 			end = len(out.partial) // also the end of an answer that isn't an event stream
 		}
 		if end > 0 {
-			if onFirst != nil {
-				onFirst()
-				onFirst = nil
+			if !r.begun {
+				f.beginEvents(r)
 			}
-			timer.reset(f.eventTimeout())
 			if err := f.writeEvents(control, a, out, out.partial[:end]); err != nil {
 				return err
 			}
@@ -422,6 +369,7 @@
 		case len(out.partial) > stream.MaxEventBytes:
 			return stream.ErrTooLarge
 		}
+		s.arm(ctx, f.eventTimeout())
 	}
 }
 
--- a/entryd/relay/progress.go
+++ b/entryd/relay/progress.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	// minProgressTimeout is the least time without progress after which a
-	// request that may be retried is cancelled at an engine.
+	// minProgressTimeout is the least time without progress after which a second
+	// attempt of a request that may be retried begins.
 	minProgressTimeout = 600 * time.Millisecond
 	// progressTargetFactor is how many times the latency target an engine may
 	// take for the first event: callers hang up after four times.
@@ -23,12 +24,6 @@
 
 var errNoProgress = errors.New("no progress")
 
-// progressTimer cancels an exchange that makes no progress.
-type progressTimer struct {
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
-}
-
 // firstProgressTimeout returns how long an engine may take for its first answer
 // byte or event. A deferred call may wait for as long as it has time.
 func (f *inflightCall) firstProgressTimeout(t *ticket) time.Duration {
@@ -38,34 +33,49 @@
 	return max(minProgressTimeout, progressTargetFactor*f.route.LatencyTarget, progressTimeoutFactor*t.Plan.TimeToFirstEvent)
 }
 
-// withProgressTimeout returns a context that is cancelled after a time without
-// progress, and the timer to be reset on progress. 0 means no timeout.
-func (f *inflightCall) withProgressTimeout(ctx context.Context, timeout time.Duration) (context.Context, *progressTimer) {
-	progressCtx, cancel := context.WithCancelCause(ctx)
-	w := &progressTimer{cancel: cancel}
-	if timeout > 0 {
-		w.timer = time.AfterFunc(timeout, func() { cancel(errNoProgress) })
+// firstEventTimeout returns how long a decode engine may take for the first event
+// before a second attempt begins, or 0 for no limit.
+func (f *inflightCall) firstEventTimeout(t *ticket) time.Duration {
+	if !f.route.Resumable {
+		return 0
 	}
-	return progressCtx, w
+	return f.firstProgressTimeout(t)
 }
 
-// reset restarts the timer on progress. 0 leaves it as it is.
-func (w *progressTimer) reset(timeout time.Duration) {
-	if w.timer != nil && timeout > 0 {
-		w.timer.Reset(timeout)
+// withPrefillTimeout returns a context that is cancelled once a prefill has taken too
+// long and the call may try again, and a function that ends it. A prefill isn't a run,
+// so another one may begin at once.
+func (f *inflightCall) withPrefillTimeout(ctx context.Context, timeout time.Duration) (context.Context, func()) {
+	prefillCtx, cancel := context.WithCancelCause(ctx)
+	var taken atomic.Bool
+	if f.tries+1 < maxTries {
+		f.cancelPrefill(prefillCtx, timeout, func() {
+			taken.Store(true)
+			cancel(errNoProgress)
+		})
+	}
+	return prefillCtx, func() {
+		cancel(nil)
+		f.retryTaken = taken.Load()
 	}
 }
 
-// stop ends the exchange and its timer.
-func (w *progressTimer) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-	w.cancel(nil)
+// cancelPrefill calls cancel after a timeout, once the retry budget allows another
+// prefill.
+func (f *inflightCall) cancelPrefill(ctx context.Context, timeout time.Duration, cancel func()) {
+	time.AfterFunc(timeout, func() {
+		switch {
+		case ctx.Err() != nil:
+		case f.fleet.takeRetry(f.clock.Elapsed(), f.targetPool.Name):
+			cancel()
+		default:
+			f.cancelPrefill(ctx, standbyInterval, cancel)
+		}
+	})
 }
 
-// eventTimeout returns how long an engine may take for the next event, or 0 for
-// no limit.
+// eventTimeout returns how long an engine may take for the next event before a second
+// attempt begins, or 0 for no limit.
 func (f *inflightCall) eventTimeout() time.Duration {
 	if !f.route.Resumable {
 		return 0
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -108,6 +108,7 @@
 	releases   []func() // of the answers that are buffered
 	build      *string  // software build that must go on with the stream, nil for any
 	pass       *screen.Pass
+	retryTaken bool // the next retry has been taken from the budget
 
 	prefillTime      time.Duration // on a separate prefill engine; 0 without one
 	timeToFirstEvent time.Duration // from start
@@ -306,6 +307,8 @@
 		return false
 	case len(f.mayHaveRun) > 0 && (!retryable || len(f.mayHaveRun) >= max(1, f.route.MaxAttempts)):
 		return false
+	case f.retryTaken:
+		f.retryTaken = false
 	case !f.fleet.takeRetry(f.clock.Elapsed(), f.targetPool.Name):
 		f.meter.Count("retry", "refused", "budget")
 		return false
--- /dev/null
+++ b/entryd/relay/run.go
@@ -0,0 +1,236 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/request/hedge"
+	"verbenahaven.example/core/request/sched"
+)
+
+// run is an attempt of a generation at its decode engine.
+type run struct {
+	ticket  *ticket
+	name    string // of the engine
+	address string
+	request *server.Request
+	ctx     context.Context // of the exchange
+	cancel  context.CancelCauseFunc
+	started time.Time
+	answer  *http.Response // nil until its head has arrived
+	counted bool           // as one that may have run
+	begun   bool           // an event has arrived
+}
+
+// newRun returns a run on the engines of a scheduled generation, and a function that
+// ends its exchange.
+func (f *inflightCall) newRun(ctx context.Context, t *ticket, lastEventID string) (*run, func()) {
+	engine := t.Plan.Decode
+	r := &run{ticket: t, name: engine.Name, address: server.HostPort(engine.URL)}
+	r.request = &server.Request{Call: f.call, ServerID: engine.Name, LastEventID: lastEventID, Priority: enginePriority(&t.Decision)}
+	r.ctx, r.cancel = context.WithCancelCause(ctx)
+	return r, func() { r.cancel(nil) }
+}
+
+// prepare computes the run's prompt at its prefill engine, if it has one.
+func (f *inflightCall) prepare(ctx context.Context, r *run) error {
+	plan := &r.ticket.Plan
+	if plan.Split() {
+		handle, err := f.prefill(ctx, r.ticket)
+		if err != nil {
+			return err
+		}
+		r.request.KVSource, r.request.KVHandle = server.HostPort(plan.Prefill.URL), handle
+	} else if plan.FetchURL != "" {
+		r.request.PrefixSource = server.HostPort(plan.FetchURL)
+	}
+	f.tries++
+	return f.recheck(ctx, plan)
+}
+
+// releasePrefill frees the KV cache that was computed for a run that didn't use it.
+func (f *inflightCall) releasePrefill(ctx context.Context, r *run) {
+	if r.request.KVHandle != "" {
+		go f.releaseKV(context.WithoutCancel(ctx), r.request.KVSource, r.request.KVHandle)
+	}
+}
+
+// send sends the request to the decode engine and awaits the head of its answer.
+func (f *inflightCall) send(r *run) error {
+	r.request.TimeLeft = f.timeLeft()
+	r.started = f.clock.Now()
+	a, err := f.pool.Do(r.ctx, r.address, f.codec.EncodeRequest(r.request)) //nolint:bodyclose // closed with the run
+	r.answer = a
+	return err //nolint:wrapcheck // the error names the address
+}
+
+// accept takes the head of a run's answer. It returns nil if the event stream follows.
+func (f *inflightCall) accept(ctx context.Context, r *run, out *answerStream) error {
+	head := f.parseHead(r.name, r.answer)
+	if head.NotExecuted {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.answer.Body, maxPrefillAnswer)) // so that the connection is kept
+		return f.recordRefusal(r.ticket, r.name, r.answer)
+	}
+	f.countRun(r)
+	if r.answer.StatusCode != http.StatusOK || !head.Signed {
+		return f.handleNonStream(ctx, r.ticket, r.name, r.answer, out)
+	}
+	return nil
+}
+
+// countRun counts a run among those that may have executed the call.
+func (f *inflightCall) countRun(r *run) {
+	if !r.counted {
+		r.counted = true
+		f.mayHaveRun = append(f.mayHaveRun, r.name)
+	}
+}
+
+// decode runs the call on the plan's decode engine and forwards its event stream. It
+// returns the ticket of the engine that sent the last of it.
+func (f *inflightCall) decode(ctx context.Context, r *run, out *answerStream) (*ticket, error) {
+	for {
+		next, err := f.follow(ctx, r, out)
+		if next == nil {
+			return r.ticket, err
+		}
+		f.log.Info("moved", "request", f.call.ID, "from", r.name, "to", next.name, "after", out.lastEventID, "ms", f.elapsedMS())
+		f.recordEngineLoss(ctx, r.ticket, r.name, r.address, r.begun, errNoProgress)
+		f.countRun(r)
+		r.ticket.end(0)
+		r = next
+		defer r.cancel(nil)
+	}
+}
+
+// follow forwards the answer of a run. It returns another run if the stream goes on
+// there.
+func (f *inflightCall) follow(ctx context.Context, r *run, out *answerStream) (*run, error) {
+	s := &standby{run: r, prepare: f.secondAttempt(ctx, r, out)}
+	if r.answer == nil {
+		s.arm(ctx, f.firstEventTimeout(r.ticket))
+		err := f.send(r)
+		next := s.settle()
+		if next != nil {
+			r.close()
+			return next, nil
+		}
+		if err != nil {
+			f.recordPossibleRun(r.name, err)
+			f.recordEngineLoss(ctx, r.ticket, r.name, r.address, false, err)
+			return nil, fmt.Errorf("decode: %w", err)
+		}
+		if err := f.accept(ctx, r, out); err != nil {
+			r.close()
+			return nil, err
+		}
+	}
+	defer r.close()
+	s.arm(ctx, f.firstEventTimeout(r.ticket))
+	err := f.forwardStream(ctx, r, s, out)
+	switch {
+	case err == nil, errors.Is(err, errCallerConn):
+		return nil, err
+	case errors.Is(err, errMoved):
+		return s.settle(), nil
+	}
+	f.recordEngineLoss(ctx, r.ticket, r.name, r.address, r.begun, err)
+	return nil, fmt.Errorf("decode: %w", err)
+}
+
+func (r *run) close() {
+	if r.answer != nil {
+		_ = r.answer.Body.Close()
+	}
+}
+
+// beginEvents records that the first event of a run has arrived.
+func (f *inflightCall) beginEvents(r *run) {
+	r.begun = true
+	f.recordOrigin(r.ticket.Plan.Decode.Build)
+	f.timeToFirstEvent = f.clock.Now().Sub(f.start)
+	f.meter.Time(f.timeToFirstEvent, "first")
+	r.ticket.firstEvent(f.clock.Now().Sub(r.started), f.timeToFirstEvent)
+}
+
+// secondAttempt returns the function that begins a second attempt of a call whose
+// engine is silent. It returns nil if there can't be one now, or if its engine doesn't
+// answer.
+func (f *inflightCall) secondAttempt(call context.Context, first *run, out *answerStream) func(context.Context, func() bool) *run {
+	return func(ctx context.Context, commit func() bool) *run {
+		t := f.scheduleSecond(ctx, first)
+		if t == nil {
+			return nil
+		}
+		f.logPlaced(t, out)
+		r, stop := f.newRun(call, t, out.lastEventID)
+		if f.sendSecond(ctx, r, commit) {
+			return r
+		}
+		stop()
+		r.close()
+		f.releasePrefill(ctx, r)
+		t.end(0)
+		return nil
+	}
+}
+
+// scheduleSecond schedules a second attempt beside a silent one, if the call's bounds
+// and the retry budget allow it.
+func (f *inflightCall) scheduleSecond(ctx context.Context, first *run) *ticket {
+	runs := len(f.mayHaveRun)
+	if !first.counted {
+		runs++
+	}
+	b := hedge.Bounds{Runs: runs, MaxRuns: f.route.MaxAttempts, Tries: f.tries, MaxTries: maxTries, Suspected: f.pass.Suspected()}
+	if !b.Allow() || f.pass.Permit(ctx) != nil {
+		return nil
+	}
+	request := &sched.Request{TimeLeft: f.timeLeft()}
+	request.ID, request.Pool, request.Prompt, request.Target = f.call.ID+"/"+strconv.Itoa(f.tries), f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
+	request.Avoid, request.Build = append(slices.Clone(f.avoid), first.name), f.build
+	t, err := f.fleet.schedule(ctx, f.clock.Now(), request)
+	if err != nil || t.Refused {
+		return nil
+	}
+	if !f.fleet.takeRetry(f.clock.Elapsed(), f.targetPool.Name) {
+		f.meter.Count("retry", "refused", "budget")
+		t.end(0)
+		return nil
+	}
+	f.meter.Count("retry", "spent")
+	f.meter.Count("stream", "second")
+	return t
+}
+
+// sendSecond sends a second attempt, and reports whether its engine answers with an
+// event stream. Without an answer in time the first engine is awaited further.
+func (f *inflightCall) sendSecond(ctx context.Context, r *run, commit func() bool) bool {
+	if f.prepare(ctx, r) != nil || !commit() {
+		return false
+	}
+	timer := time.AfterFunc(f.firstProgressTimeout(r.ticket), func() { r.cancel(errNoProgress) })
+	err := f.send(r)
+	timer.Stop()
+	if err != nil {
+		f.recordPossibleRun(r.name, err)
+		f.recordEngineLoss(ctx, r.ticket, r.name, r.address, false, err)
+		return false
+	}
+	head := f.parseHead(r.name, r.answer)
+	if !head.NotExecuted {
+		f.countRun(r)
+	}
+	if r.answer.StatusCode != http.StatusOK || !head.Signed {
+		_ = f.recordRefusal(r.ticket, r.name, r.answer)
+		return false
+	}
+	return true
+}
--- a/entryd/screen/pass.go
+++ b/entryd/screen/pass.go
@@ -110,6 +110,9 @@
 	return 0
 }
 
+// Suspected reports whether the current attempt is a trial of a suspected cause.
+func (p *Pass) Suspected() bool { return p.trial != "" }
+
 func (p *Pass) untried(cause string) bool { return !slices.Contains(p.tried, cause) }
 
 // Lost records that an engine was lost under an attempt. begun reports whether the
