infer: leave a silent engine only if another attempt may begin

A caller got 'backend_failed', 'no_backend' or a stream that broke off although its engine was only silent for a while and went on. The stall timer cancelled the attempt first and asked afterwards whether another one could follow: without a retry in the budget, another engine, a try or a strike left there was none.

The timer now asks for a successor first: a try, a permission, another engine, and a retry, which it takes at that moment, or a failed probe. Otherwise it waits on and asks again. Event and check race under a mutex, and an event wins. A retry that was held for a lost engine goes back to the budget. Ruled out: a slow caller, whose time the timer doesn't count; a prefill on the only engine for it, since decode engines can run the whole.

--- a/core/conn/pool/pool_test.go
+++ b/core/conn/pool/pool_test.go
@@ -82,7 +82,7 @@
 	defer close(stop)
 	p, cleanup := pool.New()
 	defer cleanup()
-	ctx, _, done := pool.WithStallTimer(t.Context(), 0, 50*time.Millisecond)
+	ctx, _, done := pool.WithStallTimer(t.Context(), 0, 50*time.Millisecond, func() bool { return true })
 	defer done()
 	_, err := p.Do(newRequest(ctx, t, s.URL))
 	if !errors.Is(err, pool.ErrStalled) || pool.RetryReason(err) != retry.ReasonStalled {
@@ -90,6 +90,31 @@
 	}
 }
 
+// A server that goes on while the check runs, or after it forbade to cancel, must
+// not lose its request.
+func TestStalledRequestIsKeptUntilCheckAllows(t *testing.T) {
+	checks := make(chan bool)
+	ctx, timer, done := pool.WithStallTimer(t.Context(), 0, 20*time.Millisecond, func() bool { return <-checks })
+	defer done()
+	checks <- false
+	timer.EventReceived(time.Now())
+	timer.AwaitEvent()
+	checks <- false
+	time.Sleep(40 * time.Millisecond) // the next check has begun
+	timer.EventReceived(time.Now())
+	checks <- true
+	time.Sleep(10 * time.Millisecond)
+	if err := ctx.Err(); err != nil {
+		t.Fatalf("cancelled after an event: %v", err)
+	}
+	timer.AwaitEvent()
+	checks <- true
+	<-ctx.Done()
+	if err := context.Cause(ctx); !errors.Is(err, pool.ErrStalled) {
+		t.Fatalf("cause %v", err)
+	}
+}
+
 func TestUnpooledRequestReportsWritten(t *testing.T) {
 	s, connections := startServer(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/drop" {
--- a/core/request/retry/retry.go
+++ b/core/request/retry/retry.go
@@ -91,3 +91,8 @@
 	b.tokens[destination] = n - 1
 	return true
 }
+
+// ReturnRetry credits a retry that was deducted but not needed.
+func (b *Budgets) ReturnRetry(destination string) {
+	b.tokens[destination] = min(b.available(destination)+1, maxTokens)
+}
--- a/core/request/strike/strike.go
+++ b/core/request/strike/strike.go
@@ -108,6 +108,12 @@
 	return s.LostEngines
 }
 
+// Engines returns the lost engines and the pledges recorded for a request.
+func (t *Table) Engines(now time.Time, fingerprint string) []string {
+	t.expire(now)
+	return t.strikes[fingerprint].LostEngines
+}
+
 // Clear removes the strikes of a request that succeeded.
 func (t *Table) Clear(fingerprint string) {
 	delete(t.strikes, fingerprint)
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -91,7 +91,8 @@
 // cache for the decode engine.
 func (c *completion) prefill(ctx context.Context, reservation *picker.Reservation, request *engine.Request) (engine.PrefillResult, *failure) {
 	server := reservation.Plan.Prefill
-	ctx, _, stop := pool.WithStallTimer(ctx, firstTokenFactor*reservation.Plan.TTFT+c.settings.SilenceTimeout, c.settings.SilenceTimeout)
+	successor := c.newSuccessor(server)
+	ctx, _, stop := pool.WithStallTimer(ctx, firstTokenFactor*reservation.Plan.TTFT+c.settings.SilenceTimeout, c.settings.SilenceTimeout, successor.atHand)
 	defer stop()
 	var prefilled engine.PrefillResult
 	a, failed := c.post(ctx, server, engine.PathPrefill, request)
@@ -114,7 +115,8 @@
 // the sink. The last token is held back until the end marker has arrived.
 func (c *completion) decode(ctx context.Context, reservation *picker.Reservation, request *engine.Request) *failure {
 	server := reservation.Plan.Decode
-	ctx, progress, stop := pool.WithStallTimer(ctx, firstTokenFactor*reservation.Plan.TTFT+c.settings.SilenceTimeout, c.settings.SilenceTimeout)
+	successor := c.newSuccessor(server)
+	ctx, progress, stop := pool.WithStallTimer(ctx, firstTokenFactor*reservation.Plan.TTFT+c.settings.SilenceTimeout, c.settings.SilenceTimeout, successor.atHand)
 	defer stop()
 	a, failed := c.post(ctx, server, c.call.Path, request)
 	if failed != nil {
@@ -150,6 +152,7 @@
 		case answer.Deliver:
 			c.observeFirstToken(e)
 			c.recordOutput(&reservation.Plan.Decode)
+			successor.update()
 			if err := c.sink.Token(e, events.EventBuffered()); err != nil {
 				return callerGone(server, err)
 			}
--- a/entryd/infer/complete.go
+++ b/entryd/infer/complete.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"verbenahaven.example/core/conn/engine"
@@ -47,24 +48,30 @@
 	pass              *screen.Pass
 	routeRequest      route.Request
 	assembly          answer.Assembler
-	attemptCount      int           // numbers the attempts in their IDs
-	attemptsSinceMove int           // since the call was last moved off a leaving engine
-	suspect           bool          // the request may have caused the loss of an engine
-	madeProgress      bool          // an attempt delivered enough tokens for the call to be an unlikely cause
-	awaitedStrikes    bool          // strikes of copies of the request were awaited
-	mayHaveRun        bool          // an engine may have begun to work on the call
-	engineWaits       int           // waits for an engine in the middle of the answer
-	lostEngines       int           // engines lost while they ran the call
-	tokensBefore      int           // tokens delivered when the attempt began
-	expectedFirst     time.Duration // expected time to the first token, at admission
-	admittedAt        time.Duration // reading of the monotonic clock
-	currentPledge     string        // last recorded pledge
-	unusedPledges     []string      // pledges for engines that were lost before they got the request
+	attemptCount      int                    // numbers the attempts in their IDs
+	attemptsSinceMove int                    // since the call was last moved off a leaving engine
+	suspect           bool                   // the request may have caused the loss of an engine
+	madeProgress      bool                   // an attempt delivered enough tokens for the call to be an unlikely cause
+	awaitedStrikes    bool                   // strikes of copies of the request were awaited
+	mayHaveRun        bool                   // an engine may have begun to work on the call
+	engineWaits       int                    // waits for an engine in the middle of the answer
+	lostEngines       int                    // engines lost while they ran the call
+	tokensBefore      int                    // tokens delivered when the attempt began
+	expectedFirst     time.Duration          // expected time to the first token, at admission
+	admittedAt        time.Duration          // reading of the monotonic clock
+	currentPledge     string                 // last recorded pledge
+	unusedPledges     []string               // pledges for engines that were lost before they got the request
+	heldRetry         atomic.Pointer[string] // engine whose budget a retry was taken from before it was left
 }
 
 // Complete runs a call and passes its answer to the sink. An error before the
 // first token is a refusal that can still be answered with a status.
 func (s *Dispatcher) Complete(ctx context.Context, call *Call, sink Sink) error {
+	return s.begin(call, sink).run(ctx)
+}
+
+// begin returns the state of a call before its first attempt.
+func (s *Dispatcher) begin(call *Call, sink Sink) *completion {
 	c := &completion{Dispatcher: s, call: call, sink: sink}
 	text := PromptText(&call.Request)
 	c.routeRequest = route.Request{
@@ -81,10 +88,17 @@
 	if c.routeRequest.MaxOutputTokens == 0 {
 		c.routeRequest.MaxOutputTokens = defaultOutputTokens
 	}
+	return c
+}
+
+// run screens and admits the call, and runs attempts until one succeeds or the
+// call fails.
+func (c *completion) run(ctx context.Context) error {
+	defer c.returnHeldRetry()
 	if err := c.checkStrikes(); err != nil {
 		return err
 	}
-	c.pass = s.screen.Begin(call.ID, "", strike.PartCauses(sharedMessages(&call.Request)))
+	c.pass = c.screen.Begin(c.call.ID, "", strike.PartCauses(sharedMessages(&c.call.Request)))
 	defer c.pass.Close()
 	if err := c.pass.Held(); err != nil {
 		return c.heldError(err)
@@ -282,7 +296,7 @@
 	}
 	// Repeating the work of a lost engine adds no load to the fleet, so only
 	// failures of live engines take from the retry budget.
-	if c.attemptsSinceMove >= maxAttempts || (!lost && c.assembly.NextToken() == 0 && !c.takeRetry(f.server.Name, c.call.IsRetry)) {
+	if c.attemptsSinceMove >= maxAttempts || (!lost && c.assembly.NextToken() == 0 && !c.spendRetry(f.server.Name)) {
 		c.meter.Count("retry", "refused", string(f.reason))
 		return fault.New(fault.CodeBackendFailed, f.err.Error()).Execution(c.ranStatus()).RetryAfter(backendRetryAfter)
 	}
--- a/entryd/infer/infer.go
+++ b/entryd/infer/infer.go
@@ -183,6 +183,13 @@
 	return s.budgets.TryRetry(name, isRetry)
 }
 
+// returnRetry returns a retry to an engine's budget.
+func (s *Dispatcher) returnRetry(name string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.budgets.ReturnRetry(name)
+}
+
 // backOff waits before the retry with the given number, with jitter.
 func (s *Dispatcher) backOff(ctx context.Context, retryNumber int) error {
 	return s.sleep(ctx, s.settings.Retry.Backoff(retryNumber, rand.Float64()))
--- a/entryd/infer/strikes.go
+++ b/entryd/infer/strikes.go
@@ -92,6 +92,20 @@
 	return strike.Allowed(exclude(local, unused), s.limit) && strike.Allowed(exclude(shared, unused), s.limit)
 }
 
+// WithstandsLoss reports whether a request may run on after the loss of one more
+// engine.
+func (s *Strikes) WithstandsLoss(now time.Time, fingerprint, engine string, snapshot *view.Snapshot) bool {
+	shared, _ := snapshot.Strike(fingerprint)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, engines := range [][]string{s.local.Engines(now, fingerprint), shared.LostEngines} {
+		if lost, _ := strike.Count(append(exclude(engines, []string{engine}), engine)); lost >= s.limit {
+			return false
+		}
+	}
+	return true
+}
+
 // exclude returns a copy of list without the excluded names.
 func exclude(list, excluded []string) []string {
 	return slices.DeleteFunc(slices.Clone(list), func(name string) bool { return slices.Contains(excluded, name) })
