relay: refuse a caller that closed only its sending side

A caller that shuts down its writing side after the request and reads on got '200 OK' with an empty body and no signature: neither its answer nor a refusal. net/http takes the end of what a caller sends for its departure and cancels the request's context, the call then ended without a write, and net/http completes a response that wasn't begun as an empty success.

The same holds for a context that a read deadline cancels. Ruled out: to answer the call, since a close looks the same until something is written, and work for callers that have left must end. The refusal isn't counted, as most such callers are gone.

--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -285,6 +285,7 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		f.meter.Count("caller", "left")
 		f.log.Info("caller left", "request", f.call.ID, "route", f.route.Name, "tries", f.tries, "ran", f.mayHaveRun, "ms", f.elapsedMS())
+		f.writeToLeaver(reason, retryAfter)
 	case len(f.mayHaveRun) == 0:
 		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: retryAfter, Message: reason})
 	case ctx.Err() != nil:
@@ -294,6 +295,17 @@
 	}
 }
 
+// writeToLeaver writes the refusal of a call whose caller seems to have left. One
+// that closed only its sending side still reads, and without a refusal it would
+// get an empty success.
+func (f *inflightCall) writeToLeaver(reason string, retryAfter time.Duration) {
+	r := server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: retryAfter, Message: reason}
+	if len(f.mayHaveRun) > 0 {
+		r = server.Refusal{Kind: server.RefuseOutcomeUnknown, Message: reason}
+	}
+	f.codec.WriteRefusal(f.w, r)
+}
+
 func (f *inflightCall) elapsedMS() int64 {
 	return f.clock.Now().Sub(f.start).Milliseconds()
 }
