relay: bound the pauses within a body instead of all of it

A caller that sent a long body steadily for longer than the table's idle limit got '400 the body was cut short', though it never paused for that long. The read deadline was set once, for the whole body, from the start of the request.

Evidence: six parts 100 ms apart under a limit of 300 ms got 400 before and are read whole now (TestBodyIsReadWhileItProgresses). The limit is that of the table under which the request began, by value. Ruled out for our own interface: body.read is documented as the time for the whole request.

--- /dev/null
+++ b/entryd/relay/read_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/version/state"
+)
+
+// sendSlowly sends a body in parts with pauses between them, and returns the
+// status of the answer.
+func sendSlowly(t *testing.T, address string, parts int, pause time.Duration) int {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: %d\r\n\r\n", 4*parts)
+	for range parts {
+		time.Sleep(pause)
+		if _, err := io.WriteString(c, "part"); err != nil {
+			break
+		}
+	}
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_ = a.Body.Close()
+	return a.StatusCode
+}
+
+// The limit is on the time without a byte, under the table with which the request
+// began, and the call's own time bounds all of the body.
+func TestBodyIsReadWhileItProgresses(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		parts    int
+		pause    time.Duration
+		timeLeft time.Duration
+		want     int
+	}{
+		{"pauses below the limit", 6, 100 * time.Millisecond, 0, http.StatusNoContent},
+		{"a pause above the limit", 2, 500 * time.Millisecond, 0, http.StatusBadRequest},
+		{"no time left", 6, 100 * time.Millisecond, 250 * time.Millisecond, http.StatusBadRequest},
+	} {
+		f := newScriptedCall(t, &scriptedBackend{}, "safe", "v1")
+		f.call.TimeLeft = c.timeLeft
+		front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.w, f.start = w, f.clock.Now()
+			if refusal := f.readRequest(r, state.Limits{IdleTimeout: 300 * time.Millisecond}); refusal != nil {
+				f.refuse(*refusal)
+				return
+			}
+			if want := strings.Repeat("part", c.parts); string(f.call.Body) != want {
+				t.Errorf("%s: body %q", c.name, f.call.Body)
+			}
+			w.WriteHeader(http.StatusNoContent)
+		}))
+		defer front.Close()
+		if got := sendSlowly(t, front.Listener.Addr().String(), c.parts, c.pause); got != c.want {
+			t.Errorf("%s: status %d, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -40,8 +40,8 @@
 	// headerFieldOverhead is the size of a header field besides its name and
 	// value: colon, space and line end, in bytes.
 	headerFieldOverhead = 4
-	// defaultBodyTimeout bounds the reading of a body if the routing table sets
-	// no limit.
+	// defaultBodyTimeout bounds the time between the bytes of a body if the
+	// routing table sets no limit.
 	defaultBodyTimeout = 10 * time.Second
 	// defaultMaxBody bounds a body if the routing table sets no limit, in
 	// bytes.
@@ -201,10 +201,13 @@
 		timeout = limits.IdleTimeout
 	}
 	control := http.NewResponseController(f.w)
-	if err := control.SetReadDeadline(f.start.Add(timeout)); err != nil {
-		f.meter.Count("front", "no_read_deadline")
+	whole := max(timeout, defaultCallTimeout)
+	if f.call.TimeLeft > 0 {
+		whole = f.call.TimeLeft
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(f.w, r.Body, maxBytes))
+	body, err := io.ReadAll(&bodyReader{
+		Reader: http.MaxBytesReader(f.w, r.Body, maxBytes), control: control, clock: f.clock, idle: timeout, end: f.start.Add(whole),
+	})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
