httpc: let an exchange survive a path that is silent for 2.5 s

An exchange that waited for its answer failed with 'connection timed out' 3.1 s after the last packet, 0.6 s after its path had come back from a silence of 2.5 s: a caller lost an answer that the engine was still working on.

With TCP_USER_TIMEOUT set, the kernel ignores the count of keep-alive probes and gives up once the time has passed since the last packet. With 3 s and a probe each second, the probes of the first and second second were lost, and the third wasn't sent: the timer that would send it ended the connection. So any silence of over two seconds was fatal. The time is 4 s now, so that the third probe is sent.

Evidence: TestExchangeSurvivesSilence drops all packets at the server's socket for 2.5 s (package mute) and then leaves only the kernels talking for 2 s.

--- a/core/conn/httpc/pool.go
+++ b/core/conn/httpc/pool.go
@@ -26,12 +26,15 @@
 	// used: the server counts from when it sent the response, in whole seconds.
 	idleTimeoutFraction = 0.6
 	// keepAliveInterval and keepAliveProbes let the kernel detect a connection that
-	// went silent while a response is awaited.
+	// went silent while a response is awaited. With unackedTimeout, the count
+	// doesn't decide: the kernel gives up once so long has passed since the last
+	// packet, so that the last probe before it must be answered.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 3
-	// unackedTimeout is how long sent data may stay unacknowledged
-	// (TCP_USER_TIMEOUT).
-	unackedTimeout = 3 * time.Second
+	// unackedTimeout is how long sent data, or a probe after silence, may stay
+	// unacknowledged (TCP_USER_TIMEOUT). A path may lose everything for over two
+	// seconds and come back before the probe of the third.
+	unackedTimeout = 4 * time.Second
 	// maxIdle limits the idle connections per address.
 	maxIdle = 64
 )
