relay: end the call of a caller that reads nothing soon after its deadline

The call of a caller that stopped reading, or whose path went silent for good, outlived its deadline of 2 s: by over 200 s with the path silent, until the test closed the connection. The caller's answer was lost anyway; but the call held the routing table under which it began as still in use.

The deadline cancels the exchange with the engine, yet a write to the caller that waits for room in the kernel isn't ended by a context, and the callers' sockets have no TCP_USER_TIMEOUT: they survive any silence for minutes. Writes fail one second after the deadline now. A limit on the socket instead would also end the answers of callers that are stopped for a few seconds.

Evidence: both cases of TestCallOfSilentCallerEndsAtDeadline failed before and pass now. TestStreamSurvivesSilentCaller shows that a stream survives 2.5 s in which its caller reads nothing or its path drops everything, with small and large events, before and after.

--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -166,6 +166,7 @@
 	f.deadline = f.start.Add(timeout)
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
 	defer cancel()
+	defer f.boundWrites()()
 	defer func() {
 		for _, release := range f.releases {
 			release()
@@ -298,17 +299,6 @@
 	}
 }
 
-// writeToLeaver writes the refusal of a call whose caller seems to have left. One
-// that closed only its sending side still reads, and without a refusal it would
-// get an empty success.
-func (f *inflightCall) writeToLeaver(reason string, retryAfter time.Duration) {
-	r := server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: retryAfter, Message: reason}
-	if len(f.mayHaveRun) > 0 {
-		r = server.Refusal{Kind: server.RefuseOutcomeUnknown, Message: reason}
-	}
-	f.codec.WriteRefusal(f.w, r)
-}
-
 func (f *inflightCall) elapsedMS() int64 {
 	return f.clock.Now().Sub(f.start).Milliseconds()
 }
