relay: test that a caller's pause isn't taken for the engine's

A resumable stream of 200 KB events breaks off after 20 of 60 when its caller reads nothing for 2.5 s, or when its path is silent for as long. The timer for the engine's progress is reset before an event is written and runs on during the write, so that it cancels a sound engine; with no other attempt left, the answer ends.

A stream that can't be resumed has no such timer and passes.

--- a/entryd/relay/slow_test.go
+++ b/entryd/relay/slow_test.go
@@ -70,6 +70,9 @@
 // A caller's process or path may be silent for a while as its answer streams.
 func TestStreamSurvivesSilentCaller(t *testing.T) { streamToSilentCaller(t, "stream") }
 
+// The time in which a caller takes no events isn't silence of the engine.
+func TestResumableStreamSurvivesSilentCaller(t *testing.T) { streamToSilentCaller(t, "resumable") }
+
 func streamToSilentCaller(t *testing.T, kind string) {
 	t.Helper()
 	for _, link := range []bool{false, true} {
