pool: end an exchange whose path stays silent within seconds

A caller of our own interface whose engine's path went silent for good waited until its own deadline, or for minutes without one, if no other engine could take the call. Go's default lets the kernel probe after 15 s, nine times, and sent data may stay unacknowledged for a quarter of an hour. It mattered less while a silent engine was always left after retry.silence; now an engine without a successor is waited for until its connection ends.

Evidence: both exchanges of TestExchangeOnSilentPath whose path stays silent ran into the test's limit of 12 s before and end within 6 s now. A silence of 2.5 s, followed by 2 s in which only the kernels talk, is survived before and after, in all runs. The probes and TCP_USER_TIMEOUT are those of httpc, where 3 s turned out to end an exchange whose path had come back.

--- a/core/conn/pool/pool.go
+++ b/core/conn/pool/pool.go
@@ -12,8 +12,11 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"verbenahaven.example/core/request/retry"
 )
 
@@ -21,6 +24,13 @@
 	dialTimeout  = time.Second
 	idleTimeout  = 30 * time.Second
 	maxIdleConns = 256
+	// probeInterval and probeCount let the kernel detect a path that went silent
+	// while an answer is awaited, and unackedTimeout one on which sent data stays
+	// unacknowledged (TCP_USER_TIMEOUT). If that is set, the kernel ignores the
+	// count: the last probe before the timeout must be answered.
+	probeInterval  = time.Second
+	probeCount     = 3
+	unackedTimeout = 4 * time.Second
 )
 
 // ErrStalled is the cause of a request that was cancelled because it made no
@@ -43,7 +53,11 @@
 }
 
 func newTransport() *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
+	d := &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
+		Control:         setUnackedTimeout,
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, address)
@@ -59,6 +73,18 @@
 	}
 }
 
+// setUnackedTimeout bounds how long sent data may stay unacknowledged.
+func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if err = errors.Join(err, optErr); err != nil {
+		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
+	}
+	return nil
+}
+
 // conn records whether any byte was handed to the kernel for sending.
 type conn struct {
 	net.Conn
