relay: test that a body is read under the table of its start

A body with pauses of 100 ms that began under a table with an idle limit of 300 ms is read whole though a table with 20 ms comes into force in between; the next one is refused.

--- a/entryd/relay/read_test.go
+++ b/entryd/relay/read_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/view"
 )
 
 // sendSlowly sends a body in parts with pauses between them, and returns the
@@ -72,3 +73,25 @@
 		}
 	}
 }
+
+// The limits of a table hold for the requests that began under it.
+func TestBodyIsReadUnderTheTableOfItsStart(t *testing.T) {
+	f, store := newScriptedCall(t, &scriptedBackend{}, "safe", "v1"), view.New()
+	publish := func(number uint64, idle time.Duration) {
+		t.Helper()
+		if err := store.Apply(state.View{Version: number, Since: number - 1, Routing: &state.RoutingTable{Number: number, Limits: state.Limits{IdleTimeout: idle}}}); err != nil {
+			t.Fatal(err)
+		}
+		f.fleet.SetSnapshot(store.Current())
+	}
+	publish(1, 300*time.Millisecond)
+	front := httptest.NewServer(f.Proxy)
+	defer front.Close()
+	time.AfterFunc(150*time.Millisecond, func() { publish(2, 20*time.Millisecond) })
+	if got := sendSlowly(t, front.Listener.Addr().String(), 6, 100*time.Millisecond); got != http.StatusNotFound {
+		t.Errorf("a body across two tables: status %d, want 404 for want of a route", got)
+	}
+	if got := sendSlowly(t, front.Listener.Addr().String(), 6, 100*time.Millisecond); got != http.StatusBadRequest {
+		t.Errorf("a body under the second table: status %d, want 400", got)
+	}
+}
