--- a/core/conn/pool/pool_test.go
+++ b/core/conn/pool/pool_test.go
@@ -93,22 +93,24 @@
 // A server that goes on while the check runs, or after it forbade to cancel, must
 // not lose its request.
 func TestStalledRequestIsKeptUntilCheckAllows(t *testing.T) {
-	checks := make(chan bool)
-	ctx, timer, done := pool.WithStallTimer(t.Context(), 0, 20*time.Millisecond, func() bool { return <-checks })
+	began, verdicts := make(chan struct{}), make(chan bool)
+	ctx, timer, done := pool.WithStallTimer(t.Context(), 0, 20*time.Millisecond, func() bool {
+		began <- struct{}{}
+		return <-verdicts
+	})
 	defer done()
-	checks <- false
-	timer.EventReceived(time.Now())
-	timer.AwaitEvent()
-	checks <- false
-	time.Sleep(40 * time.Millisecond) // the next check has begun
+	<-began
+	verdicts <- false
+	<-began // without an event, it is asked again
 	timer.EventReceived(time.Now())
-	checks <- true
+	verdicts <- true
 	time.Sleep(10 * time.Millisecond)
 	if err := ctx.Err(); err != nil {
 		t.Fatalf("cancelled after an event: %v", err)
 	}
 	timer.AwaitEvent()
-	checks <- true
+	<-began
+	verdicts <- true
 	<-ctx.Done()
 	if err := context.Cause(ctx); !errors.Is(err, pool.ErrStalled) {
 		t.Fatalf("cause %v", err)
--- a/entryd/infer/silent_test.go
+++ b/entryd/infer/silent_test.go
@@ -196,3 +196,29 @@
 		}
 	}
 }
+
+// Calls of one silent engine hold a retry each while its budget lasts, and give it
+// back if they don't need it.
+func TestHeldRetriesStayWithinBudget(t *testing.T) {
+	s := startEngines(t, http.NotFoundHandler())
+	for range 2 {
+		var held []*completion
+		for {
+			c := s.begin(testCall(), nil)
+			if !c.holdRetry("e0") {
+				break
+			}
+			if !c.holdRetry("e0") {
+				t.Fatal("a held retry is lost")
+			}
+			held = append(held, c)
+		}
+		if len(held) != 3 {
+			t.Fatalf("%d calls hold a retry, 3 in the budget", len(held))
+		}
+		for _, c := range held {
+			c.returnHeldRetry()
+			c.returnHeldRetry()
+		}
+	}
+}
