--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -40,8 +40,8 @@
 	// headerFieldOverhead is the size of a header field besides its name and
 	// value: colon, space and line end, in bytes.
 	headerFieldOverhead = 4
-	// defaultBodyTimeout bounds the reading of a body if the routing table sets
-	// no limit.
+	// defaultBodyTimeout bounds the time between the bytes of a body if the
+	// routing table sets no limit.
 	defaultBodyTimeout = 10 * time.Second
 	// defaultMaxBody bounds a body if the routing table sets no limit, in
 	// bytes.
@@ -108,6 +108,7 @@
 	releases   []func() // of the answers that are buffered
 	build      *string  // software build that must go on with the stream, nil for any
 	pass       *screen.Pass
+	retryTaken bool // the next retry has been taken from the budget
 
 	prefillTime      time.Duration // on a separate prefill engine; 0 without one
 	timeToFirstEvent time.Duration // from start
@@ -165,6 +166,7 @@
 	f.deadline = f.start.Add(timeout)
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
 	defer cancel()
+	defer f.boundWrites()()
 	defer func() {
 		for _, release := range f.releases {
 			release()
@@ -200,10 +202,13 @@
 		timeout = limits.IdleTimeout
 	}
 	control := http.NewResponseController(f.w)
-	if err := control.SetReadDeadline(f.start.Add(timeout)); err != nil {
-		f.meter.Count("front", "no_read_deadline")
+	whole := max(timeout, defaultCallTimeout)
+	if f.call.TimeLeft > 0 {
+		whole = f.call.TimeLeft
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(f.w, r.Body, maxBytes))
+	body, err := io.ReadAll(&bodyReader{
+		Reader: http.MaxBytesReader(f.w, r.Body, maxBytes), control: control, clock: f.clock, idle: timeout, end: f.start.Add(whole),
+	})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -284,6 +289,7 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		f.meter.Count("caller", "left")
 		f.log.Info("caller left", "request", f.call.ID, "route", f.route.Name, "tries", f.tries, "ran", f.mayHaveRun, "ms", f.elapsedMS())
+		f.writeToLeaver(reason, retryAfter)
 	case len(f.mayHaveRun) == 0:
 		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: retryAfter, Message: reason})
 	case ctx.Err() != nil:
@@ -306,6 +312,8 @@
 		return false
 	case len(f.mayHaveRun) > 0 && (!retryable || len(f.mayHaveRun) >= max(1, f.route.MaxAttempts)):
 		return false
+	case f.retryTaken:
+		f.retryTaken = false
 	case !f.fleet.takeRetry(f.clock.Elapsed(), f.targetPool.Name):
 		f.meter.Count("retry", "refused", "budget")
 		return false
