relay, hedge: two engines work on one request for 300 ms at most

Beside a silent engine the second one had the request until it answered, for up to three times the latency target or 600 ms, and what the first one sent meanwhile was held back: an engine that ended its answer after 800 ms was delivered after 3 s (TestEventsOfFirstEngineDontWaitForSecond).

Ruled out: leaving the second engine after 300 ms instead, since under load most first events take longer than that and a stream of an engine that is gone would never move.

Now the first engine is left once the second one has kept the request for 300 ms without a refusal; if the first one goes on before that, the second attempt is given up at once; if it breaks, the second one is awaited. No timer cancels the second exchange any more, which could have hit it just after its head had been accepted.

--- a/core/request/hedge/hedge.go
+++ b/core/request/hedge/hedge.go
@@ -1,8 +1,9 @@
 // Package hedge decides when a stream whose engine has fallen silent moves to another
 // engine. It answers engines that are silent for a second and go on, and engines that
 // are gone without a sign: no answer may end for a silence, and none may run at two
-// engines. So the first engine is left only once the second one answers, and nothing
-// that the first one sends is used while the second one has the request.
+// engines. So the first engine is left only once the second one answers or has kept the
+// request for a short while, and nothing that the first one sends is used before the
+// second attempt has ended.
 package hedge
 
 // phase is the state of a stream between its engine and a second one.
@@ -12,7 +13,7 @@
 	reading   phase = iota // the engine is expected to go on
 	preparing              // a second attempt is prepared beside the silent engine
 	committed              // the second engine has the request and hasn't answered
-	moved                  // the second engine answers
+	moved                  // the second engine goes on
 )
 
 // Stream is the state of one stream at one engine. It isn't safe for concurrent use.
@@ -47,11 +48,11 @@
 	return true
 }
 
-// Conclude records the end of the second attempt. answers is true if the second engine
-// answers: then the stream has moved, if the attempt was committed.
-func (s *Stream) Conclude(answers bool) {
+// Conclude records the end of the second attempt. goesOn is true if the second engine goes
+// on with the stream: then that has moved, if the attempt was committed.
+func (s *Stream) Conclude(goesOn bool) {
 	switch {
-	case s.phase == committed && answers:
+	case s.phase == committed && goesOn:
 		s.phase = moved
 	case s.phase == committed, s.phase == preparing:
 		s.phase = reading
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -338,7 +338,7 @@
 	var cursor stream.Cursor
 	for {
 		n, err := a.Body.Read(buffer)
-		if s.settle() != nil {
+		if s.settle(err == nil || errors.Is(err, io.EOF)) != nil {
 			return errMoved
 		}
 		end := cursor.Advance(buffer[:n])
--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +26,7 @@
 	cancel  context.CancelCauseFunc
 	started time.Time
 	answer  *http.Response // nil until its head has arrived
+	pending <-chan error   // gets the result of send if that goes on elsewhere, else nil
 	counted bool           // as one that may have run
 	begun   bool           // an event has arrived
 }
@@ -71,6 +73,16 @@
 	return err //nolint:wrapcheck // the error names the address
 }
 
+// await sends the request, unless it has been sent, and awaits the head of its answer.
+func (f *inflightCall) await(r *run) error {
+	if r.pending == nil {
+		return f.send(r)
+	}
+	err := <-r.pending
+	r.pending = nil
+	return err
+}
+
 // accept takes the head of a run's answer. It returns nil if the event stream follows.
 func (f *inflightCall) accept(ctx context.Context, r *run, out *answerStream) error {
 	head := f.parseHead(r.name, r.answer)
@@ -114,10 +126,10 @@
 // there.
 func (f *inflightCall) follow(ctx context.Context, r *run, out *answerStream) (*run, error) {
 	s := &standby{run: r, prepare: f.secondAttempt(ctx, r, out)}
-	if r.answer == nil {
+	if r.pending != nil || r.answer == nil {
 		s.arm(ctx, f.firstEventTimeout(r.ticket))
-		err := f.send(r)
-		next := s.settle()
+		err := f.await(r)
+		next := s.settle(err == nil)
 		if next != nil {
 			r.close()
 			return next, nil
@@ -139,7 +151,7 @@
 	case err == nil, errors.Is(err, errCallerConn):
 		return nil, err
 	case errors.Is(err, errMoved):
-		return s.settle(), nil
+		return s.nextRun, nil
 	}
 	f.recordEngineLoss(ctx, r.ticket, r.name, r.address, r.begun, err)
 	return nil, fmt.Errorf("decode: %w", err)
@@ -210,15 +222,26 @@
 	return t
 }
 
-// sendSecond sends a second attempt, and reports whether its engine answers with an
-// event stream. Without an answer in time the first engine is awaited further.
+// sendSecond sends a second attempt, and reports whether the call goes on with it. If ctx
+// ends, the first engine has gone on.
 func (f *inflightCall) sendSecond(ctx context.Context, r *run, commit func() bool) bool {
 	if f.prepare(ctx, r) != nil || !commit() {
 		return false
 	}
-	timer := time.AfterFunc(f.firstProgressTimeout(r.ticket), func() { r.cancel(errNoProgress) })
-	err := f.send(r)
-	timer.Stop()
+	pending := make(chan error, 1)
+	go func() { pending <- f.send(r) }()
+	timer := time.NewTimer(maxOverlap)
+	defer timer.Stop()
+	var err error
+	select {
+	case <-timer.C:
+		r.pending = pending // it has the request and hasn't refused it
+		return true
+	case <-ctx.Done():
+		r.cancel(context.Cause(ctx))
+		err = cmp.Or(<-pending, context.Cause(ctx))
+	case err = <-pending:
+	}
 	if err != nil {
 		f.recordPossibleRun(r.name, err)
 		f.recordEngineLoss(ctx, r.ticket, r.name, r.address, false, err)
--- /dev/null
+++ b/entryd/relay/second_test.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// spans is a backend that records when each of its decode requests was at work.
+type spans struct {
+	*silentBackend
+	mutex sync.Mutex
+	begun []time.Time
+	ended []time.Time
+}
+
+func (b *spans) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.mutex.Lock()
+	n := len(b.begun)
+	b.begun, b.ended = append(b.begun, time.Now()), append(b.ended, time.Time{})
+	b.mutex.Unlock()
+	defer func() {
+		b.mutex.Lock()
+		b.ended[n] = time.Now()
+		b.mutex.Unlock()
+	}()
+	b.silentBackend.ServeHTTP(w, r)
+}
+
+// overlap returns how long the first two requests were at work at the same time, once
+// both have ended.
+func (b *spans) overlap(t *testing.T) time.Duration {
+	t.Helper()
+	for range 100 {
+		b.mutex.Lock()
+		begun, ended := b.begun, slices.Clone(b.ended)
+		b.mutex.Unlock()
+		if len(begun) == 2 && !ended[0].IsZero() && !ended[1].IsZero() {
+			return min(ended[0].Sub(begun[1]), ended[1].Sub(begun[1]))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("not two requests that ended")
+	return 0
+}
+
+// 400 ms is what two engines may work on one request.
+func TestSecondAttemptRunsBesideFirstOnlyBriefly(t *testing.T) {
+	for _, c := range []struct {
+		name, first, second string
+		target              time.Duration
+	}{
+		{"the second takes its time", "1 3s 2", "550ms 2", 200 * time.Millisecond},
+		{"the second is as silent", "1 1600ms 2", "3s 2", 200 * time.Millisecond},
+		{"the first goes on", "1 800ms 2 900ms 3", "550ms 2 3", 200 * time.Millisecond},
+		{"late target", "1 3s 2", "1100ms 2", 800 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := &spans{silentBackend: &silentBackend{lines: []string{c.first, c.second}}}
+			f := newSilentCall(t, b, 2, 2, assumedInstances)
+			f.route.LatencyTarget = c.target
+			got := deliverTo(t, f)
+			if o := b.overlap(t); o > 400*time.Millisecond || !strings.HasSuffix(got, " whole\n") {
+				t.Errorf("the first engine works %v beside the second, the caller gets %s", o, got)
+			}
+		})
+	}
+}
+
+func TestEventsOfFirstEngineDontWaitForSecond(t *testing.T) {
+	b := &silentBackend{lines: []string{"1 800ms 2 3", "3s 2 3"}}
+	f := newSilentCall(t, b, 2, 2, assumedInstances)
+	f.route.LatencyTarget = 800 * time.Millisecond
+	start := time.Now()
+	got := deliverTo(t, f)
+	if took := time.Since(start); took > 1300*time.Millisecond {
+		t.Errorf("an answer that the engine ended after 800 ms took %v: %s", took, got)
+	}
+}
--- a/entryd/relay/standby.go
+++ b/entryd/relay/standby.go
@@ -13,6 +13,9 @@
 // engine stays silent.
 const standbyInterval = 300 * time.Millisecond
 
+// maxOverlap is how long two engines may have one request.
+const maxOverlap = 300 * time.Millisecond
+
 // errMoved is why a run ends whose stream goes on at another engine.
 var errMoved = errors.New("the stream goes on at another engine")
 
@@ -21,8 +24,8 @@
 // it.
 type standby struct {
 	run *run
-	// prepare returns a run whose engine answers, or nil. Before it sends the request
-	// to that engine, it asks commit.
+	// prepare returns a run whose engine answers or has kept the request for maxOverlap,
+	// or nil. Before it sends the request to that engine, it asks commit.
 	prepare func(ctx context.Context, commit func() bool) *run
 
 	mutex   sync.Mutex
@@ -87,17 +90,18 @@
 	return s.stream.Commit()
 }
 
-// settle records that the engine went on or ended. It returns the run with which the
-// stream goes on at another engine, or nil if it stays; then nothing runs beside the
-// caller.
-func (s *standby) settle() *run {
+// settle records that the engine went on, or that it broke off. It returns the run with
+// which the stream goes on at another engine, or nil if it stays; then nothing runs beside
+// the caller. A second attempt that was sent is given up if the engine went on, and awaited
+// if it broke off.
+func (s *standby) settle(goesOn bool) *run {
 	s.mutex.Lock()
 	s.armed++
 	if s.timer != nil {
 		s.timer.Stop()
 	}
 	done := s.done
-	if s.stream.Progress() && done != nil {
+	if (s.stream.Progress() || goesOn) && done != nil {
 		s.cancel()
 	}
 	s.mutex.Unlock()
