relay: a second attempt that is not made leaves no trial open

A permission that was asked for beside a silent engine stayed open when no engine, no budget or the first engine itself ended the preparation: the record held other requests with the same cause back until it expired, and the call itself got no further second attempt, since it counted as suspected.

Evidence: TestSecondAttemptThatIsNotMadeLeavesNoTrial failed without an engine and without budget, and passes. The ways that end a trial already (a refusal, a loss, a permission that is denied) are unchanged: ending it again does nothing.

--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -188,6 +188,9 @@
 		}
 		stop()
 		r.close()
+		if call.Err() == nil {
+			f.pass.Spared(!r.started.IsZero() || t.Plan.Split())
+		}
 		f.releasePrefill(ctx, r)
 		t.end(0)
 		return nil
@@ -210,10 +213,12 @@
 	request.Avoid, request.Build = append(slices.Clone(f.avoid), first.name), f.build
 	t, err := f.fleet.schedule(ctx, f.clock.Now(), request)
 	if err != nil || t.Refused {
+		f.pass.Spared(false)
 		return nil
 	}
 	if !f.fleet.takeRetry(f.clock.Elapsed(), f.targetPool.Name) {
 		f.meter.Count("retry", "refused", "budget")
+		f.pass.Spared(false)
 		t.end(0)
 		return nil
 	}
--- a/entryd/relay/second_test.go
+++ b/entryd/relay/second_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strings"
@@ -81,3 +82,23 @@
 		t.Errorf("an answer that the engine ended after 800 ms took %v: %s", took, got)
 	}
 }
+
+func TestSecondAttemptThatIsNotMadeLeavesNoTrial(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		engines int
+	}{{"no budget", 2}, {"no engine", 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newSilentCall(t, &silentBackend{}, c.engines, 2, 0)
+			f.start, f.deadline = f.clock.Now(), f.clock.Now().Add(2*time.Second)
+			f.pass = f.screen.Begin("1", "request/1", nil)
+			f.screen.Begin("2", "request/1", nil).Lost("other", false)
+			if f.scheduleSecond(context.Background(), &run{name: "0"}) != nil {
+				t.Fatal("a second attempt begins")
+			}
+			if f.pass.Suspected() {
+				t.Error("the trial goes on though nothing was sent")
+			}
+		})
+	}
+}
