relay: a silence is no loss under the request

A sound engine may be silent for a second, but leaving it counted as an engine lost under the request and under the shared parts of its prompt: after a few such silences requests with these parts would be held back. The loss was also booked under the trial of the second attempt, if that had one. A prefill that was given up for its silence counted the same way.

A broken connection counts as before. Ejecting the silent engine for 300 ms stays: others shouldn't begin there now.

--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -324,7 +324,8 @@
 
 // recordFailure records a failed exchange with a backend server, closes the
 // idle connections to it, and counts a loss against the request if any byte of
-// it may have reached the server. begun reports whether the server had begun its answer.
+// it may have reached the server, which wasn't merely silent. begun reports whether
+// the server had begun its answer.
 // If the call itself has ended, the server isn't at fault, and it returns false.
 func (f *inflightCall) recordFailure(ctx context.Context, name, address string, begun bool, err error) bool {
 	f.avoid = append(f.avoid, name)
@@ -335,10 +336,10 @@
 		return false
 	}
 	f.pool.CloseIdle(address)
-	if sent {
+	if sent && !errors.Is(err, errNoProgress) {
 		f.pass.Lost(f.startOf(name), begun)
 	} else {
-		f.pass.Spared(false)
+		f.pass.Spared(sent)
 	}
 	return true
 }
--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -114,14 +114,22 @@
 			return r.ticket, err
 		}
 		f.log.Info("moved", "request", f.call.ID, "from", r.name, "to", next.name, "after", out.lastEventID, "ms", f.elapsedMS())
-		f.recordEngineLoss(ctx, r.ticket, r.name, r.address, r.begun, errNoProgress)
-		f.countRun(r)
+		f.recordLeft(r)
 		r.ticket.end(0)
 		r = next
 		defer r.cancel(nil)
 	}
 }
 
+// recordLeft records that a run was left for its engine's silence. That is no loss under
+// the request: an engine that crashes breaks its connections.
+func (f *inflightCall) recordLeft(r *run) {
+	f.countRun(r)
+	f.avoid = append(f.avoid, r.name)
+	f.pool.CloseIdle(r.address)
+	r.ticket.engineFailed(r.name, true)
+}
+
 // follow forwards the answer of a run. It returns another run if the stream goes on
 // there.
 func (f *inflightCall) follow(ctx context.Context, r *run, out *answerStream) (*run, error) {
--- a/entryd/relay/second_test.go
+++ b/entryd/relay/second_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/view"
 )
 
 // spans is a backend that records when each of its decode requests was at work.
@@ -102,3 +107,79 @@
 		})
 	}
 }
+
+// A sound engine may fall silent for a second.
+func TestSilenceIsNoLossUnderRequest(t *testing.T) {
+	for _, lines := range []string{"1 3s\n2", "1 3s\n900ms 2"} {
+		t.Run(lines, func(t *testing.T) {
+			f := newSilentCall(t, &silentBackend{lines: strings.Split(lines, "\n")}, 2, 2, assumedInstances)
+			f.pass = f.screen.Begin("1", "request/1", []string{"part/1"})
+			got := deliverTo(t, f)
+			if n := f.meter.Value("screen.lost"); n != 0 || !strings.HasSuffix(got, " whole\n") {
+				t.Errorf("%d losses under the request, the caller gets %s", n, got)
+			}
+		})
+	}
+}
+
+func TestSilentPrefillIsNoLossUnderRequest(t *testing.T) {
+	b := &splitBackend{silentBackend: &silentBackend{lines: []string{"1"}}, prefills: []time.Duration{3 * time.Second}}
+	f := newSplitCall(t, b, 2, 1)
+	f.pass = f.screen.Begin("1", "request/1", []string{"part/1"})
+	got := deliverTo(t, f)
+	if n := f.meter.Value("screen.lost"); n != 0 || !strings.HasSuffix(got, " whole\n") {
+		t.Errorf("%d losses under the request, the caller gets %s", n, got)
+	}
+}
+
+// splitBackend stands for prefill engines too. It records the handles that are freed.
+type splitBackend struct {
+	*silentBackend
+	prefills []time.Duration // silence of each prefill
+	made     int
+	freed    []string
+}
+
+func (b *splitBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Method == http.MethodDelete:
+		b.update(func() { b.freed = append(b.freed, r.URL.Path) })
+	case r.Header.Get("Stage") != "":
+		w.Header().Set("Request-Id", "1")
+		w.Header().Set("Server-Signature", "s")
+		var n int
+		b.update(func() { b.made++; n = b.made })
+		if n <= len(b.prefills) {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(b.prefills[n-1]):
+			}
+		}
+		fmt.Fprintf(w, `{"handle_id":"h%d","tokens":9}`, n)
+	default:
+		b.silentBackend.ServeHTTP(w, r)
+	}
+}
+
+func newSplitCall(t *testing.T, b *splitBackend, prefills, decodes int) *inflightCall {
+	t.Helper()
+	f := newSilentCall(t, b, 0, 2, 3*assumedInstances)
+	backend := httptest.NewServer(b)
+	t.Cleanup(backend.Close)
+	var list []state.Engine
+	for i := range prefills + decodes {
+		e := state.Engine{Name: fmt.Sprint(i), URL: backend.URL, Pool: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Centre: "z"}
+		if i < prefills {
+			e.Role = state.RolePrefill
+		}
+		list = append(list, e)
+	}
+	store := view.New()
+	if err := store.Apply(state.View{Version: 1, Engines: list}); err != nil {
+		t.Fatal(err)
+	}
+	f.fleet.SetSnapshot(store.Current())
+	f.snapshot = store.Current()
+	return f
+}
