relay: an engine without room is asked again beside a silent one

With two engines, one of which is gone without a sign while the other one has no room for a moment, no second attempt followed: the one that had refused stayed excluded, and the stream broke off at the timeout of its route. Before silent engines kept their streams, a call waited and asked all engines again.

Evidence: the last case of the data file of TestSilentEngineDoesNotEndAnswer broke off after the first event, and is whole now. The number of tries and the retry budget still bound this.

--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -220,6 +220,9 @@
 	request.ID, request.Pool, request.Prompt, request.Target = f.call.ID+"/"+strconv.Itoa(f.tries), f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
 	request.Avoid, request.Build = append(slices.Clone(f.avoid), first.name), f.build
 	t, err := f.fleet.schedule(ctx, f.clock.Now(), request)
+	if err != nil {
+		f.avoid = nil // those that had no room may have some next time
+	}
 	if err != nil || t.Refused {
 		f.pass.Spared(false)
 		return nil
