relay: the prefill of a run that was left is freed

A run that was left for its silence before its first event kept its KV handle at the prefill engine until it expired; before, the failed attempt freed it. A run that the call had moved to and that failed without an event kept its handle as well, since only the first run was looked at.

--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -190,13 +190,13 @@
 // attempt runs the call on the engines of a plan. It returns the ticket of the engine
 // that sent the last of the answer, another one if the first fell silent.
 func (f *inflightCall) attempt(ctx context.Context, t *ticket, out *answerStream) (*ticket, error) {
-	answered, last := time.Duration(0), t
-	defer func() { last.end(answered) }()
+	answered := time.Duration(0)
 	r, stop := f.newRun(ctx, t, out.lastEventID)
 	defer stop()
+	defer func() { r.ticket.end(answered) }()
 	err := f.prepare(ctx, r)
 	if err == nil {
-		last, err = f.decode(ctx, r, out)
+		r, err = f.decode(ctx, r, out)
 	}
 	if err == nil {
 		answered = max(f.answerTime(), time.Nanosecond)
@@ -204,7 +204,7 @@
 	if err != nil && (errors.Is(err, errNotRun) || errors.Is(err, errLeaving) || out.events == 0) {
 		f.releasePrefill(ctx, r)
 	}
-	return last, err
+	return r.ticket, err
 }
 
 // recheck decides again whether a call is sent to its decode engine: a prefill may
--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -106,15 +106,18 @@
 }
 
 // decode runs the call on the plan's decode engine and forwards its event stream. It
-// returns the ticket of the engine that sent the last of it.
-func (f *inflightCall) decode(ctx context.Context, r *run, out *answerStream) (*ticket, error) {
+// returns the run that sent the last of it.
+func (f *inflightCall) decode(ctx context.Context, r *run, out *answerStream) (*run, error) {
 	for {
 		next, err := f.follow(ctx, r, out)
 		if next == nil {
-			return r.ticket, err
+			return r, err
 		}
 		f.log.Info("moved", "request", f.call.ID, "from", r.name, "to", next.name, "after", out.lastEventID, "ms", f.elapsedMS())
 		f.recordLeft(r)
+		if !r.begun {
+			f.releasePrefill(ctx, r)
+		}
 		r.ticket.end(0)
 		r = next
 		defer r.cancel(nil)
--- a/entryd/relay/second_test.go
+++ b/entryd/relay/second_test.go
@@ -183,3 +183,23 @@
 	f.snapshot = store.Current()
 	return f
 }
+
+func TestPrefillOfEngineThatIsLeftIsFreed(t *testing.T) {
+	b := &splitBackend{silentBackend: &silentBackend{lines: []string{"3s", "1"}}}
+	f := newSplitCall(t, b, 2, 2)
+	got := deliverTo(t, f)
+	time.Sleep(100 * time.Millisecond)
+	b.update(func() {
+		if b.made != 2 || !slices.Contains(b.freed, "/-/kv-handle/h1") || slices.Contains(b.freed, "/-/kv-handle/h2") {
+			t.Errorf("%d prefills, freed: %q, the caller gets %s", b.made, b.freed, got)
+		}
+	})
+}
+
+func TestSilentPrefillAtOnlyEngineEndsNoAnswer(t *testing.T) {
+	b := &splitBackend{silentBackend: &silentBackend{lines: []string{"1"}}, prefills: []time.Duration{1200 * time.Millisecond}}
+	f := newSplitCall(t, b, 1, 2)
+	if got := deliverTo(t, f); !strings.HasSuffix(got, " whole\n") {
+		t.Errorf("%d prefills, the caller gets %s", b.made, got)
+	}
+}
