relay: a silence that ends uses up no try

Each preparation of a second attempt that was given up because the engine went on counted one or two of the four tries, though no decode engine was asked: after two short silences a stream with separate prefill had no second attempt left, and none after a real break. Each second attempt is booked under a number of its own, so that the end of one can not end the next.

Evidence: TestSilencesDontUseUpTries broke off after the fourth event, and is whole now. The retry that such a preparation takes from the budget stays spent.

--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -193,10 +193,14 @@
 			return nil
 		}
 		f.logPlaced(t, out)
+		tries := f.tries
 		r, stop := f.newRun(call, t, out.lastEventID)
 		if f.sendSecond(ctx, r, commit) {
 			return r
 		}
+		if ctx.Err() != nil && r.started.IsZero() {
+			f.tries = tries // the first engine went on before the second one was asked
+		}
 		stop()
 		r.close()
 		if call.Err() == nil {
@@ -219,8 +223,9 @@
 	if !b.Allow() || f.pass.Permit(ctx) != nil {
 		return nil
 	}
+	f.seconds++
 	request := &sched.Request{TimeLeft: f.timeLeft()}
-	request.ID, request.Pool, request.Prompt, request.Target = f.call.ID+"/"+strconv.Itoa(f.tries), f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
+	request.ID, request.Pool, request.Prompt, request.Target = f.call.ID+"/"+strconv.Itoa(f.seconds), f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
 	request.Avoid, request.Build = append(slices.Clone(f.avoid), first.name), f.build
 	t, err := f.fleet.schedule(ctx, f.clock.Now(), request)
 	if err != nil {
--- a/entryd/relay/second_test.go
+++ b/entryd/relay/second_test.go
@@ -203,3 +203,17 @@
 		t.Errorf("%d prefills, the caller gets %s", b.made, got)
 	}
 }
+
+// Preparations that were given up sent nothing.
+func TestSilencesDontUseUpTries(t *testing.T) {
+	pause := " 700ms "
+	b := &splitBackend{
+		silentBackend: &silentBackend{lines: []string{"1" + pause + "2" + pause + "3" + pause + "4 break", "5"}},
+		prefills:      []time.Duration{0, 500 * time.Millisecond, 500 * time.Millisecond, 500 * time.Millisecond},
+	}
+	f := newSplitCall(t, b, 3, 3)
+	f.fleet.budget.SetLimits(time.Minute, 0, 9*assumedInstances)
+	if got := deliverTo(t, f); !strings.HasSuffix(got, " whole\n") {
+		t.Errorf("%d prefills, the caller gets %s", b.made, got)
+	}
+}
