broker: a failure of an engine is told once

Each message to the broker repeats the last three events, and the question for a place carries them too. For the state of a request that changes nothing, but a loss or a failure of an engine counted again each time: one loss told beside three questions counted five times, and each doubles the time for which the engine gets nothing, 300 ms to 4 s. So an instance that was wrong about one engine, after a silence or a cut of its own links, ejected that engine for seconds in its whole data centre.

A failure whose datagram is lost is no longer told again; the next failure is.

--- a/core/conn/proto/place.go
+++ b/core/conn/proto/place.go
@@ -4,7 +4,8 @@
 
 // PlaceMessage is a datagram between entry instances. Most go between an instance
 // and the broker of its data centre, the instance that places its generations.
-// Datagrams may be lost, so each of these carries the sender's last events again.
+// Datagrams may be lost, so each of these carries the sender's last events again, but for
+// the failures of engines.
 type PlaceMessage struct {
 	From    string         `cbor:"1,keyasint"` // name of the sender
 	Ask     *PlaceRequest  `cbor:"2,keyasint,omitempty"`
--- a/entryd/broker/broker.go
+++ b/entryd/broker/broker.go
@@ -30,7 +30,7 @@
 	// from older loads.
 	askTimeout = 20 * time.Millisecond
 	// resentEvents is the number of earlier events that each message carries
-	// again, in case the datagrams with them were lost.
+	// again, in case the datagrams with them were lost: what says how a request goes.
 	resentEvents = 3
 	// maxDatagram is the largest datagram that is read, in bytes.
 	maxDatagram = 16 << 10
@@ -283,7 +283,9 @@
 	if len(c.recent) > maxListItems {
 		clear(c.recent)
 	}
-	c.recent[link] = events
+	if e.Kind != proto.PlaceFailed && e.Kind != proto.PlaceLost { // which would count again
+		c.recent[link] = events
+	}
 	c.mutex.Unlock()
 	c.send(to, &proto.PlaceMessage{From: c.name, Events: events})
 }
