relay: each attempt of a call is placed under an ID of its own

A retry was placed under the ID of the attempt before it. Each message to the broker repeats the last three events, so the end of the first attempt, told again beside the events of other requests, removed the booking of the second one: the broker counted less work at its engine than there was.

Evidence: TestAttemptsOfCallArePlacedUnderOwnIDs, one ID for three attempts before, three now. Second attempts beside a silent engine had IDs of their own already.

--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -56,7 +56,7 @@
 // applies to the first plan only.
 func (f *inflightCall) forwardGeneration(ctx context.Context) {
 	request := &sched.Request{Admit: !f.resumes()} // the target of its first event has been met or missed before
-	request.ID, request.Pool, request.Prompt, request.Target = f.call.ID, f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
+	request.Pool, request.Prompt, request.Target = f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
 	var out answerStream
 	reason := "no engine can take the request"
 	retryAfter := busyRetryAfter
@@ -69,7 +69,7 @@
 			reason, retryAfter = err.Error(), retryAfterOf(err)
 			break
 		}
-		request.Avoid, request.Build, request.TimeLeft = f.avoid, f.build, f.timeLeft()
+		request.ID, request.Avoid, request.Build, request.TimeLeft = f.placeID(), f.avoid, f.build, f.timeLeft()
 		t, err := f.fleet.schedule(ctx, f.clock.Now(), request)
 		if err != nil {
 			f.pass.Spared(false)
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -103,7 +103,7 @@
 	start      time.Time
 	deadline   time.Time
 	tries      int      // counted against maxTries
-	seconds    int      // second attempts that were scheduled, each under an ID of its own
+	placed     int      // attempts that were placed, each under an ID of its own
 	mayHaveRun []string // backend servers that may have executed the call
 	avoid      []string // backend servers that failed or refused the call
 	releases   []func() // of the answers that are buffered
--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -223,9 +223,8 @@
 	if !b.Allow() || f.pass.Permit(ctx) != nil {
 		return nil
 	}
-	f.seconds++
 	request := &sched.Request{TimeLeft: f.timeLeft()}
-	request.ID, request.Pool, request.Prompt, request.Target = f.call.ID+"/"+strconv.Itoa(f.seconds), f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
+	request.ID, request.Pool, request.Prompt, request.Target = f.placeID(), f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
 	request.Avoid, request.Build = append(slices.Clone(f.avoid), first.name), f.build
 	t, err := f.fleet.schedule(ctx, f.clock.Now(), request)
 	if err != nil {
@@ -246,6 +245,16 @@
 	return t
 }
 
+// placeID returns an ID for the next attempt to be placed. The end of an attempt may be
+// told again later, when another one of the call has been placed.
+func (f *inflightCall) placeID() string {
+	f.placed++
+	if f.placed == 1 {
+		return f.call.ID
+	}
+	return f.call.ID + "/" + strconv.Itoa(f.placed)
+}
+
 // sendSecond sends a second attempt, and reports whether the call goes on with it. If ctx
 // ends, the first engine has gone on.
 func (f *inflightCall) sendSecond(ctx context.Context, r *run, commit func() bool) bool {
--- a/entryd/relay/second_test.go
+++ b/entryd/relay/second_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
 )
@@ -167,7 +168,7 @@
 	f := newSilentCall(t, b, 0, 2, 3*assumedInstances)
 	backend := httptest.NewServer(b)
 	t.Cleanup(backend.Close)
-	var list []state.Engine
+	list := make([]state.Engine, 0, prefills+decodes)
 	for i := range prefills + decodes {
 		e := state.Engine{Name: fmt.Sprint(i), URL: backend.URL, Pool: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Centre: "z"}
 		if i < prefills {
@@ -217,3 +218,40 @@
 		t.Errorf("%d prefills, the caller gets %s", b.made, got)
 	}
 }
+
+// placingBroker places all calls at the first engine that isn't to be avoided.
+type placingBroker struct {
+	Broker
+	mutex sync.Mutex
+	asked []string // IDs
+}
+
+func (b *placingBroker) Ask(_ context.Context, _ string, r *proto.PlaceRequest) (*proto.PlaceReply, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.asked = append(b.asked, r.ID)
+	for _, name := range []string{"0", "1", "2"} {
+		if !slices.Contains(r.Avoid, name) {
+			return &proto.PlaceReply{ID: r.ID, Decode: name}, nil
+		}
+	}
+	return nil, context.DeadlineExceeded
+}
+
+func (b *placingBroker) Tell(string, *proto.PlaceEvent) {}
+
+func (b *placingBroker) Share(string, []proto.StreamOrigin) {}
+
+// The end of an attempt is told repeatedly, and must not end the next one.
+func TestAttemptsOfCallArePlacedUnderOwnIDs(t *testing.T) {
+	f := newSplitCall(t, &splitBackend{silentBackend: &silentBackend{lines: []string{"break", "1 break", "2"}}}, 0, 3)
+	f.route.MaxAttempts = 3
+	b := &placingBroker{}
+	f.fleet.broker = b
+	f.fleet.delegate.SetBroker("broker")
+	got := deliverTo(t, f)
+	slices.Sort(b.asked)
+	if distinct := slices.Compact(slices.Clone(b.asked)); len(b.asked) != 3 || len(distinct) != 3 || !strings.HasSuffix(got, " whole\n") {
+		t.Errorf("placed under %q, the caller gets %s", b.asked, got)
+	}
+}
