relay: a test of silences at any moment

48 calls beside each other, with random pauses around 600 and 900 ms at three engines, with and without separate prefill; a third of the callers leave. Events come in order and once, no engine keeps work, attempts and tries stay in their bounds and no goroutine is left.

--- a/entryd/relay/second_test.go
+++ b/entryd/relay/second_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
@@ -255,3 +259,61 @@
 		t.Errorf("placed under %q, the caller gets %s", b.asked, got)
 	}
 }
+
+func TestSilencesAtAnyMomentLeaveNothingBehind(t *testing.T) {
+	seed := uint64(time.Now().UnixNano())
+	random := rand.New(rand.NewPCG(seed, 0))
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) })
+	var group sync.WaitGroup
+	for i := range 48 {
+		lines := make([]string, 3)
+		for n := range lines {
+			lines[n] = randomLine(random)
+		}
+		leaves := time.Duration(600+random.IntN(1500)) * time.Millisecond
+		stays := i%3 > 0
+		group.Go(func() {
+			b := &silentBackend{lines: lines}
+			f := newSplitCall(t, &splitBackend{silentBackend: b, prefills: []time.Duration{0, 320 * time.Millisecond}}, i%2, 3)
+			f.route.MaxAttempts = 3
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if !stays {
+				time.AfterFunc(leaves, cancel)
+			}
+			w := httptest.NewRecorder()
+			f.w = w
+			func() {
+				defer func() {
+					if r := recover(); r != nil && r != http.ErrAbortHandler { //nolint:errorlint // it is panicked with as it is
+						panic(r)
+					}
+				}()
+				f.forward(ctx)
+			}()
+			if work := f.fleet.OwnWork(); len(work) > 0 || len(f.fleet.inFlight) > 0 || len(f.mayHaveRun) > 3 || f.tries > maxTries+1 {
+				t.Errorf("seed %d, %q: in flight %v, work %v, ran %q, %d tries", seed, lines, f.fleet.inFlight, work, f.mayHaveRun, f.tries)
+			}
+			last := 0
+			for line := range strings.Lines(w.Body.String()) {
+				if id, found := strings.CutPrefix(strings.TrimSpace(line), "id: "); found {
+					if last++; id != strconv.Itoa(last) {
+						t.Errorf("seed %d, %q: event %s in place of %d", seed, lines, id, last)
+					}
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+// randomLine returns the steps of an engine that sends all events after the last one
+// that the caller has, with pauses around the times at which an engine is left.
+func randomLine(random *rand.Rand) string {
+	steps := []string{fmt.Sprint(random.IntN(700), "ms")}
+	for range 4 {
+		steps = append(steps, "next", fmt.Sprint([]int{0, 590, 600, 610, 895, 900, 905}[random.IntN(7)], "ms"))
+	}
+	return strings.Join(append(steps, []string{"next", "break", "2s"}[random.IntN(3)]), " ")
+}
--- a/entryd/relay/silent_test.go
+++ b/entryd/relay/silent_test.go
@@ -17,7 +17,7 @@
 )
 
 // silentBackend plays a line of steps for each decode request, in the order of their
-// arrival: an event's ID, a silence, "refuse", "fail" or "break".
+// arrival: an event's ID or "next", a silence, "refuse", "fail" or "break".
 type silentBackend struct {
 	mutex sync.Mutex
 	lines []string
@@ -48,6 +48,7 @@
 	line, number := b.next()
 	outcome := "whole"
 	begun := false
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	defer func() {
 		b.update(func() { b.trace[number-1] = outcome })
 	}()
@@ -76,6 +77,10 @@
 			outcome = "broken"
 			panic(http.ErrAbortHandler)
 		}
+		if step == "next" {
+			step = strconv.Itoa(after + 1)
+		}
+		after, _ = strconv.Atoi(step)
 		if !begun {
 			begun = true
 			w.Header().Set("Server-Signature", "s")
