relay, httpc: a silent engine is not left for one that cannot be reached

The 300 ms after which the first engine is left began before the second one was connected: beside an engine whose connections wait unanswered, as behind a cut link, a sound silent engine was left and the stream broke off.

They begin when the request is sent. Not covered: a kept connection to an engine that went away without a sign, where the request counts as sent.

--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -48,6 +48,8 @@
 	// Matches reports whether a response belongs to this request. Other responses
 	// are skipped. Nil accepts any response.
 	Matches func(*http.Response) bool
+	// OnSend is called before the first byte is sent on a connection, unless it is nil.
+	OnSend func()
 }
 
 func (r *Request) encode() []byte {
@@ -99,6 +101,9 @@
 
 func (e *exchange) roundTrip(r *Request) (*http.Response, error) {
 	encoded := r.encode()
+	if r.OnSend != nil {
+		r.OnSend()
+	}
 	if len(r.Body) <= maxSyncBody {
 		e.writeRequest(encoded)
 		if e.writeErr != nil {
--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -26,6 +26,7 @@
 	cancel  context.CancelCauseFunc
 	started time.Time
 	answer  *http.Response // nil until its head has arrived
+	onSend  func()         // called once a connection is there, nil if nobody asks
 	pending <-chan error   // gets the result of send if that goes on elsewhere, else nil
 	counted bool           // as one that may have run
 	begun   bool           // an event has arrived
@@ -68,7 +69,9 @@
 func (f *inflightCall) send(r *run) error {
 	r.request.TimeLeft = f.timeLeft()
 	r.started = f.clock.Now()
-	a, err := f.pool.Do(r.ctx, r.address, f.codec.EncodeRequest(r.request)) //nolint:bodyclose // closed with the run
+	q := f.codec.EncodeRequest(r.request)
+	q.OnSend = r.onSend
+	a, err := f.pool.Do(r.ctx, r.address, q) //nolint:bodyclose // closed with the run
 	r.answer = a
 	return err //nolint:wrapcheck // the error names the address
 }
@@ -261,13 +264,12 @@
 	if f.prepare(ctx, r) != nil || !commit() {
 		return false
 	}
-	pending := make(chan error, 1)
+	pending, kept := make(chan error, 1), make(chan struct{})
+	r.onSend = func() { time.AfterFunc(maxOverlap, func() { close(kept) }) }
 	go func() { pending <- f.send(r) }()
-	timer := time.NewTimer(maxOverlap)
-	defer timer.Stop()
 	var err error
 	select {
-	case <-timer.C:
+	case <-kept:
 		r.pending = pending // it has the request and hasn't refused it
 		return true
 	case <-ctx.Done():
--- a/entryd/relay/second_test.go
+++ b/entryd/relay/second_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -14,6 +16,7 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/version/state"
@@ -317,3 +320,41 @@
 	}
 	return strings.Join(append(steps, []string{"next", "break", "2s"}[random.IntN(3)]), " ")
 }
+
+// newFullListener returns the address of a listener that lets connections wait unanswered.
+func newFullListener(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := errors.Join(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, _ := unix.Getsockname(fd)
+	bound, _ := name.(*unix.SockaddrInet4)
+	address := fmt.Sprintf("127.0.0.1:%d", bound.Port)
+	for range 3 {
+		if c, err := net.DialTimeout("tcp", address, 50*time.Millisecond); err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}
+	return address
+}
+
+func TestSilentEngineIsNotLeftForOneThatCantBeReached(t *testing.T) {
+	b := &splitBackend{silentBackend: &silentBackend{lines: []string{"1 1900ms 2"}}}
+	f := newSplitCall(t, b, 0, 2)
+	f.fleet.budget.SetLimits(time.Minute, 0, assumedInstances)
+	engines := f.snapshot.Engines()
+	engines[1].URL = "http://" + newFullListener(t)
+	f.fleet.local.Update(engines, nil)
+	f.avoid = []string{engines[1].Name} // at first
+	if got := deliverTo(t, f); !strings.HasSuffix(got, " whole\n") {
+		t.Errorf("the caller gets %s", got)
+	}
+	if f.meter.Value("conn.dial_failed") == 0 {
+		t.Error("the other engine was not tried")
+	}
+}
