relay: a second engine that has begun isn't left for the first one

A first engine that went on while the second one had the request was used at once, and the second attempt given up, also if that had just begun: its head was on the way, and then two engines had begun the same part of one stream, the first working on.

--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -258,24 +258,48 @@
 	return f.call.ID + "/" + strconv.Itoa(f.placed)
 }
 
+// awaitSecond sends a second attempt and awaits the head of its answer. It returns a
+// channel for that if the engine has had the request for maxOverlap while the first one
+// was silent. A first engine that goes on sooner, which ends ctx, is used only once the
+// second one hasn't begun within that time: they would work side by side.
+func (f *inflightCall) awaitSecond(ctx context.Context, r *run) (<-chan error, error) {
+	pending, sent := make(chan error, 1), make(chan struct{})
+	r.onSend = func() { close(sent) }
+	go func() { pending <- f.send(r) }()
+	giveUp := func() error {
+		r.cancel(context.Cause(ctx))
+		return cmp.Or(<-pending, context.Cause(ctx))
+	}
+	select {
+	case <-sent:
+	case <-ctx.Done():
+		return nil, giveUp()
+	case err := <-pending:
+		return nil, err
+	}
+	timer := time.NewTimer(maxOverlap)
+	defer timer.Stop()
+	select {
+	case err := <-pending:
+		return nil, err
+	case <-timer.C:
+	}
+	if ctx.Err() != nil {
+		return nil, giveUp()
+	}
+	return pending, nil
+}
+
 // sendSecond sends a second attempt, and reports whether the call goes on with it. If ctx
 // ends, the first engine has gone on.
 func (f *inflightCall) sendSecond(ctx context.Context, r *run, commit func() bool) bool {
 	if f.prepare(ctx, r) != nil || !commit() {
 		return false
 	}
-	pending, kept := make(chan error, 1), make(chan struct{})
-	r.onSend = func() { time.AfterFunc(maxOverlap, func() { close(kept) }) }
-	go func() { pending <- f.send(r) }()
-	var err error
-	select {
-	case <-kept:
-		r.pending = pending // it has the request and hasn't refused it
+	pending, err := f.awaitSecond(ctx, r)
+	if pending != nil {
+		r.pending = pending
 		return true
-	case <-ctx.Done():
-		r.cancel(context.Cause(ctx))
-		err = cmp.Or(<-pending, context.Cause(ctx))
-	case err = <-pending:
 	}
 	if err != nil {
 		f.recordPossibleRun(r.name, err)
--- a/entryd/relay/standby.go
+++ b/entryd/relay/standby.go
@@ -92,8 +92,8 @@
 
 // settle records that the engine went on, or that it broke off. It returns the run with
 // which the stream goes on at another engine, or nil if it stays; then nothing runs beside
-// the caller. A second attempt that was sent is given up if the engine went on, and awaited
-// if it broke off.
+// the caller. A second attempt is given up if the engine went on, unless its engine begins
+// within maxOverlap, and awaited if it broke off.
 func (s *standby) settle(goesOn bool) *run {
 	s.mutex.Lock()
 	s.armed++
