--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +26,8 @@
 	cancel  context.CancelCauseFunc
 	started time.Time
 	answer  *http.Response // nil until its head has arrived
+	onSend  func()         // called once a connection is there, nil if nobody asks
+	pending <-chan error   // gets the result of send if that goes on elsewhere, else nil
 	counted bool           // as one that may have run
 	begun   bool           // an event has arrived
 }
@@ -66,11 +69,23 @@
 func (f *inflightCall) send(r *run) error {
 	r.request.TimeLeft = f.timeLeft()
 	r.started = f.clock.Now()
-	a, err := f.pool.Do(r.ctx, r.address, f.codec.EncodeRequest(r.request)) //nolint:bodyclose // closed with the run
+	q := f.codec.EncodeRequest(r.request)
+	q.OnSend = r.onSend
+	a, err := f.pool.Do(r.ctx, r.address, q) //nolint:bodyclose // closed with the run
 	r.answer = a
 	return err //nolint:wrapcheck // the error names the address
 }
 
+// await sends the request, unless it has been sent, and awaits the head of its answer.
+func (f *inflightCall) await(r *run) error {
+	if r.pending == nil {
+		return f.send(r)
+	}
+	err := <-r.pending
+	r.pending = nil
+	return err
+}
+
 // accept takes the head of a run's answer. It returns nil if the event stream follows.
 func (f *inflightCall) accept(ctx context.Context, r *run, out *answerStream) error {
 	head := f.parseHead(r.name, r.answer)
@@ -94,30 +109,41 @@
 }
 
 // decode runs the call on the plan's decode engine and forwards its event stream. It
-// returns the ticket of the engine that sent the last of it.
-func (f *inflightCall) decode(ctx context.Context, r *run, out *answerStream) (*ticket, error) {
+// returns the run that sent the last of it.
+func (f *inflightCall) decode(ctx context.Context, r *run, out *answerStream) (*run, error) {
 	for {
 		next, err := f.follow(ctx, r, out)
 		if next == nil {
-			return r.ticket, err
+			return r, err
 		}
 		f.log.Info("moved", "request", f.call.ID, "from", r.name, "to", next.name, "after", out.lastEventID, "ms", f.elapsedMS())
-		f.recordEngineLoss(ctx, r.ticket, r.name, r.address, r.begun, errNoProgress)
-		f.countRun(r)
+		f.recordLeft(r)
+		if !r.begun {
+			f.releasePrefill(ctx, r)
+		}
 		r.ticket.end(0)
 		r = next
 		defer r.cancel(nil)
 	}
 }
 
+// recordLeft records that a run was left for its engine's silence. That is no loss under
+// the request: an engine that crashes breaks its connections.
+func (f *inflightCall) recordLeft(r *run) {
+	f.countRun(r)
+	f.avoid = append(f.avoid, r.name)
+	f.pool.CloseIdle(r.address)
+	r.ticket.engineFailed(r.name, true)
+}
+
 // follow forwards the answer of a run. It returns another run if the stream goes on
 // there.
 func (f *inflightCall) follow(ctx context.Context, r *run, out *answerStream) (*run, error) {
 	s := &standby{run: r, prepare: f.secondAttempt(ctx, r, out)}
-	if r.answer == nil {
+	if r.pending != nil || r.answer == nil {
 		s.arm(ctx, f.firstEventTimeout(r.ticket))
-		err := f.send(r)
-		next := s.settle()
+		err := f.await(r)
+		next := s.settle(err == nil)
 		if next != nil {
 			r.close()
 			return next, nil
@@ -139,7 +165,7 @@
 	case err == nil, errors.Is(err, errCallerConn):
 		return nil, err
 	case errors.Is(err, errMoved):
-		return s.settle(), nil
+		return s.nextRun, nil
 	}
 	f.recordEngineLoss(ctx, r.ticket, r.name, r.address, r.begun, err)
 	return nil, fmt.Errorf("decode: %w", err)
@@ -170,12 +196,19 @@
 			return nil
 		}
 		f.logPlaced(t, out)
+		tries := f.tries
 		r, stop := f.newRun(call, t, out.lastEventID)
 		if f.sendSecond(ctx, r, commit) {
 			return r
 		}
+		if ctx.Err() != nil && r.started.IsZero() {
+			f.tries = tries // the first engine went on before the second one was asked
+		}
 		stop()
 		r.close()
+		if call.Err() == nil {
+			f.pass.Spared(!r.started.IsZero() || t.Plan.Split())
+		}
 		f.releasePrefill(ctx, r)
 		t.end(0)
 		return nil
@@ -194,14 +227,19 @@
 		return nil
 	}
 	request := &sched.Request{TimeLeft: f.timeLeft()}
-	request.ID, request.Pool, request.Prompt, request.Target = f.call.ID+"/"+strconv.Itoa(f.tries), f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
+	request.ID, request.Pool, request.Prompt, request.Target = f.placeID(), f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
 	request.Avoid, request.Build = append(slices.Clone(f.avoid), first.name), f.build
 	t, err := f.fleet.schedule(ctx, f.clock.Now(), request)
+	if err != nil {
+		f.avoid = nil // those that had no room may have some next time
+	}
 	if err != nil || t.Refused {
+		f.pass.Spared(false)
 		return nil
 	}
 	if !f.fleet.takeRetry(f.clock.Elapsed(), f.targetPool.Name) {
 		f.meter.Count("retry", "refused", "budget")
+		f.pass.Spared(false)
 		t.end(0)
 		return nil
 	}
@@ -210,15 +248,59 @@
 	return t
 }
 
-// sendSecond sends a second attempt, and reports whether its engine answers with an
-// event stream. Without an answer in time the first engine is awaited further.
+// placeID returns an ID for the next attempt to be placed. The end of an attempt may be
+// told again later, when another one of the call has been placed.
+func (f *inflightCall) placeID() string {
+	f.placed++
+	if f.placed == 1 {
+		return f.call.ID
+	}
+	return f.call.ID + "/" + strconv.Itoa(f.placed)
+}
+
+// awaitSecond sends a second attempt and awaits the head of its answer. It returns a
+// channel for that if the engine has had the request for maxOverlap while the first one
+// was silent. A first engine that goes on sooner, which ends ctx, is used only once the
+// second one hasn't begun within that time: they would work side by side.
+func (f *inflightCall) awaitSecond(ctx context.Context, r *run) (<-chan error, error) {
+	pending, sent := make(chan error, 1), make(chan struct{})
+	r.onSend = func() { close(sent) }
+	go func() { pending <- f.send(r) }()
+	giveUp := func() error {
+		r.cancel(context.Cause(ctx))
+		return cmp.Or(<-pending, context.Cause(ctx))
+	}
+	select {
+	case <-sent:
+	case <-ctx.Done():
+		return nil, giveUp()
+	case err := <-pending:
+		return nil, err
+	}
+	timer := time.NewTimer(maxOverlap)
+	defer timer.Stop()
+	select {
+	case err := <-pending:
+		return nil, err
+	case <-timer.C:
+	}
+	if ctx.Err() != nil {
+		return nil, giveUp()
+	}
+	return pending, nil
+}
+
+// sendSecond sends a second attempt, and reports whether the call goes on with it. If ctx
+// ends, the first engine has gone on.
 func (f *inflightCall) sendSecond(ctx context.Context, r *run, commit func() bool) bool {
 	if f.prepare(ctx, r) != nil || !commit() {
 		return false
 	}
-	timer := time.AfterFunc(f.firstProgressTimeout(r.ticket), func() { r.cancel(errNoProgress) })
-	err := f.send(r)
-	timer.Stop()
+	pending, err := f.awaitSecond(ctx, r)
+	if pending != nil {
+		r.pending = pending
+		return true
+	}
 	if err != nil {
 		f.recordPossibleRun(r.name, err)
 		f.recordEngineLoss(ctx, r.ticket, r.name, r.address, false, err)
--- a/entryd/relay/silent_test.go
+++ b/entryd/relay/silent_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,7 +17,7 @@
 )
 
 // silentBackend plays a line of steps for each decode request, in the order of their
-// arrival: an event's ID, a silence, "refuse", "fail" or "break".
+// arrival: an event's ID or "next", a silence, "refuse", "fail" or "break".
 type silentBackend struct {
 	mutex sync.Mutex
 	lines []string
@@ -47,6 +48,7 @@
 	line, number := b.next()
 	outcome := "whole"
 	begun := false
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	defer func() {
 		b.update(func() { b.trace[number-1] = outcome })
 	}()
@@ -75,6 +77,10 @@
 			outcome = "broken"
 			panic(http.ErrAbortHandler)
 		}
+		if step == "next" {
+			step = strconv.Itoa(after + 1)
+		}
+		after, _ = strconv.Atoi(step)
 		if !begun {
 			begun = true
 			w.Header().Set("Server-Signature", "s")
@@ -119,11 +125,12 @@
 		f := newSilentCall(t, b, engines, attempts, float64(retries*assumedInstances))
 		out := deliverTo(t, f)
 		var trace string
-		for deadline := time.Now().Add(time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
-			b.update(func() { trace = fmt.Sprintf("engines: %s\n", strings.Join(b.trace, ", ")) })
-			if !strings.Contains(trace, ": ,") && !strings.HasSuffix(trace, ", \n") {
-				break
-			}
+		ended := false
+		for deadline := time.Now().Add(time.Second); !ended && time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+			b.update(func() {
+				ended = !slices.Contains(b.trace, "")
+				trace = fmt.Sprintf("engines: %s\n", strings.Join(b.trace, ", "))
+			})
 		}
 		return out + trace
 	})
