sched: count a failure or loss of an engine once

Each datagram to the broker repeats the sender's last events, so that one may be lost. The broker applied a repeated loss again, and each time doubled the ejection: TestRepeatedLossEjectsOnce found the engine still ejected after 300 ms with four copies of one loss. Events of engines are now remembered by kind, request and engine. Dropping repeats in the connection was ruled out: what it delivers stays at-least-once, and the other events are idempotent already.

--- a/core/request/sched/sched.go
+++ b/core/request/sched/sched.go
@@ -102,6 +102,7 @@
 	errors   map[string]*admit.PredictionError // of the expected time to the first event, by pool
 	demand   map[string]*proto.Demand          // since the last TakeDemand, by pool
 	checked  time.Time                         // last search for forgotten requests
+	recent   recentEvents
 }
 
 // New returns a scheduler without engines for an instance in a data centre.
@@ -224,12 +225,8 @@
 
 // Apply records what happened to a request, or to an engine.
 func (s *Scheduler) Apply(now time.Time, e *proto.PlaceEvent) {
-	switch e.Kind {
-	case proto.PlaceFailed:
-		s.placer.RecordAnswer(now, e.Engine, false)
-		return
-	case proto.PlaceLost:
-		s.placer.RecordLoss(now, e.Engine)
+	if e.Kind == proto.PlaceFailed || e.Kind == proto.PlaceLost {
+		s.applyEngineEvent(now, e)
 		return
 	}
 	b := s.bookings[e.ID]
