sched, broker: withdraw losses that an instance's own path caused

An instance without a path to any engine reported all of them as lost. Its broker ejected them for the whole data centre and refused calls of sound instances: no engine can take the request. An instance may now take back its reports. The ejection ends unless another instance reported the engine too, or it is for failed answers; the sender of an event is the name in the message. Ruled out: letting another instance's answers from an engine end an ejection. The broker would place the calls of an instance that really can't reach it there again at once.

--- a/core/request/place/place_test.go
+++ b/core/request/place/place_test.go
@@ -73,7 +73,7 @@
 				req.Avoid = []string{rapid.SampledFrom(list).Draw(t, "engine").Name}
 			}
 			if len(list) > 0 && rapid.IntRange(0, 5).Draw(t, "loss") == 0 {
-				p.RecordLoss(now, rapid.SampledFrom(list).Draw(t, "lost").Name)
+				p.RecordLoss(now, rapid.SampledFrom(list).Draw(t, "lost").Name, "")
 			}
 			plan, err := p.Pick(now, req)
 			if err != nil {
@@ -194,7 +194,7 @@
 			t.Fatalf("chose %s, which is dead", plan.Decode.Name)
 		}
 	}
-	p.RecordLoss(start, "e01")
+	p.RecordLoss(start, "e01", "")
 	if _, err := p.Pick(start, longAnswer("x")); !errors.Is(err, place.ErrNoBackend) {
 		t.Fatalf("error %v with no engine left", err)
 	}
--- a/core/request/place/plain.go
+++ b/core/request/place/plain.go
@@ -109,7 +109,7 @@
 // broke.
 func (s *Servers) RecordLoss(now time.Time, name string) {
 	if p := s.byName[name]; p != nil {
-		p.recordLoss(now)
+		p.recordLoss(now, "")
 	}
 }
 
--- a/core/request/sched/event.go
+++ b/core/request/sched/event.go
@@ -11,8 +11,8 @@
 
 // eventKey identifies an event of an engine.
 type eventKey struct {
-	kind       proto.PlaceEventKind
-	id, engine string
+	kind               proto.PlaceEventKind
+	id, engine, sender string
 }
 
 // recentEvents remembers the latest events. The datagrams that carry events
@@ -27,7 +27,7 @@
 	if e.ID == "" {
 		return true
 	}
-	key := eventKey{e.Kind, e.ID, e.Engine}
+	key := eventKey{e.Kind, e.ID, e.Engine, e.Sender}
 	if _, found := r.current[key]; found {
 		return false
 	}
@@ -41,13 +41,17 @@
 	return true
 }
 
-// applyEngineEvent records a failure or loss of an engine.
+// applyEngineEvent records what an instance says of an engine's health.
 func (s *Scheduler) applyEngineEvent(now time.Time, e *proto.PlaceEvent) {
-	switch {
-	case !s.recent.add(e):
-	case e.Kind == proto.PlaceLost:
-		s.placer.RecordLoss(now, e.Engine)
-	default:
+	if !s.recent.add(e) {
+		return
+	}
+	switch e.Kind {
+	case proto.PlaceLost:
+		s.placer.RecordLoss(now, e.Engine, e.Sender)
+	case proto.PlaceReachable:
+		s.placer.WithdrawLoss(e.Engine, e.Sender)
+	case proto.PlaceFailed:
 		s.placer.RecordAnswer(now, e.Engine, false)
 	}
 }
--- a/core/request/sched/event_test.go
+++ b/core/request/sched/event_test.go
@@ -44,3 +44,51 @@
 		}
 	}
 }
+
+// An instance that had lost its path to all engines reported them as lost: its
+// neighbours then refused what they could serve.
+func TestWithdrawnLossEndsEjection(t *testing.T) {
+	lost := func(id, sender string) *proto.PlaceEvent {
+		return &proto.PlaceEvent{Kind: proto.PlaceLost, ID: id, Engine: "d", Sender: sender}
+	}
+	withdrawn := func(id, sender string) *proto.PlaceEvent {
+		return &proto.PlaceEvent{Kind: proto.PlaceReachable, ID: id, Engine: "d", Sender: sender}
+	}
+	for _, c := range []struct {
+		name   string
+		events []*proto.PlaceEvent
+		usable bool
+	}{
+		{"loss", []*proto.PlaceEvent{lost("1", "a")}, false},
+		{"withdrawn", []*proto.PlaceEvent{lost("1", "a"), lost("2", "a"), withdrawn("w1", "a")}, true},
+		{"withdrawn by the broker itself", []*proto.PlaceEvent{lost("1", ""), withdrawn("w1", "")}, true},
+		{"withdrawn by another", []*proto.PlaceEvent{lost("1", "a"), withdrawn("w1", "b")}, false},
+		{"others reported it too", []*proto.PlaceEvent{lost("1", "a"), lost("2", "b"), withdrawn("w1", "a")}, false},
+		{"withdrawn by all", []*proto.PlaceEvent{lost("1", "a"), lost("2", "b"), withdrawn("w1", "a"), withdrawn("w2", "b")}, true},
+		{"lost again after that", []*proto.PlaceEvent{lost("1", "a"), withdrawn("w1", "a"), lost("2", "a"), withdrawn("w1", "a")}, false},
+		{"nothing to withdraw", []*proto.PlaceEvent{withdrawn("w1", "a")}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestScheduler()
+			for _, e := range c.events {
+				s.Apply(start, e)
+			}
+			if got := usable(t, s, start); got != c.usable {
+				t.Fatalf("usable %v, want %v", got, c.usable)
+			}
+		})
+	}
+}
+
+// Only the ejection for a lost connection is withdrawn.
+func TestWithdrawnLossKeepsErrorEjection(t *testing.T) {
+	s := newTestScheduler()
+	for i := range 10 {
+		s.Apply(start, &proto.PlaceEvent{Kind: proto.PlaceFailed, ID: fmt.Sprint(i), Engine: "d", Sender: "a"})
+	}
+	s.Apply(start, &proto.PlaceEvent{Kind: proto.PlaceLost, ID: "l", Engine: "d", Sender: "a"})
+	s.Apply(start, &proto.PlaceEvent{Kind: proto.PlaceReachable, ID: "w", Engine: "d", Sender: "a"})
+	if usable(t, s, start.Add(time.Second)) {
+		t.Fatal("the ejection for failed answers was withdrawn")
+	}
+}
--- a/core/request/sched/sched.go
+++ b/core/request/sched/sched.go
@@ -225,7 +225,8 @@
 
 // Apply records what happened to a request, or to an engine.
 func (s *Scheduler) Apply(now time.Time, e *proto.PlaceEvent) {
-	if e.Kind == proto.PlaceFailed || e.Kind == proto.PlaceLost {
+	switch e.Kind {
+	case proto.PlaceFailed, proto.PlaceLost, proto.PlaceReachable:
 		s.applyEngineEvent(now, e)
 		return
 	}
--- a/entryd/broker/broker.go
+++ b/entryd/broker/broker.go
@@ -180,6 +180,7 @@
 // handle serves one message.
 func (c *Conn) handle(h Handler, m *proto.PlaceMessage, from netip.AddrPort) {
 	for i := range m.Events {
+		m.Events[i].Sender = m.From
 		h.Apply(&m.Events[i])
 	}
 	if m.Reply != nil {
