relay: remember reported losses, and withdraw them when the path is cut

The engines that an instance without a path reported as lost stayed ejected for its neighbours. The fleet now remembers for some seconds which losses it reported to which broker, and withdraws those since the doubt about its own path began: at the broker, or at its own scheduler if it is the broker. What tells of the doubt is set with SetPathDoubt; there is none by default, and withdrawLosses then does nothing. Losses of before the doubt stay.

--- /dev/null
+++ b/entryd/relay/losses_test.go
@@ -0,0 +1,115 @@
+package relay
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/request/sched"
+)
+
+// toldBroker records the events that a broker is told.
+type toldBroker struct {
+	Broker
+
+	link   []string
+	events []proto.PlaceEvent
+}
+
+func (b *toldBroker) Tell(link string, e *proto.PlaceEvent) {
+	b.link = append(b.link, link)
+	b.events = append(b.events, *e)
+}
+
+// newLossyFleet returns a fleet of one prefill and one decode engine.
+func newLossyFleet(t *testing.T) (*Fleet, *toldBroker) {
+	t.Helper()
+	f := newTestCall(t, clock.System()).fleet
+	b := &toldBroker{}
+	f.broker = b
+	return f, b
+}
+
+func places(t *testing.T, f *Fleet) bool {
+	t.Helper()
+	r := &sched.Request{TimeLeft: time.Second}
+	call := newTestCall(t, clock.System())
+	r.ID, r.Pool, r.Prompt = "x", "m", call.call.Prompt
+	_, err := f.local.Decide(f.clock.Now(), r)
+	f.local.Apply(f.clock.Now(), &proto.PlaceEvent{Kind: proto.PlaceEnded, ID: "x"})
+	return err == nil
+}
+
+// A cut instance reported engines as lost that its neighbours could reach, to its
+// broker or, if it was the broker, to itself.
+func TestCutInstanceWithdrawsLosses(t *testing.T) {
+	for _, link := range []string{"10.0.0.9:1", ""} {
+		f, b := newLossyFleet(t)
+		before := &ticket{fleet: f, id: "1", broker: link}
+		before.engineFailed("p", true)
+		since := f.clock.Now()
+		time.Sleep(time.Millisecond)
+		(&ticket{fleet: f, id: "2", broker: link}).engineFailed("d", true)
+		(&ticket{fleet: f, id: "3", broker: link}).engineFailed("d", false)
+		b.events, b.link = nil, nil
+		if f.withdrawLosses(); len(b.events) > 0 || places(t, f) {
+			t.Fatal("withdrawn without a doubt about the path")
+		}
+		f.SetPathDoubt(func() (time.Time, bool) { return since, true })
+		for range 2 { // the second call has nothing to withdraw
+			f.withdrawLosses()
+		}
+		if !places(t, f) {
+			t.Fatal("the decode engine is still ejected here")
+		}
+		if link == "" {
+			if len(b.events) > 0 {
+				t.Fatalf("told %+v", b.events)
+			}
+			continue
+		}
+		if len(b.events) != 1 || b.link[0] != link || b.events[0].Kind != proto.PlaceReachable || b.events[0].Engine != "d" || b.events[0].ID == "" {
+			t.Fatalf("told %v %+v", b.link, b.events)
+		}
+	}
+}
+
+// What a cut instance withdraws is placed again by its broker, but not what
+// another instance reported.
+func TestBrokerPlacesAfterWithdrawal(t *testing.T) {
+	for _, others := range []bool{false, true} {
+		cut, told := newLossyFleet(t)
+		broker, _ := newLossyFleet(t)
+		(&ticket{fleet: cut, id: "1", broker: "10.0.0.9:1"}).engineFailed("d", true)
+		cut.SetPathDoubt(func() (time.Time, bool) { return time.Time{}, true })
+		cut.withdrawLosses()
+		if others {
+			told.events = slices.Insert(told.events, 1, proto.PlaceEvent{Kind: proto.PlaceLost, ID: "2", Engine: "d", Sender: "b"})
+		}
+		for i := range told.events {
+			if told.events[i].Sender == "" {
+				told.events[i].Sender = "a"
+			}
+			broker.Apply(&told.events[i])
+		}
+		if places(t, broker) == others {
+			t.Fatalf("placed %v with a report of another instance %v", !others, others)
+		}
+	}
+}
+
+func TestLossReportsAreBounded(t *testing.T) {
+	var l lossReports
+	now := time.Unix(1000, 0)
+	for i := range 3 * maxLossReports {
+		l.add(now, lossReport{engine: time.Duration(i).String()})
+	}
+	if len(l.times) != maxLossReports {
+		t.Fatalf("%d reports", len(l.times))
+	}
+	if list := l.take(now.Add(2*lossMemory), now); len(list) != 0 || len(l.times) != 0 {
+		t.Fatalf("took %d, %d left", len(list), len(l.times))
+	}
+}
--- a/entryd/relay/ticket.go
+++ b/entryd/relay/ticket.go
@@ -169,7 +169,11 @@
 	}
 	t.fleet.mutex.Lock()
 	defer t.fleet.mutex.Unlock()
-	t.fleet.local.Apply(t.fleet.clock.Now(), &proto.PlaceEvent{Kind: kind, Engine: name})
+	now := t.fleet.clock.Now()
+	t.fleet.local.Apply(now, &proto.PlaceEvent{Kind: kind, Engine: name})
+	if lost {
+		t.fleet.losses.add(now, lossReport{engine: name, broker: t.broker})
+	}
 }
 
 // Place schedules a request of another instance. It implements
