relay: hold no failure against a server while the own path is in doubt

An instance whose connections to all engines broke at once counted a loss under each of its requests. Requests with the same parts were then held back everywhere, and the engines were ejected. While the instance's own path is in doubt, a failed exchange is only avoided by its own call: it is no loss under the request and isn't reported. The first failure comes before the doubt and still counts. Ruled out: leaving the trial of a suspected request open; its next attempt would then need no permission. TestLossOnDoubtfulPathIsNotHeldAgainstServer failed without the change.

--- a/entryd/relay/losses.go
+++ b/entryd/relay/losses.go
@@ -84,6 +84,13 @@
 	return doubt()
 }
 
+// ownPathSuspicious reports whether a failure may be due to the instance's own path
+// rather than to a server.
+func (f *Fleet) ownPathSuspicious() bool {
+	_, doubtful := f.ownPathDoubt()
+	return doubtful
+}
+
 // withdrawLosses withdraws the losses of engines that were reported since the
 // instance's own path is in doubt. It is called when the path turns out to be cut.
 func (f *Fleet) withdrawLosses() {
--- a/entryd/relay/losses_test.go
+++ b/entryd/relay/losses_test.go
@@ -1,13 +1,17 @@
 package relay
 
 import (
+	"io"
+	"log/slog"
 	"slices"
 	"testing"
 	"time"
 
+	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/request/sched"
+	"verbenahaven.example/core/request/strike"
 )
 
 // toldBroker records the events that a broker is told.
@@ -113,3 +117,29 @@
 		t.Fatalf("took %d, %d left", len(list), len(l.times))
 	}
 }
+
+// An instance whose connections to all engines broke held the losses against the
+// requests and the engines. Other requests with the same parts were then refused.
+func TestLossOnDoubtfulPathIsNotHeldAgainstServer(t *testing.T) {
+	for _, doubtful := range []bool{false, true} {
+		f := newTestCall(t, clock.System())
+		pool, cleanup := httpc.New(f.meter)
+		t.Cleanup(cleanup)
+		f.pool, f.log = pool, slog.New(slog.DiscardHandler)
+		f.pass = f.screen.Begin("1", strike.RequestCause("r"), strike.PartCauses([]string{"shared"}))
+		if doubtful {
+			f.fleet.SetPathDoubt(func() (time.Time, bool) { return f.start, true })
+		}
+		tk := &ticket{fleet: f.fleet, id: "1"}
+		f.recordEngineLoss(t.Context(), tk, "d", "10.0.0.2:1", false, io.ErrUnexpectedEOF)
+		if counted := f.meter.Value("screen.lost") > 0; counted == doubtful {
+			t.Errorf("doubtful %v: counted against the request %v", doubtful, counted)
+		}
+		if usable := places(t, f.fleet); usable != doubtful {
+			t.Errorf("doubtful %v: engine is usable %v", doubtful, usable)
+		}
+		if !slices.Contains(f.avoid, "d") {
+			t.Errorf("doubtful %v: the call may use the engine again", doubtful)
+		}
+	}
+}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -317,7 +317,8 @@
 // recordFailure records a failed exchange with a backend server, closes the
 // idle connections to it, and counts a loss against the request if any byte of
 // it may have reached the server. begun reports whether the server had begun its answer.
-// If the call itself has ended, the server isn't at fault, and it returns false.
+// If the call itself has ended, or the instance's own path to the servers is in
+// doubt, the server isn't at fault, and it returns false.
 func (f *inflightCall) recordFailure(ctx context.Context, name, address string, begun bool, err error) bool {
 	f.avoid = append(f.avoid, name)
 	sent := httpc.MaybeSent(err)
@@ -327,6 +328,11 @@
 		return false
 	}
 	f.pool.CloseIdle(address)
+	if f.fleet.ownPathSuspicious() {
+		f.meter.Count("exchange", "path_in_doubt")
+		f.pass.Spared(sent)
+		return false
+	}
 	if sent {
 		f.pass.Lost(f.startOf(name), begun)
 	} else {
