relay: take no retry budget for an attempt that reached no server

The dials of an instance without a path used up its part of the retry budget within a tenth of a second; then each call got one try, though other servers were there. The budget bounds arrivals at servers beyond the first of a call. An attempt of which no byte may have been sent is none, so the next one is free, within the limit of tries.

--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -103,6 +103,7 @@
 	start      time.Time
 	deadline   time.Time
 	tries      int      // counted against maxTries
+	arrived    bool     // a request of the latest attempt may have reached a backend server
 	mayHaveRun []string // backend servers that may have executed the call
 	avoid      []string // backend servers that failed or refused the call
 	releases   []func() // of the answers that are buffered
@@ -298,19 +299,24 @@
 }
 
 // allowRetry reports whether the call may be sent again, and takes the retry
-// from the pool's budget. A call that may have run is only sent again if it is
-// retryable and its route allows another attempt.
+// from the pool's budget. An attempt that reached no server loads none, so that it
+// may be repeated without a budget. A call that may have run is only sent again if
+// it is retryable and its route allows another attempt.
 func (f *inflightCall) allowRetry(ctx context.Context, retryable bool) bool {
 	switch {
 	case ctx.Err() != nil, f.tries >= maxTries:
 		return false
 	case len(f.mayHaveRun) > 0 && (!retryable || len(f.mayHaveRun) >= max(1, f.route.MaxAttempts)):
 		return false
+	case !f.arrived:
+		f.meter.Count("retry", "unsent")
+		return true
 	case !f.fleet.takeRetry(f.clock.Elapsed(), f.targetPool.Name):
 		f.meter.Count("retry", "refused", "budget")
 		return false
 	}
 	f.meter.Count("retry", "spent")
+	f.arrived = false
 	return true
 }
 
@@ -322,6 +328,7 @@
 func (f *inflightCall) recordFailure(ctx context.Context, name, address string, begun bool, err error) bool {
 	f.avoid = append(f.avoid, name)
 	sent := httpc.MaybeSent(err)
+	f.arrived = f.arrived || sent
 	f.log.Info("exchange failed", "request", f.call.ID, "server", name, "sent", sent, "parts", f.sharedParts(), "err", err.Error(), "ms", f.elapsedMS())
 	f.meter.Count("exchange", "failed")
 	if ctx.Err() != nil {
