reach: doubt losses since the last success, not since the first evidence

When a path is cut, streams in the middle of an answer break off first. They were heard before, so they are no evidence, and their losses came before the time since when losses are withdrawn. All losses since the last byte or connection are now in doubt, at most 2 s before the first evidence. The property tests pass.

--- a/core/request/reach/decide.go
+++ b/core/request/reach/decide.go
@@ -52,6 +52,17 @@
 	return first
 }
 
+// doubtfulSince returns the time since when losses of servers may be due to the
+// path: also those after the last success, since streams that break off come before
+// the first evidence.
+func (d *Detector) doubtfulSince(now time.Time) time.Time {
+	first := d.firstFailure(now)
+	if last := later(d.quietSince, first.Add(-window)); last.Before(first) {
+		return last
+	}
+	return first
+}
+
 // count returns the number of servers for which a condition holds.
 func (d *Detector) count(holds func(s *server) bool) int {
 	n := 0
@@ -97,7 +108,7 @@
 
 func (d *Detector) enter(now time.Time) {
 	d.cut = true
-	d.evidenceSince = d.firstFailure(now)
+	d.evidenceSince = d.doubtfulSince(now)
 	d.repeats = min(d.repeats+1, maxRepeats)
 	if d.endedAt.IsZero() || now.Sub(d.endedAt) > relapse {
 		d.repeats = 0
--- a/core/request/reach/reach.go
+++ b/core/request/reach/reach.go
@@ -226,9 +226,8 @@
 	return d.cut
 }
 
-// EvidenceSince returns the time of the first failure that is evidence against the
-// own path, and whether there is such evidence. Losses of servers that were
-// reported since then are doubtful.
+// EvidenceSince returns the time since when losses of servers may be due to the own
+// path, and whether there is evidence against it.
 func (d *Detector) EvidenceSince(now time.Time) (since time.Time, found bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -236,5 +235,5 @@
 	if d.cut {
 		return d.evidenceSince, true
 	}
-	return d.firstFailure(now), d.suspicious(now)
+	return d.doubtfulSince(now), d.suspicious(now)
 }
