reach: probe as many servers at once as the evidence lacks

With most calls at two of many servers, silence took longer than a second to become a cut: two probes at a time had to fail twice.

--- a/core/request/reach/decide.go
+++ b/core/request/reach/decide.go
@@ -22,6 +22,12 @@
 	return min(max(len(d.addresses)/share, minFailures), maxFailures)
 }
 
+// required returns the number of distinct servers that have failed when the evidence
+// is confirmed.
+func (d *Detector) required() int {
+	return min(d.threshold()+confirmations, len(d.addresses))
+}
+
 // failed reports whether a server is evidence against the path.
 func (d *Detector) failed(now time.Time, s *server) bool {
 	return d.refused(now, s) || s.broken.counts(now, d.answers) || d.silent(now, s)
@@ -97,8 +103,7 @@
 	if !d.suspicious(now) {
 		return false
 	}
-	required := min(d.threshold()+confirmations, len(d.addresses))
-	if d.failures(now) < required {
+	if d.failures(now) < d.required() {
 		return false
 	}
 	confirmed := d.count(func(s *server) bool { return s.probed.counts(now, d.reaches) })
@@ -151,7 +156,7 @@
 	switch {
 	case d.cut:
 		s = d.nextWhileCut(now, underWay)
-	case d.suspicious(now) && underWay < confirmations:
+	case d.suspicious(now) && underWay < max(confirmations, d.required()-d.failures(now)):
 		s = d.candidate(now)
 	}
 	if s == nil {
