reach, relay: broken connections are doubted only while nothing is heard

Refused dials at two engines put the whole path in doubt for up to two seconds, also when a request had crashed both and all others answered. A third crash under it was then no loss under the request, which weakens the bound on what a request may crash. DoubtsLosses counts only connections that broke, or are silent, with no byte from any server in between; the dials that follow are doubted as before. The hook takes both words of the detector (SetPathEvidence). The case of doubtful dials in TestLossOnDoubtfulPathIsNotHeldAgainstServer failed without the change; its other cases hold what the former test held.

--- a/core/request/reach/reach.go
+++ b/core/request/reach/reach.go
@@ -216,6 +216,20 @@
 	return d.cut || d.suspicious(now)
 }
 
+// DoubtsLosses reports whether the own path may have broken connections that were in
+// use. Failed connection attempts alone don't say so: while bytes arrive in between,
+// a server broke its connection itself.
+func (d *Detector) DoubtsLosses(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.decide(now)
+	if d.cut {
+		return true
+	}
+	n := d.count(func(s *server) bool { return s.broken.counts(now, d.answers) || s.waiting.silent(now, d.quietSince) })
+	return d.suspicious(now) && n >= minFailures
+}
+
 // Cut reports whether the own path is lost, so that calls should be served by a
 // peer.
 func (d *Detector) Cut(now time.Time) bool {
--- a/core/request/reach/reach_test.go
+++ b/core/request/reach/reach_test.go
@@ -47,8 +47,11 @@
 		since, _ := d.EvidenceSince(now)
 		fmt.Fprintf(out, " suspicious since %s", since.Sub(start))
 	}
-	if d.Cut(now) {
+	switch {
+	case d.Cut(now) && d.DoubtsLosses(now):
 		out.WriteString(" cut")
+	case d.DoubtsLosses(now):
+		out.WriteString(" doubts losses")
 	}
 	for a, due := d.NextProbe(now); due; a, due = d.NextProbe(now) {
 		fmt.Fprintf(out, " probe:%s", a)
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -52,7 +52,7 @@
 	requestsByVersion map[uint64]int // running requests by the version they began under
 	inFlight          map[string]int // generations by engine
 	losses            lossReports
-	doubt             pathDoubt          // nil for none
+	evidence          pathEvidence       // nil for none
 	secondsPerToken   map[string]float64 // by pool: decode time of an output token
 	pickCount         uint64             // picks of plain servers, for round robin
 	lastReply         time.Time          // last heartbeat reply of the leader
--- a/entryd/relay/losses.go
+++ b/entryd/relay/losses.go
@@ -15,9 +15,15 @@
 	maxLossReports = 1024
 )
 
-// pathDoubt returns since when failures may be due to the instance's own path to
-// the backend servers, and false if nothing speaks against the path.
-type pathDoubt func() (since time.Time, doubtful bool)
+// pathEvidence is the evidence against the instance's own path to the backend
+// servers. See reach.Detector.
+type pathEvidence interface {
+	// EvidenceSince returns since when failures may be due to the path, and
+	// whether there is evidence against it.
+	EvidenceSince(now time.Time) (since time.Time, found bool)
+	// DoubtsLosses reports whether the path may have broken connections in use.
+	DoubtsLosses(now time.Time) bool
+}
 
 // lossReport is an engine that this instance reported as lost to a broker, given by
 // its link address, empty if the report was for this instance only.
@@ -65,37 +71,43 @@
 	return list
 }
 
-// SetPathDoubt sets what tells of doubts about the instance's own path to the
-// backend servers. Without it there are none.
-func (f *Fleet) SetPathDoubt(d pathDoubt) {
+// SetPathEvidence sets the evidence against the instance's own path to the backend
+// servers. Without it there is none.
+func (f *Fleet) SetPathEvidence(p pathEvidence) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.doubt = d
+	f.evidence = p
 }
 
-// ownPathDoubt returns since when the instance's own path is in doubt.
-func (f *Fleet) ownPathDoubt() (since time.Time, doubtful bool) {
+func (f *Fleet) pathEvidence() pathEvidence {
 	f.mutex.Lock()
-	doubt := f.doubt
-	f.mutex.Unlock()
-	if doubt == nil {
-		return time.Time{}, false
-	}
-	return doubt()
+	defer f.mutex.Unlock()
+	return f.evidence
 }
 
-// ownPathSuspicious reports whether a failure may be due to the instance's own path
-// rather than to a server.
-func (f *Fleet) ownPathSuspicious() bool {
-	_, doubtful := f.ownPathDoubt()
-	return doubtful
+// ownPathSuspicious reports whether a failed exchange may be due to the instance's own
+// path rather than to a server. sent reports whether the server may have got any of it.
+func (f *Fleet) ownPathSuspicious(sent bool) bool {
+	p, now := f.pathEvidence(), f.clock.Now()
+	if p == nil {
+		return false
+	}
+	if sent {
+		return p.DoubtsLosses(now)
+	}
+	_, found := p.EvidenceSince(now)
+	return found
 }
 
 // withdrawLosses withdraws the losses of engines that were reported since the
-// instance's own path is in doubt. It is called when the path turns out to be cut.
+// evidence against its own path began. It is called when the path turns out to be cut.
 func (f *Fleet) withdrawLosses() {
-	since, doubtful := f.ownPathDoubt()
-	if !doubtful {
+	p, now := f.pathEvidence(), f.clock.Now()
+	if p == nil {
+		return
+	}
+	since, found := p.EvidenceSince(now)
+	if !found {
 		return
 	}
 	type message struct {
@@ -104,7 +116,6 @@
 	}
 	var messages []message
 	f.mutex.Lock()
-	now := f.clock.Now()
 	for _, r := range f.losses.take(now, since) {
 		f.losses.withdrawn++
 		e := proto.PlaceEvent{
--- a/entryd/relay/losses_test.go
+++ b/entryd/relay/losses_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -61,7 +62,7 @@
 		if f.withdrawLosses(); len(b.events) > 0 || places(t, f) {
 			t.Fatal("withdrawn without a doubt about the path")
 		}
-		f.SetPathDoubt(func() (time.Time, bool) { return since, true })
+		f.SetPathEvidence(doubts{since: since, losses: true})
 		for range 2 { // the second call has nothing to withdraw
 			f.withdrawLosses()
 		}
@@ -87,7 +88,7 @@
 		cut, told := newLossyFleet(t)
 		broker, _ := newLossyFleet(t)
 		(&ticket{fleet: cut, id: "1", broker: "10.0.0.9:1"}).engineFailed("d", true)
-		cut.SetPathDoubt(func() (time.Time, bool) { return time.Time{}, true })
+		cut.SetPathEvidence(doubts{losses: true})
 		cut.withdrawLosses()
 		if others {
 			told.events = slices.Insert(told.events, 1, proto.PlaceEvent{Kind: proto.PlaceLost, ID: "2", Engine: "d", Sender: "b"})
@@ -118,28 +119,53 @@
 	}
 }
 
+// doubts is evidence against the path since a time.
+type doubts struct {
+	since  time.Time
+	losses bool // may be due to the path too
+}
+
+func (d doubts) EvidenceSince(time.Time) (time.Time, bool) { return d.since, true }
+func (d doubts) DoubtsLosses(time.Time) bool               { return d.losses }
+
 // An instance whose connections to all engines broke held the losses against the
 // requests and the engines. Other requests with the same parts were then refused.
 func TestLossOnDoubtfulPathIsNotHeldAgainstServer(t *testing.T) {
-	for _, doubtful := range []bool{false, true} {
-		f := newTestCall(t, clock.System())
-		pool, cleanup := httpc.New(f.meter)
-		t.Cleanup(cleanup)
-		f.pool, f.log = pool, slog.New(slog.DiscardHandler)
-		f.pass = f.screen.Begin("1", strike.RequestCause("r"), strike.PartCauses([]string{"shared"}))
-		if doubtful {
-			f.fleet.SetPathDoubt(func() (time.Time, bool) { return f.start, true })
-		}
-		tk := &ticket{fleet: f.fleet, id: "1"}
-		f.recordEngineLoss(t.Context(), tk, "d", "10.0.0.2:1", false, io.ErrUnexpectedEOF)
-		if counted := f.meter.Value("screen.lost") > 0; counted == doubtful {
-			t.Errorf("doubtful %v: counted against the request %v", doubtful, counted)
-		}
-		if usable := places(t, f.fleet); usable != doubtful {
-			t.Errorf("doubtful %v: engine is usable %v", doubtful, usable)
-		}
-		if !slices.Contains(f.avoid, "d") {
-			t.Errorf("doubtful %v: the call may use the engine again", doubtful)
-		}
+	unsent := func(f *inflightCall) error {
+		_, err := f.pool.Do(t.Context(), refusingAddress(t), &httpc.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		return err
+	}
+	broken := func(*inflightCall) error { return io.ErrUnexpectedEOF }
+	for _, c := range []struct {
+		name     string
+		evidence pathEvidence
+		failure  func(*inflightCall) error
+		counted  bool // as a loss under the request
+		ejected  bool
+	}{
+		{"sound path", nil, broken, true, true},
+		{"sound path, dial refused", nil, unsent, false, true},
+		{"doubtful path", doubts{losses: true}, broken, false, false},
+		{"doubtful path, dial refused", doubts{}, unsent, false, false},
+		{"only dials doubtful", doubts{}, broken, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newTestCall(t, clock.System())
+			pool, cleanup := httpc.New(f.meter)
+			t.Cleanup(cleanup)
+			f.pool, f.log = pool, slog.New(slog.DiscardHandler)
+			f.pass = f.screen.Begin("1", strike.RequestCause("r"), strike.PartCauses([]string{"shared"}))
+			f.fleet.SetPathEvidence(c.evidence)
+			f.recordEngineLoss(t.Context(), &ticket{fleet: f.fleet, id: "1"}, "d", "10.0.0.2:1", false, c.failure(f))
+			if counted := f.meter.Value("screen.lost") > 0; counted != c.counted {
+				t.Errorf("counted against the request: %v", counted)
+			}
+			if ejected := !places(t, f.fleet); ejected != c.ejected {
+				t.Errorf("engine ejected: %v", ejected)
+			}
+			if !slices.Contains(f.avoid, "d") {
+				t.Error("the call may use the engine again")
+			}
+		})
 	}
 }
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -335,7 +335,7 @@
 		return false
 	}
 	f.pool.CloseIdle(address)
-	if f.fleet.ownPathSuspicious() {
+	if f.fleet.ownPathSuspicious(sent) {
 		f.meter.Count("exchange", "path_in_doubt")
 		f.pass.Spared(sent)
 		return false
