httpc: tell an observer of dials, sends and lost connections

An instance that lost its path to all backend servers can only tell so from its own connections; a pool kept that to itself. It now tells an observer of each dial, request, answer byte and end, where a caller that left or a deadline isn't a loss. A probe checks that a connection holds and keeps it for the next exchange. Tests: core/conn/httpc TestObserver, TestProbeKeepsConnThatHolds.

--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -78,8 +78,10 @@
 	}
 	e := &exchange{conn: c, written: make(chan struct{}), contextCause: func() error { return context.Cause(ctx) }}
 	e.stopWatching = context.AfterFunc(ctx, c.close)
+	p.observer.Sent(address)
 	resp, err := e.roundTrip(r)
 	if err != nil {
+		e.lost = !e.heard && e.connFailed()
 		e.discard()
 		return nil, &ExchangeError{err: fmt.Errorf("ask %s: %w", address, err), sent: e.sent.Load()}
 	}
@@ -94,6 +96,8 @@
 	written      chan struct{} // closed when writeRequest has returned
 	writeErr     error         // error of writeRequest
 	contextCause func() error  // why the request's context ended, or nil
+	heard        bool          // any byte of a response arrived
+	lost         bool          // the connection failed before that
 	once         sync.Once
 }
 
@@ -152,10 +156,25 @@
 	return err
 }
 
+// connFailed reports whether an exchange failed because of its connection, or was
+// given up since that was silent: not because the caller left or ran out of time.
+func (e *exchange) connFailed() bool {
+	cause := e.contextCause()
+	return !errors.Is(cause, context.Canceled) && !errors.Is(cause, context.DeadlineExceeded)
+}
+
+func (e *exchange) observeBytes() {
+	e.heard = true
+	e.conn.pool.observer.Heard(e.conn.address)
+}
+
 func (e *exchange) readResponse(method string) (*http.Response, error) {
 	e.conn.limited.N = maxHeadBytes
 	defer func() { e.conn.limited.N = math.MaxInt64 }()
 	for {
+		if _, err := e.conn.reader.Peek(1); err == nil {
+			e.observeBytes()
+		}
 		resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: method})
 		if err != nil && e.conn.limited.N <= 0 {
 			err = ErrHeadTooLarge
@@ -200,6 +219,7 @@
 	e.once.Do(func() {
 		e.stopWatching()
 		e.conn.close()
+		e.conn.pool.observer.Ended(e.conn.address, e.lost)
 	})
 }
 
@@ -213,6 +233,7 @@
 		return
 	}
 	e.once.Do(func() {
+		e.conn.pool.observer.Ended(e.conn.address, false)
 		if !e.stopWatching() || e.writeErr != nil || e.conn.reader.Buffered() > 0 {
 			e.conn.close()
 			return
@@ -237,6 +258,9 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.exchange.observeBytes()
+	}
 	if errors.Is(err, io.EOF) {
 		b.reachedEOF = true
 		return n, io.EOF
--- /dev/null
+++ b/core/conn/httpc/observer_test.go
@@ -0,0 +1,141 @@
+package httpc_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/conn/httpc"
+)
+
+// observed keeps what a pool tells of its connections, without repetitions.
+type observed struct {
+	mutex sync.Mutex
+	list  []string
+}
+
+func (o *observed) add(text string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if n := len(o.list); n == 0 || o.list[n-1] != text {
+		o.list = append(o.list, text)
+	}
+}
+
+func (o *observed) Dialled(_ string, ok bool) { o.add(fmt.Sprint("dialled ", ok)) }
+func (o *observed) Sent(string)               { o.add("sent") }
+func (o *observed) Heard(string)              { o.add("heard") }
+func (o *observed) Ended(_ string, lost bool) { o.add(fmt.Sprint("ended ", lost)) }
+
+func (o *observed) seen() []string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return slices.Clone(o.list)
+}
+
+func TestObserver(t *testing.T) {
+	errStalled := errors.New("stalled")
+	answer := func(c net.Conn, r *bufio.Reader) bool {
+		q, ok := readRequest(r)
+		if ok {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", q.Header.Get("Id"))
+		}
+		return ok
+	}
+	cut := func(c net.Conn, r *bufio.Reader) bool {
+		_, _ = readRequest(r)
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+		return false
+	}
+	silent := func(_ net.Conn, r *bufio.Reader) bool {
+		_, ok := readRequest(r)
+		return ok
+	}
+	for _, c := range []struct {
+		name   string
+		handle func(net.Conn, *bufio.Reader) bool
+		cause  error // why the exchange is given up, if it is
+		want   []string
+	}{
+		{"answered", answer, nil, []string{"dialled true", "sent", "heard", "ended false"}},
+		{"broken before the answer", func(_ net.Conn, r *bufio.Reader) bool { _, _ = readRequest(r); return false }, nil, []string{"dialled true", "sent", "ended true"}},
+		{"broken inside the answer", cut, nil, []string{"dialled true", "sent", "heard", "ended false"}},
+		{"caller left", silent, context.Canceled, []string{"dialled true", "sent", "ended false"}},
+		{"deadline passed", silent, context.DeadlineExceeded, []string{"dialled true", "sent", "ended false"}},
+		{"given up as silent", silent, errStalled, []string{"dialled true", "sent", "ended true"}},
+		{"not reached", nil, nil, []string{"dialled false"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o := &observed{}
+			p := newPool(t)
+			p.SetObserver(o)
+			address := closedPort(t)
+			if c.handle != nil {
+				address, _ = startServer(t, c.handle)
+			}
+			ctx, cancel := context.WithCancelCause(t.Context())
+			defer cancel(nil)
+			if c.cause != nil {
+				time.AfterFunc(20*time.Millisecond, func() { cancel(c.cause) })
+			}
+			a, err := p.Do(ctx, address, &httpc.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			if err == nil {
+				_, _ = io.Copy(io.Discard, a.Body)
+				_ = a.Body.Close()
+			}
+			if list := o.seen(); !slices.Equal(list, c.want) {
+				t.Errorf("told %q, want %q", list, c.want)
+			}
+		})
+	}
+}
+
+// closedPort returns an address at which nothing listens.
+func closedPort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	return l.Addr().String()
+}
+
+func TestProbeKeepsConnThatHolds(t *testing.T) {
+	p := newPool(t)
+	if p.Probe(t.Context(), closedPort(t)) {
+		t.Error("a port at which nothing listens passed")
+	}
+	reset, _ := startServer(t, func(c net.Conn, _ *bufio.Reader) bool {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	if p.Probe(t.Context(), reset) {
+		t.Error("a connection that was reset passed")
+	}
+	address, conns := startServer(t, func(c net.Conn, r *bufio.Reader) bool {
+		q, ok := readRequest(r)
+		if ok {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", q.Header.Get("Id"))
+		}
+		return ok
+	})
+	if !p.Probe(t.Context(), address) {
+		t.Fatal("a connection that holds failed")
+	}
+	if text, err := do(t, p, address, "1", nil); text != "ok" || err != nil || conns.Load() != 1 {
+		t.Errorf("%q, %v over %d connections; want the probed one used", text, err, conns.Load())
+	}
+	p.CloseAllIdle()
+	if _, err := do(t, p, address, "2", nil); err != nil || conns.Load() != 2 {
+		t.Errorf("%v over %d connections; want a new one", err, conns.Load())
+	}
+}
--- a/core/conn/httpc/pool.go
+++ b/core/conn/httpc/pool.go
@@ -65,7 +65,8 @@
 
 // Pool holds idle connections by server address.
 type Pool struct {
-	counter Counter
+	counter  Counter
+	observer Observer
 
 	mutex  sync.Mutex
 	idle   map[string][]*conn // newest last
@@ -74,20 +75,19 @@
 
 // New returns an empty pool and a function that closes it.
 func New(c Counter) (*Pool, func()) {
-	p := &Pool{counter: c, idle: make(map[string][]*conn)}
+	p := &Pool{counter: c, observer: noObserver{}, idle: make(map[string][]*conn)}
 	return p, p.close
 }
 
+// SetObserver sets who is told of connections. It must be called before the pool is
+// used.
+func (p *Pool) SetObserver(o Observer) { p.observer = o }
+
 func (p *Pool) close() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.closed = true
-	for address, list := range p.idle {
-		for _, c := range list {
-			c.close()
-		}
-		delete(p.idle, address)
-	}
+	p.closeAllIdle()
 }
 
 // CloseIdle closes the idle connections to an address, for example after another
@@ -154,7 +154,16 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// dial connects for an exchange. A dial that is given up says nothing of the server.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	c, err := p.connect(ctx, address)
+	if err == nil || ctx.Err() == nil {
+		p.observer.Dialled(address, err == nil)
+	}
+	return c, err
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
 	d := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
