server, platform: encode a call for another entry instance

A cut instance passes a call on as its caller sent it: all end-to-end fields stay, and the deadline becomes what is left. The refusal of an instance that can't run calls is marked, so that a third one may be asked; CopyHeader keeps the mark from callers, and a backend server can't set it for them.

--- a/core/conn/server/server.go
+++ b/core/conn/server/server.go
@@ -62,6 +62,7 @@
 	Signed      bool    // the server itself produced the response
 	Limited     bool    // the server names the requests that it takes
 	Limit       float64 // requests a second from all instances together, if Limited
+	Unable      bool    // the answer is an entry instance's refusal that is Unable
 }
 
 // PrefillResult is the result of a prefill.
@@ -77,13 +78,17 @@
 	DecodeCall(r *http.Request) (*Call, error)
 	// EncodeRequest returns the request to a backend server.
 	EncodeRequest(s *Request) *httpc.Request
+	// EncodeCall returns the call as its caller sent it, to another entry instance,
+	// with the time that is left for it.
+	EncodeCall(c *Call, timeLeft time.Duration) *httpc.Request
 	// ParseHead interprets the status and header of a response.
 	ParseHead(a *http.Response) ResponseHead
 	// DecodePrefill decodes the response to a prefill.
 	DecodePrefill(body []byte) (PrefillResult, error)
 	// EncodeRelease returns the request that frees the KV cache of a handle.
 	EncodeRelease(address, handle string) *httpc.Request
-	// CopyHeader copies the header of a server's response to the caller's response.
+	// CopyHeader copies the header of a server's response to the caller's response,
+	// without what only entry instances tell each other.
 	CopyHeader(to http.Header, a *http.Response)
 	// WriteRefusal writes the response to a call that the system itself ends.
 	WriteRefusal(w http.ResponseWriter, r Refusal)
@@ -94,6 +99,7 @@
 	Kind       RefusalKind
 	RetryAfter time.Duration // when the caller should retry, 0 for unspecified
 	Message    string
+	Unable     bool // to another instance: this one can't run any call now, a third may
 }
 
 // RefusalKind says why a call is refused and whether it may have run.
