httpc, reach: tell of dials that begin and of those given up

Silent dials are evidence of a cut path before they time out, so their begin is told too. One that its caller abandons must end as well, without counting as a refusal: the detector gets Abandoned for it.

--- a/core/conn/httpc/observer.go
+++ b/core/conn/httpc/observer.go
@@ -12,8 +12,11 @@
 // Observer is told what happens to the connections of a pool, by server address.
 // It must be safe for concurrent use.
 type Observer interface {
-	// Dialled tells that an attempt to connect for an exchange ended.
+	// Dialling tells that an attempt to connect for an exchange begins, and one of
+	// the next two that it ended: Abandoned if the exchange ended before it did.
+	Dialling(address string)
 	Dialled(address string, ok bool)
+	Abandoned(address string)
 	// Sent tells that a request is written and waits for its response.
 	Sent(address string)
 	// Heard tells that bytes of a response arrived.
@@ -25,13 +28,15 @@
 
 type noObserver struct{}
 
+func (noObserver) Dialling(string)      {}
 func (noObserver) Dialled(string, bool) {}
+func (noObserver) Abandoned(string)     {}
 func (noObserver) Sent(string)          {}
 func (noObserver) Heard(string)         {}
 func (noObserver) Ended(string, bool)   {}
 
-// Probe connects to an address, reports whether the connection holds, and then keeps
-// it for the next exchange. It isn't observed.
+// Probe connects to an address, reports whether the connection holds until probeWait
+// has passed or ctx ends, and then keeps it for the next exchange. It isn't observed.
 func (p *Pool) Probe(ctx context.Context, address string) bool {
 	c, err := p.connect(ctx, address)
 	if err != nil {
--- a/core/conn/httpc/observer_test.go
+++ b/core/conn/httpc/observer_test.go
@@ -30,6 +30,8 @@
 	}
 }
 
+func (o *observed) Dialling(string)           { o.add("dialling") }
+func (o *observed) Abandoned(string)          { o.add("abandoned") }
 func (o *observed) Dialled(_ string, ok bool) { o.add(fmt.Sprint("dialled ", ok)) }
 func (o *observed) Sent(string)               { o.add("sent") }
 func (o *observed) Heard(string)              { o.add("heard") }
@@ -65,13 +67,13 @@
 		cause  error // why the exchange is given up, if it is
 		want   []string
 	}{
-		{"answered", answer, nil, []string{"dialled true", "sent", "heard", "ended false"}},
-		{"broken before the answer", func(_ net.Conn, r *bufio.Reader) bool { _, _ = readRequest(r); return false }, nil, []string{"dialled true", "sent", "ended true"}},
-		{"broken inside the answer", cut, nil, []string{"dialled true", "sent", "heard", "ended false"}},
-		{"caller left", silent, context.Canceled, []string{"dialled true", "sent", "ended false"}},
-		{"deadline passed", silent, context.DeadlineExceeded, []string{"dialled true", "sent", "ended false"}},
-		{"given up as silent", silent, errStalled, []string{"dialled true", "sent", "ended true"}},
-		{"not reached", nil, nil, []string{"dialled false"}},
+		{"answered", answer, nil, []string{"dialling", "dialled true", "sent", "heard", "ended false"}},
+		{"broken before the answer", func(_ net.Conn, r *bufio.Reader) bool { _, _ = readRequest(r); return false }, nil, []string{"dialling", "dialled true", "sent", "ended true"}},
+		{"broken inside the answer", cut, nil, []string{"dialling", "dialled true", "sent", "heard", "ended false"}},
+		{"caller left", silent, context.Canceled, []string{"dialling", "dialled true", "sent", "ended false"}},
+		{"deadline passed", silent, context.DeadlineExceeded, []string{"dialling", "dialled true", "sent", "ended false"}},
+		{"given up as silent", silent, errStalled, []string{"dialling", "dialled true", "sent", "ended true"}},
+		{"not reached", nil, nil, []string{"dialling", "dialled false"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			o := &observed{}
@@ -98,6 +100,20 @@
 	}
 }
 
+func TestObserverOfAbandonedDial(t *testing.T) {
+	o := &observed{}
+	p := newPool(t)
+	p.SetObserver(o)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := p.Do(ctx, closedPort(t), &httpc.Request{Method: http.MethodGet, Target: "/", Host: "h"}); err == nil {
+		t.Error("no error")
+	}
+	if list := o.seen(); !slices.Equal(list, []string{"dialling", "abandoned"}) {
+		t.Errorf("told %q", list)
+	}
+}
+
 // closedPort returns an address at which nothing listens.
 func closedPort(t *testing.T) string {
 	t.Helper()
--- a/core/conn/httpc/pool.go
+++ b/core/conn/httpc/pool.go
@@ -154,10 +154,13 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// dial connects for an exchange. A dial that is given up says nothing of the server.
+// dial connects for an exchange.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	p.observer.Dialling(address)
 	c, err := p.connect(ctx, address)
-	if err == nil || ctx.Err() == nil {
+	if err != nil && ctx.Err() != nil {
+		p.observer.Abandoned(address)
+	} else {
 		p.observer.Dialled(address, err == nil)
 	}
 	return c, err
