relay: calls of a cut instance are served by another one

It now passes the call on over TCP at the link address of another instance, at once while its path is cut, and in place of a refusal as not run while the path is in doubt and nothing was sent. The other one serves it as a caller's own, but doesn't forward it again nor count it in the retry budget. The answer is passed on as it arrives, and a break-off breaks off the caller's.

At most once: only a call that the other instance didn't get, or refused since it can't run any, goes to a third. After a send without an answer the outcome is unknown, for repeatable calls too: how many servers were tried there isn't known, and the route's max_attempts bounds them. Limits of headers are checked once, by the instance that the caller chose, since the deadline may add a field.

--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -150,8 +151,18 @@
 
 func siteRelay(
 	p *httpc.Pool, f *relay.Fleet, k *screen.Screen, m *meter.Registry, l *slog.Logger, c clock.Clock, v *leaving,
-) *relay.Proxy {
-	return relay.New(server.Codec(platform.Codec{}), p, f, k, m, l, c, v.untilCut)
+) (*relay.Proxy, func()) {
+	peers, cleanup := httpc.New(peerCounter{m})
+	return relay.New(server.Codec(platform.Codec{}), p, peers, f, k, m, l, c, v.untilCut), cleanup
+}
+
+// peerCounter counts the connections to other instances apart from those to backend
+// servers.
+type peerCounter struct{ *meter.Registry }
+
+// Count implements httpc.Counter.
+func (c peerCounter) Count(parts ...string) {
+	c.Registry.Count(append([]string{"peer"}, parts...)...)
 }
 
 func siteWatch(s *platform.Settings) watch.Settings {
@@ -186,12 +197,10 @@
 	for _, f := range []func(context.Context){s.watch.Run, s.watch.RunPeers, s.beat.Run, s.relay.Run, s.screen.Run, s.reload} {
 		group.Go(func() { f(background) })
 	}
-	callers := &http.Server{
-		Handler: s.countCalls(s.relay), ReadHeaderTimeout: siteHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: siteMaxHeaderBytes,
-	}
-	abort.Install(callers)
+	callers, peers := s.callServer(s.relay), s.callServer(s.relay.PeerHandler())
 	servers := map[string]*http.Server{
 		s.settings.Listen.Callers: callers,
+		s.settings.EntryLink():    peers, // the links themselves use UDP
 		s.settings.Listen.Ready:   {Handler: platform.ReadyHandler(s.ready), ReadHeaderTimeout: siteHeaderTimeout},
 	}
 	if s.settings.Listen.Addresses != "" {
@@ -222,13 +231,22 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	s.stop(context.WithoutCancel(ctx), callers)
+	s.stop(context.WithoutCancel(ctx), callers, peers)
 	return nil
 }
 
+// callServer returns a server for the calls of callers, or of other instances.
+func (s *site) callServer(h http.Handler) *http.Server {
+	server := &http.Server{
+		Handler: s.countCalls(h), ReadHeaderTimeout: siteHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: siteMaxHeaderBytes,
+	}
+	abort.Install(server)
+	return server
+}
+
 // stop withdraws this instance from the address answers at once, keeps serving
 // callers that cached an older answer, and returns within the grace period.
-func (s *site) stop(ctx context.Context, callers *http.Server) {
+func (s *site) stop(ctx context.Context, callers, peers *http.Server) {
 	began := time.Now()
 	grace := s.settings.Bounds.Grace
 	s.leaving.cutAt.Store(began.Add(time.Duration(cutShare * float64(grace))).UnixNano())
@@ -243,8 +261,12 @@
 	clock.Sleep(ctx, time.Duration(shutdownShare*float64(grace)))
 	ctx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(cutShare*float64(grace))))
 	defer cancel()
+	var peerErr error
+	var group sync.WaitGroup
+	group.Go(func() { peerErr = peers.Shutdown(ctx) })
 	err := callers.Shutdown(ctx)
-	s.log.Info("stopped", "name", s.settings.Name, "calls", s.leaving.calls.Load(), "ms", time.Since(began).Milliseconds(), "err", err)
+	group.Wait()
+	s.log.Info("stopped", "name", s.settings.Name, "calls", s.leaving.calls.Load(), "ms", time.Since(began).Milliseconds(), "err", errors.Join(err, peerErr))
 }
 
 // countCalls counts the calls in progress.
--- a/entryd/relay/admit.go
+++ b/entryd/relay/admit.go
@@ -1,6 +1,10 @@
 package relay
 
-import "verbenahaven.example/core/request/sched"
+import (
+	"context"
+
+	"verbenahaven.example/core/request/sched"
+)
 
 // deferredPriority is the engine priority of deferred calls.
 const deferredPriority = 9
@@ -13,3 +17,10 @@
 	}
 	return -1
 }
+
+// permit returns nil if the next attempt of the call may be sent.
+func (f *inflightCall) permit(ctx context.Context) error {
+	err := f.pass.Permit(ctx)
+	f.declined = f.declined || err != nil
+	return err //nolint:wrapcheck // the error says why the call is held back
+}
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -10,7 +10,9 @@
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/request/origin"
 	"verbenahaven.example/core/request/pace"
+	"verbenahaven.example/core/request/peers"
 	"verbenahaven.example/core/request/place"
+	"verbenahaven.example/core/request/reach"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/request/sched"
 	"verbenahaven.example/core/version/state"
@@ -36,6 +38,7 @@
 	meter      *meter.Registry
 	clock      clock.Clock
 	setKeepers func(keepers []string) // see NewFleet
+	path       *path
 
 	mutex             sync.Mutex
 	snapshot          *view.Snapshot
@@ -49,8 +52,9 @@
 	origins           *origin.Table
 	builds            *origin.Builds
 	budget            *retry.SharedBudget
-	requestsByVersion map[uint64]int     // running requests by the version they began under
-	inFlight          map[string]int     // generations by engine
+	requestsByVersion map[uint64]int // running requests by the version they began under
+	inFlight          map[string]int // generations by engine
+	peers             *peers.Chooser
 	secondsPerToken   map[string]float64 // by pool: decode time of an output token
 	pickCount         uint64             // picks of plain servers, for round robin
 	lastReply         time.Time          // last heartbeat reply of the leader
@@ -72,6 +76,8 @@
 		meter:             m,
 		clock:             c,
 		setKeepers:        setKeepers,
+		path:              newPath(reach.New(), c),
+		peers:             peers.New(name, centre),
 		snapshot:          view.New().Current(),
 		local:             sched.New(centre),
 		servers:           place.NewServers(centre),
@@ -101,6 +107,7 @@
 	f.refetchReports = true
 	f.local.Update(snapshot.Engines(), snapshot.Routing())
 	f.servers.Update(snapshot.AllServers())
+	f.path.setServers(snapshot)
 	broker, found := sched.Broker(snapshot.LiveEntries(), f.centre)
 	f.updateSenders(found && broker.Name == f.name)
 	f.local.SetBroker(f.isBroker)
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -65,7 +65,7 @@
 		return
 	}
 	for {
-		if err := f.pass.Permit(ctx); err != nil {
+		if err := f.permit(ctx); err != nil {
 			reason, retryAfter = err.Error(), retryAfterOf(err)
 			break
 		}
@@ -85,6 +85,7 @@
 		}
 		if t.Refused {
 			f.pass.Spared(false)
+			f.declined = true
 			reason, retryAfter = errBusy.Error(), t.RetryAfter
 			break
 		}
@@ -219,8 +220,8 @@
 // recheck decides again whether a call is sent to its decode engine: a prefill may
 // have taken seconds.
 func (f *inflightCall) recheck(ctx context.Context, plan *place.Plan) error {
-	if err := f.pass.Permit(ctx); err != nil {
-		return err //nolint:wrapcheck // the error says why the call is held back
+	if err := f.permit(ctx); err != nil {
+		return err
 	}
 	if plan.Split() && !f.fleet.isServing(plan.Decode.Name) {
 		f.avoid = append(f.avoid, plan.Decode.Name)
--- /dev/null
+++ b/entryd/relay/peer.go
@@ -0,0 +1,160 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"verbenahaven.example/core/conn/httpc"
+	"verbenahaven.example/core/version/state"
+)
+
+// maxPeers bounds the instances that one call is offered to.
+const maxPeers = 3
+
+// errUnframed means that the end of an answer can't be told from a loss of its
+// connection.
+var errUnframed = errors.New("the answer has no framing")
+
+// PeerHandler returns the handler for calls that other instances forward because
+// they have no path to the backend servers. It serves them as ServeHTTP does, but
+// forwards none again. What it serves is for instances only.
+func (s *Proxy) PeerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.meter.Count("peer", "taken")
+		s.serve(w, r, true)
+	})
+}
+
+// nextPeer returns the instance that gets a call next.
+func (f *Fleet) nextPeer(now time.Time, id string) (state.Member, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.peers.Next(now, f.snapshot.LiveEntries(), id)
+}
+
+// peerFailed records that an instance can't take calls.
+func (f *Fleet) peerFailed(now time.Time, name string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.peers.Failed(now, name)
+}
+
+// forwardToPeer lets another instance serve a call of which nothing was sent, and
+// reports whether one took it. A call is offered once.
+func (f *inflightCall) forwardToPeer(ctx context.Context, reason string) bool {
+	if f.ofPeer || f.offered {
+		return false
+	}
+	f.offered = true
+	for range maxPeers {
+		if ctx.Err() != nil {
+			return false
+		}
+		peer, found := f.fleet.nextPeer(f.clock.Now(), f.call.ID)
+		if !found {
+			f.meter.Count("peer", reason, "none")
+			return false
+		}
+		if f.askPeer(ctx, &peer, reason) {
+			return true
+		}
+	}
+	return false
+}
+
+// askPeer sends the call to another instance and passes its answer on. It returns
+// false if the call didn't run and a third instance may run it. After a send without
+// an answer none is asked: how many servers were tried there isn't known, and the
+// route bounds them.
+func (f *inflightCall) askPeer(ctx context.Context, peer *state.Member, reason string) bool {
+	a, err := f.peers.Do(ctx, peer.LinkAddress, f.codec.EncodeCall(f.call, f.timeLeft()))
+	if err != nil {
+		if ctx.Err() == nil {
+			f.fleet.peerFailed(f.clock.Now(), peer.Name)
+		}
+		if !httpc.MaybeSent(err) {
+			f.logForwarded(peer, reason, "unreached", 0, err)
+			return false
+		}
+		f.mayHaveRun = append(f.mayHaveRun, peer.Name)
+		f.logForwarded(peer, reason, "lost", 0, err)
+		f.endUnanswered(ctx, "the instance that took the call gave no answer", 0)
+		return true
+	}
+	defer func() { _ = a.Body.Close() }()
+	if f.codec.ParseHead(a).Unable {
+		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxPrefillAnswer)) // so that the connection is kept
+		f.fleet.peerFailed(f.clock.Now(), peer.Name)
+		f.logForwarded(peer, reason, "unable", a.StatusCode, nil)
+		return false
+	}
+	f.mayHaveRun = append(f.mayHaveRun, peer.Name)
+	f.passOn(ctx, a, peer, reason)
+	return true
+}
+
+// passOn passes the answer of another instance on as it arrives.
+func (f *inflightCall) passOn(ctx context.Context, a *http.Response, peer *state.Member, reason string) {
+	h := f.w.Header()
+	f.codec.CopyHeader(h, a)
+	if a.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+	}
+	f.w.WriteHeader(a.StatusCode)
+	err := f.copyAnswer(a)
+	_, draining := f.draining()
+	switch {
+	case err == nil:
+		f.logForwarded(peer, reason, "served", a.StatusCode, nil)
+	case errors.Is(err, errCallerConn), errors.Is(ctx.Err(), context.Canceled) && !draining:
+		f.meter.Count("caller", "left")
+		f.logForwarded(peer, reason, "left", a.StatusCode, err)
+	default:
+		f.meter.Count("stream", "broken")
+		f.logForwarded(peer, reason, "broken", a.StatusCode, err)
+	}
+	if err != nil {
+		// Abort the connection, so that the answer doesn't look complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// copyAnswer copies a body, each part of a stream at once.
+func (f *inflightCall) copyAnswer(a *http.Response) error {
+	if httpc.FramingOf(a) == httpc.FramedByConnection {
+		return errUnframed
+	}
+	buffer := make([]byte, readBufferSize)
+	control := http.NewResponseController(f.w)
+	for {
+		n, err := a.Body.Read(buffer)
+		if n > 0 {
+			if _, err := f.w.Write(buffer[:n]); err != nil {
+				return fmt.Errorf("%w: %w", errCallerConn, err)
+			}
+		}
+		if n > 0 && a.ContentLength < 0 {
+			if err := control.Flush(); err != nil {
+				return fmt.Errorf("%w: %w", errCallerConn, err)
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return fmt.Errorf("read answer of the instance: %w", err)
+		}
+	}
+}
+
+// logForwarded logs and counts what became of a call at another instance.
+func (f *inflightCall) logForwarded(peer *state.Member, reason, outcome string, status int, err error) {
+	f.meter.Count("peer", reason, outcome)
+	f.log.Info("forwarded", "request", f.call.ID, "route", f.route.Name, "peer", peer.Name, "reason", reason, "outcome", outcome,
+		"status", status, "ms", f.elapsedMS(), "err", err)
+}
--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -37,7 +37,7 @@
 	reason := "no server can take the call"
 	retryAfter := busyRetryAfter
 	for {
-		if err := f.pass.Permit(ctx); err != nil {
+		if err := f.permit(ctx); err != nil {
 			reason, retryAfter = err.Error(), retryAfterOf(err)
 			break
 		}
@@ -45,6 +45,7 @@
 		if err != nil {
 			f.pass.Spared(false)
 			if limited := new(place.LimitedError); errors.As(err, &limited) {
+				f.declined = true
 				reason, retryAfter = "the servers' limits are used up", max(busyRetryAfter, limited.Wait())
 			}
 			break
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,7 +58,8 @@
 // Proxy forwards callers' requests to backend servers.
 type Proxy struct {
 	codec    server.Codec
-	pool     *httpc.Pool
+	pool     *httpc.Pool // of connections to backend servers
+	peers    *httpc.Pool // of connections to other instances
 	fleet    *Fleet
 	screen   *screen.Screen
 	meter    *meter.Registry
@@ -67,11 +69,12 @@
 	draining func() (left time.Duration, active bool)
 }
 
-// New returns a proxy. draining reports whether the instance is shutting down,
+// New returns a proxy with a pool for connections to backend servers, which show
+// whether the instance has a path to them, and one for those to other instances. draining reports whether the instance is shutting down,
 // and the time left until it cuts the calls that still run.
 func New(
 	codec server.Codec,
-	pool *httpc.Pool,
+	pool, peers *httpc.Pool,
 	fleet *Fleet,
 	screen *screen.Screen,
 	meter *meter.Registry,
@@ -79,9 +82,11 @@
 	clock clock.Clock,
 	draining func() (left time.Duration, active bool),
 ) *Proxy {
+	pool.SetObserver(fleet.path)
 	return &Proxy{
 		codec:    codec,
 		pool:     pool,
+		peers:    peers,
 		fleet:    fleet,
 		screen:   screen,
 		meter:    meter,
@@ -108,6 +113,9 @@
 	releases   []func() // of the answers that are buffered
 	build      *string  // software build that must go on with the stream, nil for any
 	pass       *screen.Pass
+	ofPeer     bool // another instance forwarded the call
+	offered    bool // the call was offered to other instances
+	declined   bool // by admission or screening, as it would be elsewhere
 
 	prefillTime      time.Duration // on a separate prefill engine; 0 without one
 	timeToFirstEvent time.Duration // from start
@@ -115,7 +123,9 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r, false) }
+
+func (s *Proxy) serve(w http.ResponseWriter, r *http.Request, ofPeer bool) {
 	start := s.clock.Now()
 	if _, active := s.draining(); active {
 		w.Header().Set("Connection", "close")
@@ -127,10 +137,10 @@
 	}
 	snapshot, endRequest := s.fleet.BeginRequest()
 	defer endRequest()
-	f := &inflightCall{Proxy: s, w: w, call: call, snapshot: snapshot, start: start}
+	f := &inflightCall{Proxy: s, w: w, call: call, snapshot: snapshot, start: start, ofPeer: ofPeer}
 	table := snapshot.Routing()
 	if table == nil {
-		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: startupRetryAfter, Message: "no routing table is known yet"})
+		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: startupRetryAfter, Message: "no routing table is known yet", Unable: ofPeer})
 		return
 	}
 	if refusal := f.readRequest(r, table.Limits); refusal != nil {
@@ -171,7 +181,12 @@
 		}
 	}()
 	known := f.resolveOrigin(ctx)
-	f.fleet.countRequest(f.clock.Elapsed(), f.targetPool.Name)
+	if !f.ofPeer { // else counted by the instance that forwarded it
+		f.fleet.countRequest(f.clock.Elapsed(), f.targetPool.Name)
+	}
+	if f.fleet.path.isCut() && f.forwardToPeer(ctx, "cut") {
+		return
+	}
 	if !known {
 		f.endUnanswered(ctx, "it isn't known which software build began the stream", busyRetryAfter)
 		return
@@ -185,7 +200,7 @@
 
 // readRequest reads the body and enforces the limits of the routing table.
 func (f *inflightCall) readRequest(r *http.Request, limits state.Limits) *server.Refusal {
-	if limits.HeaderBytes > 0 && headerSize(r) > limits.HeaderBytes {
+	if limits.HeaderBytes > 0 && !f.ofPeer && headerSize(r) > limits.HeaderBytes {
 		return &server.Refusal{Kind: server.RefuseHeaderTooLarge, Message: fmt.Sprintf("the header is larger than %d bytes", limits.HeaderBytes)}
 	}
 	maxBytes := int64(defaultMaxBody)
@@ -285,7 +300,12 @@
 		f.meter.Count("caller", "left")
 		f.log.Info("caller left", "request", f.call.ID, "route", f.route.Name, "tries", f.tries, "ran", f.mayHaveRun, "ms", f.elapsedMS())
 	case len(f.mayHaveRun) == 0:
-		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: retryAfter, Message: reason})
+		doubtful := !f.declined && f.fleet.path.isDoubtful()
+		if doubtful && f.forwardToPeer(ctx, "doubt") {
+			return
+		}
+		_, draining := f.draining()
+		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: retryAfter, Message: reason, Unable: f.ofPeer && (doubtful || draining)})
 	case ctx.Err() != nil:
 		f.refuse(server.Refusal{Kind: server.RefuseDeadline, Message: reason})
 	default:
@@ -354,8 +374,12 @@
 	return busyRetryAfter
 }
 
-// Run closes connections that were idle for too long, until ctx ends.
+// Run watches the path to the backend servers, and closes connections that were idle
+// for too long, until ctx ends.
 func (s *Proxy) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { s.watchPath(ctx) })
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	for {
@@ -364,6 +388,7 @@
 			return
 		case now := <-ticker.C:
 			s.pool.CloseExpired(now)
+			s.peers.CloseExpired(now)
 		}
 	}
 }
--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -110,15 +110,16 @@
 	httpcPool, cleanup4 := sitePool(registry)
 	screenScreen := screen.New(client, fleet, registry, logger, clockClock)
 	mainLeaving := newLeaving()
-	proxy := siteRelay(httpcPool, fleet, screenScreen, registry, logger, clockClock, mainLeaving)
+	proxy, cleanup5 := siteRelay(httpcPool, fleet, screenScreen, registry, logger, clockClock, mainLeaving)
 	settings := siteWatch(s)
 	store := view.New()
-	watchWatch, cleanup5 := watch.New(settings, store, client, fleet, config, registry, clockClock)
+	watchWatch, cleanup6 := watch.New(settings, store, client, fleet, config, registry, clockClock)
 	member := siteMember(s)
 	holder := siteHolder()
 	beatBeat := beat.New(member, holder, client, fleet, watchWatch, store, registry, clockClock)
-	server, cleanup6, err := siteLink(s, config, watchWatch, registry)
+	server, cleanup7, err := siteLink(s, config, watchWatch, registry)
 	if err != nil {
+		cleanup6()
 		cleanup5()
 		cleanup4()
 		cleanup3()
@@ -128,6 +129,7 @@
 	}
 	mainSite := newSite(s, m, fleet, proxy, watchWatch, beatBeat, screenScreen, registry, logger, mainLeaving, server, client, conn)
 	return mainSite, func() {
+		cleanup7()
 		cleanup6()
 		cleanup5()
 		cleanup4()
