--- a/core/conn/httpc/conn.go
+++ b/core/conn/httpc/conn.go
@@ -27,6 +27,7 @@
 	reader      *bufio.Reader     // of limited
 	idleTimeout time.Duration     // maximum time in the pool
 	idleUntil   time.Time         // deadline for reuse from the pool
+	unproven    bool              // dialled for an exchange, and nothing has arrived
 	once        sync.Once
 }
 
--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -165,6 +165,10 @@
 
 func (e *exchange) observeBytes() {
 	e.heard = true
+	if e.conn.unproven {
+		e.conn.unproven = false
+		e.conn.pool.observer.Dialled(e.conn.address, true)
+	}
 	e.conn.pool.observer.Heard(e.conn.address)
 }
 
@@ -219,6 +223,9 @@
 	e.once.Do(func() {
 		e.stopWatching()
 		e.conn.close()
+		if e.conn.unproven {
+			e.conn.pool.observer.Abandoned(e.conn.address)
+		}
 		e.conn.pool.observer.Ended(e.conn.address, e.lost)
 	})
 }
--- a/core/conn/httpc/observer.go
+++ b/core/conn/httpc/observer.go
@@ -13,7 +13,9 @@
 // It must be safe for concurrent use.
 type Observer interface {
 	// Dialling tells that an attempt to connect for an exchange begins, and one of
-	// the next two that it ended: Abandoned if the exchange ended before it did.
+	// the next two that it ended. It succeeded once bytes arrived, since a network
+	// that refuses a server's address may accept and reset connections. It was
+	// Abandoned if the exchange ended before.
 	Dialling(address string)
 	Dialled(address string, ok bool)
 	Abandoned(address string)
--- a/core/conn/httpc/pool.go
+++ b/core/conn/httpc/pool.go
@@ -158,10 +158,13 @@
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	p.observer.Dialling(address)
 	c, err := p.connect(ctx, address)
-	if err != nil && ctx.Err() != nil {
+	switch {
+	case err == nil:
+		c.unproven = true
+	case ctx.Err() != nil:
 		p.observer.Abandoned(address)
-	} else {
-		p.observer.Dialled(address, err == nil)
+	default:
+		p.observer.Dialled(address, false)
 	}
 	return c, err
 }
