relay: a peer without a path declines a call at once

If all peers decline, the instance that the caller chose tries its own path, so that nothing is refused where all judge wrongly.

--- a/entryd/relay/peer.go
+++ b/entryd/relay/peer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"verbenahaven.example/core/conn/httpc"
+	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/version/state"
 )
 
@@ -22,7 +23,8 @@
 
 // PeerHandler returns the handler for calls that other instances forward because
 // they have no path to the backend servers. It serves them as ServeHTTP does, but
-// forwards none again. What it serves is for instances only.
+// forwards none again, and declines them while this instance has no path either. What
+// it serves is for instances only.
 func (s *Proxy) PeerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.meter.Count("peer", "taken")
@@ -44,6 +46,16 @@
 	f.peers.Failed(now, name)
 }
 
+// leaveToPeer ends a call without a try of the own path, which is cut, and reports
+// whether it could: if all peers say the same, the own path is tried.
+func (f *inflightCall) leaveToPeer(ctx context.Context) bool {
+	if !f.ofPeer {
+		return f.forwardToPeer(ctx, "cut")
+	}
+	f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: busyRetryAfter, Message: "there is no path to the servers", Unable: true})
+	return true
+}
+
 // forwardToPeer lets another instance serve a call of which nothing was sent, and
 // reports whether one took it. A call is offered once.
 func (f *inflightCall) forwardToPeer(ctx context.Context, reason string) bool {
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -185,7 +185,7 @@
 	if !f.ofPeer { // else counted by the instance that forwarded it
 		f.fleet.countRequest(f.clock.Elapsed(), f.targetPool.Name)
 	}
-	if f.fleet.path.isCut() && f.forwardToPeer(ctx, "cut") {
+	if f.fleet.path.isCut() && f.leaveToPeer(ctx) {
 		return
 	}
 	if !known {
