httpc, relay: a probe of the path needs an answer

A path may be cut so that connections are accepted and then stay silent. A probe now sends a request that is answered at once: an engine's report, which needs no slot, or the health of a plain server's pool; any answer counts. That it takes the place of a wait of 100 ms for a reset was weighed: the wait can't tell silence. TestProbeNeedsAnswer replaces TestProbeKeepsConnThatHolds and asks for more.

--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -76,14 +76,19 @@
 			return nil, err
 		}
 	}
-	e := &exchange{conn: c, written: make(chan struct{}), contextCause: func() error { return context.Cause(ctx) }}
+	return c.do(ctx, r, p.observer)
+}
+
+// do does the same on a connection.
+func (c *conn) do(ctx context.Context, r *Request, o Observer) (*http.Response, error) {
+	e := &exchange{conn: c, observer: o, written: make(chan struct{}), contextCause: func() error { return context.Cause(ctx) }}
 	e.stopWatching = context.AfterFunc(ctx, c.close)
-	p.observer.Sent(address)
+	o.Sent(c.address)
 	resp, err := e.roundTrip(r)
 	if err != nil {
 		e.lost = !e.heard && e.connFailed()
 		e.discard()
-		return nil, &ExchangeError{err: fmt.Errorf("ask %s: %w", address, err), sent: e.sent.Load()}
+		return nil, &ExchangeError{err: fmt.Errorf("ask %s: %w", c.address, err), sent: e.sent.Load()}
 	}
 	return resp, nil
 }
@@ -91,6 +96,7 @@
 // exchange is one request and its response.
 type exchange struct {
 	conn         *conn
+	observer     Observer
 	stopWatching func() bool
 	sent         atomic.Bool
 	written      chan struct{} // closed when writeRequest has returned
@@ -167,9 +173,9 @@
 	e.heard = true
 	if e.conn.unproven {
 		e.conn.unproven = false
-		e.conn.pool.observer.Dialled(e.conn.address, true)
+		e.observer.Dialled(e.conn.address, true)
 	}
-	e.conn.pool.observer.Heard(e.conn.address)
+	e.observer.Heard(e.conn.address)
 }
 
 func (e *exchange) readResponse(method string) (*http.Response, error) {
@@ -224,9 +230,9 @@
 		e.stopWatching()
 		e.conn.close()
 		if e.conn.unproven {
-			e.conn.pool.observer.Abandoned(e.conn.address)
+			e.observer.Abandoned(e.conn.address)
 		}
-		e.conn.pool.observer.Ended(e.conn.address, e.lost)
+		e.observer.Ended(e.conn.address, e.lost)
 	})
 }
 
@@ -240,7 +246,7 @@
 		return
 	}
 	e.once.Do(func() {
-		e.conn.pool.observer.Ended(e.conn.address, false)
+		e.observer.Ended(e.conn.address, false)
 		if !e.stopWatching() || e.writeErr != nil || e.conn.reader.Buffered() > 0 {
 			e.conn.close()
 			return
--- a/core/conn/httpc/observer.go
+++ b/core/conn/httpc/observer.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"time"
+	"io"
 )
 
-// probeWait is how long a probed connection must hold: a network that refuses a
-// server's address may reset it just after it was accepted.
-const probeWait = 100 * time.Millisecond
-
 // Observer is told what happens to the connections of a pool, by server address.
 // It must be safe for concurrent use.
 type Observer interface {
@@ -37,22 +33,21 @@
 func (noObserver) Heard(string)         {}
 func (noObserver) Ended(string, bool)   {}
 
-// Probe connects to an address, reports whether the connection holds until probeWait
-// has passed or ctx ends, and then keeps it for the next exchange. It isn't observed.
-func (p *Pool) Probe(ctx context.Context, address string) bool {
+// Probe sends a request over a new connection, reports whether any response arrives
+// before ctx ends, and then keeps the connection for the next exchange. A connection
+// alone shows nothing: a network that refuses a server's address may accept it, and
+// then reset it or stay silent. A probe isn't observed.
+func (p *Pool) Probe(ctx context.Context, address string, r *Request) bool {
 	c, err := p.connect(ctx, address)
 	if err != nil {
 		return false
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(probeWait):
-	}
-	if !c.reusable() {
-		c.close()
+	a, err := c.do(ctx, r, noObserver{})
+	if err != nil {
 		return false
 	}
-	p.putIdle(c)
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxUnmatchedBody)) // so that the connection is kept
+	_ = a.Body.Close()
 	return true
 }
 
--- a/core/conn/httpc/observer_test.go
+++ b/core/conn/httpc/observer_test.go
@@ -125,27 +125,40 @@
 	return l.Addr().String()
 }
 
-func TestProbeKeepsConnThatHolds(t *testing.T) {
+func TestProbeNeedsAnswer(t *testing.T) {
 	p := newPool(t)
-	if p.Probe(t.Context(), closedPort(t)) {
-		t.Error("a port at which nothing listens passed")
+	o := &observed{}
+	p.SetObserver(o)
+	probe := func(address string) bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		return p.Probe(ctx, address, &httpc.Request{Method: http.MethodGet, Target: "/probe", Host: address})
 	}
 	reset, _ := startServer(t, func(c net.Conn, _ *bufio.Reader) bool {
 		_ = c.(*net.TCPConn).SetLinger(0)
 		return false
 	})
-	if p.Probe(t.Context(), reset) {
-		t.Error("a connection that was reset passed")
+	silent, _ := startServer(t, func(_ net.Conn, r *bufio.Reader) bool {
+		_, ok := readRequest(r)
+		return ok
+	})
+	for name, address := range map[string]string{"nothing listens": closedPort(t), "reset": reset, "silent": silent} {
+		if probe(address) {
+			t.Errorf("passed: %s", name)
+		}
 	}
 	address, conns := startServer(t, func(c net.Conn, r *bufio.Reader) bool {
 		q, ok := readRequest(r)
 		if ok {
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", q.Header.Get("Id"))
+			fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", q.Header.Get("Id"))
 		}
 		return ok
 	})
-	if !p.Probe(t.Context(), address) {
-		t.Fatal("a connection that holds failed")
+	if !probe(address) {
+		t.Fatal("failed at a server that answers")
+	}
+	if list := o.seen(); len(list) > 0 {
+		t.Errorf("probes were observed: %q", list)
 	}
 	if text, err := do(t, p, address, "1", nil); text != "ok" || err != nil || conns.Load() != 1 {
 		t.Errorf("%q, %v over %d connections; want the probed one used", text, err, conns.Load())
--- a/core/conn/server/server.go
+++ b/core/conn/server/server.go
@@ -81,6 +81,9 @@
 	// EncodeCall returns the call as its caller sent it, to another entry instance,
 	// with the time that is left for it.
 	EncodeCall(c *Call, timeLeft time.Duration) *httpc.Request
+	// EncodeProbe returns a request that a backend server answers at once. healthPath
+	// is that of its pool, or empty for an engine.
+	EncodeProbe(address, healthPath string) *httpc.Request
 	// ParseHead interprets the status and header of a response.
 	ParseHead(a *http.Response) ResponseHead
 	// DecodePrefill decodes the response to a prefill.
--- a/entryd/relay/path.go
+++ b/entryd/relay/path.go
@@ -36,10 +36,11 @@
 type path struct {
 	clock clock.Clock
 
-	mutex    sync.Mutex
-	detector pathDetector
-	cut      bool // as it was logged
-	failures pathFailures
+	mutex       sync.Mutex
+	detector    pathDetector
+	cut         bool // as it was logged
+	failures    pathFailures
+	healthPaths map[string]string // of plain servers, by address
 }
 
 // pathFailures counts what failed since bytes of an answer arrived.
@@ -91,15 +92,24 @@
 
 // setServers sets the backend servers that the path leads to.
 func (p *path) setServers(s *view.Snapshot) {
-	engines, servers := s.Engines(), s.AllServers()
+	engines, servers, table := s.Engines(), s.AllServers(), s.Routing()
+	healthPaths := make(map[string]string, len(servers))
 	addresses := make([]string, 0, len(engines)+len(servers))
 	for _, e := range engines {
 		addresses = append(addresses, server.HostPort(e.URL))
 	}
 	for _, v := range servers {
-		addresses = append(addresses, server.HostPort(v.URL))
+		address := server.HostPort(v.URL)
+		addresses = append(addresses, address)
+		if table != nil {
+			pool, _ := table.Pool(v.Service)
+			healthPaths[address] = pool.HealthPath
+		}
 	}
 	p.detector.SetServers(addresses)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.healthPaths = healthPaths
 }
 
 // isCut reports whether calls should be served by another instance.
@@ -111,6 +121,12 @@
 	return p.detector.Cut(now) || p.detector.Suspicious(now)
 }
 
+func (p *path) healthPath(address string) string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.healthPaths[address]
+}
+
 // look returns whether the path is cut, whether that changed since the last call,
 // and what failed.
 func (p *path) look() (cut, changed bool, f pathFailures) {
@@ -165,7 +181,7 @@
 func (s *Proxy) probe(ctx context.Context, address string) {
 	probeCtx, cancel := context.WithTimeout(ctx, reach.ProbeTimeout)
 	defer cancel()
-	ok := s.pool.Probe(probeCtx, address)
+	ok := s.pool.Probe(probeCtx, address, s.codec.EncodeProbe(address, s.fleet.path.healthPath(address)))
 	if ctx.Err() != nil {
 		return
 	}
