--- a/core/request/reach/decide.go
+++ b/core/request/reach/decide.go
@@ -22,6 +22,12 @@
 	return min(max(len(d.addresses)/share, minFailures), maxFailures)
 }
 
+// required returns the number of distinct servers that have failed when the evidence
+// is confirmed.
+func (d *Detector) required() int {
+	return min(d.threshold()+confirmations, len(d.addresses))
+}
+
 // failed reports whether a server is evidence against the path.
 func (d *Detector) failed(now time.Time, s *server) bool {
 	return d.refused(now, s) || s.broken.counts(now, d.answers) || d.silent(now, s)
@@ -52,6 +58,17 @@
 	return first
 }
 
+// doubtfulSince returns the time since when losses of servers may be due to the
+// path: also those after the last success, since streams that break off come before
+// the first evidence.
+func (d *Detector) doubtfulSince(now time.Time) time.Time {
+	first := d.firstFailure(now)
+	if last := later(d.quietSince, first.Add(-window)); last.Before(first) {
+		return last
+	}
+	return first
+}
+
 // count returns the number of servers for which a condition holds.
 func (d *Detector) count(holds func(s *server) bool) int {
 	n := 0
@@ -86,8 +103,7 @@
 	if !d.suspicious(now) {
 		return false
 	}
-	required := min(d.threshold()+confirmations, len(d.addresses))
-	if d.failures(now) < required {
+	if d.failures(now) < d.required() {
 		return false
 	}
 	confirmed := d.count(func(s *server) bool { return s.probed.counts(now, d.reaches) })
@@ -97,7 +113,7 @@
 
 func (d *Detector) enter(now time.Time) {
 	d.cut = true
-	d.evidenceSince = d.firstFailure(now)
+	d.evidenceSince = d.doubtfulSince(now)
 	d.repeats = min(d.repeats+1, maxRepeats)
 	if d.endedAt.IsZero() || now.Sub(d.endedAt) > relapse {
 		d.repeats = 0
@@ -140,7 +156,7 @@
 	switch {
 	case d.cut:
 		s = d.nextWhileCut(now, underWay)
-	case d.suspicious(now) && underWay < confirmations:
+	case d.suspicious(now) && underWay < max(confirmations, d.required()-d.failures(now)):
 		s = d.candidate(now)
 	}
 	if s == nil {
@@ -214,6 +230,7 @@
 	}
 	d.connected(now, s, ok)
 	if !ok {
+		s.successes = 0 // other attempts may have begun long before
 		s.probed.record(now, d.reaches)
 	}
 	d.decide(now)
--- a/entryd/relay/path.go
+++ b/entryd/relay/path.go
@@ -27,6 +27,7 @@
 	Ended(now time.Time, address string, lost bool)
 	Suspicious(now time.Time) bool
 	Cut(now time.Time) bool
+	EvidenceSince(now time.Time) (since time.Time, found bool)
 	NextProbe(now time.Time) (address string, due bool)
 	Probed(now time.Time, address string, ok bool)
 }
@@ -121,6 +122,9 @@
 	return p.detector.Cut(now) || p.detector.Suspicious(now)
 }
 
+// doubtSince returns since when failures may be due to the path.
+func (p *path) doubtSince() (time.Time, bool) { return p.detector.EvidenceSince(p.clock.Now()) }
+
 func (p *path) healthPath(address string) string {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -163,13 +167,14 @@
 }
 
 // lookAtPath logs a change of the path. Connections that are open from before a cut
-// would only fail the next requests.
+// would only fail the next requests, and servers that were lost by it are sound.
 func (s *Proxy) lookAtPath() {
 	cut, changed, f := s.fleet.path.look()
 	switch {
 	case !changed:
 	case cut:
 		s.pool.CloseAllIdle()
+		s.fleet.withdrawLosses()
 		s.meter.Count("path", "cut")
 		s.log.Warn("path to the servers is cut", "dials", f.dials, "losses", f.losses)
 	default:
--- a/entryd/relay/peerfleet_test.go
+++ b/entryd/relay/peerfleet_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -135,17 +134,6 @@
 
 func hostOf(s *httptest.Server) string { return s.Listener.Addr().String() }
 
-// closedAddress returns an address at which nothing listens.
-func closedAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = l.Close()
-	return l.Addr().String()
-}
-
 // newCallTo returns a call to an instance.
 func newCallTo(t *testing.T, i *testInstance, id, path, body string) *http.Request {
 	t.Helper()
