relay: wire the detector's words on failures to the fleet

The hook for doubts about the own path takes the detector itself, so that losses of connections in use and failed dials are told apart.

--- a/entryd/relay/budget_test.go
+++ b/entryd/relay/budget_test.go
@@ -14,8 +14,8 @@
 	"verbenahaven.example/core/version/state"
 )
 
-// refusingAddress returns an address that refuses connections.
-func refusingAddress(t *testing.T) string {
+// closedAddress returns an address that refuses connections.
+func closedAddress(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -34,7 +34,7 @@
 	t.Cleanup(backend.Close)
 	engines, servers := make([]state.Engine, 0, closed+1), make([]state.Server, 0, closed+1)
 	for i := range closed + 1 {
-		url, centre := "http://"+refusingAddress(t), "z"
+		url, centre := "http://"+closedAddress(t), "z"
 		if i == closed {
 			url, centre = backend.URL, "far"
 		}
@@ -81,7 +81,7 @@
 func TestRefusedDialAfterPrefillTakesRetryBudget(t *testing.T) {
 	for _, prefilled := range []bool{false, true} {
 		f := newCallBesideClosed(t, &scriptedBackend{}, "resumable", 1)
-		address := refusingAddress(t)
+		address := closedAddress(t)
 		_, err := f.pool.Do(t.Context(), address, f.codec.EncodeRequest(&server.Request{Call: f.call}))
 		if prefilled {
 			f.parseHead("p", &http.Response{Header: http.Header{}})
--- a/entryd/relay/losses_test.go
+++ b/entryd/relay/losses_test.go
@@ -132,7 +132,7 @@
 // requests and the engines. Other requests with the same parts were then refused.
 func TestLossOnDoubtfulPathIsNotHeldAgainstServer(t *testing.T) {
 	unsent := func(f *inflightCall) error {
-		_, err := f.pool.Do(t.Context(), refusingAddress(t), &httpc.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		_, err := f.pool.Do(t.Context(), closedAddress(t), &httpc.Request{Method: http.MethodGet, Target: "/", Host: "h"})
 		return err
 	}
 	broken := func(*inflightCall) error { return io.ErrUnexpectedEOF }
--- a/entryd/relay/path.go
+++ b/entryd/relay/path.go
@@ -28,6 +28,7 @@
 	Suspicious(now time.Time) bool
 	Cut(now time.Time) bool
 	EvidenceSince(now time.Time) (since time.Time, found bool)
+	DoubtsLosses(now time.Time) bool
 	NextProbe(now time.Time) (address string, due bool)
 	Probed(now time.Time, address string, ok bool)
 }
@@ -122,9 +123,6 @@
 	return p.detector.Cut(now) || p.detector.Suspicious(now)
 }
 
-// doubtSince returns since when failures may be due to the path.
-func (p *path) doubtSince() (time.Time, bool) { return p.detector.EvidenceSince(p.clock.Now()) }
-
 func (p *path) healthPath(address string) string {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/entryd/relay/path_test.go
+++ b/entryd/relay/path_test.go
@@ -51,7 +51,7 @@
 	i := list[0]
 	i.fleet.path = newPath(reach.New(), i.clock)
 	i.pool.SetObserver(i.fleet.path)
-	i.fleet.SetPathDoubt(i.fleet.path.doubtSince)
+	i.fleet.SetPathEvidence(i.fleet.path.detector)
 	servers, addresses := make([]*blockedBackend, 5), make([]string, 5)
 	for n := range servers {
 		servers[n] = newBlockedBackend(t, h)
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -83,7 +83,7 @@
 	draining func() (left time.Duration, active bool),
 ) *Proxy {
 	pool.SetObserver(fleet.path)
-	fleet.SetPathDoubt(fleet.path.doubtSince)
+	fleet.SetPathEvidence(fleet.path.detector)
 	return &Proxy{
 		codec:    codec,
 		pool:     pool,
