--- /dev/null
+++ b/entryd/relay/request.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/version/state"
+)
+
+// readRequest reads the body and enforces the limits of the routing table.
+func (f *inflightCall) readRequest(r *http.Request, limits state.Limits) *server.Refusal {
+	if limits.HeaderBytes > 0 && !f.ofPeer && headerSize(r) > limits.HeaderBytes {
+		return &server.Refusal{Kind: server.RefuseHeaderTooLarge, Message: fmt.Sprintf("the header is larger than %d bytes", limits.HeaderBytes)}
+	}
+	maxBytes := int64(defaultMaxBody)
+	if limits.BodyBytes > 0 {
+		maxBytes = limits.BodyBytes
+	}
+	if r.ContentLength == 0 {
+		return nil
+	}
+	timeout := defaultBodyTimeout
+	if limits.IdleTimeout > 0 {
+		timeout = limits.IdleTimeout
+	}
+	control := http.NewResponseController(f.w)
+	if err := control.SetReadDeadline(f.start.Add(timeout)); err != nil {
+		f.meter.Count("front", "no_read_deadline")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(f.w, r.Body, maxBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &server.Refusal{Kind: server.RefuseBodyTooLarge, Message: fmt.Sprintf("the body is larger than %d bytes", maxBytes)}
+	case err != nil:
+		return &server.Refusal{Kind: server.RefuseBadRequest, Message: "the body was cut short"}
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		f.meter.Count("front", "no_read_deadline")
+	}
+	f.call.Body = body
+	return nil
+}
+
+// headerSize returns the approximate size of a request's head, in bytes.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + headerFieldOverhead
+		}
+	}
+	return size
+}
+
+// hostname returns a host in lower case and without its port.
+func hostname(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
+
+// fingerprint returns a hash of the request that is equal for copies of the same
+// request.
+func (f *inflightCall) fingerprint() string {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, text := range []string{f.call.Method, f.call.Host, f.call.Target} {
+		_, _ = digest.WriteString(text) // never fails
+		_, _ = digest.WriteString("\n")
+	}
+	_, _ = digest.Write(f.call.Body)
+	return strconv.FormatUint(digest.Sum64(), 16)
+}
