--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -37,8 +37,8 @@
 	// headerFieldOverhead is the size of a header field besides its name and
 	// value: colon, space and line end, in bytes.
 	headerFieldOverhead = 4
-	// defaultBodyTimeout bounds the reading of a body if the routing table sets
-	// no limit.
+	// defaultBodyTimeout bounds the time between the bytes of a body if the
+	// routing table sets no limit.
 	defaultBodyTimeout = 10 * time.Second
 	// defaultMaxBody bounds a body if the routing table sets no limit, in
 	// bytes.
@@ -174,6 +174,7 @@
 	f.deadline = f.start.Add(timeout)
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
 	defer cancel()
+	defer f.boundWrites()()
 	defer func() {
 		for _, release := range f.releases {
 			release()
@@ -231,6 +232,7 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		f.meter.Count("caller", "left")
 		f.log.Info("caller left", "request", f.call.ID, "route", f.route.Name, "tries", f.tries, "ran", f.mayHaveRun, "ms", f.elapsedMS())
+		f.writeToLeaver(reason, retryAfter)
 	case len(f.mayHaveRun) == 0:
 		doubtful := !f.declined && f.fleet.path.isDoubtful()
 		if doubtful && f.forwardToPeer(ctx, "doubt") {
--- a/entryd/relay/request.go
+++ b/entryd/relay/request.go
@@ -33,10 +33,13 @@
 		timeout = limits.IdleTimeout
 	}
 	control := http.NewResponseController(f.w)
-	if err := control.SetReadDeadline(f.start.Add(timeout)); err != nil {
-		f.meter.Count("front", "no_read_deadline")
+	whole := max(timeout, defaultCallTimeout)
+	if f.call.TimeLeft > 0 {
+		whole = f.call.TimeLeft
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(f.w, r.Body, maxBytes))
+	body, err := io.ReadAll(&bodyReader{
+		Reader: http.MaxBytesReader(f.w, r.Body, maxBytes), control: control, clock: f.clock, idle: timeout, end: f.start.Add(whole),
+	})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
