relay: the path is judged for each pool of servers

Wires reach.Pools: a call goes to a peer if the path to its own pool is cut, losses are doubted and withdrawn by pool, and idle connections are closed to the servers of a cut pool only.

--- a/core/conn/httpc/observer.go
+++ b/core/conn/httpc/observer.go
@@ -51,14 +51,7 @@
 	return true
 }
 
-// CloseAllIdle closes the idle connections to all addresses.
-func (p *Pool) CloseAllIdle() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.closeAllIdle()
-}
-
-// closeAllIdle does the same. The caller holds the mutex.
+// closeAllIdle closes the idle connections to all addresses. The caller holds the mutex.
 func (p *Pool) closeAllIdle() {
 	for address, list := range p.idle {
 		for _, c := range list {
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -78,7 +78,7 @@
 		meter:             m,
 		clock:             c,
 		setKeepers:        setKeepers,
-		path:              newPath(reach.New(), c),
+		path:              newPath(reach.NewPools(), c),
 		peers:             peers.New(name, centre),
 		snapshot:          view.New().Current(),
 		local:             sched.New(centre),
--- a/entryd/relay/losses.go
+++ b/entryd/relay/losses.go
@@ -16,19 +16,19 @@
 )
 
 // pathEvidence is the evidence against the instance's own path to the backend
-// servers. See reach.Detector.
+// servers of a pool. See reach.Pools.
 type pathEvidence interface {
 	// EvidenceSince returns since when failures may be due to the path, and
 	// whether there is evidence against it.
-	EvidenceSince(now time.Time) (since time.Time, found bool)
+	EvidenceSince(now time.Time, pool string) (since time.Time, found bool)
 	// DoubtsLosses reports whether the path may have broken connections in use.
-	DoubtsLosses(now time.Time) bool
+	DoubtsLosses(now time.Time, pool string) bool
 }
 
 // lossReport is an engine that this instance reported as lost to a broker, given by
 // its link address, empty if the report was for this instance only.
 type lossReport struct {
-	engine, broker string
+	engine, pool, broker string
 }
 
 // lossReports remembers the latest reports. It is guarded by the fleet's mutex.
@@ -58,12 +58,12 @@
 	}
 }
 
-// take removes and returns the reports since a time.
-func (l *lossReports) take(now, since time.Time) []lossReport {
+// take removes and returns the reports of engines of a pool since a time.
+func (l *lossReports) take(now, since time.Time, pool string) []lossReport {
 	l.prune(now)
 	var list []lossReport
 	for r, at := range l.times {
-		if !at.Before(since) {
+		if r.pool == pool && !at.Before(since) {
 			list = append(list, r)
 			delete(l.times, r)
 		}
@@ -85,28 +85,28 @@
 	return f.evidence
 }
 
-// ownPathSuspicious reports whether a failed exchange may be due to the instance's own
-// path rather than to a server. sent reports whether the server may have got any of it.
-func (f *Fleet) ownPathSuspicious(sent bool) bool {
+// ownPathSuspicious reports whether a failed exchange with a server of a pool may be due
+// to the instance's own path rather than to the server. sent reports whether the server may have got any of it.
+func (f *Fleet) ownPathSuspicious(pool string, sent bool) bool {
 	p, now := f.pathEvidence(), f.clock.Now()
 	if p == nil {
 		return false
 	}
 	if sent {
-		return p.DoubtsLosses(now)
+		return p.DoubtsLosses(now, pool)
 	}
-	_, found := p.EvidenceSince(now)
+	_, found := p.EvidenceSince(now, pool)
 	return found
 }
 
-// withdrawLosses withdraws the losses of engines that were reported since the
-// evidence against its own path began. It is called when the path turns out to be cut.
-func (f *Fleet) withdrawLosses() {
+// withdrawLosses withdraws the losses of a pool's engines that were reported since the
+// evidence against the path to them began. It is called when the path turns out to be cut.
+func (f *Fleet) withdrawLosses(pool string) {
 	p, now := f.pathEvidence(), f.clock.Now()
 	if p == nil {
 		return
 	}
-	since, found := p.EvidenceSince(now)
+	since, found := p.EvidenceSince(now, pool)
 	if !found {
 		return
 	}
@@ -116,7 +116,7 @@
 	}
 	var messages []message
 	f.mutex.Lock()
-	for _, r := range f.losses.take(now, since) {
+	for _, r := range f.losses.take(now, since, pool) {
 		f.losses.withdrawn++
 		e := proto.PlaceEvent{
 			Kind: proto.PlaceReachable, Engine: r.engine,
--- a/entryd/relay/path.go
+++ b/entryd/relay/path.go
@@ -13,22 +13,21 @@
 )
 
 // pathInterval is the time between two looks at an instance's path.
-const pathInterval = 20 * time.Millisecond
+const pathInterval = 50 * time.Millisecond
 
-// pathDetector decides whether this instance has lost its path to all backend
-// servers. See reach.Detector.
+// pathDetector decides whether this instance has lost its path to the backend
+// servers of a pool. See reach.Pools.
 type pathDetector interface {
-	SetServers(addresses []string)
+	pathEvidence
+	SetServers(addresses map[string][]string)
 	Dialling(now time.Time, address string)
 	Dialled(now time.Time, address string, ok bool)
 	Abandoned(now time.Time, address string)
 	Sent(now time.Time, address string)
 	Heard(now time.Time, address string)
 	Ended(now time.Time, address string, lost bool)
-	Suspicious(now time.Time) bool
-	Cut(now time.Time) bool
-	EvidenceSince(now time.Time) (since time.Time, found bool)
-	DoubtsLosses(now time.Time) bool
+	Suspicious(now time.Time, pool string) bool
+	Cut(now time.Time, pool string) bool
 	NextProbe(now time.Time) (address string, due bool)
 	Probed(now time.Time, address string, ok bool)
 }
@@ -40,18 +39,15 @@
 
 	mutex       sync.Mutex
 	detector    pathDetector
-	cut         bool // as it was logged
-	failures    pathFailures
-	healthPaths map[string]string // of plain servers, by address
+	cut         map[string]bool     // by pool, as it was logged
+	addresses   map[string][]string // by pool
+	healthPaths map[string]string   // of plain servers, by address
 }
 
-// pathFailures counts what failed since bytes of an answer arrived.
-type pathFailures struct {
-	dials, losses int
+func newPath(d pathDetector, c clock.Clock) *path {
+	return &path{clock: c, detector: d, cut: make(map[string]bool)}
 }
 
-func newPath(d pathDetector, c clock.Clock) *path { return &path{clock: c, detector: d} }
-
 // Dialling implements httpc.Observer.
 func (p *path) Dialling(address string) { p.detector.Dialling(p.clock.Now(), address) }
 
@@ -60,9 +56,6 @@
 
 // Dialled implements httpc.Observer.
 func (p *path) Dialled(address string, ok bool) {
-	if !ok {
-		p.addFailures(1, 0)
-	}
 	p.detector.Dialled(p.clock.Now(), address, ok)
 }
 
@@ -70,39 +63,24 @@
 func (p *path) Sent(address string) { p.detector.Sent(p.clock.Now(), address) }
 
 // Heard implements httpc.Observer.
-func (p *path) Heard(address string) {
-	p.mutex.Lock()
-	p.failures = pathFailures{}
-	p.mutex.Unlock()
-	p.detector.Heard(p.clock.Now(), address)
-}
+func (p *path) Heard(address string) { p.detector.Heard(p.clock.Now(), address) }
 
 // Ended implements httpc.Observer.
 func (p *path) Ended(address string, lost bool) {
-	if lost {
-		p.addFailures(0, 1)
-	}
 	p.detector.Ended(p.clock.Now(), address, lost)
 }
 
-func (p *path) addFailures(dials, losses int) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.failures.dials += dials
-	p.failures.losses += losses
-}
-
 // setServers sets the backend servers that the path leads to.
 func (p *path) setServers(s *view.Snapshot) {
 	engines, servers, table := s.Engines(), s.AllServers(), s.Routing()
 	healthPaths := make(map[string]string, len(servers))
-	addresses := make([]string, 0, len(engines)+len(servers))
+	addresses := make(map[string][]string)
 	for _, e := range engines {
-		addresses = append(addresses, server.HostPort(e.URL))
+		addresses[e.Pool] = append(addresses[e.Pool], server.HostPort(e.URL))
 	}
 	for _, v := range servers {
 		address := server.HostPort(v.URL)
-		addresses = append(addresses, address)
+		addresses[v.Service] = append(addresses[v.Service], address)
 		if table != nil {
 			pool, _ := table.Pool(v.Service)
 			healthPaths[address] = pool.HealthPath
@@ -111,16 +89,16 @@
 	p.detector.SetServers(addresses)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.healthPaths = healthPaths
+	p.healthPaths, p.addresses = healthPaths, addresses
 }
 
-// isCut reports whether calls should be served by another instance.
-func (p *path) isCut() bool { return p.detector.Cut(p.clock.Now()) }
+// isCut reports whether the calls of a pool should be served by another instance.
+func (p *path) isCut(pool string) bool { return p.detector.Cut(p.clock.Now(), pool) }
 
-// isDoubtful reports whether the path may be cut.
-func (p *path) isDoubtful() bool {
+// isDoubtful reports whether the path to a pool may be cut.
+func (p *path) isDoubtful(pool string) bool {
 	now := p.clock.Now()
-	return p.detector.Cut(now) || p.detector.Suspicious(now)
+	return p.detector.Cut(now, pool) || p.detector.Suspicious(now, pool)
 }
 
 func (p *path) healthPath(address string) string {
@@ -129,15 +107,29 @@
 	return p.healthPaths[address]
 }
 
-// look returns whether the path is cut, whether that changed since the last call,
-// and what failed.
-func (p *path) look() (cut, changed bool, f pathFailures) {
+// look returns the pools to which the path was cut, or is back, since the last call.
+func (p *path) look() (cut, back []string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	cut = p.detector.Cut(p.clock.Now())
-	changed = cut != p.cut
-	p.cut = cut
-	return cut, changed, p.failures
+	now := p.clock.Now()
+	for pool := range p.addresses {
+		switch isCut := p.detector.Cut(now, pool); {
+		case isCut == p.cut[pool]:
+		case isCut:
+			p.cut[pool] = true
+			cut = append(cut, pool)
+		default:
+			delete(p.cut, pool)
+			back = append(back, pool)
+		}
+	}
+	return cut, back
+}
+
+func (p *path) addressesOf(pool string) []string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.addresses[pool]
 }
 
 // watchPath logs when the path is cut and when it is back, and probes it, until ctx
@@ -164,20 +156,22 @@
 	}
 }
 
-// lookAtPath logs a change of the path. Connections that are open from before a cut
+// lookAtPath logs changes of the path. Connections that are open from before a cut
 // would only fail the next requests, and servers that were lost by it are sound.
 func (s *Proxy) lookAtPath() {
-	cut, changed, f := s.fleet.path.look()
-	switch {
-	case !changed:
-	case cut:
-		s.pool.CloseAllIdle()
-		s.fleet.withdrawLosses()
+	cut, back := s.fleet.path.look()
+	for _, pool := range cut {
+		list := s.fleet.path.addressesOf(pool)
+		for _, address := range list {
+			s.pool.CloseIdle(address)
+		}
+		s.fleet.withdrawLosses(pool)
 		s.meter.Count("path", "cut")
-		s.log.Warn("path to the servers is cut", "dials", f.dials, "losses", f.losses)
-	default:
+		s.log.Warn("path to the servers is cut", "pool", pool, "servers", len(list))
+	}
+	for _, pool := range back {
 		s.meter.Count("path", "back")
-		s.log.Info("path to the servers is back")
+		s.log.Info("path to the servers is back", "pool", pool)
 	}
 }
 
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -184,7 +184,7 @@
 	if !f.ofPeer { // else counted by the instance that forwarded it
 		f.fleet.countRequest(f.clock.Elapsed(), f.targetPool.Name)
 	}
-	if f.fleet.path.isCut() && f.leaveToPeer(ctx) {
+	if f.fleet.path.isCut(f.targetPool.Name) && f.leaveToPeer(ctx) {
 		return
 	}
 	if !known {
@@ -234,7 +234,7 @@
 		f.log.Info("caller left", "request", f.call.ID, "route", f.route.Name, "tries", f.tries, "ran", f.mayHaveRun, "ms", f.elapsedMS())
 		f.writeToLeaver(reason, retryAfter)
 	case len(f.mayHaveRun) == 0:
-		doubtful := !f.declined && f.fleet.path.isDoubtful()
+		doubtful := !f.declined && f.fleet.path.isDoubtful(f.targetPool.Name)
 		if doubtful && f.forwardToPeer(ctx, "doubt") {
 			return
 		}
@@ -290,7 +290,7 @@
 		return false
 	}
 	f.pool.CloseIdle(address)
-	if f.fleet.ownPathSuspicious(sent) {
+	if f.fleet.ownPathSuspicious(f.targetPool.Name, sent) {
 		f.meter.Count("exchange", "path_in_doubt")
 		f.pass.Spared(sent)
 		return false
--- a/entryd/relay/ticket.go
+++ b/entryd/relay/ticket.go
@@ -28,6 +28,7 @@
 
 	fleet  *Fleet
 	id     string
+	pool   string
 	broker string // link address of the instance that scheduled it; empty for this one
 }
 
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // the error names the pool
 	}
-	t := &ticket{Decision: d, fleet: f, id: r.ID}
+	t := &ticket{Decision: d, fleet: f, id: r.ID, pool: r.Pool}
 	if !t.Refused {
 		t.countInFlight(1)
 	}
@@ -74,7 +75,7 @@
 		f.meter.Count("broker", "no_reply")
 		return nil
 	}
-	t := &ticket{fleet: f, id: r.ID, broker: link}
+	t := &ticket{fleet: f, id: r.ID, pool: r.Pool, broker: link}
 	if !t.apply(reply, r.Build, f.snapshot.Engine) {
 		f.meter.Count("broker", "not_used")
 		f.broker.Tell(link, &proto.PlaceEvent{Kind: proto.PlaceEnded, ID: r.ID})
@@ -172,7 +173,7 @@
 	now := t.fleet.clock.Now()
 	t.fleet.local.Apply(now, &proto.PlaceEvent{Kind: kind, Engine: name})
 	if lost {
-		t.fleet.losses.add(now, lossReport{engine: name, broker: t.broker})
+		t.fleet.losses.add(now, lossReport{engine: name, pool: t.pool, broker: t.broker})
 	}
 }
 
