--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -56,7 +56,7 @@
 // applies to the first plan only.
 func (f *inflightCall) forwardGeneration(ctx context.Context) {
 	request := &sched.Request{Admit: !f.resumes()} // the target of its first event has been met or missed before
-	request.ID, request.Pool, request.Prompt, request.Target = f.call.ID, f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
+	request.Pool, request.Prompt, request.Target = f.targetPool.Name, f.call.Prompt, f.route.LatencyTarget
 	var out answerStream
 	reason := "no engine can take the request"
 	retryAfter := busyRetryAfter
@@ -69,7 +69,7 @@
 			reason, retryAfter = err.Error(), retryAfterOf(err)
 			break
 		}
-		request.Avoid, request.Build, request.TimeLeft = f.avoid, f.build, f.timeLeft()
+		request.ID, request.Avoid, request.Build, request.TimeLeft = f.placeID(), f.avoid, f.build, f.timeLeft()
 		t, err := f.fleet.schedule(ctx, f.clock.Now(), request)
 		if err != nil {
 			f.pass.Spared(false)
@@ -191,13 +191,13 @@
 // attempt runs the call on the engines of a plan. It returns the ticket of the engine
 // that sent the last of the answer, another one if the first fell silent.
 func (f *inflightCall) attempt(ctx context.Context, t *ticket, out *answerStream) (*ticket, error) {
-	answered, last := time.Duration(0), t
-	defer func() { last.end(answered) }()
+	answered := time.Duration(0)
 	r, stop := f.newRun(ctx, t, out.lastEventID)
 	defer stop()
+	defer func() { r.ticket.end(answered) }()
 	err := f.prepare(ctx, r)
 	if err == nil {
-		last, err = f.decode(ctx, r, out)
+		r, err = f.decode(ctx, r, out)
 	}
 	if err == nil {
 		answered = max(f.answerTime(), time.Nanosecond)
@@ -205,7 +205,7 @@
 	if err != nil && (errors.Is(err, errNotRun) || errors.Is(err, errLeaving) || out.events == 0) {
 		f.releasePrefill(ctx, r)
 	}
-	return last, err
+	return r.ticket, err
 }
 
 // recheck decides again whether a call is sent to its decode engine: a prefill may
@@ -339,7 +339,7 @@
 	var cursor stream.Cursor
 	for {
 		n, err := a.Body.Read(buffer)
-		if s.settle() != nil {
+		if s.settle(err == nil || errors.Is(err, io.EOF)) != nil {
 			return errMoved
 		}
 		end := cursor.Advance(buffer[:n])
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -105,6 +105,7 @@
 	start      time.Time
 	deadline   time.Time
 	tries      int      // counted against maxTries
+	placed     int      // attempts that were placed, each under an ID of its own
 	arrived    bool     // a request of the latest attempt may have reached a backend server
 	mayHaveRun []string // backend servers that may have executed the call
 	avoid      []string // backend servers that failed or refused the call
@@ -277,7 +278,8 @@
 
 // recordFailure records a failed exchange with a backend server, closes the
 // idle connections to it, and counts a loss against the request if any byte of
-// it may have reached the server. begun reports whether the server had begun its answer.
+// it may have reached the server, which wasn't merely silent. begun reports whether
+// the server had begun its answer.
 // If the call itself has ended, or the instance's own path to the servers is in
 // doubt, the server isn't at fault, and it returns false.
 func (f *inflightCall) recordFailure(ctx context.Context, name, address string, begun bool, err error) bool {
@@ -295,10 +297,10 @@
 		f.pass.Spared(sent)
 		return false
 	}
-	if sent {
+	if sent && !errors.Is(err, errNoProgress) {
 		f.pass.Lost(f.startOf(name), begun)
 	} else {
-		f.pass.Spared(false)
+		f.pass.Spared(sent)
 	}
 	return true
 }
