keepd/lead: report no engine dead on a path that is cut

Cause: the leader recorded every failed read of a report as a dead engine and sent that out with the replies to heartbeats. A leader whose machine had lost its path thus made all instances refuse calls while it led: no engine can take the request.

Ruled out: recording the failures and taking them back once the detector is suspicious. The first failures would still be sent out, and in each round anew when two engines have really ended. A failure is held instead until any engine answers after it, and dropped while the path is cut.

Only engines are watched, not plain servers: the leader has no exchanges with those.

--- a/keepd/lead/discovery.go
+++ b/keepd/lead/discovery.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/version/ledger"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/store"
@@ -195,7 +196,10 @@
 	for _, e := range engines {
 		groups[e.Name] = e.Pool + "/" + string(e.Role)
 	}
-	_ = l.withLease(func(time.Duration, uint64) { l.roster.SetEngines(groups) })
+	_ = l.withLease(func(time.Duration, uint64) {
+		l.roster.SetEngines(groups)
+		l.path.setEngines(engines)
+	})
 	for _, e := range engines {
 		select {
 		case work <- e:
@@ -207,17 +211,41 @@
 }
 
 func (l *Leader) pollReport(ctx context.Context, e state.Engine) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	p, err := l.discovery.Report(ctx, e)
-	if err != nil {
-		l.meter.Count("report", "failed")
-		p = proto.Report{Engine: e.Name, Role: e.Role}
+	began := l.clock.Now()
+	var p proto.Report
+	err := l.observe(ctx, server.HostPort(e.URL), func() (err error) {
+		reportCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		p, err = l.discovery.Report(reportCtx, e)
+		return err //nolint:wrapcheck // only counted
+	})
+	switch {
+	case err == nil:
+		l.recordReport(e, p)
+	case ctx.Err() == nil:
+		l.recordFailure(began, e)
 	}
-	p.Engine, p.At, p.Alive = e.Name, l.clock.Now(), err == nil
-	_ = l.withLease(func(time.Duration, uint64) {
-		learned := l.roster.Speed(e.Name)
+}
+
+// recordReport records the report of an engine that answered.
+func (l *Leader) recordReport(e state.Engine, p proto.Report) {
+	p.Engine, p.At, p.Alive = e.Name, l.clock.Now(), true
+	_ = l.withLease(func(time.Duration, uint64) { l.putReports(append(l.path.answered(e.Name), p)) })
+}
+
+// recordFailure records that an engine's report couldn't be read.
+func (l *Leader) recordFailure(began time.Time, e state.Engine) {
+	l.meter.Count("report", "failed")
+	p := proto.Report{Engine: e.Name, Role: e.Role, At: l.clock.Now()}
+	_ = l.withLease(func(time.Duration, uint64) { l.putReports(l.path.failed(began, p)) })
+}
+
+// putReports stores reports with the speeds that all instances have learned. The
+// mutex must be locked.
+func (l *Leader) putReports(reports []proto.Report) {
+	for _, p := range reports {
+		learned := l.roster.Speed(p.Engine)
 		p.PrefillRate, p.PrefillDelay, p.StartTime = learned.PrefillRate, learned.PrefillDelay, learned.StartTime
 		l.roster.RecordReport(p)
-	})
+	}
 }
--- a/keepd/lead/fake_test.go
+++ b/keepd/lead/fake_test.go
@@ -90,6 +90,12 @@
 
 // newTestLeader starts a leader with the default settings as changed by edit.
 func newTestLeader(t *testing.T, edit func(*conf.Settings)) *testLeader {
+	t.Helper()
+	return newDiscoveringLeader(t, edit, nil)
+}
+
+// newDiscoveringLeader starts a leader that takes the backend servers from d.
+func newDiscoveringLeader(t *testing.T, edit func(*conf.Settings), d lead.Discovery) *testLeader {
 	t.Helper()
 	s := conf.Default()
 	s.Name, s.Peers, s.Plan.Policy = "keep1", map[string]string{"keep1": "", "keep2": ""}, "fixed"
@@ -99,6 +105,9 @@
 	b := &testLeader{store: store.New(), clock: &fakeClock{}, meter: meter.New()}
 	b.log = &fakeLog{store: b.store, term: 1, lease: time.Second}
 	b.Leader = lead.New(s, b.log, b.store, b.clock, b.meter, lead.NewNativeClient())
+	if d != nil {
+		b.UseDiscovery(d, lead.PollIntervals{List: 10 * time.Millisecond, Report: 20 * time.Millisecond})
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/keepd/lead/lead.go
+++ b/keepd/lead/lead.go
@@ -49,11 +49,12 @@
 	roster    *roster.Roster
 	allocator *quota.Allocator
 	limits    *pace.Board // of backend servers
+	path      *path       // to the engines, of the term
 }
 
 // New returns a Leader. Serve starts its background loops.
 func New(s *conf.Settings, l node.Log, st *store.Store, c clock.Clock, m *meter.Registry, e EngineClient) *Leader {
-	return &Leader{settings: s, log: l, store: st, clock: c, meter: m, engines: e, limits: pace.NewBoard()}
+	return &Leader{settings: s, log: l, store: st, clock: c, meter: m, engines: e, limits: pace.NewBoard(), path: newPath()}
 }
 
 // notLeaderError returns the error that redirects clients to the leader, or to
@@ -97,6 +98,7 @@
 		Term:          term,
 	})
 	l.allocator = quota.New(now, time.Duration(l.settings.Member.Lease))
+	l.path = newPath()
 }
 
 // heldTerm returns the term of the lease held, or 0 without a lease.
@@ -160,7 +162,7 @@
 func (l *Leader) Serve(ctx context.Context) {
 	defer context.AfterFunc(ctx, func() { l.stopping.Store(true) })()
 	var group sync.WaitGroup
-	for _, loop := range []func(context.Context){l.runMaintenance, l.runOrders, l.runPlanner, l.runInstanceList, l.runFleetSync, l.runReportPolling} {
+	for _, loop := range []func(context.Context){l.runMaintenance, l.runOrders, l.runPlanner, l.runInstanceList, l.runFleetSync, l.runReportPolling, l.watchPath} {
 		group.Go(func() { loop(ctx) })
 	}
 	group.Wait()
--- a/keepd/lead/orders.go
+++ b/keepd/lead/orders.go
@@ -10,6 +10,7 @@
 
 	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/conn/guard"
+	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/version/ledger"
 	"verbenahaven.example/core/version/order"
 	"verbenahaven.example/core/version/state"
@@ -205,7 +206,12 @@
 }
 
 func (l *Leader) probeEngine(ctx context.Context, a order.Action) (engine.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	return l.engines.Probe(ctx, l.engineOf(a)) //nolint:wrapcheck // executeAction counts it by kind
+	var status engine.Status
+	err := l.observe(ctx, server.HostPort(a.URL), func() (err error) {
+		probeCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		defer cancel()
+		status, err = l.engines.Probe(probeCtx, l.engineOf(a))
+		return err //nolint:wrapcheck // executeAction counts it by kind
+	})
+	return status, err
 }
--- /dev/null
+++ b/keepd/lead/path_test.go
@@ -0,0 +1,155 @@
+package lead_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/version/state"
+)
+
+var errUnreachable = errors.New("unreachable")
+
+// fakeFleet is the discovery of a platform whose engines fail as a test sets.
+type fakeFleet struct {
+	engines []state.Engine
+
+	mutex  sync.Mutex
+	failed map[string]bool
+	silent bool // failed engines don't answer, instead of refusing at once
+}
+
+func newFakeFleet(engines int) *fakeFleet {
+	f := &fakeFleet{}
+	for i := range engines {
+		f.engines = append(f.engines, state.Engine{
+			Name: fmt.Sprint("e", i), URL: fmt.Sprintf("http://10.0.0.%d:1", i+1), Role: state.RoleDecode, Phase: state.PhaseServing,
+		})
+	}
+	return f
+}
+
+func (f *fakeFleet) List(context.Context) (state.Fleet, error) {
+	return state.Fleet{Engines: append([]state.Engine(nil), f.engines...)}, nil
+}
+
+func (f *fakeFleet) Report(ctx context.Context, e state.Engine) (proto.Report, error) {
+	f.mutex.Lock()
+	failed, silent := f.failed[e.Name], f.silent
+	f.mutex.Unlock()
+	switch {
+	case !failed:
+		time.Sleep(time.Millisecond)
+		return proto.Report{Role: e.Role}, nil
+	case silent:
+		<-ctx.Done()
+	}
+	return proto.Report{}, errUnreachable
+}
+
+// fail makes the first n engines fail and the others work.
+func (f *fakeFleet) fail(n int, silent bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.silent, f.failed = silent, make(map[string]bool)
+	for _, e := range f.engines[:n] {
+		f.failed[e.Name] = true
+	}
+}
+
+// runFor lets real and fake time pass together, until done if that isn't nil.
+func (b *testLeader) runFor(d time.Duration, done func() bool) bool {
+	const step = 5 * time.Millisecond
+	for range d / step {
+		if done != nil && done() {
+			return true
+		}
+		time.Sleep(step)
+		b.clock.advance(step)
+	}
+	return false
+}
+
+// reported returns the numbers of engines that an entry instance is told to be
+// alive and dead.
+func (b *testLeader) reported(t *testing.T) (alive, dead int) {
+	t.Helper()
+	r, err := b.Heartbeat(t.Context(), "entry", heartbeat("entry", state.PhaseServing))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range r.Reports {
+		if p.Alive {
+			alive++
+		} else {
+			dead++
+		}
+	}
+	return alive, dead
+}
+
+func (b *testLeader) waitForReports(t *testing.T, alive, dead int) {
+	t.Helper()
+	var a, d int
+	if !b.runFor(5*time.Second, func() bool { a, d = b.reported(t); return a == alive && d == dead }) {
+		t.Fatalf("told of %d live and %d dead engines, want %d and %d", a, d, alive, dead)
+	}
+}
+
+func (b *testLeader) requireNoneDead(t *testing.T) {
+	t.Helper()
+	b.runFor(2*time.Second, func() bool {
+		if _, dead := b.reported(t); dead > 0 {
+			t.Fatalf("told that %d engines are dead", dead)
+		}
+		return false
+	})
+}
+
+func TestCutLeaderReportsNoEngineDead(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprint("silent=", silent), func(t *testing.T) {
+			fleet := newFakeFleet(12)
+			b := newDiscoveringLeader(t, nil, fleet)
+			b.waitForReports(t, 12, 0)
+			fleet.fail(12, silent)
+			b.requireNoneDead(t)
+			if n := b.meter.Value("report", "failed"); n < 12 {
+				t.Fatalf("%d failed reports, want one of each engine", n)
+			}
+			if n := b.meter.Value("path", "cut"); n != 1 {
+				t.Fatalf("path cut %d times, want 1", n)
+			}
+			fleet.fail(0, silent)
+			b.requireNoneDead(t)
+			fleet.fail(1, silent)
+			b.waitForReports(t, 11, 1)
+		})
+	}
+}
+
+func TestLeaderReportsFailedEnginesDead(t *testing.T) {
+	for _, c := range []struct {
+		engines, failed int
+		silent          bool
+	}{{1, 1, false}, {2, 1, false}, {12, 1, true}, {12, 2, false}, {12, 6, false}, {12, 8, true}, {12, 11, false}} {
+		t.Run(fmt.Sprintf("%d of %d silent=%t", c.failed, c.engines, c.silent), func(t *testing.T) {
+			fleet := newFakeFleet(c.engines)
+			b := newDiscoveringLeader(t, nil, fleet)
+			b.waitForReports(t, c.engines, 0)
+			fleet.fail(c.failed, c.silent)
+			started := b.clock.Now()
+			b.waitForReports(t, c.engines-c.failed, c.failed)
+			if d := b.clock.Now().Sub(started); d > time.Second {
+				t.Errorf("told after %v", d)
+			}
+			if n := b.meter.Value("path", "cut"); n > 0 {
+				t.Errorf("path taken for cut %d times", n)
+			}
+		})
+	}
+}
