keepd/lead: a leader that gets answers isn't cut

Cause: the detector leaves a cut only when two distinct servers can be reached. When all engines but one end, probes of the others can fail before the last one answers; the leader then took its path for cut for good, and told nobody of the dead engines.

Ruled out: another limit in the detector itself, which entry instances share.

Result: the leader is cut only if the detector says so and nothing has answered for half a second.

--- a/keepd/lead/discovery.go
+++ b/keepd/lead/discovery.go
@@ -230,7 +230,7 @@
 // recordReport records the report of an engine that answered.
 func (l *Leader) recordReport(e state.Engine, p proto.Report) {
 	p.Engine, p.At, p.Alive = e.Name, l.clock.Now(), true
-	_ = l.withLease(func(time.Duration, uint64) { l.putReports(append(l.path.answered(e.Name), p)) })
+	_ = l.withLease(func(time.Duration, uint64) { l.putReports(append(l.path.answered(p.At, e.Name), p)) })
 }
 
 // recordFailure records that an engine's report couldn't be read.
--- a/keepd/lead/path.go
+++ b/keepd/lead/path.go
@@ -18,19 +18,25 @@
 // pathInterval is the time between two looks at the member's path.
 const pathInterval = 20 * time.Millisecond
 
-// minJudged is the number of engines from which failures tell about the path.
-const minJudged = 2
+const (
+	// minJudged is the number of engines from which failures tell about the path.
+	minJudged = 2
+	// maxQuiet is the time from the latest answer after which the path may be cut.
+	// The detector alone takes it for cut when a single engine is left.
+	maxQuiet = 500 * time.Millisecond
+)
 
 // path decides whether a failed read of a report tells about the engine or about
 // this member's own path to all engines. It answers the trouble of a leader that
 // loses its path and would report sound engines as dead to all instances. A failure
 // counts only once an engine has answered after it, and never while the path is cut.
 type path struct {
-	detector *reach.Detector
-	engines  map[string]state.Engine // by address
-	held     map[string]proto.Report // failed since the latest answer, by engine
-	cut      bool
-	backAt   time.Time // end of the latest cut
+	detector   *reach.Detector
+	engines    map[string]state.Engine // by address
+	held       map[string]proto.Report // failed since the latest answer, by engine
+	answeredAt time.Time               // latest answer
+	cut        bool
+	backAt     time.Time // end of the latest cut
 }
 
 func newPath() *path {
@@ -48,7 +54,8 @@
 
 // answered records that an engine answered, and returns the reports of engines that
 // are thereby known to be dead.
-func (p *path) answered(engine string) []proto.Report {
+func (p *path) answered(now time.Time, engine string) []proto.Report {
+	p.answeredAt = now
 	delete(p.held, engine)
 	if p.cut {
 		clear(p.held)
@@ -72,7 +79,7 @@
 
 // look returns whether the path is cut, and whether that changed since the last call.
 func (p *path) look(now time.Time) (cut, changed bool) {
-	cut = p.detector.Cut(now)
+	cut = p.detector.Cut(now) && now.Sub(p.answeredAt) >= maxQuiet
 	changed = cut != p.cut
 	if changed && !cut {
 		p.backAt = now
--- a/keepd/lead/path_test.go
+++ b/keepd/lead/path_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 // fakeFleet is the discovery of a platform whose engines fail as a test sets.
 type fakeFleet struct {
 	engines []state.Engine
+	stagger time.Duration // between the results of one engine and of the next
 
 	mutex  sync.Mutex
 	failed map[string]bool
@@ -41,6 +43,7 @@
 	f.mutex.Lock()
 	failed, silent := f.failed[e.Name], f.silent
 	f.mutex.Unlock()
+	time.Sleep(time.Duration(slices.IndexFunc(f.engines, func(o state.Engine) bool { return o.Name == e.Name })) * f.stagger)
 	switch {
 	case !failed:
 		time.Sleep(time.Millisecond)
@@ -132,6 +135,20 @@
 	}
 }
 
+// A single engine that answers shows that the path isn't cut.
+func TestLastEngineShowsThatPathIsSound(t *testing.T) {
+	fleet := newFakeFleet(12)
+	fleet.stagger = 5 * time.Millisecond
+	b := newDiscoveringLeader(t, nil, fleet)
+	b.waitForReports(t, 12, 0)
+	fleet.fail(11, false)
+	b.runFor(time.Second, nil)
+	b.waitForReports(t, 1, 11)
+	if n := b.meter.Value("path", "cut"); n > 0 {
+		t.Errorf("path taken for cut %d times", n)
+	}
+}
+
 func TestLeaderReportsFailedEnginesDead(t *testing.T) {
 	for _, c := range []struct {
 		engines, failed int
@@ -147,6 +164,7 @@
 			if d := b.clock.Now().Sub(started); d > time.Second {
 				t.Errorf("told after %v", d)
 			}
+			b.runFor(time.Second, nil)
 			if n := b.meter.Value("path", "cut"); n > 0 {
 				t.Errorf("path taken for cut %d times", n)
 			}
