keepd/lead: a leader without a path to the engines hands over

Cause: the leader orders role changes and reads the reports for all. One that reaches no engine can do neither, and led on for as long as it was cut.

Evidence: go test -race -count=3 ./lead passes, with tests that a cut leader asks another keeper to lead once, after 1 s to 2 s, that no message for an order is sent after the end of its lease, that failed engines (1, 6 and 11 of 12) don't make it do so, and that a keeper which leads again while it is cut waits for 10 s. In core/process/node a group of three elects another leader, and a leader without another voter keeps its lease; the latter fails without the check for a successor. go test -race of core/process/quorum passes.

Ruled out: the transfer as at a stop. It ends with a step down when nobody takes over, which would leave no leader. The successor's orders wait for longer than those of the old term are valid, as the wait starts at the transfer at the earliest.

Result: the leader hands over when it has been cut for a second, at most once in 10 s, and only if another voter is up to date. The successor isn't chosen by its own path, since the log doesn't know that: it may be cut, too, and then hands over in turn.

--- a/core/process/node/member.go
+++ b/core/process/node/member.go
@@ -230,6 +230,14 @@
 	}()
 }
 
+// HandOver implements Log.
+func (n *Node) HandOver() {
+	select {
+	case n.inbox <- quorum.TransferLeadership{IfReady: true}:
+	default: // the caller asks again
+	}
+}
+
 // transferLeadership asks another voter to take over leadership and waits for
 // it, at most for an election timeout.
 func (n *Node) transferLeadership() {
--- a/core/process/node/node.go
+++ b/core/process/node/node.go
@@ -79,6 +79,9 @@
 	// leadership at once: whatever acts under the lease must stop before the
 	// cleanup is called.
 	Lease() (term uint64, remaining time.Duration)
+	// HandOver asks another voter to take over leadership. Nothing happens if none
+	// is up to date, or this member doesn't lead. The lease ends at once.
+	HandOver()
 	// ChangeMembership makes a single membership change: it adds a learner,
 	// promotes a caught-up learner or removes a member. Only one change runs at
 	// a time.
--- a/core/process/node/node_test.go
+++ b/core/process/node/node_test.go
@@ -60,6 +60,31 @@
 	g.waitApplied(3, 6)
 }
 
+func TestHandOverElectsAnotherLeader(t *testing.T) {
+	g := newGroup(t, 3, 0, nil)
+	g.start(g.names...)
+	g.propose(1)
+	old := g.leader()
+	g.members[old].node.HandOver()
+	g.wait("another leader", func() bool { return g.leader() != old })
+	g.propose(2)
+	g.waitApplied(2, 3)
+}
+
+// A leader that hands over without a voter to take over would leave none.
+func TestHandOverWithoutSuccessorKeepsLeader(t *testing.T) {
+	g := newGroup(t, 1, 0, nil)
+	g.start(g.names...)
+	g.propose(1)
+	leader := g.members[g.leader()].node
+	leader.HandOver()
+	for end := time.Now().Add(2 * g.settings[g.names[0]].ElectionTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if _, left := leader.Lease(); left <= 0 {
+			t.Fatal("leader without a successor gave up its lease")
+		}
+	}
+}
+
 func TestAllRestart(t *testing.T) {
 	g := newGroup(t, 3, 0, func(s *node.Settings) { s.CommandsPerSnapshot = 100 })
 	g.start(g.names...)
--- a/core/process/quorum/core.go
+++ b/core/process/quorum/core.go
@@ -190,7 +190,9 @@
 	case SnapshotSaved:
 		c.handleSnapshotSaved(e.Meta)
 	case TransferLeadership:
-		c.startTransfer()
+		if !e.IfReady || c.hasSuccessor() {
+			c.startTransfer()
+		}
 	default:
 		panic(fmt.Sprintf("quorum: unknown event %T", event))
 	}
--- a/core/process/quorum/elect.go
+++ b/core/process/quorum/elect.go
@@ -1,6 +1,9 @@
 package quorum
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // tick runs the timers: heartbeats and repair on a leader, discovery, bootstrap
 // and the election timeout on any other member.
@@ -247,6 +250,13 @@
 	c.campaign(true)
 }
 
+// hasSuccessor reports whether another voter is up to date.
+func (c *Core) hasSuccessor() bool {
+	return slices.ContainsFunc(c.config().Members, func(m Member) bool {
+		return m.Voter && m.Identity != c.settings.Identity && c.caughtUp(m.Identity)
+	})
+}
+
 // startTransfer begins a transfer of leadership. If it doesn't complete within
 // one election timeout, the leader steps down.
 func (c *Core) startTransfer() {
--- a/core/process/quorum/event.go
+++ b/core/process/quorum/event.go
@@ -40,8 +40,9 @@
 	// SnapshotSaved reports that the driver's own snapshot is durable.
 	SnapshotSaved struct{ Meta SnapshotMeta }
 	// TransferLeadership asks the leader to hand over leadership, for example
-	// before it stops.
-	TransferLeadership struct{}
+	// before it stops. If it goes on running, it should do so IfReady, that is,
+	// only if another voter is up to date.
+	TransferLeadership struct{ IfReady bool }
 )
 
 // Command is a proposed command of the replicated state machine.
--- a/keepd/lead/fake_test.go
+++ b/keepd/lead/fake_test.go
@@ -24,6 +24,9 @@
 	term  uint64
 	lease time.Duration
 	fail  error
+
+	handOvers int
+	handsOver bool // a request to hand over ends the lease
 }
 
 func (f *fakeLog) Propose(_ context.Context, command []byte) (any, error) {
@@ -51,6 +54,21 @@
 	return f.term, f.lease
 }
 
+func (f *fakeLog) HandOver() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.handOvers++
+	if f.handsOver {
+		f.lease = 0
+	}
+}
+
+func (f *fakeLog) requestedHandOvers() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.handOvers
+}
+
 func (f *fakeLog) ChangeMembership(context.Context, node.ChangeKind, string) error { return nil }
 
 func (f *fakeLog) set(term uint64, lease time.Duration, fail error) {
@@ -94,8 +112,8 @@
 	return newDiscoveringLeader(t, edit, nil)
 }
 
-// newDiscoveringLeader starts a leader that takes the backend servers from d.
-func newDiscoveringLeader(t *testing.T, edit func(*conf.Settings), d lead.Discovery) *testLeader {
+// newDiscoveringLeader starts a leader of the engines of a platform, if f isn't nil.
+func newDiscoveringLeader(t *testing.T, edit func(*conf.Settings), f *fakeFleet) *testLeader {
 	t.Helper()
 	s := conf.Default()
 	s.Name, s.Peers, s.Plan.Policy = "keep1", map[string]string{"keep1": "", "keep2": ""}, "fixed"
@@ -104,9 +122,13 @@
 	}
 	b := &testLeader{store: store.New(), clock: &fakeClock{}, meter: meter.New()}
 	b.log = &fakeLog{store: b.store, term: 1, lease: time.Second}
-	b.Leader = lead.New(s, b.log, b.store, b.clock, b.meter, lead.NewNativeClient())
-	if d != nil {
-		b.UseDiscovery(d, lead.PollIntervals{List: 10 * time.Millisecond, Report: 20 * time.Millisecond})
+	var client lead.EngineClient = lead.NewNativeClient()
+	if f != nil {
+		client = f
+	}
+	b.Leader = lead.New(s, b.log, b.store, b.clock, b.meter, client)
+	if f != nil {
+		b.UseDiscovery(f, lead.PollIntervals{List: 10 * time.Millisecond, Report: 20 * time.Millisecond})
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/keepd/lead/lead.go
+++ b/keepd/lead/lead.go
@@ -50,6 +50,8 @@
 	allocator *quota.Allocator
 	limits    *pace.Board // of backend servers
 	path      *path       // to the engines, of the term
+
+	handedOverAt time.Time // in any term
 }
 
 // New returns a Leader. Serve starts its background loops.
--- a/keepd/lead/path.go
+++ b/keepd/lead/path.go
@@ -26,6 +26,15 @@
 	maxQuiet = 500 * time.Millisecond
 )
 
+const (
+	// handOverAfter is the time for which the path must be cut before another
+	// keeper is asked to lead.
+	handOverAfter = time.Second
+	// handOverInterval is the shortest time between two such requests, so that
+	// leadership doesn't circle when all keepers are cut.
+	handOverInterval = 10 * time.Second
+)
+
 // path decides whether a failed read of a report tells about the engine or about
 // this member's own path to all engines. It answers the trouble of a leader that
 // loses its path and would report sound engines as dead to all instances. A failure
@@ -36,7 +45,8 @@
 	held       map[string]proto.Report // failed since the latest answer, by engine
 	answeredAt time.Time               // latest answer
 	cut        bool
-	backAt     time.Time // end of the latest cut
+	cutAt      time.Time // begin of the latest cut
+	backAt     time.Time // and its end
 }
 
 func newPath() *path {
@@ -81,13 +91,21 @@
 func (p *path) look(now time.Time) (cut, changed bool) {
 	cut = p.detector.Cut(now) && now.Sub(p.answeredAt) >= maxQuiet
 	changed = cut != p.cut
-	if changed && !cut {
+	switch {
+	case changed && cut:
+		p.cutAt = now
+	case changed:
 		p.backAt = now
 	}
 	p.cut = cut
 	return cut, changed
 }
 
+// handOverDue reports whether another keeper should lead.
+func (p *path) handOverDue(now, latest time.Time) bool {
+	return p.cut && now.Sub(p.cutAt) >= handOverAfter && (latest.IsZero() || now.Sub(latest) >= handOverInterval)
+}
+
 // pathDetector returns the detector of the current term.
 func (l *Leader) pathDetector() *reach.Detector {
 	l.mutex.Lock()
@@ -123,7 +141,7 @@
 	})
 }
 
-// lookAtPath logs a change of the path and returns the engines to probe.
+// lookAtPath acts on the state of the path and returns the engines to probe.
 func (l *Leader) lookAtPath() []state.Engine {
 	var probes []state.Engine
 	_ = l.withLease(func(time.Duration, uint64) {
@@ -131,6 +149,9 @@
 		if cut, changed := l.path.look(now); changed {
 			l.logPath(cut)
 		}
+		if l.path.handOverDue(now, l.handedOverAt) {
+			l.handOver(now)
+		}
 		for a, due := l.path.detector.NextProbe(now); due; a, due = l.path.detector.NextProbe(now) {
 			probes = append(probes, l.path.engines[a])
 		}
@@ -148,6 +169,15 @@
 	klog.InfoS("path to the engines is back")
 }
 
+// handOver asks another keeper to lead, which may reach the engines. The mutex must
+// be locked.
+func (l *Leader) handOver(now time.Time) {
+	l.handedOverAt = now
+	l.meter.Count("path", "handed_over")
+	klog.InfoS("handing over leadership: path to the engines is cut", "since", l.path.cutAt)
+	l.log.HandOver()
+}
+
 // probePath reads the report of an engine to test the path. A failure says nothing
 // about the engine, which gets less time for its answer than in a regular read.
 func (l *Leader) probePath(ctx context.Context, e state.Engine) {
--- a/keepd/lead/path_test.go
+++ b/keepd/lead/path_test.go
@@ -9,8 +9,13 @@
 	"testing"
 	"time"
 
+	"verbenahaven.example/core/conn/engine"
+	"verbenahaven.example/core/conn/guard"
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/boot"
 	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/store"
+	"verbenahaven.example/keepd/conf"
 )
 
 var errUnreachable = errors.New("unreachable")
@@ -23,6 +28,7 @@
 	mutex  sync.Mutex
 	failed map[string]bool
 	silent bool // failed engines don't answer, instead of refusing at once
+	orders int  // probes and orders
 }
 
 func newFakeFleet(engines int) *fakeFleet {
@@ -54,6 +60,30 @@
 	return proto.Report{}, errUnreachable
 }
 
+func (f *fakeFleet) Probe(ctx context.Context, e state.Engine) (engine.Status, error) {
+	f.countOrder()
+	p, err := f.Report(ctx, e)
+	return engine.Status{Engine: e.Name, Role: p.Role}, err
+}
+
+func (f *fakeFleet) Order(ctx context.Context, _ *guard.Writer, e state.Engine, _ state.Order, _ uint64) (engine.OrderResult, error) {
+	f.countOrder()
+	_, err := f.Report(ctx, e)
+	return engine.OrderResult{}, err
+}
+
+func (f *fakeFleet) countOrder() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.orders++
+}
+
+func (f *fakeFleet) sentOrders() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.orders
+}
+
 // fail makes the first n engines fail and the others work.
 func (f *fakeFleet) fail(n int, silent bool) {
 	f.mutex.Lock()
@@ -116,6 +146,7 @@
 func TestCutLeaderReportsNoEngineDead(t *testing.T) {
 	for _, silent := range []bool{false, true} {
 		t.Run(fmt.Sprint("silent=", silent), func(t *testing.T) {
+			t.Parallel()
 			fleet := newFakeFleet(12)
 			b := newDiscoveringLeader(t, nil, fleet)
 			b.waitForReports(t, 12, 0)
@@ -137,6 +168,7 @@
 
 // A single engine that answers shows that the path isn't cut.
 func TestLastEngineShowsThatPathIsSound(t *testing.T) {
+	t.Parallel()
 	fleet := newFakeFleet(12)
 	fleet.stagger = 5 * time.Millisecond
 	b := newDiscoveringLeader(t, nil, fleet)
@@ -155,6 +187,7 @@
 		silent          bool
 	}{{1, 1, false}, {2, 1, false}, {12, 1, true}, {12, 2, false}, {12, 6, false}, {12, 8, true}, {12, 11, false}} {
 		t.Run(fmt.Sprintf("%d of %d silent=%t", c.failed, c.engines, c.silent), func(t *testing.T) {
+			t.Parallel()
 			fleet := newFakeFleet(c.engines)
 			b := newDiscoveringLeader(t, nil, fleet)
 			b.waitForReports(t, c.engines, 0)
@@ -171,3 +204,76 @@
 		})
 	}
 }
+
+func (b *testLeader) waitForHandOvers(t *testing.T, n int) {
+	t.Helper()
+	if !b.runFor(5*time.Second, func() bool { return b.log.requestedHandOvers() == n }) {
+		t.Fatalf("leadership handed over %d times, want %d", b.log.requestedHandOvers(), n)
+	}
+}
+
+func (b *testLeader) requireHandOvers(t *testing.T, n int) {
+	t.Helper()
+	b.runFor(1500*time.Millisecond, nil)
+	if got := b.log.requestedHandOvers(); got != n {
+		t.Fatalf("leadership handed over %d times, want %d", got, n)
+	}
+}
+
+func TestCutLeaderHandsOver(t *testing.T) {
+	t.Parallel()
+	fleet := newFakeFleet(12)
+	b := newDiscoveringLeader(t, func(s *conf.Settings) { s.Order.DrainTimeout = boot.Duration(100 * time.Millisecond) }, fleet)
+	b.log.handsOver = true
+	b.waitForReports(t, 12, 0)
+	command, err := store.Encode(store.Command{Term: 1, OpenOrder: &store.OrderRequest{Engine: "e0", Role: state.RolePrefill}}, b.clock.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	started := b.clock.Now()
+	fleet.fail(12, false)
+	if _, err := b.log.Propose(t.Context(), command); err != nil {
+		t.Fatal(err)
+	}
+	b.waitForHandOvers(t, 1)
+	if d := b.clock.Now().Sub(started); d < time.Second || d > 2*time.Second {
+		t.Errorf("handed over after %v, want 1 s to 2 s", d)
+	}
+	b.runFor(100*time.Millisecond, nil) // what is under way ends
+	sent := fleet.sentOrders()
+	if sent == 0 {
+		t.Error("nothing was sent for the open order before")
+	}
+	b.requireHandOvers(t, 1)
+	if n := fleet.sentOrders(); n != sent {
+		t.Errorf("%d messages for an order after the end of the lease", n-sent)
+	}
+}
+
+func TestLeadershipDoesNotCircleWhenAllKeepersAreCut(t *testing.T) {
+	t.Parallel()
+	fleet := newFakeFleet(12)
+	b := newDiscoveringLeader(t, nil, fleet)
+	b.log.handsOver = true
+	b.waitForReports(t, 12, 0)
+	fleet.fail(12, false)
+	b.waitForHandOvers(t, 1)
+	b.clock.advance(4 * time.Second)
+	b.log.set(3, time.Second, nil) // the successors are cut, too
+	b.requireHandOvers(t, 1)
+	b.clock.advance(5 * time.Second)
+	b.waitForHandOvers(t, 2)
+}
+
+func TestFailedEnginesKeepLeader(t *testing.T) {
+	for _, failed := range []int{1, 6, 11} {
+		t.Run(fmt.Sprint(failed), func(t *testing.T) {
+			t.Parallel()
+			fleet := newFakeFleet(12)
+			b := newDiscoveringLeader(t, nil, fleet)
+			b.waitForReports(t, 12, 0)
+			fleet.fail(failed, false)
+			b.requireHandOvers(t, 0)
+		})
+	}
+}
