sched: test that instances without reports place

Cause: an instance hears of engines from the leader only. While that is cut off or changes, its reports get old.

Evidence: a property test over live and dead reports, their loads and a silence of 2 s to 60 s. It passes on the code as it was: a live report never expires, a dead one after 2 s.

Ruled out by it: refusals for want of a usable engine. Not covered: the work of other instances, which stays as last reported until the next reply.

Result: no change of behaviour.

--- a/core/request/sched/sched_test.go
+++ b/core/request/sched/sched_test.go
@@ -167,3 +167,24 @@
 		}
 	})
 }
+
+// An instance that the leader doesn't answer goes by the last reports, however old.
+func TestInstanceWithoutReportsPlaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newTestScheduler()
+		report := func(engine string, role state.Role) proto.Report {
+			return proto.Report{
+				Engine: engine, At: start, Role: role,
+				Alive:   rapid.Bool().Draw(t, "alive"),
+				Running: rapid.IntRange(0, 40).Draw(t, "running"),
+				KVUsage: rapid.Float64Range(0, 0.9).Draw(t, "memory"),
+			}
+		}
+		s.ApplyReports([]proto.Report{report("p", state.RolePrefill), report("d", state.RoleDecode)}, nil)
+		silence := time.Duration(rapid.IntRange(2000, 60_000).Draw(t, "silence")) * time.Millisecond
+		d, err := s.Decide(start.Add(silence), newTestRequest("1"))
+		if err != nil || d.Refused {
+			t.Fatalf("after %s without reports: %+v, %v", silence, d, err)
+		}
+	})
+}
