broker: a loss of an engine is told again, and counted once by the scheduler

Two changes mended the same fault, a loss that is repeated in later datagrams and doubled the ejection each time: the sender told losses once, and the scheduler remembers them. The second one stays, since a lost datagram loses no news with it. TestRepeatedEventsDontMultiplyLosses, which asked the sender to tell once, goes for sched's TestRepeatedLossEjectsOnce, which checks the same from the time for which the engine gets nothing.

--- a/entryd/broker/broker.go
+++ b/entryd/broker/broker.go
@@ -30,7 +30,7 @@
 	// from older loads.
 	askTimeout = 20 * time.Millisecond
 	// resentEvents is the number of earlier events that each message carries
-	// again, in case the datagrams with them were lost: what says how a request goes.
+	// again, in case the datagrams with them were lost.
 	resentEvents = 3
 	// maxDatagram is the largest datagram that is read, in bytes.
 	maxDatagram = 16 << 10
@@ -284,9 +284,7 @@
 	if len(c.recent) > maxListItems {
 		clear(c.recent)
 	}
-	if e.Kind != proto.PlaceFailed && e.Kind != proto.PlaceLost { // which would count again
-		c.recent[link] = events
-	}
+	c.recent[link] = events
 	c.mutex.Unlock()
 	c.send(to, &proto.PlaceMessage{From: c.name, Events: events})
 }
