--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -8,13 +8,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
-	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,7 +54,8 @@
 // Proxy forwards callers' requests to backend servers.
 type Proxy struct {
 	codec    server.Codec
-	pool     *httpc.Pool
+	pool     *httpc.Pool // of connections to backend servers
+	peers    *httpc.Pool // of connections to other instances
 	fleet    *Fleet
 	screen   *screen.Screen
 	meter    *meter.Registry
@@ -67,11 +65,12 @@
 	draining func() (left time.Duration, active bool)
 }
 
-// New returns a proxy. draining reports whether the instance is shutting down,
+// New returns a proxy with a pool for connections to backend servers, which show
+// whether the instance has a path to them, and one for those to other instances. draining reports whether the instance is shutting down,
 // and the time left until it cuts the calls that still run.
 func New(
 	codec server.Codec,
-	pool *httpc.Pool,
+	pool, peers *httpc.Pool,
 	fleet *Fleet,
 	screen *screen.Screen,
 	meter *meter.Registry,
@@ -79,9 +78,12 @@
 	clock clock.Clock,
 	draining func() (left time.Duration, active bool),
 ) *Proxy {
+	pool.SetObserver(fleet.path)
+	fleet.SetPathEvidence(fleet.path.detector)
 	return &Proxy{
 		codec:    codec,
 		pool:     pool,
+		peers:    peers,
 		fleet:    fleet,
 		screen:   screen,
 		meter:    meter,
@@ -104,12 +106,16 @@
 	deadline   time.Time
 	tries      int      // counted against maxTries
 	placed     int      // attempts that were placed, each under an ID of its own
+	arrived    bool     // a request of the latest attempt may have reached a backend server
 	mayHaveRun []string // backend servers that may have executed the call
 	avoid      []string // backend servers that failed or refused the call
 	releases   []func() // of the answers that are buffered
 	build      *string  // software build that must go on with the stream, nil for any
 	pass       *screen.Pass
 	retryTaken bool // the next retry has been taken from the budget
+	ofPeer     bool // another instance forwarded the call
+	offered    bool // the call was offered to other instances
+	declined   bool // by admission or screening, as it would be elsewhere
 
 	prefillTime      time.Duration // on a separate prefill engine; 0 without one
 	timeToFirstEvent time.Duration // from start
@@ -117,7 +123,9 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r, false) }
+
+func (s *Proxy) serve(w http.ResponseWriter, r *http.Request, ofPeer bool) {
 	start := s.clock.Now()
 	if _, active := s.draining(); active {
 		w.Header().Set("Connection", "close")
@@ -129,10 +137,10 @@
 	}
 	snapshot, endRequest := s.fleet.BeginRequest()
 	defer endRequest()
-	f := &inflightCall{Proxy: s, w: w, call: call, snapshot: snapshot, start: start}
+	f := &inflightCall{Proxy: s, w: w, call: call, snapshot: snapshot, start: start, ofPeer: ofPeer}
 	table := snapshot.Routing()
 	if table == nil {
-		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: startupRetryAfter, Message: "no routing table is known yet"})
+		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: startupRetryAfter, Message: "no routing table is known yet", Unable: ofPeer})
 		return
 	}
 	if refusal := f.readRequest(r, table.Limits); refusal != nil {
@@ -174,7 +182,12 @@
 		}
 	}()
 	known := f.resolveOrigin(ctx)
-	f.fleet.countRequest(f.clock.Elapsed(), f.targetPool.Name)
+	if !f.ofPeer { // else counted by the instance that forwarded it
+		f.fleet.countRequest(f.clock.Elapsed(), f.targetPool.Name)
+	}
+	if f.fleet.path.isCut(f.targetPool.Name) && f.leaveToPeer(ctx) {
+		return
+	}
 	if !known {
 		f.endUnanswered(ctx, "it isn't known which software build began the stream", busyRetryAfter)
 		return
@@ -186,76 +199,6 @@
 	f.forwardWhole(ctx)
 }
 
-// readRequest reads the body and enforces the limits of the routing table.
-func (f *inflightCall) readRequest(r *http.Request, limits state.Limits) *server.Refusal {
-	if limits.HeaderBytes > 0 && headerSize(r) > limits.HeaderBytes {
-		return &server.Refusal{Kind: server.RefuseHeaderTooLarge, Message: fmt.Sprintf("the header is larger than %d bytes", limits.HeaderBytes)}
-	}
-	maxBytes := int64(defaultMaxBody)
-	if limits.BodyBytes > 0 {
-		maxBytes = limits.BodyBytes
-	}
-	if r.ContentLength == 0 {
-		return nil
-	}
-	timeout := defaultBodyTimeout
-	if limits.IdleTimeout > 0 {
-		timeout = limits.IdleTimeout
-	}
-	control := http.NewResponseController(f.w)
-	whole := max(timeout, defaultCallTimeout)
-	if f.call.TimeLeft > 0 {
-		whole = f.call.TimeLeft
-	}
-	body, err := io.ReadAll(&bodyReader{
-		Reader: http.MaxBytesReader(f.w, r.Body, maxBytes), control: control, clock: f.clock, idle: timeout, end: f.start.Add(whole),
-	})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &server.Refusal{Kind: server.RefuseBodyTooLarge, Message: fmt.Sprintf("the body is larger than %d bytes", maxBytes)}
-	case err != nil:
-		return &server.Refusal{Kind: server.RefuseBadRequest, Message: "the body was cut short"}
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		f.meter.Count("front", "no_read_deadline")
-	}
-	f.call.Body = body
-	return nil
-}
-
-// headerSize returns the approximate size of a request's head, in bytes.
-func headerSize(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			size += len(name) + len(v) + headerFieldOverhead
-		}
-	}
-	return size
-}
-
-// hostname returns a host in lower case and without its port.
-func hostname(host string) string {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	return strings.ToLower(host)
-}
-
-// fingerprint returns a hash of the request that is equal for copies of the same
-// request.
-func (f *inflightCall) fingerprint() string {
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, text := range []string{f.call.Method, f.call.Host, f.call.Target} {
-		_, _ = digest.WriteString(text) // never fails
-		_, _ = digest.WriteString("\n")
-	}
-	_, _ = digest.Write(f.call.Body)
-	return strconv.FormatUint(digest.Sum64(), 16)
-}
-
 func (f *inflightCall) timeLeft() time.Duration {
 	return f.deadline.Sub(f.clock.Now())
 }
@@ -292,7 +235,12 @@
 		f.log.Info("caller left", "request", f.call.ID, "route", f.route.Name, "tries", f.tries, "ran", f.mayHaveRun, "ms", f.elapsedMS())
 		f.writeToLeaver(reason, retryAfter)
 	case len(f.mayHaveRun) == 0:
-		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: retryAfter, Message: reason})
+		doubtful := !f.declined && f.fleet.path.isDoubtful(f.targetPool.Name)
+		if doubtful && f.forwardToPeer(ctx, "doubt") {
+			return
+		}
+		_, draining := f.draining()
+		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: retryAfter, Message: reason, Unable: f.ofPeer && (doubtful || draining)})
 	case ctx.Err() != nil:
 		f.refuse(server.Refusal{Kind: server.RefuseDeadline, Message: reason})
 	default:
@@ -305,14 +253,18 @@
 }
 
 // allowRetry reports whether the call may be sent again, and takes the retry
-// from the pool's budget. A call that may have run is only sent again if it is
-// retryable and its route allows another attempt.
+// from the pool's budget. An attempt that reached no server loads none, so that it
+// may be repeated without a budget. A call that may have run is only sent again if
+// it is retryable and its route allows another attempt.
 func (f *inflightCall) allowRetry(ctx context.Context, retryable bool) bool {
 	switch {
 	case ctx.Err() != nil, f.tries >= maxTries:
 		return false
 	case len(f.mayHaveRun) > 0 && (!retryable || len(f.mayHaveRun) >= max(1, f.route.MaxAttempts)):
 		return false
+	case !f.arrived:
+		f.meter.Count("retry", "unsent")
+		return true
 	case f.retryTaken:
 		f.retryTaken = false
 	case !f.fleet.takeRetry(f.clock.Elapsed(), f.targetPool.Name):
@@ -320,6 +272,7 @@
 		return false
 	}
 	f.meter.Count("retry", "spent")
+	f.arrived = false
 	return true
 }
 
@@ -327,16 +280,23 @@
 // idle connections to it, and counts a loss against the request if any byte of
 // it may have reached the server, which wasn't merely silent. begun reports whether
 // the server had begun its answer.
-// If the call itself has ended, the server isn't at fault, and it returns false.
+// If the call itself has ended, or the instance's own path to the servers is in
+// doubt, the server isn't at fault, and it returns false.
 func (f *inflightCall) recordFailure(ctx context.Context, name, address string, begun bool, err error) bool {
 	f.avoid = append(f.avoid, name)
 	sent := httpc.MaybeSent(err)
+	f.arrived = f.arrived || sent
 	f.log.Info("exchange failed", "request", f.call.ID, "server", name, "sent", sent, "parts", f.sharedParts(), "err", err.Error(), "ms", f.elapsedMS())
 	f.meter.Count("exchange", "failed")
 	if ctx.Err() != nil {
 		return false
 	}
 	f.pool.CloseIdle(address)
+	if f.fleet.ownPathSuspicious(f.targetPool.Name, sent) {
+		f.meter.Count("exchange", "path_in_doubt")
+		f.pass.Spared(sent)
+		return false
+	}
 	if sent && !errors.Is(err, errNoProgress) {
 		f.pass.Lost(f.startOf(name), begun)
 	} else {
@@ -364,8 +324,12 @@
 	return busyRetryAfter
 }
 
-// Run closes connections that were idle for too long, until ctx ends.
+// Run watches the path to the backend servers, and closes connections that were idle
+// for too long, until ctx ends.
 func (s *Proxy) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { s.watchPath(ctx) })
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	for {
@@ -374,6 +338,7 @@
 			return
 		case now := <-ticker.C:
 			s.pool.CloseExpired(now)
+			s.peers.CloseExpired(now)
 		}
 	}
 }
--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -133,7 +133,9 @@
 	f.countRun(r)
 	f.avoid = append(f.avoid, r.name)
 	f.pool.CloseIdle(r.address)
-	r.ticket.engineFailed(r.name, true)
+	if !f.fleet.ownPathSuspicious(f.targetPool.Name, true) {
+		r.ticket.engineFailed(r.name, true)
+	}
 }
 
 // follow forwards the answer of a run. It returns another run if the stream goes on
