httpc: a dial that the call's deadline cuts is no failure of the server

Traced in the log: a call that was forwarded at the end of its time dialled the sound instance, the dial ended with the call's deadline, and the sound instance was left out for a second, in which the calls ran into the cut path.

Cause: net.Dialer returns 'i/o timeout' at the deadline of the context, a moment before the context reports its end, so everything that asks the context took the server for the failed one: peers that are left out, engines that are reported as lost, and the evidence against the path. The dial now returns once its context has ended.

--- a/core/conn/httpc/pool.go
+++ b/core/conn/httpc/pool.go
@@ -180,6 +180,7 @@
 	p.counter.Count("conn", "dialled")
 	c, err := d.DialContext(ctx, "tcp4", address)
 	if err != nil {
+		awaitEnd(ctx)
 		p.counter.Count("conn", "dial_failed")
 		return nil, &ExchangeError{err: fmt.Errorf("dial %s: %w", address, err)}
 	}
@@ -191,6 +192,14 @@
 	return newConn(p, address, tcp), nil
 }
 
+// awaitEnd returns once ctx has ended if its deadline has passed: a dial that its
+// deadline cut may return before that, and would look like one that the server failed.
+func awaitEnd(ctx context.Context) {
+	if deadline, found := ctx.Deadline(); found && !time.Now().Before(deadline) {
+		<-ctx.Done()
+	}
+}
+
 // keepAliveTimeout returns the usable part of the idle timeout in a Keep-Alive
 // header, or 0 if it has none.
 func keepAliveTimeout(header string) time.Duration {
