--- a/core/conn/httpc/observer.go
+++ b/core/conn/httpc/observer.go
@@ -8,18 +8,18 @@
 // Observer is told what happens to the connections of a pool, by server address.
 // It must be safe for concurrent use.
 type Observer interface {
-	// Dialling tells that an attempt to connect for an exchange begins, and one of
+	// Dialling reports that an attempt to connect for an exchange begins, and one of
 	// the next two that it ended. It succeeded once bytes arrived, since a network
 	// that refuses a server's address may accept and reset connections. It was
 	// Abandoned if the exchange ended before.
 	Dialling(address string)
 	Dialled(address string, ok bool)
 	Abandoned(address string)
-	// Sent tells that a request is written and waits for its response.
+	// Sent reports that a request is written and waits for its response.
 	Sent(address string)
-	// Heard tells that bytes of a response arrived.
+	// Heard reports that bytes of a response arrived.
 	Heard(address string)
-	// Ended tells that an exchange that was Sent ended; lost means that its
+	// Ended reports that an exchange that was Sent ended; lost means that its
 	// connection broke or was given up as silent before any byte of a response.
 	Ended(address string, lost bool)
 }
--- a/core/request/reach/reach.go
+++ b/core/request/reach/reach.go
@@ -191,7 +191,7 @@
 	d.quietSince = now
 }
 
-// Ended records the end of an exchange that was Sent. Lost tells that its
+// Ended records the end of an exchange that was Sent. Lost reports that its
 // connection broke or went silent before any byte of an answer.
 func (d *Detector) Ended(now time.Time, address string, lost bool) {
 	d.mu.Lock()
--- a/entryd/infer/successor.go
+++ b/entryd/infer/successor.go
@@ -9,7 +9,7 @@
 	"verbenahaven.example/core/version/state"
 )
 
-// successor tells whether another attempt could go on with a call whose engine
+// successor reports whether another attempt could go on with a call whose engine
 // is silent. A silent engine may go on, so leaving it without a successor would
 // end an answer that it would have completed. It runs beside the attempt and
 // has its own copy of what changes during it.
