reach: keep the silence of an exchange that ended at its deadline as evidence

Cause: an exchange counts as silent only while it waits. One that ended at its deadline, or with its caller, was forgotten at that moment, so that no two servers were silent at the same time. The large deployments have one to three calls a second of a plain service at each instance.

The silence now counts for two seconds after the exchange was given up, unless any byte of any server of the pool arrives; as before, two servers raise suspicion and probes decide.

--- a/core/request/reach/decide.go
+++ b/core/request/reach/decide.go
@@ -40,7 +40,12 @@
 }
 
 func (d *Detector) silent(now time.Time, s *server) bool {
-	return s.waiting.silent(now, d.quietSince) || s.dialling.silent(now, d.quietSince)
+	return d.unanswered(now, s) || s.dialling.silent(now, d.quietSince)
+}
+
+// unanswered reports whether an exchange is silent, or was until it was given up.
+func (d *Detector) unanswered(now time.Time, s *server) bool {
+	return s.waiting.silent(now, d.quietSince) || s.unanswered.counts(now, d.answers)
 }
 
 // firstFailure returns the time of the earliest failure that is evidence.
@@ -54,6 +59,7 @@
 	for _, s := range d.servers {
 		note(d.refused(now, s), s.refused.first)
 		note(s.broken.counts(now, d.answers), s.broken.first)
+		note(s.unanswered.counts(now, d.answers), s.unanswered.first)
 		note(s.waiting.silent(now, d.quietSince), later(s.waiting.since, d.quietSince))
 		note(s.dialling.silent(now, d.quietSince), later(s.dialling.since, d.quietSince))
 	}
--- a/core/request/reach/rapid_test.go
+++ b/core/request/reach/rapid_test.go
@@ -44,6 +44,25 @@
 	})
 }
 
+// At an instance with about a call a second, each call had ended at its deadline before the
+// next one was silent, and the cut was never noticed.
+func TestSilentCutIsNoticedAtFewCalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.IntRange(2, 24).Draw(t, "servers"))
+		w.blackholes, w.keeps, w.deadlines, w.slow = true, true, true, false
+		w.run(2 * time.Second) // each server may have a connection
+		for a := range w.reachable {
+			w.open[a] = true
+		}
+		w.interval = time.Duration(rapid.IntRange(900, 1200).Draw(t, "interval ms")) * time.Millisecond
+		w.set(0)
+		w.run(5 * time.Second)
+		if !w.d.Cut(w.now) {
+			t.Fatal("not cut after five seconds without an answer")
+		}
+	})
+}
+
 // With a stable part of the servers within reach, the calls go to peers for a
 // short time only, and not again and again.
 func TestPartlyReachableIsNotCutForLong(t *testing.T) {
--- a/core/request/reach/reach.go
+++ b/core/request/reach/reach.go
@@ -57,6 +57,7 @@
 	refused      failure // latest failed connection attempt
 	probed       failure // latest failed probe
 	broken       failure // latest exchange that broke before any byte
+	unanswered   failure // latest exchange that was given up after silence
 	down         bool    // the latest connection attempt failed
 	reachedAt    time.Time
 	probingSince time.Time // zero without a probe under way
@@ -200,9 +201,16 @@
 	if !found {
 		return
 	}
+	// At an instance with few calls, each ends at its deadline before the next is silent.
+	unanswered := s.waiting.silent(now, d.quietSince)
+	if unanswered {
+		s.unanswered.record(now, d.answers)
+	}
 	s.waiting.end()
 	if lost {
 		s.broken.record(now, d.answers)
+	}
+	if lost || unanswered {
 		d.decide(now)
 	}
 }
@@ -226,7 +234,7 @@
 	if d.cut {
 		return true
 	}
-	n := d.count(func(s *server) bool { return s.broken.counts(now, d.answers) || s.waiting.silent(now, d.quietSince) })
+	n := d.count(func(s *server) bool { return s.broken.counts(now, d.answers) || d.unanswered(now, s) })
 	return d.suspicious(now) && n >= minFailures
 }
 
--- a/core/request/reach/world_test.go
+++ b/core/request/reach/world_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	callInterval  = 50 * time.Millisecond
+	callInterval  = 50 * time.Millisecond // unless a test sets another
 	probeTick     = 10 * time.Millisecond
 	silentTimeout = 800 * time.Millisecond // of a caller that hears nothing
 	dialTimeout   = 700 * time.Millisecond
@@ -31,6 +31,8 @@
 	blackholes bool            // lost servers are silent; otherwise they refuse
 	slow       bool            // answers may take longer than the silence limit
 	keeps      bool            // connections are kept for later calls
+	deadlines  bool            // silent calls end with their callers' deadlines, no connection is given up
+	interval   time.Duration   // between calls
 
 	last     string // server of the latest attempt; the next one goes elsewhere
 	cuts     int
@@ -66,6 +68,7 @@
 		blackholes: rapid.Bool().Draw(t, "blackholes"),
 		slow:       rapid.Bool().Draw(t, "slow"),
 		keeps:      rapid.Bool().Draw(t, "keeps"),
+		interval:   callInterval,
 	}
 	for i := range servers {
 		a := fmt.Sprintf("s%02d:1", i)
@@ -73,7 +76,7 @@
 		w.reachable[a] = true
 	}
 	w.d.SetServers(w.addresses)
-	w.every(callInterval, func() { w.call(attempts) })
+	w.calls()
 	w.every(probeTick, w.tick)
 	return w
 }
@@ -82,6 +85,14 @@
 	heap.Push(&w.queue, event{w.now.Add(delay), len(w.queue), run})
 }
 
+// calls makes calls at the world's interval.
+func (w *world) calls() {
+	w.after(w.interval, func() {
+		w.call(attempts)
+		w.calls()
+	})
+}
+
 func (w *world) every(interval time.Duration, run func()) {
 	w.after(interval, func() {
 		run()
@@ -145,7 +156,12 @@
 		latency *= 20
 	}
 	if !w.reachable[a] {
-		w.after(silentTimeout, func() { w.d.Ended(w.now, a, true); w.call(attempts - 1) })
+		w.after(silentTimeout, func() {
+			w.d.Ended(w.now, a, !w.deadlines)
+			if !w.deadlines {
+				w.call(attempts - 1)
+			}
+		})
 		return
 	}
 	w.after(latency, func() {
