peers: look for a carrier beyond the own data centre, and remember who is one

Callers of an instance without a path to the servers got nothing where most of its neighbours had none either.

Cause: a call was offered to three instances, those of the own data centre first, and one that declined was asked again a second later. With few calls a second, the three offers of each call went to cut neighbours. What cuts one machine often cuts its neighbours, so three of them are no independent tries.

Instances that carry are still chosen by the call's ID, so load spreads.

--- a/entryd/relay/account.go
+++ b/entryd/relay/account.go
@@ -96,7 +96,6 @@
 // the call's key is still asked for other calls.
 func (f *inflightCall) recordUnable(peer *state.Member, reason string, status int, unknownKey bool) {
 	if unknownKey {
-		f.unknownAt = append(f.unknownAt, peer.Name)
 		f.logForwarded(peer, reason, "unknown_key", status, nil)
 		return
 	}
--- a/entryd/relay/peer.go
+++ b/entryd/relay/peer.go
@@ -11,12 +11,10 @@
 
 	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/request/peers"
 	"verbenahaven.example/core/version/state"
 )
 
-// maxPeers bounds the instances that one call is offered to.
-const maxPeers = 3
-
 // errUnframed means that the end of an answer can't be told from a loss of its
 // connection.
 var errUnframed = errors.New("the answer has no framing")
@@ -32,11 +30,11 @@
 	})
 }
 
-// nextPeer returns the instance that gets a call next, other than those in except.
-func (f *Fleet) nextPeer(now time.Time, id string, except ...string) (state.Member, bool) {
+// nextPeer returns the instance that gets a call next, after those that declined it.
+func (f *Fleet) nextPeer(now time.Time, id string, o *peers.Offers) (state.Member, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.peers.Next(now, f.snapshot.LiveEntries(), id, except...)
+	return f.peers.Next(now, f.snapshot.LiveEntries(), id, o)
 }
 
 // peerFailed records that an instance can't take calls.
@@ -46,6 +44,13 @@
 	f.peers.Failed(now, name)
 }
 
+// peerTook records that an instance took a call.
+func (f *Fleet) peerTook(now time.Time, name string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.peers.Took(now, name)
+}
+
 // leaveToPeer ends a call without a try of the own path, which is cut, and reports
 // whether it could: if all peers say the same, the own path is tried.
 func (f *inflightCall) leaveToPeer(ctx context.Context) bool {
@@ -63,11 +68,8 @@
 		return false
 	}
 	f.offered = true
-	for range maxPeers {
-		if ctx.Err() != nil {
-			return false
-		}
-		peer, found := f.fleet.nextPeer(f.clock.Now(), f.call.ID, f.unknownAt...)
+	for ctx.Err() == nil {
+		peer, found := f.fleet.nextPeer(f.clock.Now(), f.call.ID, &f.offers)
 		if !found {
 			f.meter.Count("peer", reason, "none")
 			return false
@@ -75,12 +77,13 @@
 		if f.askPeer(ctx, &peer, reason) {
 			return true
 		}
+		f.offers.Add(&peer)
 	}
 	return false
 }
 
 // askPeer sends the call to another instance and passes its answer on. It returns
-// false if the call didn't run and a third instance may run it. After a send without
+// false if the call didn't run and another instance may run it. After a send without
 // an answer none is asked: how many servers were tried there isn't known, and the
 // route bounds them.
 func (f *inflightCall) askPeer(ctx context.Context, peer *state.Member, reason string) bool {
@@ -104,6 +107,7 @@
 		f.recordUnable(peer, reason, a.StatusCode, head.UnknownKey)
 		return false
 	}
+	f.fleet.peerTook(f.clock.Now(), peer.Name)
 	f.mayHaveRun = append(f.mayHaveRun, peer.Name)
 	f.passOn(ctx, a, peer, reason)
 	return true
--- a/entryd/relay/peer_test.go
+++ b/entryd/relay/peer_test.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"testing"
 	"time"
+	"verbenahaven.example/core/request/peers"
 )
 
 func TestCutInstanceForwardsCallWhole(t *testing.T) {
@@ -361,7 +362,7 @@
 	i.setState(t, 2, []string{closedAddress(t)}, []string{"", first, second})
 	for n := range 1000 {
 		id := strconv.Itoa(n)
-		if m, _ := i.fleet.nextPeer(i.clock.Now(), id); m.LinkAddress == first {
+		if m, _ := i.fleet.nextPeer(i.clock.Now(), id, &peers.Offers{}); m.LinkAddress == first {
 			return id
 		}
 	}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -23,6 +23,7 @@
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/peers"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/request/strike"
 	"verbenahaven.example/core/request/tally"
@@ -125,13 +126,13 @@
 	pass       *screen.Pass
 	account    *state.Account // of the caller, nil for none
 	keyFault   keyFault       // why the call was refused for its key, empty if it wasn't
-	unknownAt  []string       // instances that don't know the call's key
 	ofPeer     bool           // another instance forwarded the call
 	offered    bool           // the call was offered to other instances
-	declined   bool           // by admission or screening, as it would be elsewhere
-	metered    bool           // counted in the usage of its account
-	turnedAway bool           // a server turned it away without running it
-	sent       *retry.Sends   // nil until the first; guarded by the fleet's mutex
+	offers     peers.Offers
+	declined   bool         // by admission or screening, as it would be elsewhere
+	metered    bool         // counted in the usage of its account
+	turnedAway bool         // a server turned it away without running it
+	sent       *retry.Sends // nil until the first; guarded by the fleet's mutex
 
 	prefillTime      time.Duration // on a separate prefill engine; 0 without one
 	timeToFirstEvent time.Duration // from start
