notice: keep what a server said while the list leaves it out or repeats an older entry

A server that had asked for a pause, or said that it leaves, could get requests again at once: as soon as the list left it out for a moment, or named an earlier start of it, the record of what it had said was deleted. Entries that can't be read are skipped, pages lag, and requests placed before the change are still sent.

The record of a start is now kept while it isn't listed, for 30 s and for as long as what it said holds, and is the server's again once that start is listed. Another start still begins without one. A statement that arrives while another start is listed is kept with its own.

--- a/core/request/notice/notice.go
+++ b/core/request/notice/notice.go
@@ -2,8 +2,9 @@
 // are leaving, and that they want no requests from this machine for a while. The placement
 // of requests, and each send, ask it.
 //
-// What a server says holds for the start of it that said so, and is forgotten with that
-// start, so that it never applies to another server at the same address. That a server is
+// What a server says holds for the start of it that said so, so that it never applies to
+// another server at the same address. It outlives changes of the list, which may leave a
+// server out for a moment or repeat an older entry. That a server is
 // leaving concerns all instances, and what one hears reaches the others. That it wants no
 // requests concerns the machine that heard it.
 //
@@ -15,6 +16,7 @@
 import (
 	"cmp"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -42,6 +44,9 @@
 	// bounded any more after the time that it asked for. The bound begins with one, and
 	// each answer doubles it.
 	openSends = 16
+	// unlistedMemory is how long the record of a start is kept that isn't listed: requests
+	// that were placed there may still be sent.
+	unlistedMemory = 30 * time.Second
 )
 
 var (
@@ -67,6 +72,7 @@
 // record is what one start of a server said.
 type record struct {
 	start       string
+	unlistedAt  time.Time // zero while it is listed
 	inFlight    int // requests of this instance without an answer
 	leaving     bool
 	leavingAt   time.Time // when it last said so
@@ -81,43 +87,75 @@
 // Ticket is a request that was sent to a server.
 type Ticket struct {
 	server string
-	record *record // nil if the server isn't listed, or once the request has ended
+	record *record // nil if the server is unknown, or once the request has ended
 	back   bool    // sent after the time that the server had asked for
 }
 
 // Table holds what servers said to one instance. It isn't safe for concurrent use.
 type Table struct {
 	instance string
-	records  map[string]*record // by name, one for each server that is listed
+	records  map[string]*record // by name, of the start that is listed, or was last
+	others   map[startKey]*record
 }
 
+// startKey names a start that isn't the one in Table.records.
+type startKey struct{ server, start string }
+
 // New returns an empty table for an instance.
 func New(instance string) *Table {
-	return &Table{instance: instance, records: make(map[string]*record)}
+	return &Table{instance: instance, records: make(map[string]*record), others: make(map[startKey]*record)}
 }
 
-// Update sets the servers that are listed, with what identifies their starts. What other
-// starts said is forgotten.
-func (t *Table) Update(starts map[string]string) {
+// Update sets the servers that are listed, with what identifies their starts.
+func (t *Table) Update(now time.Time, starts map[string]string) {
 	for name, r := range t.records {
-		if starts[name] != r.start {
+		start, listed := starts[name]
+		if listed && start == r.start {
+			r.unlistedAt = time.Time{}
+			continue
+		}
+		if r.unlistedAt.IsZero() {
+			r.unlistedAt = now
+		}
+		if listed {
+			t.others[startKey{name, r.start}] = r
+			delete(t.records, name)
+		} else if r.isOutdated(now) {
 			delete(t.records, name)
 		}
 	}
 	for name, start := range starts {
-		if t.records[name] == nil {
-			t.records[name] = &record{start: start}
+		if t.records[name] != nil {
+			continue
+		}
+		key := startKey{name, start}
+		r := t.others[key]
+		if r == nil {
+			r = &record{start: start}
 		}
+		r.unlistedAt = time.Time{}
+		t.records[name] = r
+		delete(t.others, key)
 	}
+	maps.DeleteFunc(t.others, func(_ startKey, r *record) bool { return r.isOutdated(now) })
+}
+
+// isOutdated reports whether nothing of an unlisted start is worth knowing any more.
+func (r *record) isOutdated(now time.Time) bool {
+	return now.Sub(r.unlistedAt) > unlistedMemory && !now.Before(r.returnAt) && now.Sub(r.leavingAt) > leavingMemory
 }
 
 // Leaving reports whether a server said that it is leaving.
 func (t *Table) Leaving(now time.Time, server string) bool {
 	r := t.records[server]
-	if r != nil && r.leaving && now.Sub(r.leavingAt) > leavingMemory {
+	return r != nil && r.isLeaving(now)
+}
+
+func (r *record) isLeaving(now time.Time) bool {
+	if r.leaving && now.Sub(r.leavingAt) > leavingMemory {
 		r.leaving, r.unreported = false, false
 	}
-	return r != nil && r.leaving
+	return r.leaving
 }
 
 // Wait returns how long a server gets no requests because it asked for that, or because that
@@ -151,7 +189,7 @@
 }
 
 // Send counts a request that is sent now, unless the server is leaving or wants none.
-// Nothing is kept of a server that isn't listed.
+// Nothing is kept of a server that was never listed.
 func (t *Table) Send(now time.Time, server string) (*Ticket, error) {
 	r := t.records[server]
 	switch {
@@ -171,7 +209,7 @@
 }
 
 // end removes the request from those in flight. It returns the record of its server, or
-// nil if the request has ended before or the server wasn't listed.
+// nil if the request has ended before or the server was unknown.
 func (k *Ticket) end() *record {
 	if k == nil || k.record == nil {
 		return nil
@@ -201,16 +239,16 @@
 		r.returnSends *= 2
 		r.returning = r.returnSends < openSends
 	}
-	if t.records[k.server] != r { // another start of the server is listed
-		return Change{}
-	}
 	switch {
 	case s.Leaving:
-		c.Leaving = !t.Leaving(now, k.server)
+		c.Leaving = !r.isLeaving(now)
 		r.leaving, r.leavingAt, r.unreported = true, now, true
 	case r.leaving && now.Sub(r.leavingAt) > minLeaving:
 		r.leaving = false
 	}
+	if t.records[k.server] != r { // another start of the server is listed
+		return Change{}
+	}
 	c.InFlight = r.inFlight
 	return c
 }
--- a/core/request/notice/notice_test.go
+++ b/core/request/notice/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -31,13 +32,14 @@
 }
 
 // A server that asked for a pause was sent more than two requests in it, and one that said
-// that it is leaving was sent any, whatever else was in flight or said before.
+// that it is leaving was sent any, whatever else was in flight, said before, or listed for a
+// moment.
 func TestServersGetNoRequestsThatTheyDontWant(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		table, now := New("i"), epoch
 		starts := map[string]string{"a": "1", "b": "1", "c": "1"}
-		table.Update(starts)
+		table.Update(now, starts)
 		names := []string{"a", "b", "c"}
 		var flying []inFlight
 		var statements []*said
@@ -66,14 +68,29 @@
 			if random.IntN(200) == 0 { // a server starts anew
 				name := names[random.IntN(len(names))]
 				starts[name] += "+"
-				table.Update(starts)
+				table.Update(now, starts)
 				flying = slices.DeleteFunc(flying, func(f inFlight) bool { return f.server == name })
 				statements = slices.DeleteFunc(statements, func(s *said) bool { return s.server == name })
 				if _, err := table.Send(now, name); err != nil {
 					t.Fatalf("a new start of %s is held to what the last one said: %v", name, err)
 				}
 			}
+			switch random.IntN(100) {
+			case 0: // the list leaves out a server
+				shorter := maps.Clone(starts)
+				delete(shorter, names[random.IntN(len(names))])
+				table.Update(now, shorter)
+			case 1: // it names an earlier start
+				older := maps.Clone(starts)
+				older[names[random.IntN(len(names))]] = "0"
+				table.Update(now, older)
+			case 2, 3, 4:
+				table.Update(now, starts)
+			}
 			name := names[random.IntN(len(names))]
+			if r := table.records[name]; r != nil && r.start != starts[name] {
+				continue // no request goes to a server that isn't there
+			}
 			ticket, err := table.Send(now, name)
 			if err != nil {
 				continue
@@ -101,7 +118,7 @@
 	earliest, latest := epoch.Add(time.Hour), epoch
 	for n := range instances {
 		table := New(fmt.Sprint("i", n))
-		table.Update(map[string]string{"a": "1"})
+		table.Update(epoch, map[string]string{"a": "1"})
 		k, err := table.Send(epoch, "a")
 		if err != nil {
 			t.Fatal(err)
@@ -159,7 +176,7 @@
 		{"long ago", false, 31 * time.Second, false},
 	} {
 		table := New("i")
-		table.Update(map[string]string{"a": "1"})
+		table.Update(epoch, map[string]string{"a": "1"})
 		first, _ := table.Send(epoch, "a")
 		second, _ := table.Send(epoch, "a")
 		if c := table.Hear(epoch, first, Statement{Leaving: true}); !c.Leaving || c.InFlight != 1 {
@@ -177,8 +194,8 @@
 // What a server says reaches all instances through the leader, and never another start.
 func TestOthersLearnThatServerLeaves(t *testing.T) {
 	first, second, board := New("i"), New("j"), NewBoard()
-	first.Update(map[string]string{"a": "1"})
-	second.Update(map[string]string{"a": "1"})
+	first.Update(epoch, map[string]string{"a": "1"})
+	second.Update(epoch, map[string]string{"a": "1"})
 	k, _ := first.Send(epoch, "a")
 	first.Hear(epoch, k, Statement{Leaving: true})
 	if len(first.Unreported(epoch.Add(time.Second/2))) != 1 { // in a heartbeat that is lost
@@ -196,7 +213,7 @@
 	if _, err := second.Send(epoch.Add(2*time.Second), "a"); !errors.Is(err, ErrLeaving) {
 		t.Errorf("the second instance sends: %v", err)
 	}
-	second.Update(map[string]string{"a": "2"})
+	second.Update(epoch, map[string]string{"a": "2"})
 	second.Learn(epoch.Add(3*time.Second), []proto.ServerNotice{{Server: "a", Start: "1", Leaving: true}})
 	if _, err := second.Send(epoch.Add(3*time.Second), "a"); err != nil {
 		t.Errorf("the next start gets no request: %v", err)
--- a/entryd/relay/notice.go
+++ b/entryd/relay/notice.go
@@ -105,7 +105,7 @@
 	for _, s := range f.snapshot.AllServers() {
 		starts[s.Name] = startID(s.URL, s.Build, 0)
 	}
-	f.notices.Update(starts)
+	f.notices.Update(f.clock.Now(), starts)
 }
 
 // applyLeaving places requests anew if other servers than before say that they are
