relay, httpc: hear a server's pause in answers that nobody waits for

A server that had asked an instance for a pause got its requests all the same. A server whose queue outlasts the deadline turns the request away at the deadline, and says in that answer when it wants the next one. The instance had closed the connection a moment before, at its own deadline, and heard nothing: 10 and 20 of the next 20 requests went to that server, call after call. Answers to the instance's own requests, probes of the path and releases of KV caches, were read for their status only; a pause in them wasn't kept either (10 of 20 at plain servers).

A response is now awaited for 50 ms after the deadline of its request, if somebody wants its head; the caller's refusal waits so long. A caller that leaves ends its exchange at once, as before, since its engine must stop. Probes and releases are counted as sends to the server and hear its answer.

TestPauseIsHeardInAnyAnswer failed in four of six cases with either part left out (releases go to engines, which aren't asked for plain calls, so two of its cases hold anyway); TestHeadAfterDeadlineIsHeard. Tests of core/conn/httpc and entryd/relay pass.

--- a/core/conn/httpc/deadline_test.go
+++ b/core/conn/httpc/deadline_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"sync"
@@ -64,3 +66,30 @@
 		t.Error("counted as failed dials")
 	}
 }
+
+// What a server says as it turns a request away at the deadline was never heard.
+func TestHeadAfterDeadlineIsHeard(t *testing.T) {
+	const deadline = 50 * time.Millisecond
+	for _, c := range []struct {
+		delay time.Duration // of the answer, after the deadline
+		heard bool
+	}{{5 * time.Millisecond, true}, {time.Second, false}} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-time.After(deadline + c.delay):
+			case <-r.Context().Done():
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		t.Cleanup(s.Close)
+		ctx, cancel := context.WithTimeout(t.Context(), deadline)
+		start, heard := time.Now(), 0
+		r := &httpc.Request{Method: http.MethodGet, Target: "/", Host: "h", OnHead: func(a *http.Response) { heard = a.StatusCode }}
+		_, err := newPool(t).Do(ctx, s.Listener.Addr().String(), r) //nolint:bodyclose // there is none
+		took := time.Since(start)
+		cancel()
+		if !errors.Is(err, context.DeadlineExceeded) || !httpc.MaybeSent(err) || (heard != 0) != c.heard || took > 500*time.Millisecond {
+			t.Errorf("an answer %v after the deadline: heard %d, %v after %v", c.delay, heard, err, took)
+		}
+	}
+}
--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -29,6 +29,9 @@
 	maxHeadBytes = 64 << 10
 	// maxUnmatchedBody limits the body of a skipped response, in bytes.
 	maxUnmatchedBody = 1 << 20
+	// lateHead is how long a response is awaited after the deadline of its request, if OnHead
+	// is set.
+	lateHead = 50 * time.Millisecond
 )
 
 // ErrHeadTooLarge means that the head of a response is larger than an HTTP
@@ -59,6 +62,10 @@
 	// OnSend is called before the first byte is sent on a connection, unless it is nil.
 	// If it returns an error, nothing is sent, and the exchange fails with that error.
 	OnSend func() error
+	// OnHead is called with the head of the response, unless it is nil. It must not use the
+	// body. A server that turns a request away at its deadline answers just after that, so
+	// the head is awaited a little longer.
+	OnHead func(*http.Response)
 }
 
 func (r *Request) encode() []byte {
@@ -96,9 +103,15 @@
 		return nil, err
 	}
 	e := &exchange{conn: c, observer: o, written: make(chan struct{}), contextCause: func() error { return context.Cause(ctx) }}
-	e.stopWatching = context.AfterFunc(ctx, c.close)
+	e.awaitsHead.Store(r.OnHead != nil)
+	e.stopWatching = context.AfterFunc(ctx, e.interrupt)
 	o.Sent(c.address)
 	resp, err := e.roundTrip(r)
+	if err == nil && r.OnHead != nil {
+		r.OnHead(resp)
+		e.awaitsHead.Store(false)
+		err = context.Cause(ctx) // the exchange may have been interrupted meanwhile
+	}
 	if err != nil {
 		e.lost = !e.heard && e.connFailed()
 		e.discard()
@@ -107,6 +120,19 @@
 	return resp, nil
 }
 
+// interrupt ends the exchange after its context has ended, at once unless a late head is
+// awaited.
+func (e *exchange) interrupt() {
+	cause := e.contextCause()
+	if e.awaitsHead.Load() && errors.Is(cause, context.DeadlineExceeded) {
+		now := time.Now()
+		if e.conn.tcp.SetWriteDeadline(now) == nil && e.conn.tcp.SetReadDeadline(now.Add(lateHead)) == nil {
+			return
+		}
+	}
+	e.conn.close()
+}
+
 // announce calls OnSend, and closes the connection if nothing may be sent.
 func (c *conn) announce(r *Request, o Observer) error {
 	if r.OnSend == nil {
@@ -129,6 +155,7 @@
 	observer     Observer
 	stopWatching func() bool
 	sent         atomic.Bool
+	awaitsHead   atomic.Bool
 	written      chan struct{} // closed when writeRequest has returned
 	writeErr     error         // error of writeRequest
 	contextCause func() error  // why the request's context ended, or nil
--- a/core/request/notice/notice.go
+++ b/core/request/notice/notice.go
@@ -73,7 +73,7 @@
 type record struct {
 	start       string
 	unlistedAt  time.Time // zero while it is listed
-	inFlight    int // requests of this instance without an answer
+	inFlight    int       // requests of this instance without an answer
 	leaving     bool
 	leavingAt   time.Time // when it last said so
 	unreported  bool      // heard here, and the leader may not have it
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -236,13 +236,16 @@
 
 // releaseKV frees a KV cache that no decode engine will fetch.
 func (s *Proxy) releaseKV(ctx context.Context, address, handle string) {
-	if s.fleet.keptFrom(s.clock.Now(), address) {
+	q := s.codec.EncodeRelease(address, handle)
+	end, allowed := s.beginOwn(address, q)
+	if !allowed {
 		s.meter.Count("handle", "not_released")
 		return
 	}
+	defer end()
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	a, err := s.pool.Do(ctx, address, s.codec.EncodeRelease(address, handle))
+	a, err := s.pool.Do(ctx, address, q)
 	if err != nil {
 		// The engine frees it later: the handle expires.
 		s.meter.Count("handle", "not_released")
--- a/entryd/relay/notice.go
+++ b/entryd/relay/notice.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/request/notice"
@@ -19,24 +20,38 @@
 // which refused callers come back.
 const quietSpreadDivisor = 8
 
-// hearNotice takes what the head of a backend server's answer says of the server itself.
-func (f *inflightCall) hearNotice(name string, k *notice.Ticket, a *http.Response) {
-	head := f.codec.ParseHead(a)
+// hearNotice takes what the head of a backend server's answer to a request says of the
+// server itself. The request's ID is empty for one of the instance's own.
+func (s *Proxy) hearNotice(name, id string, k *notice.Ticket, a *http.Response) {
+	head := s.codec.ParseHead(a)
 	if head.Misdirected {
-		f.fleet.sendLost(k) // another server answered
+		s.fleet.sendLost(k) // another server answered
 		return
 	}
-	c := f.fleet.hearNotice(f.clock.Now(), name, k, notice.Statement{Leaving: head.Leaving, RetryAfter: head.RetryAfter})
+	c := s.fleet.hearNotice(s.clock.Now(), name, k, notice.Statement{Leaving: head.Leaving, RetryAfter: head.RetryAfter})
 	if c.Leaving {
-		f.meter.Count("notice", "leaving")
-		f.log.Info("server leaving", "server", name, "request", f.call.ID, "in_flight", c.InFlight)
+		s.meter.Count("notice", "leaving")
+		s.log.Info("server leaving", "server", name, "request", id, "in_flight", c.InFlight)
 	}
 	if c.Quiet > 0 {
-		f.meter.Count("notice", "quiet")
-		f.log.Info("server quiet", "server", name, "request", f.call.ID, "for_ms", c.Quiet.Milliseconds(), "in_flight", c.InFlight)
+		s.meter.Count("notice", "quiet")
+		s.log.Info("server quiet", "server", name, "request", id, "for_ms", c.Quiet.Milliseconds(), "in_flight", c.InFlight)
 	}
 }
 
+// beginOwn makes a request of the instance's own, a release of a KV cache or a probe of the
+// path, follow what the server at an address says of itself, and tell what it answers. It
+// returns a function that ends the request, or false if the server wants no requests.
+func (s *Proxy) beginOwn(address string, q *httpc.Request) (end func(), ok bool) {
+	name, ticket, err := s.fleet.sendOwn(s.clock.Now(), address)
+	if err != nil {
+		s.meter.Count("notice", "kept")
+		return nil, false
+	}
+	q.OnHead = func(a *http.Response) { s.hearNotice(name, "", ticket, a) }
+	return func() { s.fleet.sendLost(ticket) }, true
+}
+
 func (f *Fleet) hearNotice(now time.Time, name string, k *notice.Ticket, s notice.Statement) notice.Change {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -149,16 +164,22 @@
 	return f.asHeard(e), found
 }
 
-// keptFrom reports whether requests of the instance's own are kept from the server at an
-// address: releases of KV caches, which expire by themselves, and probes of the path.
-func (f *Fleet) keptFrom(now time.Time, address string) bool {
+// sendOwn counts a request of the instance's own to the server at an address.
+func (f *Fleet) sendOwn(now time.Time, address string) (name string, k *notice.Ticket, err error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	kept := func(name, url string) bool {
-		return server.HostPort(url) == address && (f.leaving[name] || f.notices.Wait(now, name) > 0)
+	for _, e := range f.snapshot.Engines() {
+		if server.HostPort(e.URL) == address {
+			name = e.Name
+		}
+	}
+	for _, s := range f.snapshot.AllServers() {
+		if server.HostPort(s.URL) == address {
+			name = s.Name
+		}
 	}
-	return slices.ContainsFunc(f.snapshot.Engines(), func(e state.Engine) bool { return kept(e.Name, e.URL) }) ||
-		slices.ContainsFunc(f.snapshot.AllServers(), func(s state.Server) bool { return kept(s.Name, s.URL) })
+	k, err = f.notices.Send(now, name)
+	return name, k, err //nolint:wrapcheck // one of two known errors
 }
 
 // quietFor returns how long all servers of a pool that could answer want no requests, and
--- a/entryd/relay/notice_test.go
+++ b/entryd/relay/notice_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/conn/server"
 )
 
 // stating is a backend server that says things of itself in each answer.
@@ -20,6 +21,7 @@
 	status int
 	header http.Header
 	seen   []time.Time
+	late   bool // it answers just after the deadline of each request
 }
 
 func (b *stating) say(status int, header http.Header) {
@@ -58,7 +60,11 @@
 	for name, values := range b.header {
 		w.Header()[name] = values
 	}
+	late := b.late
 	b.mutex.Unlock()
+	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil && late {
+		time.Sleep(time.Duration(ms)*time.Millisecond + 5*time.Millisecond)
+	}
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Server-Signature", "s")
 	if status != http.StatusOK {
@@ -210,3 +216,41 @@
 		})
 	}
 }
+
+// Pauses that servers asked for as they turned a request away at its deadline, or a probe or a
+// release of the instance's own, weren't heard.
+func TestPauseIsHeardInAnyAnswer(t *testing.T) {
+	for name, request := range map[string]func(i *testInstance, path, address string){
+		"deadline": func(i *testInstance, path, _ string) {
+			r := newCallTo(t, i, "late", path, "x")
+			r.Header.Set("Deadline-Ms", "150")
+			_ = send(t, r)
+		},
+		"probe":   func(i *testInstance, _, address string) { i.probe(t.Context(), address) },
+		"release": func(i *testInstance, _, address string) { i.releaseKV(t.Context(), address, "h") },
+	} {
+		for _, path := range bothPaths {
+			t.Run(name+path, func(t *testing.T) {
+				i, servers := newStating(t)
+				for _, s := range servers {
+					s.say(http.StatusServiceUnavailable, http.Header{"Retry-After": {"5"}, "Not-Executed": {"1"}})
+					s.late = name == "deadline"
+				}
+				e, _ := i.fleet.Snapshot().Engine("e-0")
+				request(i, path, server.HostPort(e.URL))
+				asked := servers[0]
+				if servers[1].count(time.Time{}) > 0 {
+					asked = servers[1]
+				}
+				for _, s := range servers {
+					s.late = false
+					s.say(http.StatusOK, nil)
+				}
+				heard := time.Now()
+				if statuses, _ := ask(t, i, path, 20); asked.count(heard) != 0 || statuses[http.StatusOK] != 20 {
+					t.Errorf("%d requests within the pause, statuses %v", asked.count(heard), statuses)
+				}
+			})
+		}
+	}
+}
--- a/entryd/relay/path.go
+++ b/entryd/relay/path.go
@@ -176,12 +176,15 @@
 }
 
 func (s *Proxy) probe(ctx context.Context, address string) {
-	if s.fleet.keptFrom(s.clock.Now(), address) {
+	q := s.codec.EncodeProbe(address, s.fleet.path.healthPath(address))
+	end, allowed := s.beginOwn(address, q)
+	if !allowed {
 		return // the detector takes the probe for lost and asks another server
 	}
+	defer end()
 	probeCtx, cancel := context.WithTimeout(ctx, reach.ProbeTimeout)
 	defer cancel()
-	ok := s.pool.Probe(probeCtx, address, s.codec.EncodeProbe(address, s.fleet.path.healthPath(address)))
+	ok := s.pool.Probe(probeCtx, address, q)
 	if ctx.Err() != nil {
 		return
 	}
--- a/entryd/relay/send.go
+++ b/entryd/relay/send.go
@@ -30,12 +30,12 @@
 		}
 		return err
 	}
+	q.OnHead = func(a *http.Response) { f.hearNotice(name, f.call.ID, ticket, a) }
 	a, err := f.pool.Do(ctx, address, q)
 	if err != nil {
 		f.fleet.sendLost(ticket)
 		return nil, err //nolint:wrapcheck // the error names the address
 	}
-	f.hearNotice(name, ticket, a)
 	return a, nil
 }
 
