state, origin: keep the builds that left the list, so that no stream is joined after a kill

Cause: which builds served lately was known in the memory of entry instances only. An instance that starts took what it saw first to be what there had been before, so the build that is listed was the only one, and a stream of unknown origin went on at it.

The replicated state now keeps the builds whose last server left a pool, with the time, for an hour; SyncFleet derives them from its own change of the list, so there is no new command. The leader tells them with each reply to a heartbeat, as of the version in that reply. An instance relies on a sole build only once a leader has told it of former ones as of the version in which the builds that it sees last changed. Where one build has served for longer than a stream can last, streams are taken up as before, also after a kill.

Tests of the sole build now let a leader reply, as one does.

--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -152,6 +152,13 @@
 	Age     time.Duration `cbor:"4,keyasint,omitempty"` // since it said so
 }
 
+// FormerBuild is a build of which the last backend server of a pool has left the list.
+type FormerBuild struct {
+	Pool  string        `cbor:"1,keyasint"`
+	Build string        `cbor:"2,keyasint"`
+	Age   time.Duration `cbor:"3,keyasint,omitempty"` // since it left
+}
+
 // EngineWork is the outstanding work of entry instances at an engine.
 type EngineWork struct {
 	Engine         string `cbor:"1,keyasint"`
@@ -192,6 +199,7 @@
 	ClockOffset     time.Duration  `cbor:"13,keyasint,omitempty"` // to be added to the receiver's clock; valid only with UsageTerm
 	UsageTerm       uint64         `cbor:"20,keyasint,omitempty"` // term of the leader, which has taken the usage; 0 if it takes none yet
 	Notices         []ServerNotice `cbor:"21,keyasint,omitempty"` // the newest that servers told any instance
+	FormerBuilds    []FormerBuild  `cbor:"22,keyasint,omitempty"` // those of the last hour, as of Version
 }
 
 // PublishRequest publishes a routing table.
--- a/core/request/origin/origin_test.go
+++ b/core/request/origin/origin_test.go
@@ -89,7 +89,8 @@
 func TestSoleBuildThroughRelease(t *testing.T) {
 	b := origin.NewBuilds()
 	const within = 10 * time.Second
-	for _, step := range []struct {
+	var last []string
+	for i, step := range []struct {
 		at     time.Duration
 		builds []string
 		mixed  bool
@@ -105,11 +106,42 @@
 		{63 * time.Second, []string{"v2"}, false, "v2"},
 	} {
 		now := start.Add(step.at)
-		if mixed := b.Update(now, engines(step.builds...), nil); (len(mixed) > 0) != step.mixed {
+		if mixed := b.Update(now, uint64(i+1), engines(step.builds...), nil); (len(mixed) > 0) != step.mixed {
 			t.Errorf("at %v: newly mixed pools %v", step.at, mixed)
 		}
+		if sole, ok := b.Sole(now, "m", within); ok && !slices.Equal(step.builds, last) {
+			t.Errorf("at %v: %s is the sole build before the leader has told of others", step.at, sole)
+		}
+		last = step.builds
+		b.Learn(now, uint64(i+1), nil)
 		if sole, ok := b.Sole(now, "m", within); sole != step.sole || ok != (step.sole != "") {
 			t.Errorf("at %v: sole build %q, %v, want %q", step.at, sole, ok, step.sole)
 		}
 	}
 }
+
+// An instance that starts after all others were killed saw one build only, and took it for
+// that of streams that another one had begun.
+func TestBuildThatLeftBeforeStartIsLearned(t *testing.T) {
+	b, now := origin.NewBuilds(), start
+	const within = 30 * time.Second
+	b.Update(now, 7, engines("v2"), nil)
+	if sole, ok := b.Sole(now, "m", within); ok {
+		t.Errorf("%s is the sole build of an instance that has heard no leader", sole)
+	}
+	b.Learn(now, 6, nil) // a leader that doesn't know yet that another one left
+	if sole, ok := b.Sole(now, "m", within); ok {
+		t.Errorf("%s is the sole build as of an older version", sole)
+	}
+	for _, c := range []struct {
+		age  time.Duration
+		sole bool
+	}{{0, false}, {20 * time.Second, false}, {29 * time.Second, false}, {31 * time.Second, true}} {
+		b = origin.NewBuilds()
+		b.Update(now, 7, engines("v2"), nil)
+		b.Learn(now, 7, []proto.FormerBuild{{Pool: "m", Build: "v1", Age: c.age}, {Pool: "other", Build: "v1"}})
+		if _, ok := b.Sole(now, "m", within); ok != c.sole {
+			t.Errorf("another build left %v ago: sole %v", c.age, ok)
+		}
+	}
+}
--- a/core/version/state/routing.go
+++ b/core/version/state/routing.go
@@ -145,6 +145,8 @@
 // order is open on an engine its role and phase are left to the order; if the
 // list says that the engine is leaving, it leaves when the order closes.
 func (s *State) SyncFleet(f Fleet) {
+	before := s.listedBuilds()
+	defer func() { s.updateFormerBuilds(before) }()
 	listedEngines := make(map[string]bool, len(f.Engines))
 	for _, e := range f.Engines {
 		listedEngines[e.Name] = true
--- a/core/version/state/snapshot.go
+++ b/core/version/state/snapshot.go
@@ -33,6 +33,7 @@
 	Operators        []operatorOutcomes `cbor:"20,keyasint"`
 	Routing          *RoutingTable      `cbor:"21,keyasint,omitempty"`
 	Level            uint64             `cbor:"26,keyasint,omitempty"`
+	FormerBuilds     []FormerBuild      `cbor:"27,keyasint,omitempty"`
 	Duty             *Duty              `cbor:"25,keyasint,omitempty"` // nil if there was no claim yet
 }
 
@@ -52,6 +53,7 @@
 		Strikes: s.strikes.after(0), Removed: s.removedSince(0), OldestDelta: s.oldestDelta,
 		Lifecycles: s.sortedLifecycles(), Open: s.OpenOrders(), Closed: s.closedOrders, LastOrder: s.lastOrder, LastFencingToken: s.lastFencingToken,
 		Decisions: s.decisions, LastDecision: s.lastDecision, Routing: s.routing, Level: s.level,
+		FormerBuilds: s.formerBuilds,
 	}
 	if s.duty != (Duty{}) {
 		e.Duty = &s.duty
@@ -93,6 +95,7 @@
 	}
 	s.oldestDelta, s.closedOrders, s.lastOrder, s.lastFencingToken = e.OldestDelta, e.Closed, e.LastOrder, e.LastFencingToken
 	s.decisions, s.lastDecision, s.routing, s.level = e.Decisions, e.LastDecision, e.Routing, e.Level
+	s.formerBuilds = e.FormerBuilds
 	if e.Duty != nil {
 		s.duty = *e.Duty
 	}
--- a/core/version/state/state.go
+++ b/core/version/state/state.go
@@ -52,6 +52,7 @@
 	outcomes         map[string][]storedOutcome
 	duty             Duty   // last claim
 	level            uint64 // of commands in force
+	formerBuilds     []FormerBuild
 }
 
 // lifecycle is the drain, withdrawal or replacement of a backend server or
--- a/entryd/relay/broken_test.go
+++ b/entryd/relay/broken_test.go
@@ -87,7 +87,7 @@
 	}
 	f.fleet.local.Update(engines, nil)
 	f.fleet.servers.Update(servers)
-	f.fleet.builds.Update(f.clock.Now(), engines, servers)
+	f.fleet.builds.Update(f.clock.Now(), 0, engines, servers)
 	f.call = &server.Call{ID: "1", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Request-Id": {"1"}}, Prompt: f.call.Prompt}
 	return f
 }
--- a/entryd/relay/build_test.go
+++ b/entryd/relay/build_test.go
@@ -97,7 +97,7 @@
 			f := newScriptedCall(t, b, "resumable", c.builds...)
 			f.fleet.broker = &knowingBroker{origins: c.origins}
 			if !c.stale {
-				f.fleet.ApplyReply(f.clock.Now(), proto.HeartbeatReply{})
+				f.fleet.ApplyReply(f.clock.Now(), proto.HeartbeatReply{Version: f.fleet.Snapshot().Version()})
 			}
 			f.call.LastEventID, f.call.Resumes = "1", "first"
 			if c.unnamed {
@@ -107,8 +107,8 @@
 				f.targetPool.Spec = nil
 			}
 			if c.name == "build is gone" {
-				f.fleet.builds.Update(f.clock.Now(), []state.Engine{{Pool: "m", Build: "v1"}}, nil)
-				f.fleet.builds.Update(f.clock.Now(), []state.Engine{{Pool: "m", Build: "v2"}}, nil)
+				f.fleet.builds.Update(f.clock.Now(), f.fleet.Snapshot().Version(), []state.Engine{{Pool: "m", Build: "v1"}}, nil)
+				f.fleet.builds.Update(f.clock.Now(), f.fleet.Snapshot().Version(), []state.Engine{{Pool: "m", Build: "v2"}}, nil)
 			}
 			got := strings.TrimSpace(deliverTo(t, f))
 			if runs := buildsOf(b); !strings.HasPrefix(got, c.want) || runs != c.runs {
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -122,7 +122,7 @@
 		broker.LinkAddress = ""
 	}
 	f.delegate.SetBroker(broker.LinkAddress)
-	if mixed := f.builds.Update(now, snapshot.Engines(), snapshot.AllServers()); len(mixed) > 0 {
+	if mixed := f.builds.Update(now, snapshot.Version(), snapshot.Engines(), snapshot.AllServers()); len(mixed) > 0 {
 		f.shareOrigins(f.origins.InPools(now, mixed))
 	}
 }
@@ -251,6 +251,7 @@
 	f.local.ApplyReports(now, reply.Reports, reply.OtherWork)
 	f.limits.Learn(now, reply.Limits)
 	f.learnNotices(now, reply.Notices)
+	f.builds.Learn(now, reply.Version, reply.FormerBuilds)
 	f.observeFleet(reply.Version)
 }
 
--- a/entryd/relay/silent_test.go
+++ b/entryd/relay/silent_test.go
@@ -102,7 +102,7 @@
 		list[i] = state.Engine{Name: strconv.Itoa(i), URL: backend.URL, Pool: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Centre: "z"}
 	}
 	f.fleet.local.Update(list, nil)
-	f.fleet.builds.Update(f.clock.Now(), list, nil)
+	f.fleet.builds.Update(f.clock.Now(), 0, list, nil)
 	f.fleet.budget.SetLimits(time.Minute, perRetry*retries, 0)
 	f.route.MaxAttempts, f.route.LatencyTarget, f.route.GapTarget = attempts, 200*time.Millisecond, 50*time.Millisecond
 	f.route.Timeout = 4 * time.Second
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -55,7 +55,14 @@
 	if err != nil {
 		return proto.HeartbeatReply{}, err
 	}
-	reply := proto.HeartbeatReply{Version: l.store.Version(), Lease: time.Duration(l.settings.Member.Lease), Phase: known.Phase}
+	reply := proto.HeartbeatReply{Lease: time.Duration(l.settings.Member.Lease), Phase: known.Phase}
+	now := l.clock.Now()
+	l.readState(func(s *state.State, _ *ledger.Ledger) {
+		reply.Version = s.Version()
+		for _, b := range s.FormerBuilds() {
+			reply.FormerBuilds = append(reply.FormerBuilds, proto.FormerBuild{Pool: b.Pool, Build: b.Build, Age: max(0, now.Sub(b.Left))})
+		}
+	})
 	if l.discovery != nil {
 		l.addUpdates(&reply, q)
 	}
