picker, infer, plain: keep the pauses of servers on the product's own interface too

An engine or server of the product's own interface that answered 503 with Retry-After got calls in that time: only the platform's path kept such pauses. With one of two plain servers in a pause, 17 of 40 calls went to it. Callers were told to come back after half a second whatever the servers said.

The same record as on the platform's path (core/request/notice) is now asked before engines and servers are chosen and before each completion, prefill and plain call is sent, and hears their answers. If all that could take a call are in a pause, its caller is refused at once with the time until the first pause ends; run-once calls included.

Load reports, state probes and cancellations of attempts aren't held back: they take no slot.

--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -234,7 +234,12 @@
 		return nil, &failure{reason: retry.ReasonDial, server: server, err: fmt.Errorf("make request: %w", err)}
 	}
 	request.Header.Set("Content-Type", "application/json")
+	ticket, err := c.balancer.BeginSend(c.clock.Now(), server.Name)
+	if err != nil {
+		return nil, &failure{reason: retry.ReasonOverloaded, server: server, err: err}
+	}
 	a, err := c.pool.Do(request)
+	c.balancer.EndSend(c.clock.Now(), ticket, a)
 	if err != nil {
 		return nil, connectionFailure(ctx, server, err)
 	}
--- a/entryd/infer/complete.go
+++ b/entryd/infer/complete.go
@@ -174,7 +174,7 @@
 		return fault.New(fault.CodeStale, err.Error()).RetryAfter(backendRetryAfter).Execution(c.ranStatus())
 	}
 	if errors.Is(err, route.ErrNoEngine) {
-		return fault.New(fault.CodeNoBackend, err.Error()).RetryAfter(backendRetryAfter).Execution(c.ranStatus())
+		return fault.New(fault.CodeNoBackend, err.Error()).RetryAfter(picker.RetryAfter(err, backendRetryAfter)).Execution(c.ranStatus())
 	}
 	return err
 }
--- a/entryd/picker/picker.go
+++ b/entryd/picker/picker.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/request/notice"
 	"verbenahaven.example/core/request/route"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
@@ -49,6 +50,7 @@
 	requestsByVersion map[uint64]int // running requests by the version at their start
 	inFlight          map[string]int // by backend server
 	avoidUntil        map[string]time.Time
+	notices           *notice.Table
 	streams           map[string]map[string]activeStream // by engine and attempt
 	leavingSince      map[string]time.Time               // when an engine was first seen not serving
 	listedLeaving     map[string]bool                    // marked as leaving in the platform's list
@@ -66,6 +68,7 @@
 		requestsByVersion: make(map[uint64]int),
 		inFlight:          make(map[string]int),
 		avoidUntil:        make(map[string]time.Time),
+		notices:           notice.New(name),
 		streams:           make(map[string]map[string]activeStream),
 		leavingSince:      make(map[string]time.Time),
 		demand:            make(map[string]*proto.Demand),
@@ -90,6 +93,7 @@
 		panic("picker: state version must not decrease")
 	}
 	g.snapshot = s
+	g.updateStarts()
 	g.router.Update(g.effectiveEngines())
 	g.router.SetInstances(len(g.snapshot.LiveEntries()))
 }
--- a/entryd/picker/reserve.go
+++ b/entryd/picker/reserve.go
@@ -25,7 +25,7 @@
 	if !g.mayDispatch() {
 		return &Reservation{balancer: g}, ErrIsolated
 	}
-	return g.pick(now, r)
+	return g.pickUnpaused(now, r)
 }
 
 func (g *Balancer) pick(now time.Time, r *route.Request) (*Reservation, error) {
--- a/entryd/picker/server.go
+++ b/entryd/picker/server.go
@@ -17,10 +17,17 @@
 		return state.Server{}, nil, ErrIsolated
 	}
 	var local, remote []state.Server
+	shortest := time.Duration(0) // of the pauses
 	for _, s := range g.snapshot.Servers(service) {
 		if !g.isServing(s.Name) || contains(avoid, s.Name) || now.Before(g.avoidUntil[s.Name]) {
 			continue
 		}
+		if wait := g.notices.Wait(now, s.Name); wait > 0 {
+			if shortest == 0 || wait < shortest {
+				shortest = wait
+			}
+			continue
+		}
 		if s.Centre == g.centre {
 			local = append(local, s)
 		} else {
@@ -30,7 +37,11 @@
 	if len(local) == 0 {
 		local = remote
 	}
-	if len(local) == 0 {
+	switch {
+	case len(local) > 0:
+	case shortest > 0:
+		return state.Server{}, nil, &PausedError{shortest, ErrNoServer}
+	default:
 		return state.Server{}, nil, ErrNoServer
 	}
 	best := local[rand.IntN(len(local))]
--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -14,6 +14,7 @@
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/request/once"
 	"verbenahaven.example/entryd/fault"
+	"verbenahaven.example/entryd/picker"
 	"verbenahaven.example/entryd/screen"
 )
 
@@ -30,7 +31,8 @@
 	state       *once.Call
 	baseRequest proto.OnceRequest
 	pass        *screen.Pass
-	held        error // why the call wasn't sent, if it may crash servers
+	held        error         // why the call wasn't sent, if it may crash servers
+	wait        time.Duration // until a server takes it, if none was found
 }
 
 func (s *Dispatcher) doOnce(ctx context.Context, c *Call) (Answer, error) {
@@ -114,6 +116,7 @@
 	v, release, err := o.balancer.ReserveServer(o.clock.Now(), o.call.Service.Name, nil)
 	if err != nil {
 		o.pass.Spared(false)
+		o.wait = picker.RetryAfter(err, retryAfter)
 		return o.state.Abandon(once.ReasonNotSent)
 	}
 	defer release()
@@ -191,7 +194,7 @@
 	}
 	wait := o.state.RetryAfter()
 	if wait == 0 && code != fault.CodeConflict {
-		wait = retryAfter
+		wait = max(retryAfter, o.wait)
 	}
 	return Answer{}, fault.New(code, "the call ended: "+string(reason)).Execution(ran).RetryAfter(wait)
 }
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -19,6 +19,7 @@
 	"verbenahaven.example/core/conn/stream"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/notice"
 	"verbenahaven.example/core/request/once"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/request/strike"
@@ -124,7 +125,8 @@
 			return Answer{}, fault.New(fault.CodeStale, err.Error()).Execution(ran).RetryAfter(retryAfter)
 		}
 		if err != nil {
-			return Answer{}, fault.New(fault.CodeNoBackend, "no server of "+c.Service.Name+" is serving").Execution(ran).RetryAfter(retryAfter)
+			return Answer{}, fault.New(fault.CodeNoBackend, "no server of "+c.Service.Name+" can take the call: "+err.Error()).
+				Execution(ran).RetryAfter(picker.RetryAfter(err, retryAfter))
 		}
 		r, _, err := s.send(ctx, c, v, number, s.pool.Do)
 		release()
@@ -134,7 +136,7 @@
 			s.recordSuccess(v.Name)
 			return Answer{Result: r}, nil
 		}
-		reason := pool.RetryReason(err)
+		reason := retryReason(err)
 		if reason != retry.ReasonDial {
 			ran = once.ExecutionUnknown
 		}
@@ -154,6 +156,15 @@
 	}
 }
 
+// retryReason returns the retry reason of a failed attempt. One that wasn't made, since its
+// server wants no requests, is like one that reached no server.
+func retryReason(err error) retry.Reason {
+	if errors.Is(err, notice.ErrQuiet) || errors.Is(err, notice.ErrLeaving) {
+		return retry.ReasonDial
+	}
+	return pool.RetryReason(err)
+}
+
 // beginPass returns the pass of a call, which is the only cause of what it crashes:
 // calls of plain services have no parts that others share.
 func (s *Dispatcher) beginPass(c *Call) *screen.Pass {
@@ -208,7 +219,12 @@
 	if c.Type != "" {
 		r.Header.Set("Content-Type", c.Type)
 	}
+	ticket, err := s.balancer.BeginSend(s.clock.Now(), v.Name)
+	if err != nil {
+		return once.Result{}, false, fmt.Errorf("ask %s: %w", v.Name, err)
+	}
 	a, err := do(r)
+	s.balancer.EndSend(s.clock.Now(), ticket, a)
 	if err != nil {
 		return once.Result{}, false, err
 	}
