--- a/entryd/infer/joined_test.go
+++ b/entryd/infer/joined_test.go
@@ -71,7 +71,7 @@
 			}), state.RoleMixed, state.RoleMixed)
 			sink := &textSink{}
 			err := s.Complete(t.Context(), testCall(), sink)
-			if got := sink.text.String(); err == nil || sink.ended || !strings.HasPrefix("0123", got) || len(got) < 2 {
+			if got := sink.text.String(); err == nil || sink.ended || got != "01" && got != "012" {
 				t.Errorf("error %v, ended %v, text %q", err, sink.ended, got)
 			}
 		})
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -54,6 +54,9 @@
 // resumable reports whether another attempt can go on after what the caller has.
 func (o *answerStream) resumable() bool { return !o.headSent || o.lastEventID != "" }
 
+// mayGoOn reports whether another attempt may go on after what the caller has.
+func (f *inflightCall) mayGoOn(o *answerStream) bool { return f.route.Resumable && o.resumable() }
+
 // goesOnWith reports whether an answer may follow what the caller has. An engine may report
 // an error with the status of success.
 func (o *answerStream) goesOnWith(a *http.Response) bool {
@@ -121,7 +124,7 @@
 			retryAfter = retryAfterOf(err)
 			break
 		}
-		if !out.resumable() || !f.allowRetry(ctx, f.route.Resumable) {
+		if !f.allowRetry(ctx, f.mayGoOn(&out)) {
 			break
 		}
 	}
--- a/entryd/relay/peer_test.go
+++ b/entryd/relay/peer_test.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
 	"verbenahaven.example/core/request/peers"
 )
 
