origin: say plainly what an instance learns of former builds

A comment read again: Learn is there so that an instance knows of builds that left before it started. No change of code; the package's tests pass.

--- a/core/request/origin/builds.go
+++ b/core/request/origin/builds.go
@@ -66,9 +66,8 @@
 	return p
 }
 
-// Learn takes the builds that left the list before a version of the state, as the leader
-// knows them from it. An instance that starts learns of builds that only those knew
-// that ended with it.
+// Learn takes the builds that had left the list as of a version of the state, which the
+// leader tells, so that an instance knows of those that left before it started.
 func (b *Builds) Learn(now time.Time, version uint64, former []proto.FormerBuild) {
 	b.learned = max(b.learned, version)
 	for _, f := range former {
