relay: tell an engine's start by its serial only

A pause that an engine had asked for was forgotten when the list left out the engine's build for a moment, since the build was part of what identifies a start: an entry without it counted as another one. An engine that starts anew under its name has another serial, so the build says nothing more; servers without serials are still told apart by it.

TestStartIsToldByItsSerial fails with the build in the identifier. Instances of the builds before and after don't take each other's statements of engines that leave, while both serve; the list says it to them within seconds.

--- a/entryd/relay/notice.go
+++ b/entryd/relay/notice.go
@@ -106,9 +106,13 @@
 	f.notices.MarkReported(taken)
 }
 
-// startID identifies one start of a server at one address.
+// startID identifies one start of a server at one address: by its serial, or else by its
+// build, of which the list may know nothing for a moment.
 func startID(url, build string, serial int64) string {
-	return url + "@" + strconv.FormatInt(serial, 10) + "/" + build
+	if serial != 0 {
+		return url + "@" + strconv.FormatInt(serial, 10)
+	}
+	return url + "/" + build
 }
 
 // updateStarts sets the servers of the snapshot. The caller holds the mutex.
--- a/entryd/relay/notice_test.go
+++ b/entryd/relay/notice_test.go
@@ -125,6 +125,23 @@
 	return statuses, retryAfter
 }
 
+// A list that left out the build of an engine for a moment made it a new start, and a pause that
+// it had asked for was forgotten.
+func TestStartIsToldByItsSerial(t *testing.T) {
+	for _, c := range []struct {
+		build  string
+		serial int64
+		same   bool
+	}{{"v1", 5, true}, {"", 5, true}, {"v1", 6, false}} {
+		if same := startID("http://h:1", c.build, c.serial) == startID("http://h:1", "v1", 5); same != c.same {
+			t.Errorf("build %q, serial %d: the same start %v", c.build, c.serial, same)
+		}
+	}
+	if startID("http://h:1", "v1", 0) == startID("http://h:1", "v2", 0) {
+		t.Error("another build of a server without serials is no other start")
+	}
+}
+
 var bothPaths = []string{"/safe/", "/stream/"}
 
 // A server that said that it is leaving got requests until the list said so.
