review: case 3, a call passed on is handled by an older configuration

An instance without a path to the engines passes its calls on without the version of the state that it has. An instance that was frozen meanwhile handles them by the older one.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -19,6 +19,9 @@
 	err       error
 }
 
+// callTransport keeps connections, as clients do.
+var callTransport = &http.Transport{MaxIdleConnsPerHost: 500}
+
 var requestCount atomic.Int64
 
 // newID returns the ID of a client attempt.
@@ -52,7 +55,7 @@
 	for k, v := range header {
 		r.Header.Set(k, v)
 	}
-	c := &http.Client{Timeout: timeout + 500*time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	c := &http.Client{Timeout: timeout + 500*time.Millisecond, Transport: callTransport}
 	a, err := c.Do(r)
 	if err != nil {
 		return answer{err: err}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -19,18 +19,19 @@
 	version                    string
 	born                       int64
 
-	mutex   sync.Mutex
-	stage   string
-	state   string // in the list; empty if it isn't listed
-	seq     int
-	fence   uint64
-	handles map[string]string // request by handle
-	runs    map[string]int    // by request
-	orders  []orderSeen
-	events  int           // of a stream
-	gap     time.Duration // between two events
-	work    time.Duration // of a plain request
-	server  *http.Server
+	mutex    sync.Mutex
+	stage    string
+	state    string // in the list; empty if it isn't listed
+	seq      int
+	fence    uint64
+	handles  map[string]string    // request by handle
+	runs     map[string]int       // by request
+	runTimes map[string]time.Time // of the first run, by request
+	orders   []orderSeen
+	events   int           // of a stream
+	gap      time.Duration // between two events
+	work     time.Duration // of a plain request
+	server   *http.Server
 	// intercept may answer a request itself; it returns true if it did.
 	intercept func(rw http.ResponseWriter, r *http.Request, body []byte) bool
 }
@@ -46,7 +47,7 @@
 func (w *world) addEngine(id, service, zone string, host int, stage string) (*engine, error) {
 	e := &engine{
 		w: w, id: id, service: service, zone: zone, address: w.address(host, portEngines), version: "v1", born: time.Now().UnixMilli(),
-		stage: stage, state: "ready", handles: map[string]string{}, runs: map[string]int{}, events: 6, gap: 2 * time.Millisecond, work: 5 * time.Millisecond,
+		stage: stage, state: "ready", handles: map[string]string{}, runs: map[string]int{}, runTimes: map[string]time.Time{}, events: 6, gap: 2 * time.Millisecond, work: 5 * time.Millisecond,
 	}
 	l, err := net.Listen("tcp4", e.address)
 	if err != nil {
@@ -199,7 +200,11 @@
 		notRun(http.StatusMisdirectedRequest)
 		return
 	}
-	e.update(func() { e.runs[id]++ })
+	e.update(func() {
+		if e.runs[id]++; e.runs[id] == 1 {
+			e.runTimes[id] = time.Now()
+		}
+	})
 	e.w.record("engine %s runs %s (%s)", own, id, r.URL.Path)
 	h.Set("Server-Signature", own+"."+id)
 	if stage == "" {
