--- a/review/client.go
+++ b/review/client.go
@@ -45,6 +45,13 @@
 
 // ask sends a request to an address on a connection of its own.
 func (w *world) ask(address, method, path, id, body string, header map[string]string, timeout time.Duration) answer {
+	w.record("client sends %s, %s %s, to %s", id, method, path, address)
+	got := w.exchange(address, method, path, id, body, header, timeout)
+	w.record("client gets %s: %d, signature %q, %d bytes, error %v", id, got.status, got.signature, len(got.body), got.err)
+	return got
+}
+
+func (w *world) exchange(address, method, path, id, body string, header map[string]string, timeout time.Duration) answer {
 	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
@@ -68,8 +75,3 @@
 	}
 	return got
 }
-
-// promptHeader describes a prompt as clients of model engines do.
-func promptHeader() map[string]string {
-	return map[string]string{"Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": "5c1e07a2:800,91bd3f06:410," + newID()[8:] + ":250"}
-}
--- a/review/first.go
+++ b/review/first.go
@@ -21,7 +21,7 @@
 // firstStartCase: one of three machines with a disk crashes for good as the whole system
 // starts for the first time, and an empty one takes its place at another address.
 func firstStartCase(w *world) (bool, error) {
-	const crashAfter = 50 * time.Millisecond
+	const crashAfter = 10 * time.Millisecond
 	if err := w.addEngines(); err != nil {
 		return false, err
 	}
