relay: log by what a leaving instance takes a call

The lines of a call that an instance takes, refuses or breaks off while it is leaving didn't say how much time was left and how much was expected, so that a wrong expectation looked like a slow engine. The lines placed, refused and stream broken now have left_ms, decode_ms and max_output, and counters leaving.taken and leaving.refused were added; no decision changed.

--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"verbenahaven.example/core/conn/body"
@@ -74,9 +75,15 @@
 	var out answerStream
 	reason := "no engine can take the request"
 	retryAfter := busyRetryAfter
-	if remaining, draining := f.draining(); draining && f.fleet.estimateDecodeTime(f.targetPool.Name, f.call.Prompt) > remaining {
-		f.endUnanswered(ctx, "the instance is shutting down before the answer could end", drainRetryAfter)
-		return
+	if remaining, draining := f.draining(); draining {
+		expected := f.fleet.estimateDecodeTime(f.targetPool.Name, f.call.Prompt)
+		f.leavingAttrs = []any{"left_ms", remaining.Milliseconds(), "decode_ms", expected.Milliseconds(), "max_output", f.call.Prompt.MaxOutput}
+		if expected > remaining {
+			f.meter.Count("leaving", "refused")
+			f.endUnanswered(ctx, "the instance is shutting down before the answer could end", drainRetryAfter)
+			return
+		}
+		f.meter.Count("leaving", "taken")
 	}
 	for {
 		if err := f.hold(ctx); err != nil {
@@ -147,12 +154,12 @@
 		attrs = append(attrs, "preferred", true)
 	}
 	p := &t.Plan
-	f.log.Info("placed", append([]any{
+	f.log.Info("placed", slices.Concat([]any{
 		"request", f.call.ID, "prefill", p.Prefill.Name, "decode", p.Decode.Name, "fetch", p.FetchURL,
 		"expected_ms", p.TimeToFirstEvent.Milliseconds(), "work", p.PrefillTokens, "queued", p.QueuedTokens, "wait_ms", p.QueueWait.Milliseconds(),
 		"build", p.Decode.Build, "later", t.Deferred, "resumes", f.call.Resumes, "after", out.lastEventID, "by", t.broker, "state", f.snapshot.Version(),
 		"heard_ms", f.fleet.reportAge(f.clock.Now()).Milliseconds(), "parts", f.sharedParts(), "ms", f.elapsedMS(),
-	}, attrs...)...)
+	}, f.leavingAttrs, attrs)...)
 }
 
 // sharedParts returns the IDs of the parts of the call's prompt that other calls
@@ -190,8 +197,10 @@
 		return
 	}
 	f.meter.Count("stream", "broken")
-	f.log.Warn("stream broken", "request", f.call.ID, "route", f.route.Name, "events", out.events, "ran", f.mayHaveRun,
-		"leaving", draining, "reason", reason, "ms", f.elapsedMS())
+	f.log.Warn("stream broken", slices.Concat([]any{
+		"request", f.call.ID, "route", f.route.Name, "events", out.events, "max_output", f.call.Prompt.MaxOutput, "ran", f.mayHaveRun,
+		"leaving", draining, "reason", reason, "ms", f.elapsedMS(),
+	}, f.leavingAttrs)...)
 }
 
 // waitToRetryAll waits before the engines that failed may be picked again, and
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -137,6 +137,7 @@
 	prefillTime      time.Duration // on a separate prefill engine; 0 without one
 	timeToFirstEvent time.Duration // from start
 	admissionAttrs   []any         // log attributes: inputs of the admission decision
+	leavingAttrs     []any         // log attributes: by which an instance that leaves took the call, nil for others
 }
 
 // ServeHTTP implements http.Handler.
@@ -233,7 +234,7 @@
 	f.countAccountRefusal(r.Kind)
 	f.Proxy.refuse(f.w, f.call.ID, r, f.start, slices.Concat([]any{
 		"route", f.route.Name, "table", f.tableNumber(), "pool", f.targetPool.Name, "tries", f.tries, "ran", f.mayHaveRun,
-	}, f.admissionAttrs, f.accountAttrs())...)
+	}, f.admissionAttrs, f.leavingAttrs, f.accountAttrs())...)
 }
 
 // tableNumber returns the number of the routing table, or 0 without one.
