relay: take no call that may outlast the instance

Callers lost answers: an instance took a call after SIGTERM, streamed for 6 to 7 s and cut it in the middle at the end of its grace period. Cause: it compared the time left with the pool's mean time of a token, over short answers too, which is a half to a tenth of the pace of a long one, or a constant just after a start. Plain calls with long timeouts weren't compared at all, nor were calls that waited when the signal came.

The decision is a bound now, in core/request/leave: the deadline of the call, or the most events of its declared maximum at the slowest engine that may run it, whose gap the leader has learned from the long answers of all instances, with a margin; an unknown gap leaves the deadline. It is asked at the start, before each send and after a prefill, for plain calls and for those passed on to or by other instances. What doesn't fit is refused as not run, with a Retry-After of 10 ms if another instance serves and a second if none does. A wrong guess costs a second try.

TestLeavingInstanceCutsNoCallThatItTook, TestLeavingInstanceGoesByDeadlineWithoutPace and TestCallThatWaitsWhenShutdownBeginsIsNotCut failed before: cut after 50 of 60 events, 502 for the plain call, and a call sent to its decode engine after the signal. They replace TestDecodeTimeUsesMaxOutput, whose estimate is gone; that the declared maximum counts and not the caller's guess, and that short answers are taken, is asked of whole calls now.

--- a/core/request/place/learn.go
+++ b/core/request/place/learn.go
@@ -123,6 +123,18 @@
 	return list
 }
 
+// LongestGap returns the longest gap that is expected between two events of an answer at
+// an engine of a pool that generates answers, 0 if it is unknown.
+func (p *Placer) LongestGap(pool string) time.Duration {
+	var longest time.Duration
+	for _, v := range p.pools[pool] {
+		if v.engine.Role != state.RolePrefill {
+			longest = max(longest, v.lastReport.EventGap)
+		}
+	}
+	return longest
+}
+
 // refreshSpeeds updates the expected speed of each engine: what its report
 // says, else what this instance observed, else what is known of the pool's
 // engines of the other role.
--- a/core/request/sched/sched.go
+++ b/core/request/sched/sched.go
@@ -373,6 +373,10 @@
 // ObserveSpeed adds an observation of an engine's speed to those of TakeSpeeds.
 func (s *Scheduler) ObserveSpeed(v *proto.EngineSpeed) { s.placer.ObserveSpeed(v) }
 
+// LongestGap returns the longest gap that is expected between two events of an answer at
+// an engine of a pool, 0 if it is unknown.
+func (s *Scheduler) LongestGap(pool string) time.Duration { return s.placer.LongestGap(pool) }
+
 // TakeSpeeds returns what was observed of the engines' speeds since the last
 // call.
 func (s *Scheduler) TakeSpeeds() []proto.EngineSpeed { return s.placer.TakeSpeeds() }
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
-	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/request/notice"
@@ -56,13 +55,12 @@
 	inFlight          map[string]int // generations by engine
 	peers             *peers.Chooser
 	losses            lossReports
-	evidence          pathEvidence       // nil for none
-	secondsPerToken   map[string]float64 // by pool: decode time of an output token
-	pickCount         uint64             // picks of plain servers, for round robin
-	lastReply         time.Time          // last heartbeat reply of the leader
-	reportRevision    uint64             // newest known revision of the load reports
-	refetchReports    bool               // reports of then unknown engines may have been dropped
-	speedsSent        time.Time          // last call of Speeds that returned them
+	evidence          pathEvidence // nil for none
+	pickCount         uint64       // picks of plain servers, for round robin
+	lastReply         time.Time    // last heartbeat reply of the leader
+	reportRevision    uint64       // newest known revision of the load reports
+	refetchReports    bool         // reports of then unknown engines may have been dropped
+	speedsSent        time.Time    // last call of Speeds that returned them
 	gaps              *speed.Gaps
 	gapNews           uint64 // number of slowdowns and recoveries told to brokers
 }
@@ -90,7 +88,6 @@
 		budget:            budget,
 		requestsByVersion: make(map[uint64]int),
 		inFlight:          make(map[string]int),
-		secondsPerToken:   make(map[string]float64),
 		gaps:              speed.NewGaps(),
 	}
 	f.notices = notice.New(name)
@@ -294,45 +291,6 @@
 	f.budget.SetLimits(window, ratio, slack)
 }
 
-const (
-	// defaultSecondsPerToken is the decode time of an output token before the
-	// first answer.
-	defaultSecondsPerToken = 0.001
-	// slowAnswerFactor is how many times the mean decode time a slow answer is
-	// expected to take.
-	slowAnswerFactor = 1.3
-	// newAnswerWeight is the weight of a new answer in the moving average.
-	newAnswerWeight = 0.05
-)
-
-// estimateDecodeTime returns how long an answer may take after its first event.
-// It assumes the maximum output length, since callers' guesses of the length
-// are often far off.
-func (f *Fleet) estimateDecodeTime(pool string, prompt *server.Prompt) time.Duration {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	perToken, found := f.secondsPerToken[pool]
-	if !found {
-		perToken = defaultSecondsPerToken
-	}
-	return time.Duration(perToken * slowAnswerFactor * float64(prompt.MaxOutput) * float64(time.Second))
-}
-
-// observeDecodeTime records how long an answer of some tokens took after its
-// first event.
-func (f *Fleet) observeDecodeTime(pool string, tokens int, took time.Duration) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if tokens <= 0 {
-		return
-	}
-	perToken, found := f.secondsPerToken[pool]
-	if !found {
-		perToken = defaultSecondsPerToken
-	}
-	f.secondsPerToken[pool] = perToken*(1-newAnswerWeight) + took.Seconds()/float64(tokens)*newAnswerWeight
-}
-
 // Speeds returns what was observed of the engines' speeds since the last call
 // that returned any, at most once per speedInterval.
 func (f *Fleet) Speeds(now time.Time) []proto.EngineSpeed {
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -14,14 +14,10 @@
 	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/conn/stream"
-	"verbenahaven.example/core/request/place"
 	"verbenahaven.example/core/request/sched"
 )
 
 const (
-	// drainRetryAfter is the Retry-After of an instance that is shutting down:
-	// another instance can take the call at once.
-	drainRetryAfter = 10 * time.Millisecond
 	// releaseTimeout bounds the request that frees a KV cache.
 	releaseTimeout = time.Second
 	// maxPrefillAnswer bounds the answer to a prefill and other short answers,
@@ -75,16 +71,6 @@
 	var out answerStream
 	reason := "no engine can take the request"
 	retryAfter := busyRetryAfter
-	if remaining, draining := f.draining(); draining {
-		expected := f.fleet.estimateDecodeTime(f.targetPool.Name, f.call.Prompt)
-		f.leavingAttrs = []any{"left_ms", remaining.Milliseconds(), "decode_ms", expected.Milliseconds(), "max_output", f.call.Prompt.MaxOutput}
-		if expected > remaining {
-			f.meter.Count("leaving", "refused")
-			f.endUnanswered(ctx, "the instance is shutting down before the answer could end", drainRetryAfter)
-			return
-		}
-		f.meter.Count("leaving", "taken")
-	}
 	for {
 		if err := f.hold(ctx); err != nil {
 			reason, retryAfter = err.Error(), retryAfterOf(err)
@@ -116,7 +102,6 @@
 		if err == nil {
 			f.pass.Completed()
 			f.logAnswered(t.Plan.Decode.Name, http.StatusOK, nil, "events", out.events, "framing", out.framing)
-			f.fleet.observeDecodeTime(f.targetPool.Name, f.tokensIn(&out), f.answerTime())
 			return
 		}
 		if errors.Is(err, errFailureDelivered) {
@@ -243,10 +228,15 @@
 
 // recheck decides again whether a call is sent to its decode engine: a prefill may
 // have taken seconds.
-func (f *inflightCall) recheck(ctx context.Context, plan *place.Plan) error {
+func (f *inflightCall) recheck(ctx context.Context, r *run) error {
+	plan := &r.ticket.Plan
 	if err := f.permit(ctx); err != nil {
 		return err
 	}
+	if err := f.checkCut(r); err != nil {
+		f.pass.Spared(plan.Split())
+		return err
+	}
 	if plan.Split() && !f.fleet.isServing(plan.Decode.Name) {
 		f.avoid = append(f.avoid, plan.Decode.Name)
 		f.pass.Spared(true)
--- /dev/null
+++ b/entryd/relay/leaving.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"time"
+
+	"verbenahaven.example/core/request/leave"
+	"verbenahaven.example/core/version/state"
+)
+
+// leaveRetryAfter is the Retry-After of a call that an instance doesn't take since it is
+// shutting down, while another instance can take it at once.
+const leaveRetryAfter = 10 * time.Millisecond
+
+// leavingError says that a call isn't sent since the instance is shutting down.
+type leavingError struct{ retryAfter time.Duration }
+
+// Error implements error.
+func (e *leavingError) Error() string {
+	return "the instance is shutting down before the answer could end"
+}
+
+// checkLeaving returns a leavingError if the call might be cut when the instance stops.
+// t is nil if the call isn't scheduled, or no generation.
+func (f *inflightCall) checkLeaving(t *ticket) error {
+	if f.endsBeforeCut(t) {
+		return nil
+	}
+	f.meter.Count("leaving", "refused")
+	return &leavingError{f.fleet.ReturnAfterLeaving()}
+}
+
+// checkCut is checkLeaving for a run. An answer of which the caller has events goes on: to
+// end it now is no better than to cut it later.
+func (f *inflightCall) checkCut(r *run) error {
+	if r.request.LastEventID != f.call.LastEventID {
+		return nil
+	}
+	return f.checkLeaving(r.ticket)
+}
+
+// endsBeforeCut reports whether the instance isn't shutting down, or the call ends before
+// running calls are cut.
+func (f *inflightCall) endsBeforeCut(t *ticket) bool {
+	left, active := f.draining()
+	if !active {
+		return true
+	}
+	c := leave.Call{TimeLeft: f.timeLeft(), Start: f.route.LatencyTarget}
+	if f.isGeneration() {
+		perEvent := max(1, f.targetPool.Spec.MaxTokensPerEvent)
+		c.Events = (f.call.Prompt.MaxOutput + perEvent - 1) / perEvent
+		c.Gap = f.fleet.longestGap(f.targetPool.Name)
+	}
+	if t != nil {
+		c.Start = t.Plan.TimeToFirstEvent
+		if t.Deferred { // waits for as long as it has time
+			c.Start = c.TimeLeft
+		}
+	}
+	f.leavingAttrs = []any{
+		"left_ms", left.Milliseconds(), "longest_ms", c.Longest().Milliseconds(), "max_events", c.Events, "gap_us", c.Gap.Microseconds(),
+	}
+	return c.EndsWithin(left)
+}
+
+// longestGap returns the longest gap that is expected between two events at an engine of a
+// pool that may get a generation, 0 if it is unknown.
+func (f *Fleet) longestGap(pool string) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.local.LongestGap(pool)
+}
+
+// ReturnAfterLeaving returns when another instance can take a call that this one refuses
+// since it is shutting down, or else this one after its restart.
+func (f *Fleet) ReturnAfterLeaving() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, m := range f.snapshot.LiveEntries() {
+		if m.Name != f.name && m.Phase == state.PhaseServing {
+			return leaveRetryAfter
+		}
+	}
+	return startupRetryAfter
+}
--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -96,6 +96,9 @@
 // holdBoth returns nil if the next attempt may be sent and there is memory for its
 // answer.
 func (f *inflightCall) holdBoth(ctx context.Context) error {
+	if err := f.checkLeaving(nil); err != nil {
+		return err
+	}
 	if err := f.hold(ctx); err != nil {
 		return err
 	}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -202,6 +202,10 @@
 		f.fleet.countRequest(f.clock.Elapsed()-f.clock.Now().Sub(f.start), f.targetPool.Name)
 	}
 	defer f.endSends()
+	if err := f.checkLeaving(nil); err != nil {
+		f.endUnanswered(ctx, err.Error(), retryAfterOf(err))
+		return
+	}
 	if f.fleet.path.isCut(f.targetPool.Name) && f.leaveToPeer(ctx) {
 		return
 	}
@@ -209,13 +213,16 @@
 		f.endUnanswered(ctx, "it isn't known which software build began the stream", busyRetryAfter)
 		return
 	}
-	if f.targetPool.Spec != nil && f.call.Prompt != nil {
+	if f.isGeneration() {
 		f.forwardGeneration(ctx)
 		return
 	}
 	f.forwardWhole(ctx)
 }
 
+// isGeneration reports whether the call runs on engines, with its answer streamed.
+func (f *inflightCall) isGeneration() bool { return f.targetPool.Spec != nil && f.call.Prompt != nil }
+
 // countUsage counts the call in the usage of its account, once: a backend server has begun
 // to run it.
 func (f *inflightCall) countUsage() {
@@ -264,7 +271,7 @@
 	case len(f.mayHaveRun) == 0:
 		// What arrived counts against the retry budget here, and elsewhere it would not.
 		doubtful := !f.declined && !f.anySent() && f.fleet.path.isDoubtful(f.targetPool.Name)
-		if doubtful && f.forwardToPeer(ctx, "doubt") {
+		if doubtful && f.endsBeforeCut(nil) && f.forwardToPeer(ctx, "doubt") {
 			return
 		}
 		_, draining := f.draining()
@@ -343,11 +350,14 @@
 func retryAfterOf(err error) time.Duration {
 	var held *screen.HeldError
 	var quiet *quietError
+	var leaving *leavingError
 	switch {
 	case errors.As(err, &held):
 		return held.Wait
 	case errors.As(err, &quiet):
 		return quiet.retryAfter
+	case errors.As(err, &leaving):
+		return leaving.retryAfter
 	}
 	return busyRetryAfter
 }
@@ -355,7 +365,8 @@
 // isFinal reports whether an attempt failed for a reason that holds for any other.
 func isFinal(err error) bool {
 	var held *screen.HeldError
-	return errors.As(err, &held) || errors.Is(err, errBudget)
+	var leaving *leavingError
+	return errors.As(err, &held) || errors.As(err, &leaving) || errors.Is(err, errBudget)
 }
 
 // Run watches the path to the backend servers, and closes connections that were idle
--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -47,6 +47,10 @@
 // prepare computes the run's prompt at its prefill engine, if it has one.
 func (f *inflightCall) prepare(ctx context.Context, r *run) error {
 	plan := &r.ticket.Plan
+	if err := f.checkCut(r); err != nil {
+		f.pass.Spared(false)
+		return err
+	}
 	if !f.mayRetry(plan.Split()) {
 		f.pass.Spared(false)
 		return errBudget
@@ -61,7 +65,7 @@
 		r.request.PrefixSource = server.HostPort(plan.FetchURL)
 	}
 	f.tries++
-	return f.recheck(ctx, plan)
+	return f.recheck(ctx, r)
 }
 
 // releasePrefill frees the KV cache that was computed for a run that didn't use it.
--- /dev/null
+++ b/entryd/relay/shutdown_test.go
@@ -0,0 +1,225 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/conn/stream"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/view"
+)
+
+const testGap = 20 * time.Millisecond
+
+// pacedEngine streams as many events as the path says, with a gap before each but the first,
+// and answers plain calls after as many gaps.
+type pacedEngine struct {
+	asked     atomic.Int32
+	onPrefill func() // before the answer to a prefill, nil for nothing
+}
+
+func (e *pacedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Stage") == "prefill" {
+		e.onPrefill()
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		fmt.Fprint(w, `{"handle_id":"h","tokens":1}`)
+		return
+	}
+	if r.Method == http.MethodDelete {
+		return
+	}
+	e.asked.Add(1)
+	var kind string
+	var n int
+	_, _ = fmt.Sscanf(r.URL.Path, "/%d/%s", &n, &kind)
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Server-Signature", "s")
+	if kind == "plain" {
+		time.Sleep(time.Duration(n) * testGap)
+		return
+	}
+	w.Header().Set("Content-Type", stream.ContentType)
+	for i := range n {
+		if i > 0 {
+			time.Sleep(testGap)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// leavingInstance is an instance whose calls can be cut.
+type leavingInstance struct {
+	first  *inflightCall
+	engine *pacedEngine
+	cutAt  atomic.Pointer[time.Time]
+	ids    int
+
+	store        *view.Store
+	backend      string
+	promptTokens int
+}
+
+func newLeavingInstance(t *testing.T) *leavingInstance {
+	t.Helper()
+	s := &leavingInstance{engine: &pacedEngine{}, promptTokens: 20, store: view.New()}
+	s.first = newScriptedCall(t, nil, "resumable", "v")
+	backend := httptest.NewServer(s.engine)
+	t.Cleanup(backend.Close)
+	s.backend = backend.URL
+	s.setEngines(t, state.RoleDecode)
+	s.first.targetPool.Spec = &state.EngineSpec{MaxTokensPerEvent: 10}
+	s.first.draining = func() (time.Duration, bool) {
+		at := s.cutAt.Load()
+		if at == nil {
+			return 0, false
+		}
+		return time.Until(*at), true
+	}
+	return s
+}
+
+// setEngines gives the instance one engine of each role, named after it.
+func (s *leavingInstance) setEngines(t *testing.T, roles ...state.Role) {
+	t.Helper()
+	list := make([]state.Engine, 0, len(roles))
+	for _, r := range roles {
+		list = append(list, state.Engine{Name: string(r), URL: s.backend, Pool: "m", Role: r, Phase: state.PhaseServing, Centre: "z", Build: "v"})
+	}
+	servers := []state.Server{{Name: "v-0", URL: s.backend, Service: "plain", Phase: state.PhaseServing, Build: "v"}}
+	if err := s.store.Apply(state.View{Version: s.store.Current().Version() + 1, Engines: list, Servers: servers}); err != nil {
+		t.Fatal(err)
+	}
+	s.first.fleet.SetSnapshot(s.store.Current())
+}
+
+// setGap tells the instance the gap between an engine's events.
+func (s *leavingInstance) setGap(r state.Role) {
+	s.first.fleet.local.ApplyReports(time.Now(), []proto.Report{{Engine: string(r), EventGap: testGap}}, nil)
+}
+
+// leave makes the instance cut its calls after a time.
+func (s *leavingInstance) leave(after time.Duration) {
+	at := time.Now().Add(after)
+	s.cutAt.Store(&at)
+}
+
+// call sends a call whose answer has n events, of at most as many as declared, and returns
+// what its caller gets.
+func (s *leavingInstance) call(t *testing.T, kind string, n, most int, deadline time.Duration) string {
+	t.Helper()
+	s.ids++
+	f := *s.first
+	f.call = &server.Call{
+		ID: fmt.Sprint(s.ids), Method: http.MethodGet, Target: fmt.Sprintf("/%d/%s", n, kind), Host: "h", Header: http.Header{"Request-Id": {fmt.Sprint(s.ids)}},
+	}
+	if kind == "plain" {
+		f.route.Kind, f.route.Resumable = state.RouteIdempotent, false
+		f.targetPool = state.Pool{Name: "plain"}
+	} else {
+		f.call.Prompt = &server.Prompt{Tokens: s.promptTokens, MaxOutput: 10 * most, Parts: []server.Part{{ID: "own", Tokens: s.promptTokens}}}
+	}
+	f.start, f.route.Timeout = f.clock.Now(), deadline
+	f.pass = f.screen.Begin(f.call.ID, "", nil)
+	defer f.pass.Close()
+	return deliverUntil(t, &f, s.cutAt.Load())
+}
+
+// countEvents returns the number of events until a body ends.
+func countEvents(r io.Reader) (int, error) {
+	content, err := io.ReadAll(r)
+	return bytes.Count(content, []byte("id: ")), err //nolint:wrapcheck // only compared with nil
+}
+
+// deliverUntil runs a call that is cut at a time, nil for never.
+func deliverUntil(t *testing.T, f *inflightCall, cutAt *time.Time) string {
+	t.Helper()
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cut := context.WithCancel(r.Context())
+		defer cut()
+		if cutAt != nil {
+			defer time.AfterFunc(time.Until(*cutAt), cut).Stop()
+		}
+		f.w = w
+		f.forward(ctx)
+	}))
+	defer front.Close()
+	a, err := http.Get(front.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	events, err := countEvents(a.Body)
+	if err != nil {
+		return fmt.Sprint("cut after ", events)
+	}
+	return fmt.Sprintf("%d, %d events", a.StatusCode, events)
+}
+
+// A mean over short answers made long ones look as if they ended before the cut.
+func TestLeavingInstanceCutsNoCallThatItTook(t *testing.T) {
+	s := newLeavingInstance(t)
+	for range 60 {
+		if got := s.call(t, "stream", 2, 2, time.Second); got != "200, 2 events" {
+			t.Fatalf("short answer: %s", got)
+		}
+	}
+	s.setGap(state.RoleDecode)
+	for _, c := range []struct {
+		name, kind string
+		events     int
+		most       int
+		left       time.Duration
+		deadline   time.Duration
+		want       string
+	}{
+		{"long answer", "stream", 60, 60, time.Second, 20 * time.Second, "503, 0 events"},
+		{"short answer of a kind that may be long", "stream", 5, 60, time.Second, 20 * time.Second, "503, 0 events"},
+		{"long answer that ends in time", "stream", 30, 60, 8 * time.Second, 20 * time.Second, "200, 30 events"},
+		{"deadline before the cut", "stream", 5, 60, time.Second, 800 * time.Millisecond, "200, 5 events"},
+		{"no limit of the answer", "stream", 60, 0, time.Second, 20 * time.Second, "503, 0 events"},
+		{"plain call with a long timeout", "plain", 60, 0, time.Second, 20 * time.Second, "503, 0 events"},
+		{"plain call", "plain", 2, 0, time.Second, 800 * time.Millisecond, "200, 0 events"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			asked := s.engine.asked.Load()
+			s.leave(c.left)
+			if got := s.call(t, c.kind, c.events, c.most, c.deadline); got != c.want {
+				t.Errorf("the caller gets %s, want %s", got, c.want)
+			}
+			if refused := c.want[:3] == "503"; refused && s.engine.asked.Load() != asked {
+				t.Error("the engine got a call that was refused as not run")
+			}
+		})
+	}
+}
+
+// Nothing is known of the engines' pace just after a start.
+func TestLeavingInstanceGoesByDeadlineWithoutPace(t *testing.T) {
+	s := newLeavingInstance(t)
+	s.leave(time.Second)
+	if got := s.call(t, "stream", 60, 60, 20*time.Second); got != "503, 0 events" {
+		t.Errorf("the caller gets %s", got)
+	}
+}
+
+// The signal came while a call that was taken before it waited for its prefill.
+func TestCallThatWaitsWhenShutdownBeginsIsNotCut(t *testing.T) {
+	s := newLeavingInstance(t)
+	s.engine.onPrefill = func() { s.leave(time.Second) }
+	s.setEngines(t, state.RoleDecode, state.RolePrefill)
+	s.setGap(state.RoleDecode)
+	s.promptTokens = 9000
+	if got := s.call(t, "stream", 60, 60, 20*time.Second); got != "503, 0 events" || s.engine.asked.Load() != 0 {
+		t.Errorf("the caller gets %s, the decode engine %d calls", got, s.engine.asked.Load())
+	}
+}
--- a/entryd/stop.go
+++ b/entryd/stop.go
@@ -19,10 +19,6 @@
 	"verbenahaven.example/platform"
 )
 
-// stopRetryAfter is the Retry-After of calls that arrive late in a shutdown: another
-// instance can take them at once.
-const stopRetryAfter = 10 * time.Millisecond
-
 // httpServer is an http.Server or one that can be stopped without cutting requests.
 type httpServer interface {
 	Serve(l net.Listener) error
@@ -46,7 +42,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.meter.Count("refused", "stopping")
 		platform.Codec{}.WriteRefusal(w, server.Refusal{
-			Kind: server.RefuseNotExecuted, RetryAfter: stopRetryAfter, Message: "the instance is shutting down", Unable: ofPeer,
+			Kind: server.RefuseNotExecuted, RetryAfter: s.fleet.ReturnAfterLeaving(), Message: "the instance is shutting down", Unable: ofPeer,
 		})
 	})
 }
