front, infer, plain: take no call that may outlast a stopping instance

Cause: nothing compared a call with the time left.

The decision of core/request/leave is asked before each attempt of which nothing has been delivered: plain calls by their deadline, completions by max_tokens at the slowest engine's reported step, since a deadline doesn't end an answer that has begun here. Others are refused as not run with the code stopping and a true time to return.

--- a/core/request/leave/leave.go
+++ b/core/request/leave/leave.go
@@ -5,7 +5,13 @@
 // deadline of the call does. It is a pure function of what is known of the call.
 package leave
 
-import "time"
+import (
+	"errors"
+	"time"
+)
+
+// ErrCut is the cause with which calls that still run at the end of a shutdown are cut.
+var ErrCut = errors.New("the instance stopped before the answer could end")
 
 const (
 	// startFactor is how many times the expected time to the first event it may take.
--- a/core/request/route/route.go
+++ b/core/request/route/route.go
@@ -278,6 +278,18 @@
 	}
 }
 
+// LongestStep returns the longest reported time of a decode step at an engine that may
+// generate answers of a model, 0 if none is known.
+func (r *Router) LongestStep(model string) time.Duration {
+	var longest time.Duration
+	for _, v := range r.engines {
+		if v.engine.Model == model && v.engine.Role != state.RolePrefill {
+			longest = max(longest, v.load.TPOT)
+		}
+	}
+	return longest
+}
+
 // StreamLoad returns the number of answers running or queued on a model's
 // serving engines that decode, and the number that these can run concurrently.
 func (r *Router) StreamLoad(model string) (streams, capacity int) {
--- a/entryd/app.go
+++ b/entryd/app.go
@@ -13,6 +13,7 @@
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/process/boot"
 	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/entryd/beat"
 	"verbenahaven.example/entryd/front"
 	"verbenahaven.example/entryd/infer"
@@ -66,7 +67,9 @@
 			f(background)
 		}()
 	}
-	server := drain.New(a.front.Server())
+	calls, cut := context.WithCancelCause(background)
+	defer cut(nil)
+	server := drain.New(a.front.Server(calls))
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(l) }()
 	klog.InfoS("serving", "name", a.settings.Name, "http", l.Addr().String())
@@ -75,18 +78,22 @@
 		return fmt.Errorf("serve callers: %w", err)
 	case <-ctx.Done():
 	}
-	return a.stop(context.WithoutCancel(ctx), server)
+	return a.stop(context.WithoutCancel(ctx), server, func() { cut(leave.ErrCut) })
 }
 
 // stop shuts down gracefully: it withdraws this instance from the address
 // answers, serves until cached answers have expired, and finishes the requests
-// in progress.
-func (a *app) stop(ctx context.Context, server *drain.Server) error {
+// in progress. Those that still run shortly before the end of the grace are cut, so that
+// their callers learn whether they ran.
+func (a *app) stop(ctx context.Context, server *drain.Server, cut func()) error {
 	klog.InfoS("leaving", "name", a.settings.Name)
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(a.settings.Stop.Grace))
+	grace := time.Duration(a.settings.Stop.Grace)
+	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
+	untilCut := time.Duration(cutShare * float64(grace))
+	defer time.AfterFunc(untilCut, cut).Stop()
 	a.beat.Leave()
-	a.front.BeginShutdown()
+	a.front.BeginShutdown(time.Now().Add(untilCut))
 	server.Leave()
 	a.awaitLeaveConfirmed(ctx)
 	clock.Sleep(ctx, time.Duration(a.settings.Address.Life))
--- a/entryd/fault/fault.go
+++ b/entryd/fault/fault.go
@@ -46,6 +46,7 @@
 	CodeNotSent           Code = "unsent"
 	CodeCancelled         Code = "cancelled"
 	CodeUnknownRequest    Code = "unknown_request"
+	CodeStopping          Code = "stopping"
 )
 
 var statuses = map[Code]int{
@@ -76,6 +77,7 @@
 	CodeNotSent:           http.StatusServiceUnavailable,
 	CodeCancelled:         http.StatusServiceUnavailable,
 	CodeUnknownRequest:    http.StatusNotFound,
+	CodeStopping:          http.StatusServiceUnavailable,
 }
 
 // Error is an error that is reported to a caller.
--- a/entryd/front/chat.go
+++ b/entryd/front/chat.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -11,6 +12,7 @@
 	"github.com/emicklei/go-restful/v3"
 
 	"verbenahaven.example/core/conn/engine"
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
 	"verbenahaven.example/entryd/fault"
@@ -99,6 +101,12 @@
 		Record:          record,
 	}
 	call.Request.Model = service.Model
+	call.MaySend = func(expectedFirst time.Duration) error {
+		// The deadline doesn't end an answer that has begun.
+		return f.checkLeaving(leave.Call{
+			TimeLeft: unbounded, Start: expectedFirst, Events: request.MaxTokens, Gap: cmp.Or(f.balancer.LongestStep(service.Model), unknownStep),
+		})
+	}
 	ctx, stop := f.withDeadline(r, deadline, sink)
 	defer stop()
 	return f.infer.Complete(ctx, call, sink) //nolint:wrapcheck // already a fault for the caller
--- a/entryd/front/fake_test.go
+++ b/entryd/front/fake_test.go
@@ -226,6 +226,7 @@
 	*httptest.Server
 	keeper   *fakeKeeper
 	balancer *picker.Balancer
+	front    *front.API
 	store    *view.Store
 	meter    *meter.Registry
 	lease    fakeLease
@@ -253,7 +254,7 @@
 		Name: "entry1", Centre: "north", AddressTTL: time.Second, MaxAddresses: 2, MaxBodyBytes: 1 << 16, MaxHeaderBytes: 1 << 14, ReadTimeout: 200 * time.Millisecond,
 	}, b.balancer, w, i, s, quota.New("entry1", k, b.balancer, m, c), trail.New(), m, c, &b.lease)
 	b.Server = httptest.NewUnstartedServer(nil)
-	b.Config = f.Server()
+	b.front, b.Config = f, f.Server(t.Context())
 	b.Start()
 	t.Cleanup(func() {
 		b.Close()
--- a/entryd/front/front.go
+++ b/entryd/front/front.go
@@ -4,6 +4,7 @@
 package front
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -61,7 +62,7 @@
 	startStamp  string // makes request identifiers unique across restarts
 	lastID      atomic.Uint64
 	addressTurn atomic.Uint64
-	leaving     atomic.Bool
+	cutAt       atomic.Pointer[time.Time] // running calls are cut then, nil unless the instance is shutting down
 }
 
 // New returns the API.
@@ -76,15 +77,10 @@
 	}
 }
 
-// BeginShutdown marks the instance as leaving in its answers to questions for addresses
-// and health.
-func (f *API) BeginShutdown() {
-	f.leaving.Store(true)
-}
-
-// Server returns the HTTP server.
-func (f *API) Server() *http.Server {
+// Server returns the HTTP server. Its calls end with ctx.
+func (f *API) Server(ctx context.Context) *http.Server {
 	s := &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 		Handler:           f.handler(),
 		ReadHeaderTimeout: f.settings.ReadTimeout,
 		IdleTimeout:       idleTimeout,
--- a/entryd/front/info.go
+++ b/entryd/front/info.go
@@ -34,7 +34,7 @@
 		Life      int64     `json:"life_ms"`
 	}
 	skip := ""
-	if f.leaving.Load() {
+	if f.isLeaving() {
 		skip = f.settings.Name
 	}
 	for _, m := range SelectAddresses(f.knownEntries(v.LiveEntries()), f.settings.Centre, skip, f.settings.MaxAddresses, f.addressTurn.Add(1)) {
@@ -128,7 +128,7 @@
 func (f *API) status(_ *restful.Request, w *restful.Response) {
 	version, settled := f.balancer.Versions()
 	phase := state.PhaseServing
-	if f.leaving.Load() {
+	if f.isLeaving() {
 		phase = state.PhaseLeaving
 	}
 	f.writeJSON(w, struct {
--- a/entryd/front/plain.go
+++ b/entryd/front/plain.go
@@ -4,9 +4,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/emicklei/go-restful/v3"
 
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/entryd/fault"
 	"verbenahaven.example/entryd/plain"
@@ -91,6 +93,7 @@
 		TimeLimit: minTimeout(service.Deadline, deadline),
 		IsRetry:   isRetry(r.Request),
 		Record:    record,
+		MaySend:   func(timeLeft time.Duration) error { return f.checkLeaving(leave.Call{TimeLeft: timeLeft}) },
 	})
 }
 
--- /dev/null
+++ b/entryd/front/stopping_test.go
@@ -0,0 +1,69 @@
+package front_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/conn/engine"
+	"verbenahaven.example/core/request/once"
+	"verbenahaven.example/core/version/state"
+)
+
+// Calls that were taken after the signal were cut without an answer at the end of the grace.
+func TestLeavingInstanceTakesNoCallThatMayOutlastIt(t *testing.T) {
+	e := newEngine(t)
+	var calls atomic.Int32
+	p := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer p.Close()
+	v := modelState(engineAt("m", e.URL, state.RoleMixed))
+	v.Services = append(v.Services, state.Service{Name: "registry", Kind: state.KindPlain})
+	v.Servers = []state.Server{{Name: "s", URL: p.URL, Service: "registry", Phase: state.PhaseServing}}
+	b := newTestEntry(t, v)
+	b.balancer.RecordLoad("m", engine.LoadReport{MeasuredAt: time.Now(), Role: state.RoleMixed, TPOT: 10 * time.Millisecond})
+	b.front.BeginShutdown(time.Now().Add(5 * time.Second))
+	for _, c := range []struct {
+		name, path, body, deadline string
+		want                       int
+	}{
+		{"short answer", "/v1/chat/completions", chatRequest, "", http.StatusOK},
+		{"long answer", "/v1/chat/completions", strings.Replace(chatRequest, ":20}", ":2000}", 1), "", http.StatusServiceUnavailable},
+		{"no limit of the answer", "/v1/chat/completions", strings.Replace(chatRequest, `,"max_tokens":20`, "", 1), "", http.StatusServiceUnavailable},
+		{"plain call with a distant deadline", "/s/registry/x", "x", "20000", http.StatusServiceUnavailable},
+		{"plain call without one, others were fast", "/s/registry/x", "x", "", http.StatusOK},
+		{"plain call with a deadline", "/s/registry/x", "x", "2000", http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			asked := len(e.received) + int(calls.Load())
+			var headers []string
+			if c.deadline != "" {
+				headers = []string{"Deadline", c.deadline}
+			}
+			a := b.send(t, http.MethodPost, c.path, c.body, headers...)
+			var refusal struct {
+				Error struct{ Code, Ran string }
+			}
+			if a.StatusCode == http.StatusServiceUnavailable {
+				if err := json.NewDecoder(a.Body).Decode(&refusal); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if a.StatusCode != c.want {
+				t.Fatalf("status %d, %+v, want %d", a.StatusCode, refusal, c.want)
+			}
+			if c.want == http.StatusOK {
+				return
+			}
+			if refusal.Error.Code != "stopping" || refusal.Error.Ran != string(once.NotExecuted) || a.Header.Get("Retry-After-Ms") == "" {
+				t.Errorf("refused as %+v, %v", refusal, a.Header)
+			}
+			if now := len(e.received) + int(calls.Load()); now != asked {
+				t.Errorf("%d calls reached a server", now-asked)
+			}
+		})
+	}
+}
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -77,6 +77,10 @@
 		request.KVSource, request.KVHandle = reservation.Plan.Prefill.URL, prefilled.KVHandle
 	}
 	kvSource := request.KVSource
+	if err := c.checkSend(); err != nil {
+		c.cancelAttempt(kvSource, id)
+		return &failure{reason: retry.ReasonDraining, server: reservation.Plan.Decode, err: err, terminal: true}
+	}
 	failed := c.decode(ctx, reservation, &request)
 	if failed != nil && failed.reason != retry.ReasonDial {
 		c.cancelAttempt(reservation.Plan.Decode.URL, id)
--- a/entryd/infer/complete.go
+++ b/entryd/infer/complete.go
@@ -12,6 +12,7 @@
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/request/admit"
 	"verbenahaven.example/core/request/answer"
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/request/once"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/request/route"
@@ -182,6 +183,9 @@
 // runAttempts runs attempts until one succeeds or the call fails.
 func (c *completion) runAttempts(ctx context.Context) error {
 	for {
+		if err := c.checkSend(); err != nil {
+			return err
+		}
 		c.attemptsSinceMove++
 		c.attemptCount++
 		reservation, err := c.chooseEngines(ctx)
@@ -212,6 +216,15 @@
 	}
 }
 
+// checkSend returns the refusal of a call that must not be sent to an engine now. An answer
+// that has begun goes on.
+func (c *completion) checkSend() error {
+	if c.call.MaySend == nil || c.mayHaveRun || c.assembly.NextToken() > 0 {
+		return nil
+	}
+	return c.call.MaySend(c.expectedFirst)
+}
+
 // attemptID returns the ID of the current attempt.
 func (c *completion) attemptID() string {
 	return c.call.ID + "-" + strconv.Itoa(c.attemptCount)
@@ -356,5 +369,8 @@
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return fault.New(fault.CodeDeadline, "no answer before the deadline").Execution(c.ranStatus())
 	}
+	if errors.Is(context.Cause(ctx), leave.ErrCut) {
+		return fault.New(fault.CodeStopping, leave.ErrCut.Error()).Execution(c.ranStatus()).RetryAfter(backendRetryAfter)
+	}
 	return fault.New(fault.CodeCancelled, "the caller went away").Execution(c.ranStatus())
 }
--- a/entryd/infer/infer.go
+++ b/entryd/infer/infer.go
@@ -85,6 +85,11 @@
 	AnswerLimit     time.Duration // until the whole answer is due; 0 for none
 	IsRetry         bool          // the caller says that this is a retry
 	Record          *trail.Record
+
+	// MaySend returns the refusal of a call that must not be sent to an engine now, or nil.
+	// It is asked until the answer has begun, with the time that is expected until then. A
+	// nil function allows every call.
+	MaySend func(expectedFirst time.Duration) error
 }
 
 // Sink receives the tokens of an answer.
--- a/entryd/picker/reserve.go
+++ b/entryd/picker/reserve.go
@@ -104,3 +104,11 @@
 		panic("picker: negative in-flight count for " + name)
 	}
 }
+
+// LongestStep returns the longest reported time of a decode step at an engine that may
+// generate answers of a model, 0 if none is known.
+func (g *Balancer) LongestStep(model string) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.router.LongestStep(model)
+}
--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -32,10 +32,14 @@
 	baseRequest proto.OnceRequest
 	pass        *screen.Pass
 	held        error         // why the call wasn't sent, if it may crash servers
+	stopping    error         // the refusal of a call that wasn't sent since the instance is shutting down
 	wait        time.Duration // until a server takes it, if none was found
 }
 
 func (s *Dispatcher) doOnce(ctx context.Context, c *Call) (Answer, error) {
+	if err := s.checkSend(ctx, c); err != nil {
+		return Answer{}, err
+	}
 	o := &onceCall{Dispatcher: s, call: c, state: once.New(), pass: s.beginPass(c), baseRequest: proto.OnceRequest{
 		Account:     c.Account,
 		Service:     c.Service.Name,
@@ -110,6 +114,9 @@
 	if number > maxAttempts {
 		return o.state.Abandon(once.ReasonNotSent)
 	}
+	if o.stopping = o.checkSend(ctx, o.call); o.stopping != nil {
+		return o.state.Abandon(once.ReasonNotSent)
+	}
 	if o.held = o.pass.Permit(ctx); o.held != nil {
 		return o.state.Abandon(once.ReasonNotSent)
 	}
@@ -185,6 +192,9 @@
 	if reason == once.ReasonNone {
 		return Answer{Result: result, Replayed: o.state.Replayed()}, nil
 	}
+	if o.stopping != nil && ran == once.NotExecuted {
+		return Answer{}, o.stopping
+	}
 	if o.held != nil && ran == once.NotExecuted {
 		return Answer{}, heldFault(o.held, ran)
 	}
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -19,6 +19,7 @@
 	"verbenahaven.example/core/conn/stream"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/request/notice"
 	"verbenahaven.example/core/request/once"
 	"verbenahaven.example/core/request/retry"
@@ -55,6 +56,7 @@
 	meter     *meter.Registry
 	clock     clock.Clock
 	recording sync.WaitGroup
+	slowest   *leave.Slowest[string] // calls, by service
 
 	mutex   sync.Mutex
 	budgets *retry.Budgets
@@ -65,7 +67,7 @@
 func New(
 	s Settings, g *picker.Balancer, p *pool.Pool, k proto.Keeper, n *screen.Screen, m *meter.Registry, c clock.Clock,
 ) (*Dispatcher, func()) {
-	v := &Dispatcher{settings: s, balancer: g, pool: p, keeper: k, screen: n, meter: m, clock: c, budgets: retry.NewBudgets(s.Retry)}
+	v := &Dispatcher{settings: s, balancer: g, pool: p, keeper: k, screen: n, meter: m, clock: c, budgets: retry.NewBudgets(s.Retry), slowest: leave.NewSlowest[string]()}
 	return v, v.recording.Wait
 }
 
@@ -82,6 +84,24 @@
 	TimeLimit time.Duration // time limit of the call, 0 for none
 	IsRetry   bool
 	Record    *trail.Record
+
+	// MaySend returns the refusal of a call that must not be sent with a time left, or nil.
+	// A nil function allows every call.
+	MaySend func(timeLeft time.Duration) error
+}
+
+// checkSend returns the refusal of a call that must not be sent now. ctx ends with its
+// time limit. One without a limit is judged by the slowest recent calls of its service.
+func (s *Dispatcher) checkSend(ctx context.Context, c *Call) error {
+	until, limited := ctx.Deadline()
+	if c.MaySend == nil || !limited {
+		return nil
+	}
+	left := time.Until(until)
+	if c.TimeLimit == 0 {
+		left = min(left, s.slowest.Bound(s.clock.Now(), c.Service.Name))
+	}
+	return c.MaySend(left)
 }
 
 // Answer is the response of a backend server.
@@ -104,7 +124,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return s.doRetryable(ctx, c)
+	began := s.clock.Elapsed()
+	a, err := s.doRetryable(ctx, c)
+	if err == nil {
+		s.slowest.Observe(s.clock.Now(), c.Service.Name, s.clock.Elapsed()-began)
+	}
+	return a, err
 }
 
 // doRetryable sends a call that may be retried on other servers.
@@ -114,6 +139,9 @@
 	pass := s.beginPass(c)
 	defer pass.Close()
 	for number := 1; ; number++ {
+		if err := s.checkSend(ctx, c); err != nil && ran == once.NotExecuted {
+			return Answer{}, err
+		}
 		if err := pass.Permit(ctx); err != nil {
 			return Answer{}, heldFault(err, ran)
 		}
@@ -145,7 +173,7 @@
 		screenFailure(pass, v.Name, reason, err)
 		avoid = append(avoid, v.Name)
 		if ctx.Err() != nil {
-			return Answer{}, fault.New(fault.CodeDeadline, "no answer before the deadline").Execution(ran)
+			return Answer{}, endedFault(ctx, ran)
 		}
 		if number >= maxAttempts || !s.tryRetry(v.Name, c.IsRetry) {
 			s.meter.Count("retry", "refused", string(reason))
@@ -156,6 +184,14 @@
 	}
 }
 
+// endedFault returns the fault of a call whose context has ended.
+func endedFault(ctx context.Context, ran once.Execution) error {
+	if errors.Is(context.Cause(ctx), leave.ErrCut) {
+		return fault.New(fault.CodeStopping, leave.ErrCut.Error()).Execution(ran).RetryAfter(retryAfter)
+	}
+	return fault.New(fault.CodeDeadline, "no answer before the deadline").Execution(ran)
+}
+
 // retryReason returns the retry reason of a failed attempt. One that wasn't made, since its
 // server wants no requests, is like one that reached no server.
 func retryReason(err error) retry.Reason {
