relay: keep the ports of closed addresses in tests

TestForwardedCallIsNotForwardedAgain failed once (502 in place of 503) while several test processes ran: closedAddress closed its listener, and the port could be given to another process's server, which then answered. In the same run TestCallsOfCutInstanceAreServed failed with 'address already in use' for a port that it had closed and listens on again; that one is unchanged. A bound socket that doesn't listen refuses connections as well, and keeps its port. The first wasn't seen again in 2 x 4 runs; that the port was taken by another process is inferred, not shown.

--- a/entryd/relay/budget_test.go
+++ b/entryd/relay/budget_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/version/state"
 )
@@ -16,12 +17,19 @@
 // closedAddress returns an address that refuses connections.
 func closedAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) }) // until then no other process gets the port
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := unix.Getsockname(fd)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
 }
 
 // newCallBesideClosed returns a call to a backend in another data centre. Some
