relay, platform: a call passed on names the state it was accepted under

Callers of an instance without a path to the engines got answers of the pool that their route had before, seconds after they had seen the new one: the call was passed on to an instance that had stood still or was cut off, which handled it by its own, older routing table. Cause: a call that is passed on carried nothing of the state under which it was accepted.

It carries that version now.

TestInstanceBehindRunsNoForwardedCall failed before in its three variants: the call was run by the servers of before. TestForwardedCallsNeverGoBack plays instances that stand still, miss changes and start anew. Two test instances that pass calls on had different versions by accident of the set-up: instances with a path have one no older than that of others now, and their checks are as before.

--- a/core/conn/server/server.go
+++ b/core/conn/server/server.go
@@ -27,6 +27,7 @@
 	LastEventID string        // ID of the last event that the caller received
 	Resumes     string        // ID of the caller's request that brought the first event of a stream that this one continues
 	Prompt      *Prompt       // nil if the request has no prompt
+	State       uint64        // state version under which another instance accepted the call; 0 for a caller's own request
 }
 
 // Prompt describes the size of a generation request.
@@ -86,8 +87,9 @@
 	// call's account but without its key.
 	EncodeRequest(s *Request) *httpc.Request
 	// EncodeCall returns the call as its caller sent it, key included, to another
-	// entry instance, with the time that is left for it.
-	EncodeCall(c *Call, timeLeft time.Duration) *httpc.Request
+	// entry instance, with the time that is left for it and the state version under which
+	// it was accepted.
+	EncodeCall(c *Call, timeLeft time.Duration, accepted uint64) *httpc.Request
 	// EncodeProbe returns a request that a backend server answers at once. healthPath
 	// is that of its pool, or empty for an engine.
 	EncodeProbe(address, healthPath string) *httpc.Request
--- /dev/null
+++ b/entryd/relay/behind_test.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/view"
+)
+
+// An instance that stood still ran calls that others passed on by the routing table of before.
+func TestInstanceBehindRunsNoForwardedCall(t *testing.T) {
+	server := func(name string) *httptest.Server {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			answerAs(w, r)
+			_, _ = io.WriteString(w, name)
+		}))
+		t.Cleanup(s.Close)
+		return s
+	}
+	before, after := server("before"), server("after")
+	const newer = soundState + 1
+	for _, c := range []struct {
+		name    string
+		catchUp time.Duration // until the instance behind has the newer state, 0 for never
+		third   bool          // another instance has it
+		want    int
+	}{
+		{"another has the newer state", 0, true, http.StatusOK},
+		{"none has it", 0, false, http.StatusServiceUnavailable},
+		{"it comes soon", 10 * time.Millisecond, false, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			list := newPeers(t, before, 1, 2)
+			links := []string{"", hostOf(list[1].peers)}
+			if c.third {
+				links = append(links, hostOf(list[2].peers))
+				list[2].setState(t, newer, []string{hostOf(after)}, links)
+			}
+			id := idPreferring(t, list[0], hostOf(list[1].peers), hostOf(list[2].peers))
+			list[0].setState(t, newer, []string{closedAddress(t)}, links)
+			if c.catchUp > 0 {
+				time.AfterFunc(c.catchUp, func() { list[1].setState(t, newer, []string{hostOf(after)}, links) })
+			}
+			a := send(t, newCallTo(t, list[0], id, "/unsafe/", "x"))
+			body, _ := io.ReadAll(a.Body)
+			if a.StatusCode != c.want || c.want == http.StatusOK && string(body) != "after" {
+				t.Errorf("status %d, run by the servers of %q, want %d", a.StatusCode, body, c.want)
+			}
+		})
+	}
+}
+
+// Plays instances that stand still, are cut off or start anew while the state changes: a call
+// that is passed on is handled by a state no older than any that its first instance had
+// shown by then.
+func TestForwardedCallsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		newest, list := uint64(1), make([]*Fleet, 3)
+		restart := func(i int) { list[i] = newTestFleet() }
+		deliver := func(i int, version uint64) {
+			if version <= list[i].Snapshot().Version() {
+				return
+			}
+			store := view.New()
+			if err := store.Apply(state.View{Version: version}); err != nil {
+				t.Fatal(err)
+			}
+			list[i].SetSnapshot(store.Current())
+		}
+		for i := range list {
+			restart(i)
+		}
+		instance := func(name string) int { return rapid.IntRange(0, len(list)-1).Draw(t, name) }
+		t.Repeat(map[string]func(*rapid.T){
+			"change":  func(*rapid.T) { newest++ },
+			"restart": func(*rapid.T) { restart(instance("restarted")) },
+			"hear": func(t *rapid.T) {
+				deliver(instance("hearing"), rapid.Uint64Range(1, newest).Draw(t, "version")) // also what was held up
+			},
+			"forward": func(t *rapid.T) {
+				from, to := list[instance("from")], instance("to")
+				accepted := from.Snapshot().Version()
+				heard := make(chan struct{})
+				late := rapid.Bool().Draw(t, "late")
+				go func() {
+					defer close(heard)
+					if late {
+						deliver(to, newest)
+					}
+				}()
+				f := list[to]
+				taken := f.awaitState(context.Background(), &server.Call{State: accepted, TimeLeft: 10 * time.Millisecond})
+				snapshot, end := f.BeginRequest()
+				end()
+				<-heard
+				if taken && snapshot.Version() < accepted {
+					t.Fatalf("accepted under %d, handled by %d", accepted, snapshot.Version())
+				}
+			},
+		})
+	})
+}
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -39,6 +39,7 @@
 
 	mutex             sync.Mutex
 	snapshot          *view.Snapshot
+	newSnapshot       chan struct{}    // closed and replaced with each snapshot
 	local             *sched.Scheduler // for all of the data centre if this instance is its broker, else while the broker is silent
 	delegate          sched.Delegate
 	servers           *place.Servers
@@ -81,6 +82,7 @@
 		path:              newPath(reach.NewPools(), c),
 		peers:             peers.New(name, centre),
 		snapshot:          view.New().Current(),
+		newSnapshot:       make(chan struct{}),
 		local:             sched.New(centre),
 		servers:           place.NewServers(centre),
 		origins:           origin.NewTable(),
@@ -107,6 +109,8 @@
 		panic("relay: state version must not decrease")
 	}
 	f.snapshot = snapshot
+	close(f.newSnapshot)
+	f.newSnapshot = make(chan struct{})
 	f.refetchReports = true
 	f.updateStarts()
 	f.leaving = f.notices.AllLeaving(now)
--- a/entryd/relay/path_test.go
+++ b/entryd/relay/path_test.go
@@ -143,7 +143,9 @@
 		servers[n] = newCutBackend(t)
 		addresses[n] = servers[n].address
 	}
-	i.setState(t, 2, addresses, []string{hostOf(list[0].peers), hostOf(list[1].peers)})
+	links := []string{hostOf(list[0].peers), hostOf(list[1].peers)}
+	i.setState(t, soundState+1, addresses, links)
+	list[1].setState(t, soundState+1, []string{hostOf(backend)}, links)
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
--- a/entryd/relay/peer.go
+++ b/entryd/relay/peer.go
@@ -87,7 +87,7 @@
 // an answer none is asked: how many servers were tried there isn't known, and the
 // route bounds them.
 func (f *inflightCall) askPeer(ctx context.Context, peer *state.Member, reason string) bool {
-	a, err := f.peers.Do(ctx, peer.LinkAddress, f.codec.EncodeCall(f.call, f.timeLeft()))
+	a, err := f.peers.Do(ctx, peer.LinkAddress, f.codec.EncodeCall(f.call, f.timeLeft(), f.snapshot.Version()))
 	if err != nil {
 		if ctx.Err() == nil {
 			f.fleet.peerFailed(f.clock.Now(), peer.Name)
--- a/entryd/relay/peer_test.go
+++ b/entryd/relay/peer_test.go
@@ -289,7 +289,7 @@
 		list[0].detector.cut.Store(rejects == 1) // then it passes its calls on at once
 		id := idPreferring(t, list[0], links[1], links[2])
 		list[rejects].detector.doubtful.Store(true)
-		list[rejects].setState(t, 3, []string{hostOf(rejecting)}, links)
+		list[rejects].setState(t, []uint64{3, soundState + 1}[rejects], []string{hostOf(rejecting)}, links)
 		if a := send(t, newCallTo(t, list[0], id, "/unsafe/", "x")); a.StatusCode != http.StatusServiceUnavailable || served.Load() != 0 {
 			t.Errorf("turned away at instance %d: status %d, %d arrivals elsewhere", rejects, a.StatusCode, served.Load())
 		}
--- a/entryd/relay/peerfleet_test.go
+++ b/entryd/relay/peerfleet_test.go
@@ -113,6 +113,9 @@
 	i.fleet.SetSnapshot(store.Current())
 }
 
+// soundState is the state version of instances with a path: no older than that of others.
+const soundState = uint64(100)
+
 // newPeers returns the instances of a fleet, of which the first cut ones have lost
 // their path to the backend.
 func newPeers(t *testing.T, backend *httptest.Server, cut, sound int) []*testInstance {
@@ -123,12 +126,12 @@
 		links[n] = hostOf(list[n].peers)
 	}
 	for n, i := range list {
-		address := hostOf(backend)
+		address, version := hostOf(backend), soundState
 		if n < cut {
-			address = closedAddress(t)
+			address, version = closedAddress(t), 1
 			i.detector.cut.Store(true)
 		}
-		i.setState(t, 1, []string{address}, links)
+		i.setState(t, version, []string{address}, links)
 	}
 	return list
 }
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -150,6 +150,13 @@
 		s.refuse(w, "", server.Refusal{Kind: server.RefuseBadRequest, Message: err.Error()}, start)
 		return
 	}
+	if ofPeer && !s.fleet.awaitState(r.Context(), call) {
+		s.meter.Count("peer", "behind")
+		s.refuse(w, call.ID, server.Refusal{
+			Kind: server.RefuseNotExecuted, RetryAfter: busyRetryAfter, Message: "the call was accepted under a newer state", Unable: true,
+		}, start, "accepted", call.State, "state", s.fleet.Snapshot().Version())
+		return
+	}
 	snapshot, endRequest := s.fleet.BeginRequest()
 	defer endRequest()
 	f := &inflightCall{Proxy: s, w: w, call: call, snapshot: snapshot, start: start, ofPeer: ofPeer}
