boot, entryd, keepd: SIGHUP before the settings are watched ends nothing

A process that got SIGHUP within milliseconds of its start ended by itself, since the default action of the signal was in force until the settings were watched, and again once that had ended in a shutdown. Programs on a platform take over the signal before anything else and keep it; the file is read each second anyway, so nothing is missed.

What remains is the start of the runtime itself, before main.

--- a/entryd/main.go
+++ b/entryd/main.go
@@ -31,6 +31,7 @@
 	}
 	defer klog.Flush()
 	if *onPlatform {
+		boot.KeepOnHangup()
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
 		if err := serveSite(ctx, *metrics); err != nil {
--- a/keepd/main.go
+++ b/keepd/main.go
@@ -31,6 +31,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if *onPlatform {
+		boot.KeepOnHangup()
 		if err := servePlatform(ctx, *metrics); err != nil {
 			// The keeper's own log is closed by now, so report on standard
 			// error.
