--- a/entryd/relay/broken_test.go
+++ b/entryd/relay/broken_test.go
@@ -66,7 +66,7 @@
 
 // newScriptedCall returns a call to a backend that stands for all servers of its
 // fleet, which are named after their builds.
-func newScriptedCall(t *testing.T, b *scriptedBackend, kind string, builds ...string) *inflightCall {
+func newScriptedCall(t *testing.T, b http.Handler, kind string, builds ...string) *inflightCall {
 	t.Helper()
 	backend := httptest.NewServer(b)
 	t.Cleanup(backend.Close)
--- a/entryd/relay/second_test.go
+++ b/entryd/relay/second_test.go
@@ -173,7 +173,7 @@
 	}
 }
 
-func newSplitCall(t *testing.T, b *splitBackend, prefills, decodes int) *inflightCall {
+func newSplitCall(t *testing.T, b http.Handler, prefills, decodes int) *inflightCall {
 	t.Helper()
 	f := newSilentCall(t, b, 0, 2, 3)
 	backend := httptest.NewServer(b)
