relay: tell callers when an instance breaks off before their answer begins

A call that was forwarded to another instance, which broke off after its answer's head, ended without an answer: its caller saw the connection closed. For a body with a length that held for any part of it up to some kilobytes, and for an answer without framing always.

The head was written before the body was read, and stays in net/http's buffer until that is full or flushed. The abort that keeps the caller from taking a part for the whole then took the head with it. Now the caller's answer begins with the first part of a stream, or with what fits the buffer of another body. Until then it can be refused, with 502 as the call may have run.

Found by cutting a forwarded answer at each byte.

--- a/entryd/relay/peer.go
+++ b/entryd/relay/peer.go
@@ -19,6 +19,8 @@
 // connection.
 var errUnframed = errors.New("the answer has no framing")
 
+const reasonPeerLost = "the instance that took the call gave no whole answer"
+
 // PeerHandler returns the handler for calls that other instances forward because
 // they have no path to the backend servers. It serves them as ServeHTTP does, but
 // forwards none again, and declines them while this instance has no path either. What
@@ -98,7 +100,7 @@
 		}
 		f.mayHaveRun = append(f.mayHaveRun, peer.Name)
 		f.logForwarded(peer, reason, "lost", 0, err)
-		f.endUnanswered(ctx, "the instance that took the call gave no answer", 0)
+		f.endUnanswered(ctx, reasonPeerLost, 0)
 		return true
 	}
 	defer func() { _ = a.Body.Close() }()
@@ -113,15 +115,23 @@
 	return true
 }
 
-// passOn passes the answer of another instance on as it arrives.
+// passOn passes the answer of another instance on as it arrives. The caller's own answer
+// begins once there is a part to deliver: until then the caller can be told of a failure.
 func (f *inflightCall) passOn(ctx context.Context, a *http.Response, peer *state.Member, reason string) {
+	buffer := make([]byte, readBufferSize)
+	n, err := readFirst(a, buffer)
+	if err != nil && !errors.Is(err, io.EOF) && (n == 0 || a.ContentLength >= 0) {
+		f.logForwarded(peer, reason, "lost", a.StatusCode, err)
+		f.endUnanswered(ctx, reasonPeerLost, 0)
+		return
+	}
 	h := f.w.Header()
 	f.codec.CopyHeader(h, a)
 	if a.ContentLength >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
 	}
 	f.w.WriteHeader(a.StatusCode)
-	err := f.copyAnswer(a)
+	err = f.copyAnswer(a, buffer, n, err)
 	_, draining := f.draining()
 	switch {
 	case err == nil:
@@ -139,15 +149,25 @@
 	}
 }
 
-// copyAnswer copies a body, each part of a stream at once.
-func (f *inflightCall) copyAnswer(a *http.Response) error {
+// readFirst reads the first part of a stream, or what of another body fits the buffer. At the
+// end of the body it returns io.EOF.
+func readFirst(a *http.Response, buffer []byte) (n int, err error) {
 	if httpc.FramingOf(a) == httpc.FramedByConnection {
-		return errUnframed
+		return 0, errUnframed
 	}
-	buffer := make([]byte, readBufferSize)
+	for err == nil && n < len(buffer) && (n == 0 || a.ContentLength >= 0) {
+		var more int
+		more, err = a.Body.Read(buffer[n:])
+		n += more
+	}
+	return n, err //nolint:wrapcheck // io.EOF is told from other errors
+}
+
+// copyAnswer copies a body, each part of a stream at once. The buffer holds its first n bytes,
+// and err is the result of reading them.
+func (f *inflightCall) copyAnswer(a *http.Response, buffer []byte, n int, err error) error {
 	control := http.NewResponseController(f.w)
 	for {
-		n, err := a.Body.Read(buffer)
 		if n > 0 {
 			if _, err := f.w.Write(buffer[:n]); err != nil {
 				return fmt.Errorf("%w: %w", errCallerConn, err)
@@ -164,6 +184,7 @@
 		case err != nil:
 			return fmt.Errorf("read answer of the instance: %w", err)
 		}
+		n, err = a.Body.Read(buffer)
 	}
 }
 
--- a/entryd/relay/peer_test.go
+++ b/entryd/relay/peer_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/datadriven"
+
 	"verbenahaven.example/core/request/peers"
 )
 
@@ -107,6 +109,37 @@
 	}
 }
 
+// A caller got no answer at all if the instance broke off before it had much of one.
+func TestForwardedAnswerCutAtAnyByteDoesNotLookWhole(t *testing.T) {
+	datadriven.RunTest(t, "testdata/cutpeer", func(t *testing.T, d *datadriven.TestData) string {
+		var cut, ending atomic.Value
+		var asked atomic.Int32
+		stub := stubPeer(t, func(c net.Conn, _ *http.Request) {
+			asked.Add(1)
+			endAfter(c, cut.Load().(string), ending.Load().(string))
+		})
+		i := newPeers(t, httptest.NewServer(nil), 1, 0)[0]
+		i.setState(t, 2, []string{closedAddress(t)}, []string{"", stub, stub})
+		return cutAnywhere(unquoteLines(t, d)[0], func(c, e string) string {
+			cut.Store(c)
+			ending.Store(e)
+			asked.Store(0)
+			i.fleet.peerTook(i.clock.Now(), "i-1")
+			i.fleet.peerTook(i.clock.Now(), "i-2")
+			a, err := http.DefaultTransport.RoundTrip(newCallTo(t, i, "7", "/safe/", ""))
+			if err != nil {
+				return fmt.Sprintf("no answer, asked %d", asked.Load())
+			}
+			defer func() { _ = a.Body.Close() }()
+			outcome := "broken off"
+			if body, err := io.ReadAll(a.Body); err == nil {
+				outcome = fmt.Sprintf("%q", body)
+			}
+			return fmt.Sprintf("%d %s, asked %d", a.StatusCode, outcome, asked.Load())
+		})
+	})
+}
+
 func TestCallerThatLeavesEndsForwardedCall(t *testing.T) {
 	begun, ended := make(chan struct{}), make(chan struct{})
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
