--- a/entryd/front/front_test.go
+++ b/entryd/front/front_test.go
@@ -290,6 +290,34 @@
 	}
 }
 
+// A crash of the server on a kept connection looked like an idle connection that it had closed,
+// so that the call was sent again, to nobody.
+func TestGetThatCrashesItsServerIsNotReportedAsNotRun(t *testing.T) {
+	s := httptest.NewUnstartedServer(nil)
+	s.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/crash" {
+			_ = s.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(engine.HeaderExchange, r.Header.Get(engine.HeaderExchange))
+	})
+	s.Start()
+	t.Cleanup(s.Close)
+	b := newTestEntry(t, state.View{
+		Services: []state.Service{{Name: "feed", Kind: state.KindPlain}},
+		Servers:  []state.Server{{Name: "s1", URL: s.URL, Centre: "north", Service: "feed", Phase: state.PhaseServing}},
+	})
+	for range 3 {
+		if a := b.send(t, http.MethodGet, "/s/feed/x", ""); a.StatusCode != http.StatusOK {
+			t.Fatalf("status %d", a.StatusCode)
+		}
+	}
+	a := b.send(t, http.MethodGet, "/s/feed/crash", "")
+	if body, _ := io.ReadAll(a.Body); !strings.Contains(string(body), `"ran":"unknown"`) {
+		t.Errorf("status %d: %s", a.StatusCode, body)
+	}
+}
+
 func TestBrokenCallWithoutAnotherServerIsNotReportedAsNotRun(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	t.Cleanup(s.Close)
