pool: take only final responses for answers

A server of a plain service that answered 101, which nobody asked for, had that passed on as its answer: callers got a 101 with an empty body, and a call that runs once had it recorded as its outcome. A status below 100 ended the caller's connection without an answer, again on each repeat of a call that runs once.

Go's transport returns a 101 and any such status as if they were final. The pool now fails the request, which may have run, as the client of the platform's path does by waiting for the final response.

--- a/core/conn/pool/name.go
+++ b/core/conn/pool/name.go
@@ -37,6 +37,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkFinal(resp); err != nil {
+		p.Discard(r.URL.Host)
+		return nil, err
+	}
 	if resp.Header.Get(engine.HeaderExchange) != name {
 		p.setNames(r.URL.Host, false)
 		_ = resp.Body.Close()
--- a/core/conn/pool/pool.go
+++ b/core/conn/pool/pool.go
@@ -37,6 +37,9 @@
 // progress within its stall timeout.
 var ErrStalled = errors.New("no progress")
 
+// ErrNotFinal reports that a connection brought no final response.
+var ErrNotFinal = errors.New("the response isn't final")
+
 // Pool holds one connection pool for each backend server, and a transport that
 // opens a new connection for every request.
 type Pool struct {
@@ -138,9 +141,22 @@
 	if err != nil {
 		return nil, written, fmt.Errorf("ask %s: %w", r.URL.Host, withCause(r.Context(), err))
 	}
+	if err := checkFinal(resp); err != nil {
+		return nil, written, err
+	}
 	return resp, written, nil
 }
 
+// checkFinal closes a response that isn't the final one of its request: the transport
+// returns a 101, for which no request asks, and any status below 100.
+func checkFinal(resp *http.Response) error {
+	if resp.StatusCode >= http.StatusOK {
+		return nil
+	}
+	_ = resp.Body.Close()
+	return fmt.Errorf("ask %s: %w: %s", resp.Request.URL.Host, ErrNotFinal, resp.Status)
+}
+
 // Discard drops the connection pool of a backend server after one of its
 // connections stalled: the same network fault may have broken the others.
 // Requests in flight detect this by their own timeouts.
--- a/entryd/front/front_test.go
+++ b/entryd/front/front_test.go
@@ -318,6 +318,33 @@
 	}
 }
 
+// Callers got a 101 as the answer, or none for a status that HTTP doesn't have.
+func TestResponseThatIsNotFinalIsNoAnswer(t *testing.T) {
+	var status atomic.Value
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = c.Close() }()
+		fmt.Fprintf(c, "HTTP/1.1 %s X\r\n\r\n", status.Load())
+	}))
+	t.Cleanup(s.Close)
+	for _, code := range []string{"101", "099", "000"} {
+		for _, once := range []bool{false, true} {
+			status.Store(code)
+			b := newTestEntry(t, state.View{
+				Services: []state.Service{{Name: "feed", Kind: state.KindPlain, AtMostOnce: once}},
+				Servers:  []state.Server{{Name: "s1", URL: s.URL, Centre: "north", Service: "feed", Phase: state.PhaseServing}},
+			})
+			a := b.send(t, http.MethodPost, "/s/feed/x", "{}", "Idempotency-Key", "k1")
+			if body, _ := io.ReadAll(a.Body); !strings.Contains(string(body), `"ran":"unknown"`) {
+				t.Errorf("%s, run once %v: status %d, %q", code, once, a.StatusCode, body)
+			}
+		}
+	}
+}
+
 func TestBrokenCallWithoutAnotherServerIsNotReportedAsNotRun(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	t.Cleanup(s.Close)
