poll: take only whole reports of success

An engine of the product's own interface that answered a poll with a failure in JSON, such as 500 and {"error":1}, counted as sound and idle, so that calls went to it first. A report that broke off after its JSON document, short of its length or its last chunk, counted as well.

The status wasn't looked at, and the decoder stops at the end of the first document. Now both polls need a 200 and all of the body, and nothing but one document in it. TestOnlyWholeReportsAreTaken failed before for these three; a report that was cut earlier, in its head or in its document, wasn't taken before either. All tests of entryd pass.

--- a/entryd/poll/poll.go
+++ b/entryd/poll/poll.go
@@ -6,8 +6,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,6 +17,7 @@
 
 	"k8s.io/klog/v2"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/conn/stream"
@@ -32,6 +33,8 @@
 	failuresUntilLost = 2           // consecutive failed polls after which an engine counts as lost
 )
 
+var errStatus = errors.New("the engine answered with a failure")
+
 // Settings configures the polls.
 type Settings struct {
 	Period       time.Duration
@@ -172,7 +175,14 @@
 		return v, err //nolint:wrapcheck // wrapped by the pool
 	}
 	defer func() { _ = a.Body.Close() }()
-	if err := json.NewDecoder(io.LimitReader(a.Body, stream.MaxEventBytes)).Decode(&v); err != nil {
+	if a.StatusCode != http.StatusOK {
+		return v, fmt.Errorf("get %s: status %d: %w", target, a.StatusCode, errStatus)
+	}
+	b, err := body.Read(a.Body, stream.MaxEventBytes)
+	if err != nil {
+		return v, fmt.Errorf("get %s: %w", target, err)
+	}
+	if err := json.Unmarshal(b, &v); err != nil {
 		return v, fmt.Errorf("decode report: %w", err)
 	}
 	return v, nil
