--- a/core/conn/list/fetch_test.go
+++ b/core/conn/list/fetch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -26,6 +27,26 @@
 	}
 }
 
+// Servers that a list lacks since it was cut would be given up.
+func TestFetchRejectsListCutAtAnyByte(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\n\r\n" + `[{"name":"a"},{"name":"b"}]`
+	length := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(c, whole[:length])
+		_ = c.Close()
+	}))
+	defer s.Close()
+	for length = range len(whole) + 1 {
+		if l, err := list.Fetch(t.Context(), s.Client(), s.URL); (err == nil) != (length == len(whole)) {
+			t.Errorf("cut after %d of %d bytes: list %v, error %v", length, len(whole), l, err)
+		}
+	}
+}
+
 // A copy of an older list that arrives late on a connection must not be taken for the
 // next one.
 func TestFetchUsesNoConnectionTwice(t *testing.T) {
--- a/core/process/disk/disk_test.go
+++ b/core/process/disk/disk_test.go
@@ -8,6 +8,7 @@
 	"path"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -303,6 +304,50 @@
 	}
 }
 
+func TestOpenIgnoresRecordCutAtAnyByte(t *testing.T) {
+	all := callSequence()[:5]
+	before, after := newMemory(), newMemory()
+	if _, err := runCalls(before, all[:4]); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := runCalls(after, all); err != nil {
+		t.Fatal(err)
+	}
+	names := before.namesWithPrefix("log-")
+	name := names[len(names)-1]
+	start, whole := len(before.files[name].data), after.files[name].data
+	if len(whole) < start+40 {
+		t.Fatalf("the call wrote %d bytes", len(whole)-start)
+	}
+	for n := range len(whole) - start {
+		m := newMemory()
+		if _, err := runCalls(m, all[:4]); err != nil {
+			t.Fatal(err)
+		}
+		f := m.files[name]
+		f.data = append(f.data, whole[start:start+n]...)
+		if err := checkRecovery(m, all, 4); err != nil {
+			t.Errorf("%d bytes of the record: %v", n, err)
+		}
+	}
+}
+
+func TestOpenRejectsSnapshotCutAtAnyByte(t *testing.T) {
+	m := newMemory()
+	if _, err := runCalls(m, callSequence()); err != nil {
+		t.Fatal(err)
+	}
+	names := m.namesWithPrefix("snap-")
+	f := m.files[names[len(names)-1]]
+	whole := f.data
+	for n := range whole {
+		f.data = slices.Clone(whole[:n])
+		if _, _, err := disk.Open(folder, options(m)); !errors.Is(err, disk.ErrDamaged) {
+			t.Fatalf("cut after %d of %d bytes: %v", n, len(whole), err)
+		}
+	}
+}
+
 func TestSetAside(t *testing.T) {
 	base := t.TempDir()
 	s, cleanup, err := disk.Open(base, disk.Options{MayBootstrap: true})
