relay: take streams up at a sole build only on the leader's later word

During a release, callers' streams that had begun at engines of a new build broke and were joined to the text of another build: an instance that was cut off from all others just before the new engines joined knew one build only and took a stream of unknown origin for its own.

An instance went by its sole build for 1.5 s after the last reply of a leader. The stream may have begun within that time elsewhere, and the instances that were told of its origin couldn't be asked: a question without any answer counted like the answer that nobody knows. The time was counted from the arrival of the reply, so that one which had lain in the socket while the process stood still counted as new. A reply that named a version of the state of which the changes weren't there yet counted as well.

Now a sole build counts only after a reply to a heartbeat that was sent after the caller's request had arrived, by a leader that held its lease when it had read the changes, and with all of these applied. The stream began before the request, at a build that was in the replicated state by then, so that the instance knows of this build, too. Without such a reply within a second the stream is refused as not run, at once if the last one is older than 1.5 s.

Three new cases of TestCallerTakesStreamUpOnlyAtItsBuild failed before: "200 ... run by v2; want 503". Its fleet got one reply before the call so far; that is the case "cut off just now" now, and the others get one reply after another, as in service.

--- a/entryd/beat/beat.go
+++ b/entryd/beat/beat.go
@@ -63,6 +63,9 @@
 	ReportsRevision() uint64
 	// ApplyReply takes the leader's reply.
 	ApplyReply(now time.Time, r proto.HeartbeatReply)
+	// MarkCurrent records that a reply that was applied held all changes of the state,
+	// up to a version. sent is the elapsed time at which the heartbeat was sent.
+	MarkCurrent(sent time.Duration, version uint64)
 }
 
 // Beat sends heartbeats.
@@ -196,13 +199,14 @@
 		}
 		b.watch.ApplyHeartbeat(v)
 	}
+	b.watch.SetNewestVersion(reply.Version)
+	b.usage.Apply(b.clock.Elapsed(), &reply)
+	b.traffic.ApplyReply(b.clock.Now(), reply)
 	if reply.Interval > 0 {
 		b.watch.MarkCurrent(sent, reply.Version)
+		b.traffic.MarkCurrent(sent, reply.Version)
 		b.SetInterval(reply.Interval)
 	}
-	b.watch.SetNewestVersion(reply.Version)
-	b.usage.Apply(b.clock.Elapsed(), &reply)
-	b.traffic.ApplyReply(b.clock.Now(), reply)
 	b.mutex.Lock()
 	b.leaveConfirmed = reply.Phase == state.PhaseLeaving && reply.LeavingApplied
 	b.leaseEnd = sent + reply.Lease
--- a/entryd/picker/report.go
+++ b/entryd/picker/report.go
@@ -133,3 +133,6 @@
 
 // ApplyReply ignores the loads in the leader's reply.
 func (g *Balancer) ApplyReply(time.Time, proto.HeartbeatReply) {}
+
+// MarkCurrent does nothing: no stream is taken up by builds.
+func (g *Balancer) MarkCurrent(time.Duration, uint64) {}
--- a/entryd/relay/build_test.go
+++ b/entryd/relay/build_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
 )
@@ -70,6 +72,40 @@
 	}
 }
 
+// replyTo applies a reply to each of a row of heartbeats, until the returned function is called.
+func replyTo(f *inflightCall, replies string) func() {
+	const interval = 20 * time.Millisecond
+	reply := func() {
+		sent, version := f.clock.Elapsed(), f.fleet.Snapshot().Version()
+		switch replies {
+		case "to old heartbeats":
+			sent -= 2 * freshness
+		case "of a newer state":
+			version++
+		}
+		f.fleet.ApplyReply(f.clock.Now(), proto.HeartbeatReply{Version: version})
+		f.fleet.MarkCurrent(sent, version)
+	}
+	if replies == "none" {
+		return func() {}
+	}
+	reply()
+	if replies == "before the call" {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() {
+		for clock.Sleep(ctx, interval); ctx.Err() == nil; clock.Sleep(ctx, interval) {
+			reply()
+		}
+	})
+	return func() {
+		cancel()
+		group.Wait()
+	}
+}
+
 func TestCallerTakesStreamUpOnlyAtItsBuild(t *testing.T) {
 	mixed := []string{"v1", "v2", "v1", "v2"}
 	for _, c := range []struct {
@@ -77,7 +113,7 @@
 		builds  []string
 		origins []proto.StreamOrigin
 		plain   bool
-		stale   bool
+		replies string // of the leader: "" for one after another, or what is wrong with them
 		unnamed bool
 		answer  string
 		want    string
@@ -87,7 +123,10 @@
 		{name: "known, service without prompts", builds: mixed, origins: []proto.StreamOrigin{{ID: "first", Pool: "m", Build: "v2"}}, plain: true, answer: secondHalf, want: "200", runs: "v2"},
 		{name: "unknown", builds: mixed, want: "503"},
 		{name: "unknown, one build", builds: []string{"v2", "v2"}, answer: secondHalf, want: "200", runs: "v2"},
-		{name: "unknown, one build, cut off", builds: []string{"v2", "v2"}, stale: true, want: "503"},
+		{name: "unknown, one build, cut off", builds: []string{"v2", "v2"}, replies: "none", want: "503"},
+		{name: "unknown, one build, cut off just now", builds: []string{"v2", "v2"}, replies: "before the call", answer: secondHalf, want: "503"},
+		{name: "unknown, one build, replies from before a freeze", builds: []string{"v2", "v2"}, replies: "to old heartbeats", answer: secondHalf, want: "503"},
+		{name: "unknown, one build, changes are missing", builds: []string{"v2", "v2"}, replies: "of a newer state", answer: secondHalf, want: "503"},
 		{name: "another build than the one known here", builds: []string{"v2", "v2"}, origins: []proto.StreamOrigin{{ID: "first", Pool: "m", Build: "v3"}}, want: "503"},
 		{name: "caller names no stream", builds: []string{"v2", "v2"}, origins: []proto.StreamOrigin{{ID: "", Pool: "m", Build: "v3"}}, unnamed: true, answer: secondHalf, want: "200", runs: "v2"},
 		{name: "build is gone", builds: []string{"v2", "v2"}, origins: []proto.StreamOrigin{{ID: "first", Pool: "m", Build: "v1"}}, want: "503"},
@@ -96,9 +135,7 @@
 			b := &scriptedBackend{answers: []string{c.answer}}
 			f := newScriptedCall(t, b, "resumable", c.builds...)
 			f.fleet.broker = &knowingBroker{origins: c.origins}
-			if !c.stale {
-				f.fleet.ApplyReply(f.clock.Now(), proto.HeartbeatReply{Version: f.fleet.Snapshot().Version()})
-			}
+			defer replyTo(f, c.replies)()
 			f.call.LastEventID, f.call.Resumes = "1", "first"
 			if c.unnamed {
 				f.call.Resumes = ""
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -59,9 +59,10 @@
 	evidence          pathEvidence // nil for none
 	pickCount         uint64       // picks of plain servers, for round robin
 	lastReply         time.Time    // last heartbeat reply of the leader
-	reportRevision    uint64       // newest known revision of the load reports
-	refetchReports    bool         // reports of then unknown engines may have been dropped
-	speedsSent        time.Time    // last call of Speeds that returned them
+	confirmed         confirmations
+	reportRevision    uint64    // newest known revision of the load reports
+	refetchReports    bool      // reports of then unknown engines may have been dropped
+	speedsSent        time.Time // last call of Speeds that returned them
 	gaps              *speed.Gaps
 	gapNews           uint64 // number of slowdowns and recoveries told to brokers
 }
@@ -91,6 +92,7 @@
 		requestsByVersion: make(map[uint64]int),
 		inFlight:          make(map[string]int),
 		gaps:              speed.NewGaps(),
+		confirmed:         newConfirmations(),
 	}
 	f.notices = notice.New(name)
 	f.limits, f.limitsTold = pace.New(f.limitShare), make(map[string]time.Time)
--- a/entryd/relay/origin.go
+++ b/entryd/relay/origin.go
@@ -9,10 +9,6 @@
 	"verbenahaven.example/core/request/origin"
 )
 
-// freshness is the age of the leader's last reply up to which the builds of a pool
-// count as known: heartbeats, which bring changes, are less than a second apart.
-const freshness = 1500 * time.Millisecond
-
 // streamMemory is how long callers may take up a stream that broke off, at least.
 const streamMemory = 30 * time.Second
 
@@ -39,7 +35,7 @@
 	if !f.resumes() {
 		return true
 	}
-	o, how := f.fleet.findOrigin(ctx, f.clock.Now(), f.call.Resumes, f.targetPool.Name, f.streamAge())
+	o, how := f.fleet.findOrigin(ctx, f.call.Resumes, f.targetPool.Name, f.streamAge())
 	f.meter.Count("origin", how)
 	if o == nil {
 		return false
@@ -72,10 +68,11 @@
 // found. The ID is empty if the caller names no stream. No stream is older than
 // within. The holders are asked even if one build is
 // known here: others may know of another one sooner.
-func (f *Fleet) findOrigin(ctx context.Context, now time.Time, id, pool string, within time.Duration) (o *proto.StreamOrigin, how string) {
+func (f *Fleet) findOrigin(ctx context.Context, id, pool string, within time.Duration) (o *proto.StreamOrigin, how string) {
+	asked := f.clock.Elapsed()
 	f.mutex.Lock()
-	known, found := f.origins.Find(now, id)
-	build, sole := f.soleBuild(now, pool, within)
+	known, found := f.origins.Find(f.clock.Now(), id)
+	_, sole := f.soleBuild(pool, within)
 	links := f.holderLinks(id)
 	f.mutex.Unlock()
 	if found {
@@ -86,17 +83,35 @@
 			return o, "found"
 		}
 	}
-	if sole {
-		return &proto.StreamOrigin{ID: id, Pool: pool, Build: build}, "sole_build"
+	if !sole {
+		return nil, "unknown"
+	}
+	return f.confirmSoleBuild(ctx, asked, id, pool, within)
+}
+
+// confirmSoleBuild returns the origin of a stream that began before an elapsed time, if
+// one build only has served in its pool. Until a confirmation from then on, the stream
+// may be of a build of which other instances know and this one doesn't.
+func (f *Fleet) confirmSoleBuild(
+	ctx context.Context, since time.Duration, id, pool string, within time.Duration,
+) (o *proto.StreamOrigin, how string) {
+	if !f.awaitConfirmation(ctx, since) {
+		return nil, "unconfirmed"
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	build, sole := f.soleBuild(pool, within)
+	if !sole {
+		return nil, "unknown"
 	}
-	return nil, "unknown"
+	return &proto.StreamOrigin{ID: id, Pool: pool, Build: build}, "sole_build"
 }
 
 // soleBuild returns the only build that has served in a pool for some time, as far
 // as this instance can know. The caller holds the mutex.
-func (f *Fleet) soleBuild(now time.Time, pool string, within time.Duration) (string, bool) {
-	build, sole := f.builds.Sole(now, pool, within)
-	return build, sole && now.Sub(f.lastReply) <= freshness
+func (f *Fleet) soleBuild(pool string, within time.Duration) (string, bool) {
+	build, sole := f.builds.Sole(f.clock.Now(), pool, within)
+	return build, sole && f.confirmed.recent(f.clock.Elapsed())
 }
 
 // recordOrigin keeps the origin of a stream, and shares it while streams of its
@@ -107,7 +122,7 @@
 	if !f.origins.Record(now, o) {
 		f.meter.Count("origin", "no_room")
 	}
-	if _, sole := f.soleBuild(now, o.Pool, o.Left); !sole {
+	if _, sole := f.soleBuild(o.Pool, o.Left); !sole {
 		f.shareOrigins([]proto.StreamOrigin{o})
 	}
 }
