quorum: a leader without the state of earlier terms holds no lease

A leader that had just been elected answered under its lease as soon as a majority had replied to its heartbeats, also before it knew which entries its predecessor had committed, or had applied them. Its replies to heartbeats could show an older state as current, an account that was missing there be told not to exist, and limits be granted from older rates.

The lease now also needs an applied entry of the leader's own term, which comes after all that earlier leaders committed. Reads with a barrier waited for that already. A leader acts some milliseconds later, when it has committed its first entry.

The simulation checks that the holder of a lease knows of every index that a client knows. TestLeaseNeedsStateOfEarlierTerms failed: "the leader holds a lease with 0 of 4 commands applied". Both pass, with all of quorum and node.

--- a/core/process/node/api.go
+++ b/core/process/node/api.go
@@ -24,6 +24,7 @@
 	config      quorum.Config
 	identity    string
 	leaseEnd    time.Duration // end of the leader lease by clock.Elapsed, 0 for none
+	termStart   uint64        // index of the first entry of the leader's term
 	lastContact time.Duration
 	commonLevel uint64
 }
@@ -39,6 +40,7 @@
 		config:      n.core.CommittedConfig(),
 		identity:    n.store.Identity(),
 		leaseEnd:    until,
+		termStart:   n.core.TermStartIndex(),
 		lastContact: n.core.LastContact(),
 		commonLevel: n.core.CommonLevel(),
 	})
@@ -140,7 +142,7 @@
 // Lease implements Log.
 func (n *Node) Lease() (uint64, time.Duration) {
 	v := n.state.Load()
-	if v.leaseEnd == 0 || n.stopped() {
+	if v.leaseEnd == 0 || n.applied.Load() < v.termStart || n.stopped() {
 		return v.term, 0
 	}
 	return v.term, v.leaseEnd - n.clock.Elapsed()
--- a/core/process/node/group_test.go
+++ b/core/process/node/group_test.go
@@ -27,9 +27,11 @@
 	count    uint64
 	total    uint64
 	padBytes int // size of the padding in each snapshot
+	delay    time.Duration
 }
 
 func (s *sumMachine) Apply(_ uint64, command []byte) any {
+	time.Sleep(s.delay)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.count++
@@ -75,6 +77,7 @@
 	settings   map[string]node.Settings
 	members    map[string]*member
 	addresses  map[string]string
+	applyDelay time.Duration // of the members that are started
 }
 
 func newGroup(tb testing.TB, voters, spares int, tune func(*node.Settings)) *group {
@@ -153,7 +156,7 @@
 func (g *group) start(names ...string) {
 	g.tb.Helper()
 	for _, name := range names {
-		m := &member{machine: &sumMachine{}, meter: meter.New()}
+		m := &member{machine: &sumMachine{delay: g.applyDelay}, meter: meter.New()}
 		server := link.NewServer(m.meter)
 		n, stop, err := node.New(g.settings[name], m.machine, server, g.keys(name), clock.System(), m.meter)
 		requireNoError(g.tb, err)
--- a/core/process/node/node_test.go
+++ b/core/process/node/node_test.go
@@ -85,6 +85,21 @@
 	}
 }
 
+// A leader that answered under its lease knew less than its predecessor had told.
+func TestLeaseNeedsStateOfEarlierTerms(t *testing.T) {
+	g := newGroup(t, 1, 0, nil)
+	g.start(g.names...)
+	for range 4 {
+		g.propose(1)
+	}
+	g.stop(g.names[0])
+	g.applyDelay = 50 * time.Millisecond
+	g.start(g.names...)
+	if count, _ := g.members[g.leader()].machine.read(); count != 4 {
+		t.Errorf("the leader holds a lease with %d of 4 commands applied", count)
+	}
+}
+
 func TestAllRestart(t *testing.T) {
 	g := newGroup(t, 3, 0, func(s *node.Settings) { s.CommandsPerSnapshot = 100 })
 	g.start(g.names...)
--- a/core/process/quorum/check_test.go
+++ b/core/process/quorum/check_test.go
@@ -105,11 +105,15 @@
 	return m.localTime() < until
 }
 
-// checkSingleLease checks that no two members hold a lease at the same time.
-func (c *invariants) checkSingleLease(m *simMember, all []*simMember) {
+// checkLease checks that no two members hold a lease at the same time, and that the one
+// that does knows of all entries that were committed before its term.
+func (c *invariants) checkLease(m *simMember, all []*simMember) {
 	if !m.holdsLease() {
 		return
 	}
+	if n := m.core.CommitIndex(); n < c.ackedIndex {
+		reportViolation("%s holds a lease at commit index %d, but index %d is known to a client", m.name, n, c.ackedIndex)
+	}
 	for _, o := range all {
 		if o != m && o.holdsLease() {
 			reportViolation("%s and %s both hold a lease", m.name, o.name)
--- a/core/process/quorum/elect.go
+++ b/core/process/quorum/elect.go
@@ -300,9 +300,10 @@
 }
 
 // Lease returns the current term and the time until which no other member can
-// become leader, or 0 if this member holds no lease.
+// become leader, or 0 if this member holds no lease. A new leader holds none before it
+// knows of all entries that earlier ones committed.
 func (c *Core) Lease() (term uint64, until time.Duration) {
-	if c.role != RoleLeader || c.transfer.leaseGivenUp {
+	if c.role != RoleLeader || c.transfer.leaseGivenUp || c.commitIndex < c.termStartIndex {
 		return c.hardState.Term, 0
 	}
 	sent, ok := c.majorityAckTime()
--- a/core/process/quorum/simmember_test.go
+++ b/core/process/quorum/simmember_test.go
@@ -221,7 +221,7 @@
 	for _, a := range actions {
 		m.carryOut(a)
 	}
-	s.invariants.checkSingleLease(m, s.members)
+	s.invariants.checkLease(m, s.members)
 	s.invariants.checkPromotion(m, s.members)
 	m.maybeSnapshot()
 }
--- a/core/process/quorum/view.go
+++ b/core/process/quorum/view.go
@@ -14,6 +14,10 @@
 // CommitIndex returns the last index known to be committed.
 func (c *Core) CommitIndex() uint64 { return c.commitIndex }
 
+// TermStartIndex returns the index of the first entry of the term that this member leads.
+// All entries that earlier leaders committed are before it.
+func (c *Core) TermStartIndex() uint64 { return c.termStartIndex }
+
 // AppliedIndex returns the last index emitted to be applied.
 func (c *Core) AppliedIndex() uint64 { return c.appliedIndex }
 
