watch: a reply that was held up doesn't make the state current

An instance that had stood still took its state for current, since the reply to a request from before was in the socket when it went on: the age of the state counted from the arrival of the reply. On the product's own interface it gave work for up to three seconds more to servers that might have left or changed their weights meanwhile, instead of refusing it as cut off, and it told its children in the tree of instances an age of the state that was too low.

The age now counts from the request plus the time that a poll may wait, and from the heartbeat. The majority of other instances counts as heard when they were asked.

TestInstanceThatStoodStillIsIsolated failed before: "reply after 10s: isolated false, after a heartbeat's false; want true".

--- a/entryd/watch/confirm_test.go
+++ b/entryd/watch/confirm_test.go
@@ -87,3 +87,22 @@
 		t.Errorf("confirmed %s ago, want 1s", d)
 	}
 }
+
+// An instance that stood still gave work by a state that it took for current, since the reply
+// to an earlier request was there when it went on.
+func TestInstanceThatStoodStillIsIsolated(t *testing.T) {
+	for _, took := range []time.Duration{200 * time.Millisecond, 10 * time.Second} {
+		clock, store := &setClock{elapsed: time.Minute}, view.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		k := &slowKeeper{clock: clock, reply: proto.WatchReply{View: state.View{Version: 3}}, took: took, cancel: cancel}
+		w, cleanup := watch.New(watch.Settings{Name: "a", Fanout: 4}, store, k, noSubscriber{}, nil, meter.New(), clock)
+		w.Run(ctx)
+		isolated := w.Isolated(clock.elapsed)
+		w.MarkCurrent(clock.elapsed-took, 3)
+		afterHeartbeat := w.Isolated(clock.elapsed)
+		cleanup()
+		if want := took > time.Second; isolated != want || afterHeartbeat != want {
+			t.Errorf("reply after %v: isolated %v, after a heartbeat's %v; want %v", took, isolated, afterHeartbeat, want)
+		}
+	}
+}
--- a/entryd/watch/peers.go
+++ b/entryd/watch/peers.go
@@ -102,7 +102,7 @@
 	if Majority(answers, len(list)) {
 		p.mutex.Lock()
 		defer p.mutex.Unlock()
-		p.majorityHeardAt = w.clock.Elapsed()
+		p.majorityHeardAt = sent
 	}
 }
 
--- a/entryd/watch/watch.go
+++ b/entryd/watch/watch.go
@@ -128,7 +128,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.heartbeatAt = w.clock.Elapsed()
-	w.currentAt = w.heartbeatAt
+	w.currentAt = max(w.currentAt, sent)
 	if w.store.Current().Version() >= version {
 		w.confirmedAt = max(w.confirmedAt, sent)
 	}
@@ -283,7 +283,9 @@
 	if !w.hasState {
 		klog.InfoS("state in force", "version", r.View.Version, "from", source)
 	}
-	w.currentAt = max(w.currentAt, w.clock.Elapsed()-r.Age)
+	// A reply that arrives later than that was held up, or this process stood still.
+	arrived := min(w.clock.Elapsed(), sent+watchTimeout)
+	w.currentAt = max(w.currentAt, arrived-r.Age)
 	w.confirmedAt = max(w.confirmedAt, sent-r.Age)
 	w.hasState, w.source = true, source
 	if r.Leader != "" {
