watch: an instance takes calls as soon as it has its first state

An instance that had just started could refuse its first calls as cut off from all others, with Retry-After: 1: its first state was in force, and it counted as ready, before the time at which that state was current had been recorded.

The time is recorded first now, if there was no state before. Later changes keep the order, so that no work is given by an older state that counts as current.

TestFirstStateIsInForceAtOnce failed before: "the instance has a state and counts as isolated".

--- a/entryd/watch/confirm_test.go
+++ b/entryd/watch/confirm_test.go
@@ -106,3 +106,26 @@
 		}
 	}
 }
+
+// readySubscriber asks whether the instance is isolated as soon as it has a state.
+type readySubscriber struct {
+	isolated func() bool
+	refused  bool
+}
+
+func (s *readySubscriber) SetSnapshot(*view.Snapshot) { s.refused = s.isolated() }
+func (s *readySubscriber) SetDispatchGuard(allowed func() bool) {
+	s.isolated = func() bool { return !allowed() }
+}
+
+// An instance that had just started refused its first calls as cut off.
+func TestFirstStateIsInForceAtOnce(t *testing.T) {
+	clock, s := &setClock{elapsed: time.Minute}, &readySubscriber{}
+	ctx, cancel := context.WithCancel(t.Context())
+	k := &slowKeeper{clock: clock, reply: proto.WatchReply{View: state.View{Version: 3}}, cancel: cancel}
+	w, cleanup := watch.New(watch.Settings{Name: "a", Fanout: 4}, view.New(), k, s, nil, meter.New(), clock)
+	defer cleanup()
+	if w.Run(ctx); s.refused {
+		t.Error("the instance has a state and counts as isolated")
+	}
+}
--- a/entryd/watch/watch.go
+++ b/entryd/watch/watch.go
@@ -275,9 +275,17 @@
 			w.meter.Count("watch", "refused")
 			return
 		}
+		if have == 0 {
+			w.recordSource(r, source, sent) // else it takes no work by the first state
+		}
 		w.subscriber.SetSnapshot(w.store.Current())
 		w.meter.Set(int64(r.View.Version), "version")
 	}
+	w.recordSource(r, source, sent)
+}
+
+// recordSource records where the state was received from and when it was current.
+func (w *Watch) recordSource(r proto.WatchReply, source string, sent time.Duration) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if !w.hasState {
