list: an odd entry hides no other on the product's own list

One entry that is nested too deeply, unreadable, or has a field of another type made the decoding of the whole list fail. Entry instances then went on sending to servers that the list marks as leaving, and the leader kept silent members that the list had dropped for the whole of their lease, for as long as the entry stayed. An entry without a name counted. Entries are decoded one by one now. A response without a length, which may be cut short unnoticed, must still be valid as a whole, and null isn't an empty list.

TestOddEntryHidesNoOthers failed before: with six of the eight odd entries the list couldn't be decoded ("exceeded max depth", "cannot unmarshal number into Go struct field Instance.leaving" and others), with two there were three entries instead of two.

--- a/core/conn/list/fetch.go
+++ b/core/conn/list/fetch.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"verbenahaven.example/core/conn/body"
+	"verbenahaven.example/core/conn/items"
 )
 
 // maxListBytes limits the size of the platform's response.
@@ -33,13 +34,38 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("fetch list: status %d: %w", resp.StatusCode, ErrStatus)
 	}
-	var instances []Instance
 	b, err := body.Read(resp.Body, maxListBytes)
 	if err != nil {
 		return nil, fmt.Errorf("fetch list: %w", err)
 	}
-	if err := json.Unmarshal(b, &instances); err != nil {
+	list, err := decode(b, isFramed(resp))
+	if err != nil {
 		return nil, fmt.Errorf("decode list: %w", err)
 	}
-	return instances, nil
+	return list, nil
+}
+
+// isFramed reports whether a response that is cut short ends with an error.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed
+}
+
+// decode returns the entries of a list without those that name no instance, which may come
+// from other writers. A list that may be cut short must be valid as a whole.
+func decode(b []byte, whole bool) ([]Instance, error) {
+	if !whole && !json.Valid(b) {
+		return nil, items.ErrUnreadable
+	}
+	entries, err := items.Array(b)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // the caller says what couldn't be decoded
+	}
+	list := make([]Instance, 0, len(entries))
+	for _, raw := range entries {
+		var i Instance
+		if json.Unmarshal(raw, &i) == nil && i.Name != "" {
+			list = append(list, i)
+		}
+	}
+	return list, nil
 }
--- a/core/conn/list/fetch_test.go
+++ b/core/conn/list/fetch_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"verbenahaven.example/core/conn/list"
@@ -65,3 +66,39 @@
 		t.Fatalf("%d connections for three reads", len(addresses))
 	}
 }
+
+// An entry of another writer must not keep the others from being followed.
+func TestOddEntryHidesNoOthers(t *testing.T) {
+	text, unframed := "", false
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !unframed {
+			_, _ = w.Write([]byte(text))
+			return
+		}
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n" + text))
+		_ = c.Close()
+	}))
+	defer s.Close()
+	for _, odd := range []string{
+		strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000), `{"name":"x","leaving":1}`, `{"name":1e400}`, `{"name":""}`, `{"name":"x`, "\x00", "null", "[{}]",
+	} {
+		text = `[{"name":"a"},` + odd + `,{"name":"b","leaving":true}]`
+		l, err := list.Fetch(t.Context(), s.Client(), s.URL)
+		if err != nil || len(l) != 2 || l[0].Name != "a" || l[1].Name != "b" || !l[1].Leaving {
+			t.Errorf("%.20q: list %v, error %v", odd, l, err)
+		}
+	}
+	unframed = true
+	for cut, want := range map[string]int{`[{"name":"a"},{"name":7}]`: 1, `[{"name":"a"},{"name":"b","x":[1,{"c":2}]`: -1, "null": -1} {
+		text = cut
+		l, err := list.Fetch(t.Context(), s.Client(), s.URL)
+		if want < 0 && err == nil || want >= 0 && len(l) != want {
+			t.Errorf("%s without length: list %v, error %v", text, l, err)
+		}
+	}
+}
