broker: an ID that no message can hold stays out of messages

A caller may send any bytes as Request-Id or in Prompt-Prefix. Messages are CBOR, whose receivers refuse a whole message for one text that isn't UTF-8. A request with such an ID looked like the silence of the broker, which was then left alone for 0.1 to 2 s for the requests of all callers. When a pool becomes mixed, the origins of up to 32 streams go out in one datagram: one such ID, or one of more than 512 bytes, made the others be lost, and callers that took these streams up were turned away.

Such a request is unfit now, as one that is too long was: the instance decides itself. Its origin isn't shared, and counted as broker.unfit.

TestUnfitRequestIsNotSent failed before with its two new cases ("the broker didn't answer in time"), TestOddOriginHidesNoOthers with both ("the other origin isn't known").

--- a/entryd/broker/broker.go
+++ b/entryd/broker/broker.go
@@ -17,6 +17,7 @@
 	"slices"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"k8s.io/klog/v2"
 
@@ -207,8 +208,10 @@
 	})
 }
 
+// validTexts reports whether all texts can be in a message: receivers refuse a message as a
+// whole for one that isn't UTF-8, such as an ID that a caller chose.
 func validTexts(list ...string) bool {
-	return !slices.ContainsFunc(list, func(text string) bool { return len(text) > maxTextBytes })
+	return !slices.ContainsFunc(list, func(text string) bool { return len(text) > maxTextBytes || !utf8.ValidString(text) })
 }
 
 func validRequest(r *proto.PlaceRequest) bool {
@@ -220,7 +223,7 @@
 	}
 	sum := 0
 	for _, p := range r.Parts {
-		if p.Tokens < 0 || len(p.ID) > maxTextBytes {
+		if p.Tokens < 0 || !validTexts(p.ID) {
 			return false
 		}
 		sum += p.Tokens
--- a/entryd/broker/event_test.go
+++ b/entryd/broker/event_test.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -25,3 +26,21 @@
 	}
 	t.Fatal("nothing heard")
 }
+
+// An ID that a caller chose and that no message can hold hides no other stream's origin.
+func TestOddOriginHidesNoOthers(t *testing.T) {
+	link, other, h := startPair(t)
+	for good, odd := range map[string]string{"1": "\xff", "2": strings.Repeat("x", maxTextBytes+1)} {
+		other.Share(link, []proto.StreamOrigin{{ID: odd, Pool: "p"}, {ID: good, Pool: "p"}})
+		known := false
+		for range 100 {
+			if _, known = h.Origin(good); known {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		if !known {
+			t.Errorf("%.3q: the other origin isn't known", odd)
+		}
+	}
+}
--- a/entryd/broker/origin.go
+++ b/entryd/broker/origin.go
@@ -23,7 +23,9 @@
 		c.meter.Count("broker", "not_sent")
 		return
 	}
-	for part := range slices.Chunk(origins, maxSharedOrigins) {
+	valid := slices.DeleteFunc(slices.Clone(origins), func(o proto.StreamOrigin) bool { return !validOrigin(o) })
+	c.meter.Add(int64(len(origins)-len(valid)), "broker", "unfit")
+	for part := range slices.Chunk(valid, maxSharedOrigins) {
 		c.send(to, &proto.PlaceMessage{From: c.name, Origins: part})
 	}
 }
--- a/entryd/broker/panic_test.go
+++ b/entryd/broker/panic_test.go
@@ -71,10 +71,12 @@
 	}
 	defer cleanup()
 	for name, r := range map[string]*proto.PlaceRequest{
-		"long ID":     {ID: strings.Repeat("x", maxTextBytes+1)},
-		"many parts":  {ID: "1", Parts: make([]proto.PlacePart, maxListItems+1)},
-		"large parts": {ID: "1", Parts: []proto.PlacePart{{ID: strings.Repeat("x", 400)}, {ID: strings.Repeat("y", maxTextBytes)}, {ID: strings.Repeat("z", 2*maxDatagram)}}},
-		"overflow":    {ID: "1", Parts: []proto.PlacePart{{ID: "x", Tokens: 1 << 62}, {ID: "y", Tokens: 1 << 62}}},
+		"long ID":      {ID: strings.Repeat("x", maxTextBytes+1)},
+		"ID's bytes":   {ID: "r\xff"},
+		"part's bytes": {ID: "1", Parts: []proto.PlacePart{{ID: "\xff"}}},
+		"many parts":   {ID: "1", Parts: make([]proto.PlacePart, maxListItems+1)},
+		"large parts":  {ID: "1", Parts: []proto.PlacePart{{ID: strings.Repeat("x", 400)}, {ID: strings.Repeat("y", maxTextBytes)}, {ID: strings.Repeat("z", 2*maxDatagram)}}},
+		"overflow":     {ID: "1", Parts: []proto.PlacePart{{ID: "x", Tokens: 1 << 62}, {ID: "y", Tokens: 1 << 62}}},
 	} {
 		if _, err := c.Ask(t.Context(), "127.0.0.1:1000", r); !errors.Is(err, ErrUnfit) {
 			t.Errorf("%s: %v", name, err)
