screen: IDs that no message can hold are hashed

An attempt's ID and the parts of a prompt, which callers choose, name what may have crashed an engine. With one that isn't UTF-8, the leader refused the message as a whole: the loss was never recorded, so requests that crash engines weren't bounded by the keepers' record. Such IDs are hashed now, as those that are too long were.

TestRequestWithOddBytesIsTakenByKeepers failed before ("the keepers know of []").

--- a/core/request/strike/cause.go
+++ b/core/request/strike/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -24,10 +25,16 @@
 	parts = parts[max(0, len(parts)-maxParts):]
 	list := make([]string, 0, len(parts))
 	for _, id := range parts {
-		if len(id) > maxNameBytes {
-			id = strconv.FormatUint(xxhash.Sum64String(id), 16)
-		}
-		list = append(list, partPrefix+id)
+		list = append(list, partPrefix+ShortID(id, maxNameBytes))
 	}
 	return list
 }
+
+// ShortID returns an ID that a caller chose, or a hash of it if it is longer than maxBytes
+// or if no message can hold it, since it isn't UTF-8.
+func ShortID(id string, maxBytes int) string {
+	if len(id) <= maxBytes && utf8.ValidString(id) {
+		return id
+	}
+	return strconv.FormatUint(xxhash.Sum64String(id), 16)
+}
--- a/entryd/screen/pass.go
+++ b/entryd/screen/pass.go
@@ -7,8 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"verbenahaven.example/core/request/strike"
 	"verbenahaven.example/core/version/state"
 )
 
@@ -33,10 +32,7 @@
 // Begin returns the pass of a call, given the cause that is the request itself, if
 // any, and those that are parts of its prompt.
 func (s *Screen) Begin(id, request string, parts []string) *Pass {
-	if len(id) > maxIDBytes {
-		id = strconv.FormatUint(xxhash.Sum64String(id), 16)
-	}
-	return &Pass{screen: s, id: id, request: request, parts: parts}
+	return &Pass{screen: s, id: strike.ShortID(id, maxIDBytes), request: request, parts: parts}
 }
 
 func (p *Pass) causes() []string { return causesOf(p.request, p.parts) }
--- a/entryd/screen/screen_test.go
+++ b/entryd/screen/screen_test.go
@@ -12,7 +12,9 @@
 
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/codec"
 	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/strike"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
 	"verbenahaven.example/entryd/screen"
@@ -34,10 +36,18 @@
 func (k *fakeKeeper) Screen(_ context.Context, r state.Screening) (state.Permission, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	b, err := codec.Marshal(r)
+	if err != nil {
+		return state.Permission{}, err
+	}
+	var received state.Screening
+	if err := codec.Unmarshal(b, &received); err != nil {
+		return state.Permission{}, err
+	}
 	if k.silent || len(r.Trial) > longestName {
 		return state.Permission{}, context.DeadlineExceeded
 	}
-	return k.screenAt(time.Now(), r), nil
+	return k.screenAt(time.Now(), received), nil
 }
 
 // screenAt applies a screening at a time. The caller holds the mutex or is alone.
@@ -246,3 +256,23 @@
 	}
 	t.Fatalf("the keepers know of %+v", k.state.View(0).Strikes)
 }
+
+// IDs that no message can hold must not hide from the keepers what crashes engines.
+func TestRequestWithOddBytesIsTakenByKeepers(t *testing.T) {
+	k := newKeeper()
+	i := newInstance(t, k)
+	p := i.Begin("r\xff", "", strike.PartCauses([]string{"\xfe", "\xff"}))
+	defer p.Close()
+	for n := range 10 {
+		if p.Permit(t.Context()) != nil {
+			break
+		}
+		p.Lost(fmt.Sprint("engine", n), false)
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	list := k.state.View(0).Strikes
+	if len(list) != 2 || len(list[0].LostEngines) == 0 || list[0].Fingerprint == list[1].Fingerprint {
+		t.Fatalf("the keepers know of %+v", list)
+	}
+}
