poll: a load report with impossible values counts as failed

On the product's own interface, the values in an engine's load report went into the choice of engines unchecked. With a batch of -1, a negative step or a rate of 1e300, the engine drew all requests to itself. A report from a clock that is ahead made all later ones of that engine look old.

Reports are checked where they arrive. One that can't be is a failed poll, as the platform's are, so that the engine counts as lost after two and is used again with the next valid one. A time in the future is that of the arrival.

--- a/core/conn/engine/engine.go
+++ b/core/conn/engine/engine.go
@@ -105,6 +105,26 @@
 	MaxBatch           int           `json:"batch"`   // maximum decode batch size
 }
 
+// Bounds of the values in load reports: sums and products of a few of them don't overflow.
+const (
+	maxCount    = 1 << 30
+	maxStepTime = time.Minute
+	minRate     = 1e-3
+	maxRate     = 1e12
+)
+
+// IsValid reports whether a report holds only values that can be. Zero means that the engine
+// doesn't say.
+func (l *LoadReport) IsValid() bool {
+	for _, n := range []int{l.Running, l.Waiting, l.PrefillQueueTokens, l.MaxBatch} {
+		if n < 0 || n > maxCount {
+			return false
+		}
+	}
+	validRate := l.PrefillRate == 0 || l.PrefillRate >= minRate && l.PrefillRate <= maxRate
+	return validRate && l.TPOT >= 0 && l.TPOT <= maxStepTime && l.KVUsedTokens >= 0 && l.KVTotalTokens >= 0
+}
+
 // CacheEvent reports that a block was added to or evicted from the prefix
 // cache. A gap in Seq means lost events: the reader must discard its copy of
 // the cache index.
--- a/entryd/poll/poll.go
+++ b/entryd/poll/poll.go
@@ -33,7 +33,10 @@
 	failuresUntilLost = 2           // consecutive failed polls after which an engine counts as lost
 )
 
-var errStatus = errors.New("the engine answered with a failure")
+var (
+	errStatus = errors.New("the engine answered with a failure")
+	errReport = errors.New("the load report holds impossible values")
+)
 
 // Settings configures the polls.
 type Settings struct {
@@ -145,6 +148,14 @@
 	if err != nil {
 		return err
 	}
+	if !l.IsValid() {
+		p.meter.Count("poll", "invalid")
+		return errReport
+	}
+	// The time of a clock that is ahead would make the next reports look older.
+	if now := p.clock.Now(); l.MeasuredAt.After(now) {
+		l.MeasuredAt = now
+	}
 	p.balancer.RecordLoad(e.Name, l)
 	return nil
 }
