lead: engines of services that no routing table has get no orders

An entry of the list may name a service that isn't configured. Its engines, and those of a service that was taken out of the table, were planned like any pool: three fifths of them were ordered to another role, each order is priced, and while one was open it counted against the number of engines that may change at once, which the known pools share. TestEnginesOfUnknownServiceGetNoOrders failed before: an order within 10 s (the test ended after 2.6 s).

--- a/keepd/lead/plan.go
+++ b/keepd/lead/plan.go
@@ -84,7 +84,9 @@
 		v := s.View(0)
 		_ = l.withLease(func(at time.Duration, _ uint64) {
 			for _, e := range v.Engines {
-				in.Engines = append(in.Engines, l.planEngine(now, e, s.LastOrderClosed(e.Name), s.Routing()))
+				if isPlanned(e, s.Routing()) {
+					in.Engines = append(in.Engines, l.planEngine(now, e, s.LastOrderClosed(e.Name), s.Routing()))
+				}
 			}
 			demand := l.roster.Demand(at)
 			for _, sv := range v.Services {
@@ -124,6 +126,16 @@
 	return demands
 }
 
+// isPlanned reports whether an engine may be ordered: a platform's list may name engines of
+// pools that the routing table doesn't have.
+func isPlanned(e state.Engine, r *state.RoutingTable) bool {
+	if r == nil || e.Pool == "" {
+		return true
+	}
+	p, found := r.Pool(e.Pool)
+	return found && p.Spec != nil
+}
+
 func (l *Leader) planEngine(now time.Time, e state.Engine, changed time.Time, routing *state.RoutingTable) plan.Engine {
 	p := plan.Engine{Name: e.Name, Centre: e.Centre, Model: cmp.Or(e.Pool, e.Model), Role: e.Role, Phase: e.Phase, ChangedAt: changed, Reclaimable: e.Reclaimable}
 	r, heard := l.roster.Report(e.Name)
