store: test that an odd fleet in the state is restored

Builds before this one took servers with addresses out of range, names of any bytes and unknown roles into the replicated state.

--- a/core/version/store/store_test.go
+++ b/core/version/store/store_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math"
+	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -103,3 +106,35 @@
 	}
 	l.apply(store.Command{Update: &state.Update{Operator: "bench", Number: 1, Changes: changes}})
 }
+
+// What an earlier build took from an odd entry of the list must not end the process at each
+// start, and goes with the next list.
+func TestOddFleetInStateIsRestored(t *testing.T) {
+	l := newLog(t)
+	f := state.Fleet{}
+	for i, name := range []string{"e", "e", "", "a\r\nb", strings.Repeat("x", 1<<20), "\ufffd", "s"} {
+		f.Engines = append(f.Engines, state.Engine{
+			Name: name, Pool: name, URL: "http://10.0.0.9:99999", Role: "train", Phase: state.PhaseServing, StartSerial: math.MinInt64 + int64(i),
+		})
+		f.Servers = append(f.Servers, state.Server{Name: name, Service: name, URL: "http://u@h/x:-1", Phase: "asleep"})
+	}
+	l.apply(store.Command{SyncFleet: &f})
+	if n := len(l.store.View(0).Engines); n != 6 {
+		t.Fatalf("%d engines in the state", n)
+	}
+	snapshot, err := l.store.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := &commandLog{tb: t, store: store.New(), index: l.index}
+	if err := restored.store.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := restored.store.View(0), l.store.View(0); !reflect.DeepEqual(got, want) {
+		t.Errorf("restored %d engines and %d servers that differ", len(got.Engines), len(got.Servers))
+	}
+	restored.apply(store.Command{SyncFleet: &state.Fleet{Engines: []state.Engine{{Name: "good"}}}})
+	if v := restored.store.View(0); len(v.Engines) != 1 || len(v.Servers) != 0 {
+		t.Errorf("%d engines and %d servers after the next list", len(v.Engines), len(v.Servers))
+	}
+}
