lead: an engine that is listed without its role is no server

An entry without a role is that of a plain server. In a service of engines it comes from another writer, or lacks the field; it could get requests that don't describe their prompt, and its software version counted among those of the service, whose streams then go on only at engines of their own version. TestEngineWithoutRoleIsNoServer failed before: the entry stayed for as long as the test waits (5 s).

--- a/keepd/lead/discovery.go
+++ b/keepd/lead/discovery.go
@@ -112,16 +112,18 @@
 func (l *Leader) syncFleet(ctx context.Context, f state.Fleet) {
 	f.Engines = slices.Clone(f.Engines)
 	now := l.clock.Now()
+	var table *state.RoutingTable
 	var v state.View
 	known := make(map[string]state.Engine)
 	recentlyOrdered := make(map[string]bool) // engines whose reports may predate their last order
 	l.readState(func(s *state.State, _ *ledger.Ledger) {
-		v = s.View(0)
+		v, table = s.View(0), s.Routing()
 		for _, e := range v.Engines {
 			known[e.Name] = e
 			recentlyOrdered[e.Name] = now.Sub(s.LastOrderClosed(e.Name)) < maxReportAge
 		}
 	})
+	f.Servers = withoutRoleless(f.Servers, table)
 	_ = l.withLease(func(time.Duration, uint64) {
 		for i := range f.Engines {
 			e := &f.Engines[i]
@@ -142,6 +144,18 @@
 	klog.InfoS("fleet", "engines", len(f.Engines), "servers", len(f.Servers))
 }
 
+// withoutRoleless returns the servers without those of services of engines: an engine is
+// listed with its role.
+func withoutRoleless(list []state.Server, r *state.RoutingTable) []state.Server {
+	if r == nil {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(s state.Server) bool {
+		p, found := r.Pool(s.Service)
+		return found && p.Spec != nil
+	})
+}
+
 // applyReport sets what the latest report of a listed engine says, since it is more recent
 // than the list. The report may be older than an order that just ended. The mutex must be
 // locked.
--- a/keepd/lead/odd_test.go
+++ b/keepd/lead/odd_test.go
@@ -30,3 +30,18 @@
 		}
 	}
 }
+
+// An engine that is listed without its role must not serve, nor count as another build.
+func TestEngineWithoutRoleIsNoServer(t *testing.T) {
+	f := newFakeFleet(1)
+	f.servers = []state.Server{{Name: "odd", Service: "llm", Phase: state.PhaseServing}, {Name: "s", Service: "app", Phase: state.PhaseServing}}
+	b := newDiscoveringLeader(t, nil, f)
+	table := state.RoutingTable{Number: 1, Pools: []state.Pool{{Name: "llm", Spec: &state.EngineSpec{BatchSize: 8}}, {Name: "app"}}}
+	if _, err := b.PublishRouting(t.Context(), "keep1", proto.PublishRequest{Routing: table}); err != nil {
+		t.Fatal(err)
+	}
+	b.waitFor(t, "a fleet without the odd entry", func() bool {
+		list := b.store.View(0).Servers
+		return len(list) == 1 && list[0].Name == "s"
+	})
+}
--- a/keepd/lead/path_test.go
+++ b/keepd/lead/path_test.go
@@ -24,6 +24,7 @@
 // fakeFleet is the discovery of a platform whose engines fail as a test sets.
 type fakeFleet struct {
 	engines []state.Engine
+	servers []state.Server
 	stagger time.Duration // between the results of one engine and of the next
 	duties  lead.DutyClient
 
@@ -49,7 +50,7 @@
 }
 
 func (f *fakeFleet) List(context.Context) (state.Fleet, error) {
-	return state.Fleet{Engines: append([]state.Engine(nil), f.engines...)}, nil
+	return state.Fleet{Engines: slices.Clone(f.engines), Servers: slices.Clone(f.servers)}, nil
 }
 
 func (f *fakeFleet) Report(ctx context.Context, e state.Engine) (proto.Report, error) {
