--- a/core/conn/items/scan.go
+++ b/core/conn/items/scan.go
@@ -45,9 +45,12 @@
 	}) && first == ""
 }
 
+// visitor reads the value of a member and returns its end.
+type visitor func(name string, at int) (end int, ok bool)
+
 // members reads the members of the document, whose first brace is at a position. It returns
 // false if they can't be read or if anything follows them.
-func (s *scanner) members(at int, visit func(name string, at int) (end int, ok bool)) bool {
+func (s *scanner) members(at int, visit visitor) bool {
 	if !s.is(at, '{') {
 		return false
 	}
@@ -60,7 +63,7 @@
 }
 
 // moreMembers reads the members that follow another one.
-func (s *scanner) moreMembers(at int, visit func(name string, at int) (end int, ok bool)) bool {
+func (s *scanner) moreMembers(at int, visit visitor) bool {
 	for {
 		at = s.skipSpace(at)
 		if !s.is(at, ',') {
@@ -74,7 +77,7 @@
 	}
 }
 
-func (s *scanner) member(at int, visit func(name string, at int) (end int, ok bool)) (end int, ok bool) {
+func (s *scanner) member(at int, visit visitor) (end int, ok bool) {
 	end, ok = s.quoted(at)
 	var name string
 	if !ok || json.Unmarshal(s.text[at:end], &name) != nil {
