poll: the test of odd reports waits until engines were read

TestOddReportAttractsNoRequests failed once beside other tests, at a load average of 53 on 8 cores: its polls ran for 300 ms, in which an engine wasn't read twice. They run now until each engine was read five times, 10 s at most; what is checked is the same.

--- a/entryd/poll/odd_test.go
+++ b/entryd/poll/odd_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,8 +27,17 @@
 		`{"batch":-1}`, `{"batch":9223372036854775807}`, `{"prefill":1e-300}`, `{"prefill":-1}`, `{"prefill":1e300}`, `{"prefill":1e400}`,
 		`{"step":9000000000000000000,"running":100}`, `{"step":-1}`, `{"running":"x"}`, `{`, `[]`,
 	} {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		var unread sync.WaitGroup // engines that weren't read several times
 		serve := func(text string) *httptest.Server {
-			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }))
+			var reads atomic.Int32
+			unread.Add(1)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if reads.Add(1) == 5 {
+					unread.Done()
+				}
+				_, _ = io.WriteString(w, text)
+			}))
 			t.Cleanup(s.Close)
 			return s
 		}
@@ -42,7 +53,10 @@
 		}
 		b.SetSnapshot(store.Current())
 		connections, cleanup := pool.New()
-		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		go func() {
+			unread.Wait()
+			cancel()
+		}()
 		poll.New(poll.Settings{Period: 20 * time.Millisecond, MaxPerSecond: 1000, Timeout: time.Second, Policy: route.PolicyLoad},
 			b, connections, meter.New(), clock.System()).Run(ctx)
 		cancel()
