watch: hand states over in order

An instance could end by itself: a state from one source was stored, a newer one from another source was stored and handed over, and then the first was handed over, at which the routing panics, since a version must not decrease. Heartbeats, the poll of a keeper or parent, and polls of other instances are such sources.

Storing and handing over are one step now.

--- a/entryd/watch/watch.go
+++ b/entryd/watch/watch.go
@@ -58,6 +58,7 @@
 	clock      clock.Clock
 	peers      *peers
 
+	applying         sync.Mutex // held while a state is stored and handed over, so that states are handed over in order
 	mutex            sync.Mutex
 	hasState         bool          // a state has been received
 	currentAt        time.Duration // elapsed time at which the state was last known to be current
@@ -261,6 +262,8 @@
 // apply stores a received view, asked for at the elapsed time sent. A view of the same
 // version only updates the age of the state; an older one is ignored.
 func (w *Watch) apply(r proto.WatchReply, source string, sent time.Duration) {
+	w.applying.Lock()
+	defer w.applying.Unlock()
 	have := w.store.Current().Version()
 	if r.View.Version < have {
 		w.meter.Count("watch", "older")
