quorum: a majority of the first seeds founds the keepers' group

The group was created by the lowest seed once all seeds had said hello together. A majority had been ruled out because a seed that lost its folder could create a second group with one that came late. On a platform the settings say which start is the first, so a lost folder is known as such. A folder created at a first start is now a founder for good: its identity, the group's identifier and the first configuration follow from the seeds of the first settings, which the identity file keeps. Founders elect a leader as any voters do, by a majority and with durable votes; a missing one is a silent voter and is replaced. Seeds that differ give other identities, so no vote counts twice. An empty folder that isn't told of a first start, or stands for a damaged one, only joins. A founder that hears of another group founds nothing.

In TestOpenMembership the founded groups come beside the bootstrapped ones, with the same number of seeds.

--- a/core/process/disk/disk_test.go
+++ b/core/process/disk/disk_test.go
@@ -434,3 +434,34 @@
 		t.Fatalf("the probe left %v", names)
 	}
 }
+
+// A founder's folder stays one under later settings, and none that stands for a damaged
+// folder is one.
+func TestFoundingIsThatOfFirstSettings(t *testing.T) {
+	first, later := quorum.NewFounding([]string{"c", "a", "b"}), quorum.NewFounding([]string{"a", "b", "d"})
+	m := newMemory()
+	for _, o := range []disk.Options{{Founding: first}, {Founding: later}, {}} {
+		o.FileSystem, o.Name = m, "a"
+		s, cleanup, err := disk.Open(folder, o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Identity() != first.Identity("a") || !reflect.DeepEqual(s.Founding(), first) || s.MayBootstrap() {
+			t.Fatalf("identity %s, founding %+v, may bootstrap %t", s.Identity(), s.Founding(), s.MayBootstrap())
+		}
+		cleanup()
+		m = m.crash(rand.New(rand.NewPCG(1, 1)))
+	}
+	base := t.TempDir()
+	if err := disk.SetAside(disk.System(), base, "1"); err != nil {
+		t.Fatal(err)
+	}
+	s, cleanup, err := disk.Open(base, disk.Options{MayBootstrap: true, Founding: first, Name: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cleanup()
+	if s.Identity() == first.Identity("a") || s.Founding() != nil || s.MayBootstrap() {
+		t.Fatalf("after a damaged folder: identity %s, founding %+v, may bootstrap %t", s.Identity(), s.Founding(), s.MayBootstrap())
+	}
+}
--- a/core/process/disk/store.go
+++ b/core/process/disk/store.go
@@ -46,8 +46,9 @@
 
 // identity is the content of the identity file.
 type identity struct {
-	Identity     string `cbor:"1,keyasint"`
-	MayBootstrap bool   `cbor:"2,keyasint,omitempty"` // may take part in bootstrapping a group
+	Identity     string           `cbor:"1,keyasint"`
+	MayBootstrap bool             `cbor:"2,keyasint,omitempty"` // may take part in bootstrapping a group
+	Founding     *quorum.Founding `cbor:"3,keyasint,omitempty"` // the founding that it takes part in
 }
 
 // Store is an open data folder. Except for ReadChunk, its methods must be called
@@ -73,6 +74,10 @@
 	FileSystem   FileSystem
 	SegmentBytes int64 // size in bytes at which a new segment is started, 0 for the default
 	MayBootstrap bool  // a new folder may take part in bootstrapping a group
+	// Founding is what a new folder takes part in as that of the founder of this name, nil
+	// for none.
+	Founding *quorum.Founding
+	Name     string
 }
 
 const defaultSegmentBytes = 16 << 20
@@ -93,7 +98,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("open data folder: %w", err)
 	}
-	if err := s.load(o.MayBootstrap); err != nil {
+	if err := s.load(o); err != nil {
 		s.close()
 		unlock()
 		return nil, nil, fmt.Errorf("load %s: %w", folder, err)
@@ -104,12 +109,16 @@
 	}, nil
 }
 
-// Identity returns the folder's identity, drawn at random when it was created.
+// Identity returns the folder's identity. It was drawn at random when the folder was
+// created, unless that is a founder's.
 func (s *Store) Identity() string { return s.identity.Identity }
 
 // MayBootstrap reports whether the folder may take part in bootstrapping a group.
 func (s *Store) MayBootstrap() bool { return s.identity.MayBootstrap }
 
+// Founding returns the founding that the folder takes part in, nil for none.
+func (s *Store) Founding() *quorum.Founding { return s.identity.Founding }
+
 // Stored returns the durable state as it was when the folder was opened.
 func (s *Store) Stored() quorum.DurableState { return s.stored }
 
@@ -134,7 +143,7 @@
 	}
 }
 
-func (s *Store) load(mayBootstrap bool) error {
+func (s *Store) load(o Options) error {
 	names, err := s.files.List(s.folder)
 	if err != nil {
 		return fmt.Errorf("list: %w", err)
@@ -147,7 +156,7 @@
 		}
 	}
 	if !slices.Contains(names, identityName) {
-		return s.create(names, mayBootstrap)
+		return s.create(names, o)
 	}
 	b, err := s.files.Read(s.path(identityName))
 	if err != nil {
@@ -165,8 +174,10 @@
 
 // create initializes a new folder. The identity is written last: a folder with
 // state but without an identity has lost it and is damaged.
-func (s *Store) create(names []string, mayBootstrap bool) error {
+func (s *Store) create(names []string, o Options) error {
+	lostState := false
 	for _, name := range names {
+		lostState = lostState || strings.HasPrefix(name, damagedPrefix)
 		if strings.HasPrefix(name, snapshotPrefix) {
 			return fmt.Errorf("%s without an identity: %w", name, ErrDamaged)
 		}
@@ -176,11 +187,9 @@
 			}
 		}
 	}
-	var random [identityBytes]byte
-	if _, err := rand.Read(random[:]); err != nil {
-		return fmt.Errorf("generate identity: %w", err)
+	if err := s.drawIdentity(o, lostState); err != nil {
+		return err
 	}
-	s.identity = identity{Identity: hex.EncodeToString(random[:]), MayBootstrap: mayBootstrap}
 	if err := s.startSegment(1); err != nil {
 		return err
 	}
@@ -191,6 +200,21 @@
 	return s.writeAtomically(identityName, b)
 }
 
+// drawIdentity sets the identity of a new folder. One that stands for a folder which was
+// set aside takes no part in the start of a group.
+func (s *Store) drawIdentity(o Options, lostState bool) error {
+	if o.Founding != nil && !lostState {
+		s.identity = identity{Identity: o.Founding.Identity(o.Name), Founding: o.Founding}
+		return nil
+	}
+	var random [identityBytes]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return fmt.Errorf("generate identity: %w", err)
+	}
+	s.identity = identity{Identity: hex.EncodeToString(random[:]), MayBootstrap: o.MayBootstrap && !lostState}
+	return nil
+}
+
 // checkUninitialized returns an error unless the segment holds nothing but a
 // header, or less: a crash before the identity was written leaves such a
 // segment, while any other belongs to a folder that lost its identity.
--- a/core/process/node/member.go
+++ b/core/process/node/member.go
@@ -29,6 +29,7 @@
 	Spares              []string          // names of the learners that replace lost voters
 	OpenMembership      bool              // instances outside of Peers may join; their name is their link address
 	JoinOnly            bool              // a new folder only joins an existing group, it never bootstraps one
+	FirstStart          bool              // promise that the group never started before: a majority of the initial voters founds it
 	TargetVoters        int               // promote learners while there are fewer voters; 0 promotes none
 	HeartbeatInterval   time.Duration     // time between a leader's heartbeats
 	ElectionTimeout     time.Duration     // time without contact with the leader after which a follower may campaign
@@ -141,7 +142,9 @@
 // openStore opens the data folder. It sets a damaged one aside and creates a new
 // one.
 func openStore(s Settings, r *meter.Registry) (*disk.Store, func(), error) {
-	store, cleanup, err := disk.Open(s.Folder, disk.Options{FileSystem: s.FileSystem, MayBootstrap: !s.JoinOnly})
+	store, cleanup, err := disk.Open(s.Folder, disk.Options{
+		FileSystem: s.FileSystem, MayBootstrap: !s.JoinOnly && !s.FirstStart, Founding: founding(s), Name: s.Name,
+	})
 	if err == nil {
 		return store, cleanup, nil
 	}
@@ -164,6 +167,14 @@
 	return store, cleanup, nil
 }
 
+// founding returns the founding that a new folder takes part in, nil for none.
+func founding(s Settings) *quorum.Founding {
+	if !s.FirstStart || s.JoinOnly || !slices.Contains(s.InitialVoters, s.Name) {
+		return nil
+	}
+	return quorum.NewFounding(s.InitialVoters)
+}
+
 func (n *Node) coreSettings() quorum.Settings {
 	s := n.settings
 	peers := make([]string, 0, len(s.Peers))
@@ -178,6 +189,7 @@
 	return quorum.Settings{
 		Name:                  s.Name,
 		Identity:              n.store.Identity(),
+		Founding:              n.store.Founding(),
 		MayBootstrap:          n.store.MayBootstrap(),
 		InitialVoters:         s.InitialVoters,
 		Spares:                s.Spares,
--- a/core/process/node/open_test.go
+++ b/core/process/node/open_test.go
@@ -21,7 +21,7 @@
 		g.names = append(g.names, address)
 		g.addresses[address] = address
 		g.settings[address] = node.Settings{
-			Name: address, Folder: filepath.Join(g.baseFolder, fmt.Sprint(i)), OpenMembership: true, JoinOnly: i >= seeds, TargetVoters: targetVoters,
+			Name: address, Folder: filepath.Join(g.baseFolder, fmt.Sprint(i)), OpenMembership: true, JoinOnly: i >= seeds, FirstStart: i < seeds, TargetVoters: targetVoters,
 			HeartbeatInterval: 30 * time.Millisecond, ElectionTimeout: 200 * time.Millisecond, ReplaceAfter: time.Second, CommandsPerSnapshot: 10000,
 		}
 	}
@@ -81,7 +81,7 @@
 	g.stop(lost)
 	g.propose(2)
 	s := g.settings[lost]
-	s.Folder, s.JoinOnly = filepath.Join(g.baseFolder, "new"), true
+	s.Folder, s.JoinOnly, s.FirstStart = filepath.Join(g.baseFolder, "new"), true, false
 	g.settings[lost] = s
 	g.start(lost)
 	g.wait("group of three voters with the returned instance", func() bool {
@@ -90,12 +90,50 @@
 	g.waitApplied(2, 3)
 }
 
+// A seed that never comes is replaced like a lost member, also by an instance whose
+// settings still speak of a first start.
+func TestFirstStartWithoutOneSeed(t *testing.T) {
+	for i, told := range []bool{false, true} {
+		g := newOpenGroup(t, 3, 1, 3)
+		missing, successor := g.names[i], g.names[3]
+		present := slices.DeleteFunc(slices.Clone(g.names[:3]), func(name string) bool { return name == missing })
+		g.start(present...)
+		g.propose(1)
+		s := g.settings[successor]
+		s.InitialVoters, s.JoinOnly, s.FirstStart = append(slices.Clone(present), successor), !told, told
+		s.Peers = map[string]string{present[0]: present[0], present[1]: present[1], successor: successor}
+		g.settings[successor] = s
+		g.start(successor)
+		g.wait("voter in place of the missing seed", func() bool {
+			return slices.Contains(g.voters(), successor) && !slices.Contains(g.voters(), missing)
+		})
+		g.waitApplied(1, 1)
+		g.stop(present[1])
+		g.propose(2)
+	}
+}
+
+// One of two founders alone must not found a group, whatever else it meets.
+func TestMinorityOfFoundersFoundsNothing(t *testing.T) {
+	g := newOpenGroup(t, 3, 1, 3)
+	wiped := g.settings[g.names[1]]
+	wiped.JoinOnly, wiped.FirstStart = true, false
+	g.settings[g.names[1]] = wiped
+	g.start(g.names[0], g.names[1], g.names[3])
+	time.Sleep(time.Second)
+	for name, m := range g.members {
+		if s := m.node.Status(); s.Leader != "" || s.Term != 0 {
+			t.Fatalf("%s follows %q in term %d", name, s.Leader, s.Term)
+		}
+	}
+}
+
 // Instances that may only join must not bootstrap a group.
 func TestJoiningMembersDoNotBootstrap(t *testing.T) {
 	g := newOpenGroup(t, 3, 0, 3)
 	for _, name := range g.names {
 		s := g.settings[name]
-		s.JoinOnly = true
+		s.JoinOnly, s.FirstStart = true, false
 		g.settings[name] = s
 	}
 	g.start(g.names...)
--- a/core/process/quorum/check_test.go
+++ b/core/process/quorum/check_test.go
@@ -14,6 +14,7 @@
 	leaders    map[string]string // identity and epoch of the leader by group and term
 	ackedIndex uint64            // highest index whose outcome a client knows
 	ackCount   int
+	ackedGroup string // group that acknowledged something, "" before
 }
 
 func newInvariants() invariants {
@@ -63,13 +64,24 @@
 }
 
 // recordAck records that a client knows that its proposal was applied.
-func (c *invariants) recordAck(index uint64) {
+func (c *invariants) recordAck(m *simMember, index uint64) {
+	c.checkSingleGroup(m)
 	c.ackCount++
 	c.ackedIndex = max(c.ackedIndex, index)
 }
 
+// checkSingleGroup checks that only one group answers clients.
+func (c *invariants) checkSingleGroup(m *simMember) {
+	group := m.core.Group()
+	if c.ackedGroup != "" && c.ackedGroup != group {
+		reportViolation("%s acknowledges for group %s, but group %s did so before", m.name, group, c.ackedGroup)
+	}
+	c.ackedGroup = group
+}
+
 // checkRead checks that a read sees all that any client knew when it began.
 func (c *invariants) checkRead(m *simMember, floor, index uint64) {
+	c.checkSingleGroup(m)
 	if index < floor {
 		reportViolation("%s reads at index %d, but index %d was known to a client", m.name, index, floor)
 	}
--- a/core/process/quorum/core.go
+++ b/core/process/quorum/core.go
@@ -92,6 +92,7 @@
 	votes            map[string]bool   // identities that granted a vote or pre-vote
 	ignoreLease      bool              // this campaign was requested by the leader to transfer leadership
 	founder          string            // identity of the instance that bootstraps the group, as last heard
+	otherGroup       bool              // one of the founders belongs to another group
 	nextHello        time.Duration     // when to send the next hellos
 	joiners          map[string]joiner // by identity
 	incoming         incomingSnapshot
@@ -159,6 +160,9 @@
 	}
 	c.log.reset(stored.Snapshot.Index, stored.Snapshot.Term)
 	c.configs = []indexedConfig{newIndexedConfig(stored.Snapshot.Index, stored.Snapshot.Config)}
+	if stored.Snapshot.Index == 0 {
+		c.configs[0] = newIndexedConfig(0, c.firstConfig())
+	}
 	for _, e := range stored.Entries {
 		if e.Index > stored.Snapshot.Index {
 			c.addEntry(e)
@@ -167,6 +171,9 @@
 	c.commitIndex, c.appliedIndex = stored.Snapshot.Index, stored.Snapshot.Index
 	c.durableIndex = c.log.last()
 	c.resetElectionDeadline()
+	if c.isFounding() {
+		c.electionDeadline = c.now + s.HeartbeatInterval + c.jitter(2*s.HeartbeatInterval)
+	}
 	return c
 }
 
--- a/core/process/quorum/elect.go
+++ b/core/process/quorum/elect.go
@@ -50,6 +50,9 @@
 // campaign: it may be the only one with the latest log, which includes that
 // removal.
 func (c *Core) mayCampaign() bool {
+	if !c.mayFound() {
+		return false
+	}
 	for i := len(c.configs) - 1; i >= 0; i-- {
 		if c.configs[i].config.IsVoter(c.settings.Identity) {
 			return true
@@ -80,7 +83,7 @@
 // their vote although they heard from the leader recently.
 func (c *Core) campaign(ignoreLease bool) {
 	c.role, c.leader, c.ignoreLease = RoleCandidate, "", ignoreLease
-	c.setHardState(HardState{Group: c.hardState.Group, Term: c.hardState.Term + 1, Vote: c.settings.Identity})
+	c.setHardState(HardState{Group: c.group(), Term: c.hardState.Term + 1, Vote: c.settings.Identity})
 	c.votes = map[string]bool{c.settings.Identity: true}
 	c.electionDeadline = c.now + c.settings.ElectionTimeout/2 + c.jitter(c.settings.ElectionTimeout/2)
 	if c.hasVoteMajority() {
@@ -120,6 +123,9 @@
 	if c.role == RoleLeader {
 		return true
 	}
+	if c.isFounding() {
+		return false // it has never followed a leader
+	}
 	if c.disabled.startWait && c.leader == "" {
 		return false
 	}
@@ -138,7 +144,7 @@
 // handlePreVote replies whether this member would grant a vote. The reply isn't
 // binding.
 func (c *Core) handlePreVote(m Message) {
-	if c.boundByLease() {
+	if c.boundByLease() || !c.mayFound() {
 		return
 	}
 	if m.Term <= c.hardState.Term || !c.logUpToDate(m) {
@@ -165,7 +171,7 @@
 // handleVote replies to a vote request. At most one vote is granted in a term; it
 // is durable before the reply is sent.
 func (c *Core) handleVote(m Message) {
-	if c.boundByLease() && !m.IgnoreLease {
+	if c.boundByLease() && !m.IgnoreLease || !c.mayFound() {
 		return
 	}
 	if m.Term > c.hardState.Term {
@@ -176,7 +182,7 @@
 		c.reply(m, Message{Kind: MessageVoteReply, Reject: true})
 		return
 	}
-	c.setHardState(HardState{Group: c.hardState.Group, Term: c.hardState.Term, Vote: m.FromIdentity})
+	c.setHardState(HardState{Group: c.group(), Term: c.hardState.Term, Vote: m.FromIdentity})
 	c.role = RoleFollower
 	c.resetElectionDeadline()
 	c.reply(m, Message{Kind: MessageVoteReply})
@@ -194,7 +200,7 @@
 	switch {
 	case m.Kind == MessagePreVoteReply && c.role == RolePreCandidate && m.Round == c.hardState.Term+1:
 		c.votes[m.FromIdentity] = true
-		if c.hasVoteMajority() {
+		if c.hasVoteMajority() && !c.awaitsFounders() {
 			c.campaign(false)
 		}
 	case m.Kind == MessageVoteReply && c.role == RoleCandidate && m.Term == c.hardState.Term:
@@ -206,9 +212,15 @@
 }
 
 // winElection makes this member the leader and appends a no-op entry, with which
-// it can commit the entries of earlier terms.
+// it can commit the entries of earlier terms. The first entry of a group is its first
+// configuration, so that members that join later know it.
 func (c *Core) winElection() {
-	c.appendNew(Entry{Index: c.log.last() + 1, Term: c.hardState.Term, Kind: EntryNoop})
+	e := Entry{Index: c.log.last() + 1, Term: c.hardState.Term, Kind: EntryNoop}
+	if c.log.last() == 0 {
+		config := c.config()
+		e.Kind, e.Config = EntryConfig, &config
+	}
+	c.appendNew(e)
 	c.becomeLeader()
 }
 
@@ -231,7 +243,7 @@
 		c.endLeadership()
 	}
 	if term > c.hardState.Term {
-		c.setHardState(HardState{Group: c.hardState.Group, Term: term})
+		c.setHardState(HardState{Group: c.group(), Term: term})
 	}
 	if c.role != RoleFollower || c.leader != leader {
 		c.resetElectionDeadline()
--- a/core/process/quorum/fault_test.go
+++ b/core/process/quorum/fault_test.go
@@ -101,7 +101,7 @@
 	case faultLoseFolder, faultRefuseFolder:
 		if s.mayLoseFolder(m) {
 			m.crash()
-			m.newFolder(f.kind == faultLoseFolder)
+			m.newFolder(f.kind == faultLoseFolder && !s.options.founding)
 			s.after(f.length, m.bootIfDown)
 		}
 	case faultTransfer:
--- a/core/process/quorum/quorum_test.go
+++ b/core/process/quorum/quorum_test.go
@@ -77,12 +77,18 @@
 }
 
 // TestOpenMembership runs long fault schedules for groups that grow from three
-// voters to five. No member's settings name the instances that join.
+// voters to five, bootstrapped by all of the three or founded by a majority. No member's settings name the instances that join.
 func TestOpenMembership(t *testing.T) {
+	t.Run("bootstrapped", func(t *testing.T) { testOpenMembership(t, false) })
+	t.Run("founded", func(t *testing.T) { testOpenMembership(t, true) })
+}
+
+func testOpenMembership(t *testing.T, founding bool) {
+	t.Parallel()
 	seeds := max(*soakSeeds, 30)
 	for seed := 1; seed <= seeds; seed++ {
 		o := groupShapes()[seed%len(groupShapes())]
-		o.voters, o.spares, o.openMembership, o.targetVoters = 3, 1+seed%4, true, 5
+		o.voters, o.spares, o.openMembership, o.targetVoters, o.founding = 3, 1+seed%4, true, 5, founding
 		o.faultPeriod = 30 * time.Second
 		r := rand.New(rand.NewPCG(uint64(seed), 7))
 		p := schedule{
--- a/core/process/quorum/send.go
+++ b/core/process/quorum/send.go
@@ -12,7 +12,10 @@
 func (c *Core) send(to Member, m Message, after uint64) {
 	m.From, m.FromIdentity = c.settings.Name, c.settings.Identity
 	m.To, m.ToIdentity = to.Name, to.Identity
-	m.Group = c.hardState.Group
+	m.Group = c.group()
+	if m.Kind == MessageHello {
+		m.Group = c.hardState.Group // a founder that isn't bound to its group may join another one
+	}
 	c.newMessages = append(c.newMessages, queuedMessage{message: m, afterPersist: after})
 }
 
@@ -63,7 +66,13 @@
 // with a hello. The sender belongs to the group, and may be the only member that
 // this instance can learn of.
 func (c *Core) handleMisaddressed(m Message) {
-	if c.settings.OpenMembership && c.leader == "" && m.Group != "" && (c.hardState.Group == "" || c.hardState.Group == m.Group) {
+	if !c.settings.OpenMembership || m.Group == "" {
+		return
+	}
+	mayJoin := c.leader == "" && (c.hardState.Group == "" || c.hardState.Group == m.Group)
+	// A founder of another group must hear of this one before it campaigns.
+	warn := m.Kind == MessagePreVote && c.hardState.Group != "" && c.hardState.Group != m.Group
+	if mayJoin || warn {
 		c.sendHello(m.From)
 	}
 }
@@ -93,14 +102,14 @@
 
 // acceptGroup reports whether a message belongs to this member's group. A member
 // without a group joins that of the first leader's message or vote request that
-// is addressed to its identity.
+// is addressed to its identity, a founder only that of a leader.
 func (c *Core) acceptGroup(m Message) bool {
-	mayInvite := m.Kind == MessageAppend || m.Kind == MessageChunk || m.Kind == MessageVote || m.Kind == MessagePreVote
-	if c.hardState.Group == "" && mayInvite {
-		c.setHardState(HardState{Group: m.Group, Term: c.hardState.Term, Vote: c.hardState.Vote})
-		c.note("joined group %s", m.Group)
+	fromLeader := m.Kind == MessageAppend || m.Kind == MessageChunk
+	mayInvite := fromLeader || (c.settings.Founding == nil && (m.Kind == MessageVote || m.Kind == MessagePreVote))
+	if c.hardState.Group == "" && mayInvite && c.group() != m.Group {
+		c.joinGroup(m.Group)
 	}
-	return c.hardState.Group == m.Group
+	return c.group() == m.Group
 }
 
 // sendHellos announces this member, which has no leader, to all known instances.
@@ -148,6 +157,7 @@
 // if the sender isn't a member.
 func (c *Core) handleHello(m Message) {
 	if m.Group != "" && m.Group != c.hardState.Group {
+		c.noteOtherGroup(m)
 		return
 	}
 	if len(c.settings.InitialVoters) > 0 && m.From == slices.Min(c.settings.InitialVoters) && m.Group == "" {
--- a/core/process/quorum/sim_test.go
+++ b/core/process/quorum/sim_test.go
@@ -13,6 +13,9 @@
 type options struct {
 	openMembership          bool // settings name the initial voters only
 	targetVoters            int  // number of voters to grow to
+	founding                bool // a majority of the initial voters founds the group
+	refound                 bool // a founder that lost its folder takes part in the founding again
+	anySeeds                bool // founders with different seeds take part in one founding
 	voters, spares          int
 	faultPeriod             time.Duration // no faults start after it
 	lossRate, duplicateRate float64       // share of messages lost and duplicated
@@ -29,6 +32,7 @@
 	reuseIdentity           bool          // a new data folder gets the identity of the lost one
 	earlyFolderLoss         bool          // a minority may lose their folders during bootstrap
 	skipProgressCheck       bool          // don't require progress at the end
+	manualBoot              bool          // the test boots the members
 	disabled                disabledSafeguards
 }
 
@@ -88,12 +92,29 @@
 			m.clockRate = 1 + o.clockRateError*float64(1-2*s.random.IntN(2))
 		}
 		s.members = append(s.members, m)
-		m.newFolder(true)
-		m.boot()
+		if o.founding && i < o.voters {
+			m.newFoundingFolder(s.initialVoters())
+		} else {
+			m.newFolder(!o.founding)
+		}
+		if !o.manualBoot {
+			m.boot()
+		} else {
+			m.initialize()
+		}
 	}
 	return s
 }
 
+// initialVoters returns the names of the initial voters.
+func (s *sim) initialVoters() []string {
+	names := make([]string, s.options.voters)
+	for i := range names {
+		names[i] = fmt.Sprintf("m%d", i)
+	}
+	return names
+}
+
 // after schedules an event d from now.
 func (s *sim) after(d time.Duration, run func()) {
 	s.sequence++
@@ -149,9 +170,7 @@
 	clear(s.cutLinks)
 	s.options.lossRate, s.options.duplicateRate, s.options.delayRate, s.options.ownTermLossRate = 0, 0, 0, 0
 	for _, m := range s.members {
-		if !m.alive {
-			m.boot()
-		}
+		m.bootIfDown()
 		m.resume()
 	}
 	s.invariants.checkLogs(s.members)
@@ -170,6 +189,9 @@
 // all acknowledged entries but the last few.
 func (s *sim) converged() bool {
 	for _, m := range s.members {
+		if m.gone {
+			continue
+		}
 		if m.core.Group() == "" || m.applied+20 < s.invariants.ackedIndex {
 			return false
 		}
--- a/core/process/quorum/simmember_test.go
+++ b/core/process/quorum/simmember_test.go
@@ -14,6 +14,7 @@
 	snapshots    map[uint64][]byte // data of the latest snapshots by index
 	pending      []Persist         // written but not synced
 	mayBootstrap bool
+	founding     *Founding // nil for none
 }
 
 func (d *simDisk) apply(p Persist) {
@@ -67,8 +68,10 @@
 	readFloors    map[uint64]uint64 // lowest index that a read may return, by read ID
 	snapshotIndex uint64
 	saving        bool
-	checkedConfig uint64 // index of the last configuration checked
-	level         uint64 // of commands that its build understands, from its next boot on
+	checkedConfig uint64   // index of the last configuration checked
+	level         uint64   // of commands that its build understands, from its next boot on
+	seeds         []string // names in its settings, nil for all initial voters
+	gone          bool     // lost for good
 }
 
 // newFolder gives the instance an empty data folder with a new identity.
@@ -81,40 +84,55 @@
 	m.disk = &simDisk{snapshots: make(map[uint64][]byte), mayBootstrap: mayBootstrap}
 }
 
+// newFoundingFolder gives the instance an empty folder at the first start of the group.
+func (m *simMember) newFoundingFolder(seeds []string) {
+	m.newFolder(false)
+	f := NewFounding(seeds)
+	if m.sim.options.anySeeds {
+		f.Group = "any"
+	}
+	m.identity, m.disk.founding = f.Identity(m.name), f
+}
+
+// initialize creates the core with the state of the folder.
+func (m *simMember) initialize() {
+	stored := m.disk.stored
+	stored.Entries = slices.Clone(stored.Entries)
+	m.core = New(m.settings(), stored, rand.New(rand.NewPCG(m.sim.random.Uint64(), 2)), m.localTime())
+	m.core.disabled = m.sim.options.disabled
+}
+
 func (m *simMember) localTime() time.Duration {
 	return m.clockOffset + time.Duration(float64(m.sim.now)*m.clockRate)
 }
 
 func (m *simMember) boot() {
-	s := m.sim
 	m.epoch++
 	m.alive, m.paused, m.backlog, m.ledTerm = true, false, nil, 0
 	m.accepted, m.readFloors = make(map[uint64]uint64), make(map[uint64]uint64)
-	stored := m.disk.stored
-	stored.Entries = slices.Clone(stored.Entries)
-	m.applied, m.hash = stored.Snapshot.Index, 0
+	m.applied, m.hash = m.disk.stored.Snapshot.Index, 0
 	if m.applied > 0 {
 		m.hash = binary.BigEndian.Uint64(m.disk.snapshots[m.applied])
 	}
 	m.snapshotIndex, m.saving = m.applied, false
-	m.core = New(m.settings(), stored, rand.New(rand.NewPCG(s.random.Uint64(), 2)), m.localTime())
-	m.core.disabled = s.options.disabled
+	m.initialize()
 	m.tick(m.epoch)
 }
 
 func (m *simMember) settings() Settings {
 	s := m.sim
 	set := Settings{
-		Name: m.name, Identity: m.identity, MayBootstrap: m.disk.mayBootstrap,
+		Name: m.name, Identity: m.identity, MayBootstrap: m.disk.mayBootstrap, Founding: m.disk.founding,
 		HeartbeatInterval: simHeartbeat, ElectionTimeout: simElection, MaxClockDrift: s.options.maxClockDrift,
 		ReplaceAfter: s.options.replaceAfter, TrailingEntries: 20, MaxBatchBytes: s.options.batchBytes,
 		MaxInflightMessages: 4, MaxUncommittedEntries: 300, MaxUncommittedBytes: 2000, ChunkBytes: simChunkBytes, Level: m.level,
 	}
 	if s.options.openMembership {
 		set.OpenMembership, set.TargetVoters = true, s.options.targetVoters
-		for i := range s.options.voters {
-			name := fmt.Sprintf("m%d", i)
-			set.Peers, set.InitialVoters = append(set.Peers, name), append(set.InitialVoters, name)
+		set.InitialVoters = s.initialVoters()
+		set.Peers = set.InitialVoters
+		if m.seeds != nil {
+			set.Peers = m.seeds
 		}
 		return set
 	}
@@ -140,7 +158,7 @@
 }
 
 func (m *simMember) bootIfDown() {
-	if !m.alive {
+	if !m.alive && !m.gone {
 		m.boot()
 	}
 }
@@ -259,7 +277,7 @@
 	m.applied = e.Index
 	m.hash = chainHash(m.hash, e)
 	if term, ok := m.accepted[e.Index]; ok && term == e.Term {
-		m.sim.invariants.recordAck(e.Index)
+		m.sim.invariants.recordAck(m, e.Index)
 	}
 	delete(m.accepted, e.Index)
 }
--- a/core/process/quorum/types.go
+++ b/core/process/quorum/types.go
@@ -10,8 +10,9 @@
 //     only by its name. Messages other than hellos are handled by the addressed
 //     identity only, so an instance that lost its folder can't act as its former
 //     member.
-//   - A group is bootstrapped once, by all initial voters together. Every
-//     message carries the group's identifier; messages of other groups are
+//   - A group is bootstrapped once, by all initial voters together, or founded by a
+//     majority of its founders if their settings promise that it is the group's first
+//     start. Every message carries the group's identifier; messages of other groups are
 //     ignored.
 //   - No message is sent before the state that it depends on is durable.
 //   - A voter refuses votes for one election timeout after it last heard from a
@@ -228,7 +229,8 @@
 // Settings configures a member.
 type Settings struct {
 	Name                  string
-	Identity              string        // random identity of the data folder
+	Identity              string        // identity of the data folder
+	Founding              *Founding     // the founding that this folder takes part in, nil for none
 	MayBootstrap          bool          // this folder may take part in bootstrapping a group
 	InitialVoters         []string      // names of the initial voters
 	Spares                []string      // names of the learners that may replace lost voters
--- a/keepd/platform.go
+++ b/keepd/platform.go
@@ -155,7 +155,7 @@
 	s *platform.Settings, c *conf.Settings, st *store.Store, server *link.Server, t tlsConfig, k clock.Clock, m *meter.Registry,
 ) (*node.Node, func(), error) {
 	n, cleanup, err := node.New(node.Settings{
-		Name: c.Name, Folder: c.Folder, Peers: c.Peers, InitialVoters: c.Group.Voters, OpenMembership: true, JoinOnly: !s.Bootstrap,
+		Name: c.Name, Folder: c.Folder, Peers: c.Peers, InitialVoters: c.Group.Voters, OpenMembership: true, JoinOnly: !s.Bootstrap, FirstStart: s.Bootstrap,
 		TargetVoters:      2*s.MaxFailures + 1,
 		HeartbeatInterval: platformHeartbeat, ElectionTimeout: platformElection, ReplaceAfter: platformReplaceAfter, CommandsPerSnapshot: c.Group.SnapshotCommands,
 		Level: store.Level,
