--- a/core/conn/link/link.go
+++ b/core/conn/link/link.go
@@ -61,6 +61,8 @@
 	CodeOverloaded  = "full"     // nothing was processed; retry
 	CodeStopping    = "stopping" // nothing was processed; retry on another instance
 	CodeNotAllowed  = "not_allowed"
+	CodeNoRoom      = "no_room"   // nothing was processed; the keepers' disks or memory have no room
+	CodeTooLarge    = "too_large" // nothing was processed; the command is larger than they allow
 )
 
 type envelope struct {
--- a/core/process/disk/filesystem.go
+++ b/core/process/disk/filesystem.go
@@ -27,6 +27,11 @@
 	Truncate(path string, size int64) error
 	Rename(from, to string) error
 	Remove(path string) error
+	// Size returns the size of a file in bytes.
+	Size(path string) (int64, error)
+	// Free returns the bytes that may still be written in a folder, and false if
+	// that is unknown.
+	Free(folder string) (int64, bool)
 	// SyncFolder makes the creation, renaming and removal of files durable.
 	SyncFolder(folder string) error
 }
@@ -142,6 +147,22 @@
 	return nil
 }
 
+func (osFileSystem) Size(path string) (int64, error) {
+	i, err := os.Stat(path)
+	if err != nil {
+		return 0, fmt.Errorf("stat file: %w", err)
+	}
+	return i.Size(), nil
+}
+
+func (osFileSystem) Free(folder string) (int64, bool) {
+	var s unix.Statfs_t
+	if err := unix.Statfs(folder, &s); err != nil || s.Blocks == 0 {
+		return 0, false
+	}
+	return int64(s.Bavail) * s.Bsize, true
+}
+
 func (osFileSystem) SyncFolder(folder string) error {
 	f, err := os.Open(filepath.Clean(folder))
 	if err != nil {
--- a/core/process/disk/log.go
+++ b/core/process/disk/log.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
 	"slices"
 	"strings"
 
@@ -83,6 +84,7 @@
 		_ = s.currentFile.Close()
 	}
 	s.currentFile, g.size = f, int64(len(b))
+	s.logBytes.Add(g.size)
 	s.segments = append(s.segments, g)
 	s.writeSyncedPosition()
 	return nil
@@ -114,15 +116,53 @@
 			return err
 		}
 	}
-	if _, err := s.currentFile.Write(s.buffer); err != nil {
+	err := s.retryWithRoom(func() error {
+		_, err := s.currentFile.WriteAt(s.buffer, g.size)
+		return err //nolint:wrapcheck // wrapped below
+	})
+	if err != nil {
 		return fmt.Errorf("write log: %w", err)
 	}
 	if err := s.currentFile.Sync(); err != nil {
 		return fmt.Errorf("sync log: %w", err)
 	}
 	g.size += int64(len(s.buffer))
+	s.logBytes.Add(int64(len(s.buffer)))
 	if g.size >= s.segmentBytes {
-		return s.startSegment(g.number + 1)
+		if err := s.rotate(g.number + 1); err != nil {
+			return err
+		}
+	}
+	return s.dropReplaced(persists)
+}
+
+// rotate starts a new segment. If the disk is full, the current one is continued.
+func (s *Store) rotate(number uint64) error {
+	err := s.startSegment(number)
+	if !IsFull(err) {
+		return err
+	}
+	// A torn segment must not come back after a crash: no damage is tolerated in
+	// those before the newest.
+	if err := s.files.Remove(s.path(segment{number: number}.name())); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("remove torn segment: %w", err)
+	}
+	if err := s.files.SyncFolder(s.folder); err != nil {
+		return fmt.Errorf("remove torn segment: %w", err)
+	}
+	return nil
+}
+
+// dropReplaced drops the segments that an installed snapshot replaced. The record
+// that discards their entries is durable.
+func (s *Store) dropReplaced(persists []quorum.Persist) error {
+	for _, p := range persists {
+		if p.Snapshot != nil {
+			s.coveredIndex = max(s.coveredIndex, p.Snapshot.Meta.Index)
+			if err := s.dropSegments(s.coveredIndex); err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
@@ -292,6 +332,7 @@
 		}
 	}
 	g.size = int64(size)
+	s.logBytes.Add(g.size)
 	s.segments = append(s.segments, g)
 	return nil
 }
@@ -385,6 +426,7 @@
 		if err := s.files.SyncFolder(s.folder); err != nil {
 			return fmt.Errorf("drop segment: %w", err)
 		}
+		s.logBytes.Add(-s.segments[removed].size)
 		removed++
 	}
 	s.segments = s.segments[removed:]
--- a/core/process/disk/memory_test.go
+++ b/core/process/disk/memory_test.go
@@ -177,6 +177,18 @@
 	return m.changeNames(func(files map[string]*memoryFile) { delete(files, name) })
 }
 
+func (m *memoryFS) Size(name string) (int64, error) {
+	f, ok := m.files[name]
+	if !ok {
+		return 0, fs.ErrNotExist
+	}
+	return int64(len(f.data)), nil
+}
+
+func (m *memoryFS) Free(string) (int64, bool) {
+	return int64(m.capacityBytes - m.size()), m.capacityBytes > 0
+}
+
 func (m *memoryFS) SyncFolder(string) error {
 	if err := m.countOperation(); err != nil {
 		return err
--- a/core/process/disk/snapshot.go
+++ b/core/process/disk/snapshot.go
@@ -26,15 +26,20 @@
 }
 
 // SaveSnapshot makes a snapshot of the member's own state durable and removes
-// the log segments that it covers.
+// the log segments that it covers. After ErrNoRoom the store can still be used.
 func (s *Store) SaveSnapshot(v quorum.Snapshot) error {
 	if s.failure != nil {
 		return fmt.Errorf("save: %w: %w", ErrWriteFailed, s.failure)
 	}
 	if err := s.writeSnapshot(v); err != nil {
+		if IsFull(err) {
+			// Nothing durable has changed.
+			return fmt.Errorf("save: %w: %w: %w", ErrNoRoom, ErrWriteFailed, err)
+		}
 		s.failure = err
 		return fmt.Errorf("save: %w: %w", ErrWriteFailed, err)
 	}
+	s.coveredIndex = max(s.coveredIndex, v.Meta.Index)
 	if err := s.dropSegments(v.Meta.Index); err != nil {
 		return fmt.Errorf("save: %w", err)
 	}
@@ -42,51 +47,79 @@
 }
 
 func (s *Store) writeSnapshot(v quorum.Snapshot) error {
-	b, err := encodeSnapshot(v)
+	meta, err := encodeMeta(v.Meta)
 	if err != nil {
 		return err
 	}
-	if err := s.writeAtomically(snapshotName(v.Meta.Index), b); err != nil {
+	size := snapshotFileBytes(len(v.Data))
+	if c := s.Capacity(); c > 0 && s.Used()+size > c {
+		if _, err := s.free(); err != nil {
+			return err
+		}
+	}
+	err = s.retryWithRoom(func() error {
+		return s.writeAtomically(snapshotName(v.Meta.Index), func(f File) error { return writeChunks(f, meta, v.Data) })
+	})
+	if err != nil {
 		return err
 	}
-	return s.dropSnapshots()
+	return s.dropSnapshots(maxSnapshots)
+}
+
+// snapshotFileBytes returns the size of the file of a snapshot with the given
+// bytes of data.
+func snapshotFileBytes(data int) int64 {
+	chunks := (data + chunkBytes - 1) / chunkBytes
+	return int64(snapshotMetaBytes + chunks*headerBytes + data)
 }
 
-// encodeSnapshot returns the content of a snapshot file: the metadata record,
-// padded to a fixed size so that the offset of each chunk can be computed, and
-// the chunks.
-func encodeSnapshot(v quorum.Snapshot) ([]byte, error) {
-	b, err := encodeRecord(nil, recordSnapshotMeta, v.Meta)
+// encodeMeta returns the metadata record of a snapshot, padded to a fixed size so
+// that the offset of each chunk can be computed.
+func encodeMeta(m quorum.SnapshotMeta) ([]byte, error) {
+	b, err := encodeRecord(nil, recordSnapshotMeta, m)
 	if err != nil {
 		return nil, err
 	}
 	if len(b) > snapshotMetaBytes {
 		return nil, fmt.Errorf("snapshot metadata of %d bytes is too large: %w", len(b), errInvalidRecord)
 	}
-	b = append(b, make([]byte, snapshotMetaBytes-len(b))...)
-	for chunk := range slices.Chunk(v.Data, chunkBytes) {
-		b = appendRecord(b, recordSnapshotChunk, chunk)
+	return append(b, make([]byte, snapshotMetaBytes-len(b))...), nil
+}
+
+// writeChunks writes the content of a snapshot file: the metadata and the data in
+// chunks.
+func writeChunks(f File, meta, data []byte) error {
+	if _, err := f.Write(meta); err != nil {
+		return fmt.Errorf("write metadata: %w", err)
+	}
+	var b []byte
+	for chunk := range slices.Chunk(data, chunkBytes) {
+		b = appendRecord(b[:0], recordSnapshotChunk, chunk)
+		if _, err := f.Write(b); err != nil {
+			return fmt.Errorf("write chunk: %w", err)
+		}
 	}
-	return b, nil
+	return nil
 }
 
 // snapshotMetaBytes is the space reserved for the metadata record of a snapshot
 // file.
 const snapshotMetaBytes = 4096
 
-func (s *Store) dropSnapshots() error {
+// dropSnapshots removes all but the newest snapshots.
+func (s *Store) dropSnapshots(keep int) error {
 	names, err := s.files.List(s.folder)
 	if err != nil {
 		return fmt.Errorf("drop snapshots: %w", err)
 	}
 	found := snapshotNames(names)
-	for len(found) > maxSnapshots {
+	for len(found) > keep {
 		if err := s.files.Remove(s.path(found[0])); err != nil {
 			return fmt.Errorf("drop snapshot: %w", err)
 		}
 		found = found[1:]
 	}
-	return nil
+	return s.measureSnapshots(found)
 }
 
 // snapshotNames returns the names of the snapshot files, oldest first.
@@ -129,7 +162,7 @@
 	if int64(len(data)) != meta.Size {
 		return fmt.Errorf("%s: %d bytes for %d: %w", name, len(data), meta.Size, ErrDamaged)
 	}
-	s.stored.Snapshot, s.snapshotData = meta, data
+	s.stored.Snapshot, s.snapshotData, s.coveredIndex = meta, data, meta.Index
 	return nil
 }
 
--- a/core/process/disk/store.go
+++ b/core/process/disk/store.go
@@ -6,6 +6,7 @@
 package disk
 
 import (
+	"cmp"
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
@@ -13,6 +14,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 
 	"verbenahaven.example/core/process/quorum"
 )
@@ -23,6 +25,9 @@
 	ErrDamaged = errors.New("data folder is damaged")
 	// ErrLocked reports that another process uses the folder.
 	ErrLocked = errors.New("data folder is in use")
+	// ErrNoRoom reports that the disk has no room for a snapshot. The log isn't
+	// affected.
+	ErrNoRoom = errors.New("no room on the disk")
 	// ErrWriteFailed reports that this or an earlier write or sync failed: nothing
 	// more may be acknowledged.
 	ErrWriteFailed = errors.New("data folder failed")
@@ -51,8 +56,8 @@
 	Founding     *quorum.Founding `cbor:"3,keyasint,omitempty"` // the founding that it takes part in
 }
 
-// Store is an open data folder. Except for ReadChunk, its methods must be called
-// by one goroutine.
+// Store is an open data folder. Except for ReadChunk, LogBytes, Used and Capacity,
+// its methods must be called by one goroutine.
 type Store struct {
 	files        FileSystem
 	folder       string
@@ -62,6 +67,12 @@
 	hardState    quorum.HardState
 	failure      error
 
+	diskBytes     int64        // share of the disk that the folder may use, 0 for all of it
+	logBytes      atomic.Int64 // size of the segments
+	snapshotBytes atomic.Int64 // size of the snapshot files
+	asideBytes    atomic.Int64 // size of the damaged state that was set aside
+	coveredIndex  uint64       // the log up to here is covered by a durable snapshot
+
 	segmentBytes int64 // size at which a new segment is started
 	segments     []segment
 	currentFile  File
@@ -73,6 +84,7 @@
 type Options struct {
 	FileSystem   FileSystem
 	SegmentBytes int64 // size in bytes at which a new segment is started, 0 for the default
+	DiskBytes    int64 // share of the disk that the folder may use, 0 for all of it
 	MayBootstrap bool  // a new folder may take part in bootstrapping a group
 	// Founding is what a new folder takes part in as that of the founder of this name, nil
 	// for none.
@@ -80,17 +92,19 @@
 	Name     string
 }
 
-const defaultSegmentBytes = 16 << 20
+// A segment is removed as a whole, so its size is a small part of a small disk.
+const (
+	defaultSegmentBytes = 16 << 20
+	minSegmentBytes     = 64 << 10
+	segmentsPerDisk     = 64
+)
 
 // Open opens a data folder or creates one. The returned function closes it.
 func Open(folder string, o Options) (*Store, func(), error) {
-	s := &Store{files: o.FileSystem, folder: folder, segmentBytes: o.SegmentBytes}
+	s := &Store{files: o.FileSystem, folder: folder, diskBytes: o.DiskBytes, segmentBytes: cmp.Or(o.SegmentBytes, defaultSegmentBytes)}
 	if s.files == nil {
 		s.files = System()
 	}
-	if s.segmentBytes <= 0 {
-		s.segmentBytes = defaultSegmentBytes
-	}
 	if _, err := s.files.List(folder); err != nil {
 		return nil, nil, fmt.Errorf("open data folder: %w", err)
 	}
@@ -103,6 +117,9 @@
 		unlock()
 		return nil, nil, fmt.Errorf("load %s: %w", folder, err)
 	}
+	if c := s.Capacity(); c > 0 && o.SegmentBytes <= 0 {
+		s.segmentBytes = min(defaultSegmentBytes, max(c/segmentsPerDisk, minSegmentBytes))
+	}
 	return s, func() {
 		s.close()
 		unlock()
@@ -155,6 +172,9 @@
 			}
 		}
 	}
+	if err := s.measure(names); err != nil {
+		return err
+	}
 	if !slices.Contains(names, identityName) {
 		return s.create(names, o)
 	}
@@ -197,7 +217,10 @@
 	if err != nil {
 		return err
 	}
-	return s.writeAtomically(identityName, b)
+	return s.writeAtomically(identityName, func(f File) error {
+		_, err := f.Write(b)
+		return err //nolint:wrapcheck // writeAtomically wraps it
+	})
 }
 
 // drawIdentity sets the identity of a new folder. One that stands for a folder which was
@@ -232,18 +255,19 @@
 
 // writeAtomically writes a file so that after a crash it is either complete or
 // absent.
-func (s *Store) writeAtomically(name string, b []byte) error {
+func (s *Store) writeAtomically(name string, write func(File) error) error {
 	path := s.path(name)
 	f, err := s.files.Create(path + temporarySuffix)
 	if err != nil {
 		return fmt.Errorf("write %s: %w", name, err)
 	}
-	if _, err := f.Write(b); err != nil {
-		_ = f.Close()
-		return fmt.Errorf("write %s: %w", name, err)
+	err = write(f)
+	if err == nil {
+		err = f.Sync()
 	}
-	if err := f.Sync(); err != nil {
+	if err != nil {
 		_ = f.Close()
+		_ = s.files.Remove(path + temporarySuffix) // Open removes it too
 		return fmt.Errorf("write %s: %w", name, err)
 	}
 	if err := f.Close(); err != nil {
--- a/core/process/node/api.go
+++ b/core/process/node/api.go
@@ -52,6 +52,11 @@
 		n.meter.Count("raft", "refused", "too_large")
 		return nil, fmt.Errorf("propose %d bytes: %w", len(command), ErrTooLarge)
 	}
+	done, err := n.admit(int64(len(command)))
+	if err != nil {
+		return nil, fmt.Errorf("propose: %w", err)
+	}
+	defer done()
 	result, err := n.submit(ctx, func(id uint64) quorum.Event {
 		return quorum.Propose{Commands: []quorum.Command{{ID: id, Data: command}}}
 	})
--- a/core/process/node/apply.go
+++ b/core/process/node/apply.go
@@ -22,9 +22,11 @@
 	pending               map[uint64]quorum.Accepted // proposals made on this member, by log index
 	pendingReads          []quorum.ReadReady
 	commandsSinceSnapshot uint64
-	bytesSinceSnapshot    int
 }
 
+// snapshotRequest asks for a snapshot before one is due, because a command was refused.
+type snapshotRequest struct{}
+
 // applyLoop applies committed commands and resolves the proposals and reads that
 // wait for them.
 func (n *Node) applyLoop(ctx context.Context) {
@@ -56,6 +58,11 @@
 		a.completeReads()
 	case quorum.Demoted:
 		a.failPending()
+	case snapshotRequest:
+		if a.node.snapshotFailed.Load() {
+			a.snapshot()
+		}
+		a.snapshotIfUseful()
 	}
 }
 
@@ -67,8 +74,8 @@
 	if e.Kind == quorum.EntryCommand {
 		result = a.node.machine.Apply(e.Index, e.Data)
 		a.commandsSinceSnapshot++
-		a.bytesSinceSnapshot += len(e.Data)
 	}
+	a.node.bytesSinceSnapshot.Add(int64(len(e.Data)) + entryOverheadBytes)
 	a.applied = e.Index
 	a.node.applied.Store(e.Index)
 	p, ok := a.pending[e.Index]
@@ -88,7 +95,9 @@
 		a.node.fail(fmt.Errorf("restore snapshot %d: %w", s.Meta.Index, err))
 		return
 	}
-	a.applied, a.commandsSinceSnapshot, a.bytesSinceSnapshot = s.Meta.Index, 0, 0
+	a.applied = s.Meta.Index
+	a.startCounting(len(s.Data))
+	a.node.savedIndex.Store(a.applied)
 	a.node.applied.Store(a.applied)
 	a.failPending()
 }
@@ -113,13 +122,43 @@
 	a.pendingReads = waiting
 }
 
-// snapshotIfDue takes a snapshot once enough commands or bytes were applied. It
-// does nothing while the loop has not yet taken the previous one.
+// entryOverheadBytes estimates the size of an entry on the disk without its data.
+const entryOverheadBytes = 64
+
+// startCounting starts to count what is applied after a snapshot.
+func (a *applier) startCounting(stateBytes int) {
+	a.commandsSinceSnapshot = 0
+	a.node.stateBytes.Store(int64(stateBytes))
+	a.node.bytesSinceSnapshot.Store(0)
+}
+
+// snapshotIfDue takes a snapshot once enough commands or bytes were applied, or the
+// log on the disk is large for another reason.
 func (a *applier) snapshotIfDue() {
-	if a.commandsSinceSnapshot < a.node.settings.CommandsPerSnapshot && a.bytesSinceSnapshot < maxBytesBetweenSnapshots {
+	b := a.node.budget.Load()
+	if a.commandsSinceSnapshot >= a.node.settings.CommandsPerSnapshot ||
+		a.node.bytesSinceSnapshot.Load() >= b.snapshotAfter(a.node.stateBytes.Load()) {
+		a.snapshot()
 		return
 	}
-	if len(a.node.machineSnapshots) > 0 {
+	a.snapshotIfUseful()
+}
+
+// snapshotIfUseful takes a snapshot if the log on the disk could become much smaller,
+// or the size of the state is much less certain than it could be.
+func (a *applier) snapshotIfUseful() {
+	n := a.node
+	b, since := n.budget.Load(), n.bytesSinceSnapshot.Load()
+	if n.store.LogBytes() >= 2*b.log || !b.fits(n.stateBytes.Load()+since, b.state/smallCommands) {
+		if since >= b.log/snapshotSteps {
+			a.snapshot()
+		}
+	}
+}
+
+// snapshot takes a snapshot. It does nothing until the previous one is on the disk.
+func (a *applier) snapshot() {
+	if a.applied <= a.node.savedIndex.Load() || a.node.savingSnapshot.Load() {
 		return
 	}
 	data, err := a.node.machine.Snapshot()
@@ -128,6 +167,7 @@
 		a.node.meter.Count("raft", "failed", "snapshot")
 		return
 	}
-	a.commandsSinceSnapshot, a.bytesSinceSnapshot = 0, 0
+	a.startCounting(len(data))
+	a.node.savingSnapshot.Store(true)
 	a.node.machineSnapshots <- machineSnapshot{index: a.applied, data: data}
 }
--- a/core/process/node/group_test.go
+++ b/core/process/node/group_test.go
@@ -26,7 +26,8 @@
 	mutex    sync.Mutex
 	count    uint64
 	total    uint64
-	padBytes int // size of the padding in each snapshot
+	padBytes int  // size of the padding in each snapshot
+	grows    bool // the padding grows by each command
 	delay    time.Duration
 }
 
@@ -36,6 +37,9 @@
 	defer s.mutex.Unlock()
 	s.count++
 	s.total += binary.BigEndian.Uint64(command)
+	if s.grows {
+		s.padBytes += len(command)
+	}
 	return s.count
 }
 
@@ -51,6 +55,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.count, s.total = binary.BigEndian.Uint64(b), binary.BigEndian.Uint64(b[8:])
+	s.padBytes = len(b) - 16
 	return nil
 }
 
@@ -78,6 +83,8 @@
 	members    map[string]*member
 	addresses  map[string]string
 	applyDelay time.Duration // of the members that are started
+	padBytes   int           // of the members' state machines
+	grows      bool          // likewise
 }
 
 func newGroup(tb testing.TB, voters, spares int, tune func(*node.Settings)) *group {
@@ -156,7 +163,7 @@
 func (g *group) start(names ...string) {
 	g.tb.Helper()
 	for _, name := range names {
-		m := &member{machine: &sumMachine{delay: g.applyDelay}, meter: meter.New()}
+		m := &member{machine: &sumMachine{delay: g.applyDelay, padBytes: g.padBytes, grows: g.grows}, meter: meter.New()}
 		server := link.NewServer(m.meter)
 		n, stop, err := node.New(g.settings[name], m.machine, server, g.keys(name), clock.System(), m.meter)
 		requireNoError(g.tb, err)
--- a/core/process/node/loop.go
+++ b/core/process/node/loop.go
@@ -153,6 +153,7 @@
 func (n *Node) enqueueSnapshot(ctx context.Context, s machineSnapshot) {
 	meta, ok := n.core.SnapshotMeta(s.index)
 	if !ok {
+		n.savingSnapshot.Store(false)
 		return
 	}
 	meta.Size = int64(len(s.data))
--- a/core/process/node/member.go
+++ b/core/process/node/member.go
@@ -37,6 +37,8 @@
 	CommandsPerSnapshot uint64            // applied commands after which a snapshot is taken
 	MaxClockDrift       float64           // largest relative error of a clock's rate, 0 for the default
 	Level               uint64            // highest level of commands that this build understands
+	DiskBytes           int64             // share of the disk for the data folder, 0 for what is free
+	MemoryBytes         int64             // memory of this process, 0 for that of the machine
 	FileSystem          disk.FileSystem
 }
 
@@ -48,10 +50,6 @@
 	senderQueueSize = 512
 )
 
-// maxBytesBetweenSnapshots is the size of commands after which a snapshot is
-// taken even if their number is below Settings.CommandsPerSnapshot.
-const maxBytesBetweenSnapshots = 64 << 20
-
 // ticksPerHeartbeat is the number of ticks of the core in a heartbeat interval.
 const ticksPerHeartbeat = 3
 
@@ -74,6 +72,14 @@
 	savedSnapshots   chan quorum.SnapshotMeta
 	machineSnapshots chan machineSnapshot // taken by the applier
 
+	budget             atomic.Pointer[budget]
+	stateBytes         atomic.Int64  // size of the last snapshot taken or installed
+	bytesSinceSnapshot atomic.Int64  // entries applied after it
+	pendingBytes       atomic.Int64  // commands proposed here without an outcome
+	savedIndex         atomic.Uint64 // index of the newest durable snapshot
+	savingSnapshot     atomic.Bool   // a snapshot is on its way to the disk
+	snapshotFailed     atomic.Bool   // the last one had no room
+
 	ids     atomic.Uint64
 	mutex   sync.Mutex
 	waiters map[uint64]chan outcome
@@ -125,8 +131,11 @@
 		cancel:           cancel,
 		done:             ctx.Done(),
 	}
+	n.updateBudget()
 	n.core = quorum.New(n.coreSettings(), store.Stored(), newRand(store.Identity()), c.Elapsed())
 	n.applied.Store(store.Stored().Snapshot.Index)
+	n.savedIndex.Store(store.Stored().Snapshot.Index)
+	n.stateBytes.Store(store.Stored().Snapshot.Size)
 	n.publish()
 	link.Handle(server, raftKind, n.receive)
 	n.start(ctx)
@@ -143,7 +152,7 @@
 // one.
 func openStore(s Settings, r *meter.Registry) (*disk.Store, func(), error) {
 	store, cleanup, err := disk.Open(s.Folder, disk.Options{
-		FileSystem: s.FileSystem, MayBootstrap: !s.JoinOnly && !s.FirstStart, Founding: founding(s), Name: s.Name,
+		FileSystem: s.FileSystem, DiskBytes: s.DiskBytes, MayBootstrap: !s.JoinOnly && !s.FirstStart, Founding: founding(s), Name: s.Name,
 	})
 	if err == nil {
 		return store, cleanup, nil
@@ -160,7 +169,7 @@
 	if err := disk.SetAside(files, s.Folder, time.Now().UTC().Format("20060102T150405.000")); err != nil {
 		return nil, nil, fmt.Errorf("open member: %w", err)
 	}
-	store, cleanup, err = disk.Open(s.Folder, disk.Options{FileSystem: s.FileSystem})
+	store, cleanup, err = disk.Open(s.Folder, disk.Options{FileSystem: s.FileSystem, DiskBytes: s.DiskBytes})
 	if err != nil {
 		return nil, nil, fmt.Errorf("open member: %w", err)
 	}
@@ -176,7 +185,7 @@
 }
 
 func (n *Node) coreSettings() quorum.Settings {
-	s := n.settings
+	s, b := n.settings, n.budget.Load()
 	peers := make([]string, 0, len(s.Peers))
 	for name := range s.Peers {
 		peers = append(peers, name)
@@ -201,10 +210,11 @@
 		MaxClockDrift:         drift,
 		ReplaceAfter:          s.ReplaceAfter,
 		TrailingEntries:       min(quorum.DefaultTrailingEntries, s.CommandsPerSnapshot),
-		MaxBatchBytes:         quorum.DefaultMaxBatchBytes,
-		MaxInflightMessages:   quorum.DefaultMaxInflightMessages,
+		TrailingBytes:         int(b.log),
+		MaxBatchBytes:         b.batch(),
+		MaxInflightMessages:   b.inflight(),
 		MaxUncommittedEntries: quorum.DefaultMaxUncommittedEntries,
-		MaxUncommittedBytes:   quorum.DefaultMaxUncommittedBytes,
+		MaxUncommittedBytes:   int(b.uncommitted()),
 		ChunkBytes:            quorum.DefaultChunkBytes,
 		Level:                 s.Level,
 	}
@@ -280,6 +290,9 @@
 func (n *Node) fail(err error) {
 	klog.Errorf("member stops after a failure: %v", err)
 	n.meter.Count("disk", "failed")
+	if disk.IsFull(err) {
+		n.meter.Count("disk", "full")
+	}
 	n.failure.CompareAndSwap(nil, &err)
 	n.cancel()
 }
--- a/core/process/node/node.go
+++ b/core/process/node/node.go
@@ -20,8 +20,12 @@
 	// ErrQueueFull reports that the queue of events is full or that too many
 	// entries are uncommitted; the command was not accepted.
 	ErrQueueFull = errors.New("too many commands wait")
-	// ErrTooLarge reports that a command is larger than MaxCommandBytes.
+	// ErrTooLarge reports that a command is larger than MaxCommandBytes, or than the
+	// members' disk and memory allow.
 	ErrTooLarge = errors.New("command too large")
+	// ErrNoRoom reports that the members' disk or memory has no room for the
+	// command; it was not accepted.
+	ErrNoRoom = errors.New("no room for the command")
 	// ErrStopped reports that the member is shutting down.
 	ErrStopped = errors.New("stopped")
 )
--- a/core/process/node/write.go
+++ b/core/process/node/write.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"verbenahaven.example/core/process/disk"
 	"verbenahaven.example/core/process/quorum"
 )
 
@@ -77,9 +79,19 @@
 }
 
 func (n *Node) saveSnapshot(s quorum.Snapshot) error {
-	if err := n.store.SaveSnapshot(s); err != nil {
+	defer n.savingSnapshot.Store(false)
+	err := n.store.SaveSnapshot(s)
+	n.snapshotFailed.Store(err != nil)
+	if errors.Is(err, disk.ErrNoRoom) {
+		klog.Errorf("%s: the disk has no room for a snapshot of %d bytes, the log is kept: %v", n.settings.Name, s.Meta.Size, err)
+		n.meter.Count("disk", "full")
+		return nil
+	}
+	if err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
+	n.savedIndex.Store(s.Meta.Index)
+	n.updateBudget()
 	// Replace an unread notice: only the newest snapshot counts, and this
 	// goroutine must not block on the loop.
 	select {
--- a/core/process/quorum/log.go
+++ b/core/process/quorum/log.go
@@ -52,6 +52,19 @@
 	return all
 }
 
+// startOfLast returns the index before the longest run of entries up to last that
+// fits into maxBytes.
+func (l *entryLog) startOfLast(maxBytes int, last uint64) uint64 {
+	used := 0
+	for index := last; index > l.baseIndex; index-- {
+		used += len(l.entries[index-l.baseIndex-1].Data) + entryOverheadBytes
+		if used > maxBytes {
+			return index
+		}
+	}
+	return l.baseIndex
+}
+
 // entryOverheadBytes estimates the encoded size of an entry without its data.
 const entryOverheadBytes = 16
 
--- a/core/process/quorum/snap.go
+++ b/core/process/quorum/snap.go
@@ -48,6 +48,9 @@
 			compactTo = min(compactTo, p.snapshot.Index)
 		}
 	}
+	if c.settings.TrailingBytes > 0 {
+		compactTo = max(compactTo, c.log.startOfLast(c.settings.TrailingBytes, meta.Index))
+	}
 	if compactTo > c.log.baseIndex {
 		c.log.compact(compactTo)
 	}
--- a/core/process/quorum/types.go
+++ b/core/process/quorum/types.go
@@ -242,6 +242,7 @@
 	MaxClockDrift         float64       // bound on the rate error of clocks: 0.01 is 1%
 	ReplaceAfter          time.Duration // time without contact after which a voter is replaced, 0 for never
 	TrailingEntries       uint64        // entries kept in the log before a snapshot for lagging members
+	TrailingBytes         int           // maximum bytes of these entries, 0 for no limit
 	MaxBatchBytes         int           // maximum bytes of entries in a message
 	MaxInflightMessages   int           // maximum unacknowledged messages with entries to a member
 	MaxUncommittedEntries int           // maximum uncommitted entries
--- a/keepd/conf/conf.go
+++ b/keepd/conf/conf.go
@@ -54,6 +54,8 @@
 	Election         boot.Duration `toml:"election"`
 	ReplaceAfter     boot.Duration `toml:"replace"`
 	SnapshotCommands uint64        `toml:"snapshot"`
+	DiskBytes        int64         `toml:"disk"`   // 0 for what is free
+	MemoryBytes      int64         `toml:"memory"` // 0 for that of the machine
 }
 
 // Order configures the delivery of role-change orders to engines.
@@ -182,7 +184,7 @@
 	return nil
 }
 
-func checkRange[T int | uint64 | float64](v, low, high T) error {
+func checkRange[T int | int64 | uint64 | float64](v, low, high T) error {
 	if v != v || v < low || v > high { //nolint:gocritic,staticcheck // v != v rejects NaN
 		return fmt.Errorf("%v is not in %v to %v", v, low, high)
 	}
@@ -231,9 +233,19 @@
 		keyCheck{"group.election", checkDuration(s.Group.Election, 3*time.Duration(s.Group.Heartbeat), time.Minute)},
 		keyCheck{"group.replace", checkDuration(s.Group.ReplaceAfter, time.Second, 24*time.Hour)},
 		keyCheck{"group.snapshot", checkRange(s.Group.SnapshotCommands, 100, 1000000)},
+		keyCheck{"group.disk", checkShare(s.Group.DiskBytes)},
+		keyCheck{"group.memory", checkShare(s.Group.MemoryBytes)},
 	)
 }
 
+// checkShare rejects shares of a disk or memory that are too small for a group.
+func checkShare(v int64) error {
+	if v == 0 {
+		return nil
+	}
+	return checkRange(v, 16<<20, 1<<50)
+}
+
 // checkPeerNames rejects names without an address in peers, repeated names and
 // names that are also in others.
 func (s *Settings) checkPeerNames(names, others []string) error {
--- a/keepd/lead/lead.go
+++ b/keepd/lead/lead.go
@@ -168,6 +168,12 @@
 	case errors.Is(err, node.ErrQueueFull):
 		l.meter.Count("refused", "full")
 		return &link.RemoteError{Code: link.CodeOverloaded}
+	case errors.Is(err, node.ErrNoRoom):
+		l.meter.Count("refused", "no_room")
+		return &link.RemoteError{Code: link.CodeNoRoom, Detail: err.Error()}
+	case errors.Is(err, node.ErrTooLarge):
+		l.meter.Count("refused", "too_large")
+		return &link.RemoteError{Code: link.CodeTooLarge, Detail: err.Error()}
 	case errors.Is(err, node.ErrStopped):
 		l.meter.Count("refused", "stopping")
 		return &link.RemoteError{Code: link.CodeStopping}
--- a/keepd/lead/lead_test.go
+++ b/keepd/lead/lead_test.go
@@ -109,6 +109,8 @@
 		{node.ErrStopped, link.CodeStopping, true},
 		{node.ErrQueueFull, link.CodeOverloaded, true},
 		{node.ErrNotLeader, link.CodeNotLeader, true},
+		{node.ErrNoRoom, link.CodeNoRoom, true},
+		{node.ErrTooLarge, link.CodeTooLarge, true},
 	} {
 		b.log.set(1, time.Second, c.fail)
 		_, err := b.RunCommands(t.Context(), "keep2", proto.RunRequest{Operator: "operator", Number: 9, Text: "declare model m"})
--- a/keepd/platform.go
+++ b/keepd/platform.go
@@ -44,6 +44,8 @@
 	// successor has caught up.
 	platformReplaceAfter     = 2500 * time.Millisecond
 	platformSnapshotCommands = 2000 // commands between snapshots
+	// megabyte is the unit of the platform's limits.
+	megabyte = 1_000_000
 	// platformMemberLease is how long an entry instance may be silent before it
 	// counts as lost.
 	platformMemberLease = 1500 * time.Millisecond
@@ -132,6 +134,7 @@
 	c.Group = conf.Group{
 		Voters: s.KeeperLinks(), Heartbeat: boot.Duration(platformHeartbeat), Election: boot.Duration(platformElection),
 		ReplaceAfter: boot.Duration(platformReplaceAfter), SnapshotCommands: platformSnapshotCommands,
+		DiskBytes: int64(s.DiskMB) * megabyte, MemoryBytes: int64(s.MemoryMB) * megabyte,
 	}
 	c.Order = conf.Order{
 		Lease: boot.Duration(platformOrderLease), Margin: boot.Duration(platformOrderMargin), MaxNetworkDelay: boot.Duration(platformMaxNetworkDelay),
@@ -158,6 +161,7 @@
 		Name: c.Name, Folder: c.Folder, Peers: c.Peers, InitialVoters: c.Group.Voters, OpenMembership: true, JoinOnly: !s.Bootstrap, FirstStart: s.Bootstrap,
 		TargetVoters:      2*s.MaxFailures + 1,
 		HeartbeatInterval: platformHeartbeat, ElectionTimeout: platformElection, ReplaceAfter: platformReplaceAfter, CommandsPerSnapshot: c.Group.SnapshotCommands,
+		DiskBytes: c.Group.DiskBytes, MemoryBytes: c.Group.MemoryBytes,
 		Level: store.Level,
 	}, st, server, t, k, m)
 	if err != nil {
@@ -200,6 +204,10 @@
 		return fmt.Errorf("%w: %w", platform.ErrInvalidTable, err)
 	}
 	reply, err := t.client.Publish(ctx, proto.PublishRequest{Routing: r})
+	var refusal *link.RemoteError
+	if errors.As(err, &refusal) && refusal.Code == link.CodeTooLarge {
+		err = fmt.Errorf("%w: %w", platform.ErrTableTooLarge, err)
+	}
 	t.log.Info("routing table", "number", r.Number, "force", reply.Number, "routes", len(r.Routes), "err", err)
 	if err != nil {
 		return fmt.Errorf("publish: %w", err)
--- a/keepd/provide.go
+++ b/keepd/provide.go
@@ -57,6 +57,8 @@
 		ElectionTimeout:     time.Duration(s.Group.Election),
 		ReplaceAfter:        time.Duration(s.Group.ReplaceAfter),
 		CommandsPerSnapshot: s.Group.SnapshotCommands,
+		DiskBytes:           s.Group.DiskBytes,
+		MemoryBytes:         s.Group.MemoryBytes,
 	}, st, server, t, c, m)
 	if err != nil {
 		return nil, nil, folderError(fmt.Errorf("start member: %w", err))
--- a/keepd/serve/serve.go
+++ b/keepd/serve/serve.go
@@ -189,6 +189,10 @@
 	case link.CodeOverloaded, link.CodeStopping:
 		w.AddHeader("Retry-After", strconv.Itoa(retryAfterSeconds))
 		a.writeRefusal(w, http.StatusServiceUnavailable, r.Code, "not_run", r.Detail)
+	case link.CodeNoRoom:
+		a.writeRefusal(w, http.StatusInsufficientStorage, r.Code, "not_run", r.Detail)
+	case link.CodeTooLarge:
+		a.writeRefusal(w, http.StatusRequestEntityTooLarge, r.Code, "not_run", r.Detail)
 	case lead.CodeDenied:
 		a.writeRefusal(w, http.StatusForbidden, r.Code, "not_run", r.Detail)
 	case string(state.CodeInvalid):
