node: let the state take an eighth of the memory

A member with a ledger of the default size, 256 MiB, would need 4 GiB for it with a sixteenth. On machines with a small disk the disk's share is the lower one, so nothing changes there.

--- a/core/process/node/budget.go
+++ b/core/process/node/budget.go
@@ -16,7 +16,7 @@
 // rest of a segment.
 const (
 	statesPerDisk   = 5
-	statesPerMemory = 16
+	statesPerMemory = 8
 	logsPerDisk     = 12
 	logsPerMemory   = 32
 )
