--- a/core/process/node/group_test.go
+++ b/core/process/node/group_test.go
@@ -69,6 +69,7 @@
 type member struct {
 	node    *node.Node
 	machine *sumMachine
+	other   node.StateMachine // if the group has another kind of state machine
 	meter   *meter.Registry
 	stop    func()
 }
@@ -85,6 +86,7 @@
 	applyDelay time.Duration // of the members that are started
 	padBytes   int           // of the members' state machines
 	grows      bool          // likewise
+	newOther   func() node.StateMachine
 }
 
 func newGroup(tb testing.TB, voters, spares int, tune func(*node.Settings)) *group {
@@ -165,7 +167,12 @@
 	for _, name := range names {
 		m := &member{machine: &sumMachine{delay: g.applyDelay, padBytes: g.padBytes, grows: g.grows}, meter: meter.New()}
 		server := link.NewServer(m.meter)
-		n, stop, err := node.New(g.settings[name], m.machine, server, g.keys(name), clock.System(), m.meter)
+		var machine node.StateMachine = m.machine
+		if g.newOther != nil {
+			m.other = g.newOther()
+			machine = m.other
+		}
+		n, stop, err := node.New(g.settings[name], machine, server, g.keys(name), clock.System(), m.meter)
 		requireNoError(g.tb, err)
 		var closeServer func()
 		// The previous socket stays open until its last connection is drained.
