relay: a resumed call that waits when the shutdown begins isn't sent

A caller that takes up a stream could lose it again: a call that was taken before SIGTERM and then waited for a permission, a schedule or a prefill was sent to its decode engine without being asked whether it ends before the cut. Cause: checkCut compared the run's last event with the caller's Last-Event-Id, to find out whether the call has delivered events. Those differ also for a resumed call that has delivered none, whose runs begin with no last event of their own.

A run's last event is that of the call's own answer, so that any says that events were delivered.

TestResumedCallThatWaitsWhenShutdownBeginsIsNotCut failed before: "the caller gets 200, 60 events, the decode engine 1 calls".

--- a/entryd/relay/leaving.go
+++ b/entryd/relay/leaving.go
@@ -29,10 +29,10 @@
 	return &leavingError{f.fleet.ReturnAfterLeaving()}
 }
 
-// checkCut is checkLeaving for a run. An answer of which the caller has events goes on: to
-// end it now is no better than to cut it later.
+// checkCut is checkLeaving for a run. An answer of which this call has delivered events goes
+// on: to end it now is no better than to cut it later.
 func (f *inflightCall) checkCut(r *run) error {
-	if r.request.LastEventID != f.call.LastEventID {
+	if r.request.LastEventID != "" {
 		return nil
 	}
 	return f.checkLeaving(r.ticket)
--- a/entryd/relay/shutdown_test.go
+++ b/entryd/relay/shutdown_test.go
@@ -67,6 +67,7 @@
 	store        *view.Store
 	backend      string
 	promptTokens int
+	lastEventID  string // that callers have of the stream "begun", empty for new answers
 }
 
 func newLeavingInstance(t *testing.T) *leavingInstance {
@@ -128,6 +129,7 @@
 	} else {
 		f.call.Prompt = &server.Prompt{Tokens: s.promptTokens, MaxOutput: 10 * most, Parts: []server.Part{{ID: "own", Tokens: s.promptTokens}}}
 	}
+	f.call.LastEventID, f.call.Resumes = s.lastEventID, "begun"
 	f.start, f.route.Timeout = f.clock.Now(), deadline
 	f.pass = f.screen.Begin(f.call.ID, "", nil)
 	defer f.pass.Close()
@@ -223,3 +225,17 @@
 		t.Errorf("the caller gets %s, the decode engine %d calls", got, s.engine.asked.Load())
 	}
 }
+
+// A caller that takes up a stream has events, but none from this instance.
+func TestResumedCallThatWaitsWhenShutdownBeginsIsNotCut(t *testing.T) {
+	s := newLeavingInstance(t)
+	s.first.fleet.Remember([]proto.StreamOrigin{{ID: "begun", Pool: "m", Build: "v", Left: time.Minute}})
+	s.lastEventID = "7"
+	s.engine.onPrefill = func() { s.leave(time.Second) }
+	s.setEngines(t, state.RoleDecode, state.RolePrefill)
+	s.setGap(state.RoleDecode)
+	s.promptTokens = 9000
+	if got := s.call(t, "stream", 60, 60, 20*time.Second); got != "503, 0 events" || s.engine.asked.Load() != 0 || s.cutAt.Load() == nil {
+		t.Errorf("the caller gets %s, the decode engine %d calls", got, s.engine.asked.Load())
+	}
+}
