relay: ask a plain call before its send, not before it waits

A plain call that waited when SIGTERM came, for a permission or for memory of its answer, was sent however long it may last, and answered 502 or cut at the end of the grace period. Cause: the decision whether it ends before the cut was asked before the waits.

It is asked after them now, right before a server is picked, so that what is refused has not run.

TestPlainCallThatWaitsForMemoryWhenShutdownBeginsIsNotSent failed before: "the caller gets 200, 0 events, the server 1 calls".

--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -96,14 +96,17 @@
 // holdBoth returns nil if the next attempt may be sent and there is memory for its
 // answer.
 func (f *inflightCall) holdBoth(ctx context.Context) error {
-	if err := f.checkLeaving(nil); err != nil {
+	if err := f.hold(ctx); err != nil {
 		return err
 	}
-	if err := f.hold(ctx); err != nil {
+	if err := f.holdAnswer(ctx); err != nil {
+		f.declined = true
 		return err
 	}
-	err := f.holdAnswer(ctx)
-	f.declined = f.declined || err != nil
+	err := f.checkLeaving(nil) // after the waits
+	if err != nil {
+		f.pass.Spared(false)
+	}
 	return err
 }
 
--- a/entryd/relay/shutdown_test.go
+++ b/entryd/relay/shutdown_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/conn/stream"
@@ -239,3 +240,22 @@
 		t.Errorf("the caller gets %s, the decode engine %d calls", got, s.engine.asked.Load())
 	}
 }
+
+// The check came before the waits of the call.
+func TestPlainCallThatWaitsForMemoryWhenShutdownBeginsIsNotSent(t *testing.T) {
+	s := newLeavingInstance(t)
+	answers := s.first.memory.answers
+	held := []*body.Hold{answers.Hold(0)}
+	for n := answers.Size(); held[len(held)-1].Grow(n); n = answerStart {
+		held = append(held, answers.Hold(0))
+	}
+	time.AfterFunc(100*time.Millisecond, func() {
+		s.leave(time.Second)
+		for _, h := range held {
+			h.Release()
+		}
+	})
+	if got := s.call(t, "plain", 2, 0, 20*time.Second); got != "503, 0 events" || s.engine.asked.Load() != 0 {
+		t.Errorf("the caller gets %s, the server %d calls", got, s.engine.asked.Load())
+	}
+}
