entryd: a forced exit doesn't wait until its profile is read

Cause of a process that outlives the grace all the same: if nobody reads standard error, and its pipe is full, the write doesn't return and the exit never comes. The log blocks the usual exit then too, if it goes to the same reader, since its clean-up waits until all lines are written.

The profile is written beside the exit, which waits 50 ms for it.

--- a/entryd/stop.go
+++ b/entryd/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +20,9 @@
 	"verbenahaven.example/platform"
 )
 
+// profileTimeout bounds the time to write the running goroutines at a forced exit.
+const profileTimeout = 50 * time.Millisecond
+
 // httpServer is an http.Server or one that can be stopped without cutting requests.
 type httpServer interface {
 	Serve(l net.Listener) error
@@ -56,11 +60,7 @@
 	after := func(share float64) time.Time { return began.Add(time.Duration(share * float64(grace))) }
 	s.leaving.cutAt.Store(after(cutShare).UnixNano())
 	s.leaving.active.Store(true)
-	time.AfterFunc(time.Until(after(forcedExitShare)), func() {
-		fmt.Fprintln(os.Stderr, "entryd: shutdown did not finish within the grace period; exiting with these goroutines running:")
-		_ = pprof.Lookup("goroutine").WriteTo(os.Stderr, 1) // an error can't be reported anywhere else
-		os.Exit(boot.ExitFailure)
-	})
+	time.AfterFunc(time.Until(after(forcedExitShare)), func() { forceExit(os.Stderr, os.Exit) })
 	callers.Leave()
 	peers.Leave()
 	s.beat.Leave()
@@ -82,3 +82,18 @@
 	s.beat.FlushUsage(flush)
 	s.log.Info("stopped", "name", s.settings.Name, "calls", s.leaving.calls.Load(), "ms", time.Since(began).Milliseconds(), "err", errors.Join(err, peerErr))
 }
+
+// forceExit exits. It tells before which goroutines run, unless nobody reads that.
+func forceExit(w io.Writer, exit func(code int)) {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		fmt.Fprintln(w, "entryd: shutdown did not finish within the grace period; exiting with these goroutines running:")
+		_ = pprof.Lookup("goroutine").WriteTo(w, 1) // an error can't be reported anywhere else
+	}()
+	select {
+	case <-written:
+	case <-time.After(profileTimeout):
+	}
+	exit(boot.ExitFailure)
+}
