--- a/entryd/stop.go
+++ b/entryd/stop.go
@@ -88,7 +88,7 @@
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		fmt.Fprintln(w, "entryd: shutdown did not finish within the grace period; exiting with these goroutines running:")
+		_, _ = fmt.Fprintln(w, "entryd: shutdown did not finish within the grace period; exiting with these goroutines running:")
 		_ = pprof.Lookup("goroutine").WriteTo(w, 1) // an error can't be reported anywhere else
 	}()
 	select {
