plain: slow calls count whether they run once or reach their deadline

On the product's own interface an instance that stops took plain calls without a limit that it then had to cut: for run-once calls the connection was closed without an answer. Such a call is judged by the slowest recent ones of its service. Cause: run-once calls were never observed, so that any of them was expected to end within 2 s, and neither were calls that ended without an answer, which are those that take longest.

All calls are observed now that were answered, or ended by their deadline or caller: these would have taken longer still.

TestLeavingInstanceKnowsSlowCallsOfEachKind failed before, in both cases with "status 200", for a call taken 3 s before the cut after one of 0.7 s. The tests of entryd/front, plain and infer pass; those of planned stops in trial/proof were not run.

--- a/core/request/leave/slowest.go
+++ b/core/request/leave/slowest.go
@@ -41,7 +41,7 @@
 // NewSlowest returns a Slowest that has seen no call.
 func NewSlowest[K comparable]() *Slowest[K] { return &Slowest[K]{kinds: make(map[K]*times)} }
 
-// Observe records how long a call took that was answered.
+// Observe records how long a call took until it was answered or ended.
 func (s *Slowest[K]) Observe(now time.Time, kind K, took time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/entryd/front/stopping_test.go
+++ b/entryd/front/stopping_test.go
@@ -67,3 +67,42 @@
 		})
 	}
 }
+
+// Neither was among the times by which calls without a limit are judged.
+func TestLeavingInstanceKnowsSlowCallsOfEachKind(t *testing.T) {
+	var slow atomic.Bool
+	p := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if slow.Load() {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(700 * time.Millisecond):
+			}
+		}
+	}))
+	defer p.Close()
+	for _, c := range []struct {
+		name, deadline string
+		atMostOnce     bool
+	}{
+		{name: "run-once call", atMostOnce: true},
+		{name: "call that reached its deadline", deadline: "600"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			slow.Store(true)
+			b := newTestEntry(t, state.View{
+				Services: []state.Service{{Name: "permit", Kind: state.KindPlain, AtMostOnce: c.atMostOnce}},
+				Servers:  []state.Server{{Name: "s", URL: p.URL, Centre: "north", Service: "permit", Phase: state.PhaseServing}},
+			})
+			var headers []string
+			if c.deadline != "" {
+				headers = []string{"Deadline", c.deadline}
+			}
+			b.send(t, http.MethodPost, "/s/permit/x", "{}", append(headers, "Idempotency-Key", "k1")...)
+			slow.Store(false)
+			b.front.BeginShutdown(time.Now().Add(3 * time.Second)) // less than twice the slowest, and a pause
+			if a := b.send(t, http.MethodPost, "/s/permit/x", "{}", "Idempotency-Key", "k2"); a.StatusCode != http.StatusServiceUnavailable {
+				t.Errorf("status %d", a.StatusCode)
+			}
+		})
+	}
+}
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -116,17 +116,16 @@
 	if c.TimeLimit > 0 {
 		limit = c.TimeLimit
 	}
+	do := s.doRetryable
 	if c.Service.AtMostOnce {
 		// The outcome must be recorded even if the caller disconnects.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
-		defer cancel()
-		return s.doOnce(ctx, c)
+		ctx, do = context.WithoutCancel(ctx), s.doOnce
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	began := s.clock.Elapsed()
-	a, err := s.doRetryable(ctx, c)
-	if err == nil {
+	a, err := do(ctx, c)
+	if err == nil || ctx.Err() != nil { // one that was ended would have taken longer still
 		s.slowest.Observe(s.clock.Now(), c.Service.Name, s.clock.Elapsed()-began)
 	}
 	return a, err
