leave: the time of an answer doesn't overflow

A declared maximum of 2^30 tokens, the most that a request may name, at an engine with long gaps is more time than a duration can hold: the sum became negative, and the call was taken as one that ends within 100 ms. With usual gaps of tens of milliseconds it fits.

The time is limited to that until the deadline before it is converted.

The new case of TestCallIsTakenOnlyIfItsLongestAnswerEnds gave "taken, longest 100ms" before.

--- a/core/request/leave/leave.go
+++ b/core/request/leave/leave.go
@@ -37,8 +37,8 @@
 func (c Call) Longest() time.Duration {
 	longest := c.TimeLeft
 	if c.Events > 0 && c.Gap > 0 {
-		answer := time.Duration(gapFactor * float64(c.Events) * float64(c.Gap))
-		longest = min(longest, startFactor*c.Start+answer+pause)
+		answer := min(gapFactor*float64(c.Events)*float64(c.Gap), float64(c.TimeLeft)) // may exceed a Duration
+		longest = min(longest, startFactor*c.Start+time.Duration(answer)+pause)
 	}
 	return max(0, longest) + finish
 }
