entryd: the time until the cut doesn't follow the wall clock

An instance that leaves asks of each call whether it ends before the cut. Cause of calls that are taken although they are cut: the time of the cut was kept as Unix time, without the reading of the monotonic clock by which the cut itself comes. If the wall clock is set back during the grace period, by NTP or by hand, calls seem to have that much more time; set forward, all are refused.

The time is kept with its monotonic reading, as the product's own interface does.

--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -99,20 +99,24 @@
 // leaving holds the shutdown state of the instance and counts its running
 // requests.
 type leaving struct {
-	active atomic.Bool
-	cutAt  atomic.Int64 // Unix nanoseconds at which requests are cut
-	calls  atomic.Int64
+	cutAt atomic.Pointer[time.Time] // when running requests are cut, nil before the shutdown
+	calls atomic.Int64
 }
 
-func (l *leaving) isActive() bool { return l.active.Load() }
+// begin begins the shutdown. cutAt needs a reading of the monotonic clock, since the wall
+// clock may be set meanwhile.
+func (l *leaving) begin(cutAt time.Time) { l.cutAt.Store(&cutAt) }
+
+func (l *leaving) isActive() bool { return l.cutAt.Load() != nil }
 
 // untilCut returns the time until running requests are cut, and reports whether
 // the instance is shutting down at all.
 func (l *leaving) untilCut() (time.Duration, bool) {
-	if !l.isActive() {
+	cutAt := l.cutAt.Load()
+	if cutAt == nil {
 		return 0, false
 	}
-	return time.Until(time.Unix(0, l.cutAt.Load())), true
+	return time.Until(*cutAt), true
 }
 
 // metricsSetting is "PORT/PATH", or empty for none.
--- a/entryd/stop.go
+++ b/entryd/stop.go
@@ -58,8 +58,7 @@
 	began := time.Now()
 	grace := s.settings.Bounds.Grace
 	after := func(share float64) time.Time { return began.Add(time.Duration(share * float64(grace))) }
-	s.leaving.cutAt.Store(after(cutShare).UnixNano())
-	s.leaving.active.Store(true)
+	s.leaving.begin(after(cutShare))
 	time.AfterFunc(time.Until(after(forcedExitShare)), func() { forceExit(os.Stderr, os.Exit) })
 	callers.Leave()
 	peers.Leave()
