node: a member sends to instances beyond the 56th

A keeper sent to 56 addresses at most in its life, so that the 57th instance of the core, after years of replacements, would never have heard from it. The sender that was unused for longest makes room now.

TestMemberSendsToInstancesBeyondMaxSenders failed before: 56 messages dropped, and no sender for the newest.

--- a/core/process/node/loop.go
+++ b/core/process/node/loop.go
@@ -10,6 +10,7 @@
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/quorum"
+	"verbenahaven.example/core/request/rank"
 )
 
 const raftKind = proto.KindRaft
@@ -108,19 +109,21 @@
 }
 
 // maxSenders is the largest number of instances that a member of a group with
-// open membership sends to. It leaves room for the members of the largest group
-// and the instances that they replaced, several times over.
+// open membership sends to at a time. It leaves room for the members of the largest
+// group and the instances that they replaced, several times over.
 const maxSenders = 8 * quorum.MaxMembers
 
 func (n *Node) enqueueMessage(ctx context.Context, m quorum.Message) {
 	s, ok := n.senders[m.To]
-	if !ok && n.settings.OpenMembership && len(n.senders) < maxSenders {
+	if !ok && n.settings.OpenMembership {
+		n.makeRoomForSender()
 		s, ok = n.startSender(ctx, m.To, m.To), true
 	}
 	if !ok {
 		n.meter.Count("raft", "dropped", "unknown_peer")
 		return
 	}
+	s.used = n.clock.Now()
 	select {
 	case s.queue <- m:
 	default:
@@ -128,6 +131,17 @@
 	}
 }
 
+// makeRoomForSender stops the sender that was unused for longest, if there are too many.
+func (n *Node) makeRoomForSender() {
+	if len(n.senders) < maxSenders {
+		return
+	}
+	name := rank.Oldest(n.senders, func(s *sender) time.Time { return s.used })
+	n.senders[name].stop()
+	delete(n.senders, name)
+	n.meter.Count("raft", "sender", "stopped")
+}
+
 // receive queues the messages of a peer for the loop. It rejects those with
 // another sender's name and those of an unknown peer.
 func (n *Node) receive(_ context.Context, peer string, batch []quorum.Message) (struct{}, error) {
--- a/core/process/node/member.go
+++ b/core/process/node/member.go
@@ -241,6 +241,7 @@
 
 func (n *Node) startSender(ctx context.Context, name, address string) *sender {
 	s := newSender(n, address, n.tlsConfig)
+	ctx, s.stop = context.WithCancel(ctx)
 	n.senders[name] = s
 	n.spawn(func() { s.run(ctx) })
 	return s
--- a/core/process/node/sender.go
+++ b/core/process/node/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"time"
 
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/process/disk"
@@ -20,6 +21,8 @@
 	queue  chan quorum.Message
 	stream *link.OneWayStream
 	close  func()
+	stop   context.CancelFunc
+	used   time.Time // when a message was last queued; owned by the loop
 }
 
 func newSender(n *Node, address string, config *tls.Config) *sender {
