infer: a stopping instance repeats no call that may outlast it

On the product's own interface a call whose engine failed before its first token was sent to another engine by an instance that stops, however long its answer may get; the answer began and was cut near the end of stop.grace. Cause: calls that may have run were exempt from the question, as if they had tokens.

Only an answer that has begun is exempt now. The refusal still says truly that the call may have run.

TestLeavingInstanceRepeatsNoCallThatMayOutlastIt failed before: "sent 2 times; status 200".

--- a/entryd/front/stopping_test.go
+++ b/entryd/front/stopping_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -106,3 +107,19 @@
 		})
 	}
 }
+
+// A call that may have run was sent again, however long its answer gets.
+func TestLeavingInstanceRepeatsNoCallThatMayOutlastIt(t *testing.T) {
+	var b *testEntry
+	e := newEngine(t, func(int, *engine.Event, http.ResponseWriter) bool {
+		b.front.BeginShutdown(time.Now().Add(5 * time.Second))
+		panic(http.ErrAbortHandler)
+	})
+	b = newTestEntry(t, modelState(engineAt("m", e.URL, state.RoleMixed)))
+	b.balancer.RecordLoad("m", engine.LoadReport{MeasuredAt: time.Now(), Role: state.RoleMixed, TPOT: 10 * time.Millisecond})
+	a := b.send(t, http.MethodPost, "/v1/chat/completions", strings.Replace(chatRequest, ":20}", ":2000}", 1))
+	body, _ := io.ReadAll(a.Body)
+	if n := len(e.received); n != 1 || !strings.Contains(string(body), `"code":"stopping"`) || !strings.Contains(string(body), `"ran":"ran"`) {
+		t.Errorf("sent %d times; status %d: %.200s", n, a.StatusCode, body)
+	}
+}
--- a/entryd/infer/complete.go
+++ b/entryd/infer/complete.go
@@ -219,10 +219,13 @@
 // checkSend returns the refusal of a call that must not be sent to an engine now. An answer
 // that has begun goes on.
 func (c *completion) checkSend() error {
-	if c.call.MaySend == nil || c.mayHaveRun || c.assembly.NextToken() > 0 {
+	if c.call.MaySend == nil || c.assembly.NextToken() > 0 {
 		return nil
 	}
-	return c.call.MaySend(c.expectedFirst)
+	if err := c.call.MaySend(c.expectedFirst); err != nil {
+		return fault.FromError(err).Execution(c.ranStatus())
+	}
+	return nil
 }
 
 // attemptID returns the ID of the current attempt.
