--- a/entryd/front/stopping_test.go
+++ b/entryd/front/stopping_test.go
@@ -94,11 +94,11 @@
 				Services: []state.Service{{Name: "permit", Kind: state.KindPlain, AtMostOnce: c.atMostOnce}},
 				Servers:  []state.Server{{Name: "s", URL: p.URL, Centre: "north", Service: "permit", Phase: state.PhaseServing}},
 			})
-			var headers []string
+			headers := []string{"Idempotency-Key", "k1"}
 			if c.deadline != "" {
-				headers = []string{"Deadline", c.deadline}
+				headers = append(headers, "Deadline", c.deadline)
 			}
-			b.send(t, http.MethodPost, "/s/permit/x", "{}", append(headers, "Idempotency-Key", "k1")...)
+			b.send(t, http.MethodPost, "/s/permit/x", "{}", headers...)
 			slow.Store(false)
 			b.front.BeginShutdown(time.Now().Add(3 * time.Second)) // less than twice the slowest, and a pause
 			if a := b.send(t, http.MethodPost, "/s/permit/x", "{}", "Idempotency-Key", "k2"); a.StatusCode != http.StatusServiceUnavailable {
