leave: one Retry-After for both interfaces

When a call that a leaving instance refuses can be taken was decided twice, in entryd/relay and entryd/front, with the same constants. Nothing changes for callers; the tests of entryd/front, entryd and those of leaving instances in entryd/relay pass.

--- a/core/process/node/budget.go
+++ b/core/process/node/budget.go
@@ -128,7 +128,7 @@
 	if !errors.Is(err, ErrNoRoom) {
 		return err
 	}
-	// Other files may have left, and a snapshot tells how large the state is.
+	// Other files may have left, and the size of the state is known after a snapshot.
 	n.updateBudget()
 	if err = n.findRoom(command); err != nil {
 		n.meter.Count("raft", "refused", "no_room")
--- a/entryd/front/leaving.go
+++ b/entryd/front/leaving.go
@@ -5,16 +5,10 @@
 
 	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/request/once"
-	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/entryd/fault"
 )
 
 const (
-	// peerRetryAfter is the Retry-After of a call that is refused since the instance is
-	// shutting down, while another instance can take it at once, and restartRetryAfter
-	// that without one.
-	peerRetryAfter    = 10 * time.Millisecond
-	restartRetryAfter = time.Second
 	// unknownStep stands for the time of a decode step at engines that have reported none.
 	unknownStep = 100 * time.Millisecond
 	// unbounded stands for the time of an answer that nothing limits.
@@ -37,16 +31,5 @@
 	}
 	f.meter.Count("leaving", "refused")
 	return fault.New(fault.CodeStopping, "the instance is shutting down before the answer could end").
-		Execution(once.NotExecuted).RetryAfter(f.returnAfterLeaving())
-}
-
-// returnAfterLeaving returns when another instance can take a call, or else this one
-// after its restart.
-func (f *API) returnAfterLeaving() time.Duration {
-	for _, m := range f.balancer.Snapshot().LiveEntries() {
-		if m.Name != f.settings.Name && m.Phase == state.PhaseServing {
-			return peerRetryAfter
-		}
-	}
-	return restartRetryAfter
+		Execution(once.NotExecuted).RetryAfter(leave.RetryAfter(f.settings.Name, f.balancer.Snapshot().LiveEntries()))
 }
--- a/entryd/relay/leaving.go
+++ b/entryd/relay/leaving.go
@@ -4,13 +4,8 @@
 	"time"
 
 	"verbenahaven.example/core/request/leave"
-	"verbenahaven.example/core/version/state"
 )
 
-// leaveRetryAfter is the Retry-After of a call that an instance doesn't take since it is
-// shutting down, while another instance can take it at once.
-const leaveRetryAfter = 10 * time.Millisecond
-
 // leavingError says that a call isn't sent since the instance is shutting down.
 type leavingError struct{ retryAfter time.Duration }
 
@@ -76,10 +71,5 @@
 func (f *Fleet) ReturnAfterLeaving() time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	for _, m := range f.snapshot.LiveEntries() {
-		if m.Name != f.name && m.Phase == state.PhaseServing {
-			return leaveRetryAfter
-		}
-	}
-	return startupRetryAfter
+	return leave.RetryAfter(f.name, f.snapshot.LiveEntries())
 }
