relay: a leaving instance gives back no call that reached engines

A call that an instance without a path passed on, and that the other one refused in its shutdown after a prefill or a rejection, was given to a third instance. That one begins a new count of its arrivals, so that engines got more of one call than the retry budget knows of. Cause: in a shutdown every refusal of such a call said that the instance is unable, whether anything was sent or not; with a doubtful path the same was excluded already.

What reached engines is refused as not run, to the caller, whose own retry is a new request.

TestLeavingInstanceGivesBackNoCallThatReachedEngines failed before: "the other instance gets unable, want 503, 0 events". It also shows that a call which comes after the signal is given back.

--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -282,7 +282,8 @@
 			return
 		}
 		_, draining := f.draining()
-		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: retryAfter, Message: reason, Unable: f.ofPeer && (doubtful || draining)})
+		unable := f.ofPeer && (doubtful || draining && !f.anySent())
+		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: retryAfter, Message: reason, Unable: unable})
 	case ctx.Err() != nil:
 		f.refuse(server.Refusal{Kind: server.RefuseDeadline, Message: reason})
 	default:
--- a/entryd/relay/shutdown_test.go
+++ b/entryd/relay/shutdown_test.go
@@ -161,6 +161,9 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = a.Body.Close() }()
+	if a.Header.Get("Entry-Unable") != "" {
+		return "unable"
+	}
 	events, err := countEvents(a.Body)
 	if err != nil {
 		return fmt.Sprint("cut after ", events)
@@ -259,3 +262,18 @@
 		t.Errorf("the caller gets %s, the server %d calls", got, s.engine.asked.Load())
 	}
 }
+
+// What engines got of a call counts against the retry budget of this instance only.
+func TestLeavingInstanceGivesBackNoCallThatReachedEngines(t *testing.T) {
+	s := newLeavingInstance(t)
+	s.first.ofPeer = true
+	s.engine.onPrefill = func() { s.leave(time.Second) }
+	s.setEngines(t, state.RoleDecode, state.RolePrefill)
+	s.setGap(state.RoleDecode)
+	s.promptTokens = 9000
+	for _, want := range []string{"503, 0 events", "unable"} { // the second call comes after the signal
+		if got := s.call(t, "stream", 60, 60, 20*time.Second); got != want {
+			t.Errorf("the other instance gets %s, want %s", got, want)
+		}
+	}
+}
