relay: the test of bodies' memory waits until all is released

TestBodiesOfManyCallersStayWithinBudget failed in one run of the package and in one of ten alone, at a load average of 24: "7 of 64 bodies read, 2097152 bytes held". The memory wasn't leaked: each caller of the test reported its result before it released its memory, so that the last one could still hold some when the test looked.

The result is reported after the release.

--- a/entryd/relay/memory_test.go
+++ b/entryd/relay/memory_test.go
@@ -25,11 +25,11 @@
 				t.Errorf("refused as %s", refusal.Kind)
 			}
 			time.Sleep(50 * time.Millisecond)
-			results <- refusal == nil && len(call.Body) == bodyBytes
 			if now, _ := one.memory.bodies.Used(); now > one.memory.bodies.Size()*9/8 {
 				t.Errorf("%d bytes held", now)
 			}
 			one.releaseAll()
+			results <- refusal == nil && len(call.Body) == bodyBytes
 		}()
 	}
 	whole := 0
