--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -74,8 +74,9 @@
 }
 
 // New returns a proxy with a pool for connections to backend servers, which show
-// whether the instance has a path to them, and one for those to other instances. draining reports whether the instance is shutting down,
-// and the time left until it cuts the calls that still run.
+// whether the instance has a path to them, and one for those to other instances.
+// draining reports whether the instance is shutting down, and the time left until
+// it cuts the calls that still run.
 func New(
 	codec server.Codec,
 	pool, peers *httpc.Pool,
