infer: a completion that isn't sent in a shutdown frees its screening and nothing else

A completion that a stopping instance refused after choosing its engines queued a cancel request to an empty address, if it had no prefill engine, and a request that may crash engines kept its trial until that expired. Seen by the reviewer in the code; no caller saw it, and no test shows it. The tests of entryd/infer and entryd/front pass.

--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -78,7 +78,10 @@
 	}
 	kvSource := request.KVSource
 	if err := c.checkSend(); err != nil {
-		c.cancelAttempt(kvSource, id)
+		c.pass.Spared(kvSource != "")
+		if kvSource != "" {
+			c.cancelAttempt(kvSource, id) // it holds the KV cache
+		}
 		return &failure{reason: retry.ReasonDraining, server: reservation.Plan.Decode, err: err, terminal: true}
 	}
 	failed := c.decode(ctx, reservation, &request)
