relay: the hand-over to a second engine doesn't read an answer that arrives

Cause: a second attempt whose engine has kept the request for 300 ms is handed over while its send goes on. secondAttempt then looked at the run's answer, which that send may write at the same moment. A head that came between the end of the wait and the look could be judged before it was whole.

Change: only a send that has ended is looked at; a pending one is judged by the run's own goroutine, which awaits it first and makes the same check.

Evidence: 160 calls at once whose second engine answers within 8 ms of the hand-over.

--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -25,7 +25,7 @@
 	ctx     context.Context // of the exchange
 	cancel  context.CancelCauseFunc
 	started time.Time
-	answer  *http.Response // nil until its head has arrived
+	answer  *http.Response // nil until its head has arrived; written by send while pending is set
 	onSend  func() error   // called once a connection is there, nil if nobody asks
 	pending <-chan error   // gets the result of send if that goes on elsewhere, else nil
 	counted bool           // as one that may have run
@@ -229,7 +229,7 @@
 		tries := f.tries
 		r, stop := f.newRun(call, t, out.lastEventID)
 		if f.sendSecond(ctx, r, commit) {
-			if r.answer == nil || out.goesOnWith(r.answer) {
+			if r.pending != nil || out.goesOnWith(r.answer) {
 				return r
 			}
 			f.recordNoStream(r)
--- a/entryd/relay/second_test.go
+++ b/entryd/relay/second_test.go
@@ -266,6 +266,24 @@
 	}
 }
 
+// The head of the second engine's answer may arrive at the moment of the hand-over.
+func TestHandOverDoesNotReadAnswerThatArrives(t *testing.T) {
+	var group sync.WaitGroup
+	for i := range 160 {
+		second := fmt.Sprint(maxOverlap+time.Duration(i-80)*100*time.Microsecond, " 2")
+		f := newSilentCall(t, &silentBackend{lines: []string{"1 3s", second}}, 2, 2, 1)
+		w := httptest.NewRecorder()
+		f.w = w
+		group.Go(func() {
+			f.forward(t.Context())
+			if got := strings.Count(w.Body.String(), "id: "); got != 2 {
+				t.Errorf("%s: %d events", second, got)
+			}
+		})
+	}
+	group.Wait()
+}
+
 func TestSilencesAtAnyMomentLeaveNothingBehind(t *testing.T) {
 	seed := uint64(time.Now().UnixNano())
 	random := rand.New(rand.NewPCG(seed, 0))
