disk: a data folder that is made at the start outlasts a loss of power

Callers could lose all that was acknowledged since the first start: a keeper synced its files and its data folder, but not the folder above, in which it had just made it. After a loss of power at all machines the folders may be missing as a whole, and a settings file that still tells of a first start makes an empty group of them.

Change: folders are made one by one, each followed by a sync of the one above it. A process that ended between the two steps is made up for by the next start.

--- a/core/process/boot/listen.go
+++ b/core/process/boot/listen.go
@@ -7,9 +7,9 @@
 	"net"
 	"os"
 	"path/filepath"
-)
 
-const folderMode = 0o700
+	"verbenahaven.example/core/process/disk"
+)
 
 // Listen listens on the TCP address that the setting key holds. An error names
 // the key, fits on one line and has the exit code ExitAddress. The listener doesn't speak
@@ -45,8 +45,8 @@
 }
 
 func checkWritable(path string) error {
-	if err := os.MkdirAll(path, folderMode); err != nil {
-		return fmt.Errorf("create: %w", err)
+	if err := disk.MakeFolder(path); err != nil {
+		return fmt.Errorf("make folder: %w", err)
 	}
 	f, err := os.CreateTemp(path, ".probe-")
 	if err != nil {
--- a/core/process/disk/filesystem.go
+++ b/core/process/disk/filesystem.go
@@ -58,8 +58,8 @@
 )
 
 func (osFileSystem) List(folder string) ([]string, error) {
-	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return nil, fmt.Errorf("create folder: %w", err)
+	if err := MakeFolder(folder); err != nil {
+		return nil, err
 	}
 	entries, err := os.ReadDir(folder)
 	if err != nil {
