entryd/relay: leaving instances ask again right before the first byte

What callers saw: a call that waited for a connection when its instance got SIGTERM was sent and cut with the instance: LOST for a stream, 502 for a plain call.

Now the check is made where the send is counted in the retry budget. It comes first, so that nothing is counted: the call is refused as not run, calls of other instances as unable, the server isn't at fault, and reserved retries are returned. The check leaves the call's log attributes alone, since a second attempt may be prepared beside a send: the error carries them.

--- a/entryd/relay/budget_test.go
+++ b/entryd/relay/budget_test.go
@@ -96,7 +96,7 @@
 			}
 			f.prefillAccepted()
 		}
-		_, err := f.do(t.Context(), "d", address, f.codec.EncodeRequest(&server.Request{Call: f.call})) //nolint:bodyclose // there is no answer
+		_, err := f.do(t.Context(), "d", address, f.codec.EncodeRequest(&server.Request{Call: f.call}), func() error { return nil }) //nolint:bodyclose // there is no answer
 		f.recordFailure(t.Context(), "d", address, false, err)
 		if !f.allowRetry(t.Context(), true) {
 			t.Errorf("prefilled %v: no retry without a prefill", prefilled)
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -270,8 +270,8 @@
 
 // prefill computes the prompt on the plan's prefill engine and returns the
 // handle of its KV cache. It doesn't count as a run of the call.
-func (f *inflightCall) prefill(ctx context.Context, t *ticket) (string, error) {
-	plan := &t.Plan
+func (f *inflightCall) prefill(ctx context.Context, r *run) (string, error) {
+	t, plan := r.ticket, &r.ticket.Plan
 	name := plan.Prefill.Name
 	progressCtx, stop := f.withPrefillTimeout(ctx, f.firstProgressTimeout(t))
 	defer stop()
@@ -281,7 +281,7 @@
 	}
 	start := f.clock.Now()
 	f.tries++
-	a, err := f.do(progressCtx, name, server.HostPort(plan.Prefill.URL), f.codec.EncodeRequest(send))
+	a, err := f.do(progressCtx, name, server.HostPort(plan.Prefill.URL), f.codec.EncodeRequest(send), func() error { return f.checkSend(r) })
 	if err != nil {
 		f.recordEngineLoss(ctx, t, name, server.HostPort(plan.Prefill.URL), false, err)
 		return "", fmt.Errorf("prefill: %w", err)
--- a/entryd/relay/leaving.go
+++ b/entryd/relay/leaving.go
@@ -1,44 +1,80 @@
 package relay
 
 import (
+	"errors"
 	"time"
 
 	"verbenahaven.example/core/request/leave"
 )
 
 // leavingError says that a call isn't sent since the instance is shutting down.
-type leavingError struct{ retryAfter time.Duration }
+type leavingError struct {
+	retryAfter time.Duration
+	attrs      []any // log attributes: by which it was refused
+}
 
 // Error implements error.
 func (e *leavingError) Error() string {
 	return "the instance is shutting down before the answer could end"
 }
 
+// isLeaving reports whether a call wasn't sent since the instance is shutting down.
+func isLeaving(err error) bool {
+	var leaving *leavingError
+	return errors.As(err, &leaving)
+}
+
 // checkLeaving returns a leavingError if the call might be cut when the instance stops.
 // t is nil if the call isn't scheduled, or no generation.
 func (f *inflightCall) checkLeaving(t *ticket) error {
-	if f.endsBeforeCut(t) {
-		return nil
-	}
-	f.meter.Count("leaving", "refused")
-	return &leavingError{f.fleet.ReturnAfterLeaving()}
+	attrs, ends := f.endsBeforeCut(t)
+	f.leavingAttrs = attrs
+	return f.leavingFault(attrs, ends)
 }
 
 // checkCut is checkLeaving for a run. An answer of which this call has delivered events goes
 // on: to end it now is no better than to cut it later.
 func (f *inflightCall) checkCut(r *run) error {
-	if r.request.LastEventID != "" {
+	if r.delivered() {
 		return nil
 	}
 	return f.checkLeaving(r.ticket)
 }
 
+// checkSend is checkCut right before the first byte, and checkPlain for other calls. They
+// leave the call as it is: a second attempt may be prepared beside the first one's send.
+func (f *inflightCall) checkSend(r *run) error {
+	if r.delivered() {
+		return nil
+	}
+	return f.leavingFault(f.endsBeforeCut(r.ticket))
+}
+
+func (f *inflightCall) checkPlain() error { return f.leavingFault(f.endsBeforeCut(nil)) }
+
+// leavingFault returns a leavingError, unless the call ends before running calls are cut.
+func (f *inflightCall) leavingFault(attrs []any, ends bool) error {
+	if ends {
+		return nil
+	}
+	f.meter.Count("leaving", "refused")
+	return &leavingError{f.fleet.ReturnAfterLeaving(), attrs}
+}
+
+// keepLeavingAttrs keeps the log attributes of a call that was refused right before a send.
+func (f *inflightCall) keepLeavingAttrs(err error) {
+	var leaving *leavingError
+	if errors.As(err, &leaving) {
+		f.leavingAttrs = leaving.attrs
+	}
+}
+
 // endsBeforeCut reports whether the instance isn't shutting down, or the call ends before
-// running calls are cut.
-func (f *inflightCall) endsBeforeCut(t *ticket) bool {
+// running calls are cut. Only in a shutdown there are log attributes.
+func (f *inflightCall) endsBeforeCut(t *ticket) (attrs []any, ends bool) {
 	left, active := f.draining()
 	if !active {
-		return true
+		return nil, true
 	}
 	c := leave.Call{TimeLeft: f.timeLeft(), Start: f.route.LatencyTarget}
 	if f.isGeneration() {
@@ -52,10 +88,9 @@
 			c.Start = c.TimeLeft
 		}
 	}
-	f.leavingAttrs = []any{
+	return []any{
 		"left_ms", left.Milliseconds(), "longest_ms", c.Longest().Milliseconds(), "max_events", c.Events, "gap_us", c.Gap.Microseconds(),
-	}
-	return c.EndsWithin(left)
+	}, c.EndsWithin(left)
 }
 
 // longestGap returns the longest gap that is expected between two events at an engine of a
--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -63,8 +63,10 @@
 		}
 		if err != nil {
 			reason = "the server gave no whole answer"
-			if f.recordFailure(ctx, v.Name, server.HostPort(v.URL), false, err) {
-				f.fleet.recordServerLoss(f.clock.Now(), v.Name)
+			f.recordServerLoss(ctx, v, err)
+			if isLeaving(err) {
+				reason, retryAfter = err.Error(), retryAfterOf(err)
+				break
 			}
 		} else {
 			switch {
@@ -110,6 +112,13 @@
 	return err
 }
 
+// recordServerLoss records a failed exchange with a server.
+func (f *inflightCall) recordServerLoss(ctx context.Context, v state.Server, err error) {
+	if f.recordFailure(ctx, v.Name, server.HostPort(v.URL), false, err) {
+		f.fleet.recordServerLoss(f.clock.Now(), v.Name)
+	}
+}
+
 // recordServerFailure records that a server answered with a failure.
 func (f *inflightCall) recordServerFailure(name string) {
 	f.pass.Spared(true)
@@ -141,7 +150,7 @@
 // exchange sends the call to a server and reads its complete answer.
 func (f *inflightCall) exchange(ctx context.Context, v state.Server) (*wholeAnswer, error) {
 	request := f.codec.EncodeRequest(&server.Request{Call: f.call, ServerID: v.Name, TimeLeft: f.timeLeft(), Priority: -1})
-	a, err := f.do(ctx, v.Name, server.HostPort(v.URL), request)
+	a, err := f.do(ctx, v.Name, server.HostPort(v.URL), request, f.checkPlain)
 	if err != nil {
 		f.recordPossibleRun(v.Name, err)
 		return nil, err
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -279,7 +279,7 @@
 	case len(f.mayHaveRun) == 0:
 		// What arrived counts against the retry budget here, and elsewhere it would not.
 		doubtful := !f.declined && !f.anySent() && f.fleet.path.isDoubtful(f.targetPool.Name)
-		if doubtful && f.endsBeforeCut(nil) && f.forwardToPeer(ctx, "doubt") {
+		if _, ends := f.endsBeforeCut(nil); doubtful && ends && f.forwardToPeer(ctx, "doubt") {
 			return
 		}
 		_, draining := f.draining()
@@ -328,6 +328,7 @@
 		return false
 	}
 	if forbidden(err) {
+		f.keepLeavingAttrs(err)
 		f.pass.Spared(false)
 		return false
 	}
@@ -374,8 +375,7 @@
 // isFinal reports whether an attempt failed for a reason that holds for any other.
 func isFinal(err error) bool {
 	var held *screen.HeldError
-	var leaving *leavingError
-	return errors.As(err, &held) || errors.As(err, &leaving) || errors.Is(err, errBudget)
+	return errors.As(err, &held) || isLeaving(err) || errors.Is(err, errBudget)
 }
 
 // Run watches the path to the backend servers, and closes connections that were idle
--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -34,6 +34,9 @@
 	lastGap time.Time      // arrival of the last event, zero if the time to the next one tells nothing
 }
 
+// delivered reports whether the call had delivered events before the run.
+func (r *run) delivered() bool { return r.request.LastEventID != "" }
+
 // newRun returns a run on the engines of a scheduled generation, and a function that
 // ends its exchange.
 func (f *inflightCall) newRun(ctx context.Context, t *ticket, lastEventID string) (*run, func()) {
@@ -56,7 +59,7 @@
 		return errBudget
 	}
 	if plan.Split() {
-		handle, err := f.prefill(ctx, r.ticket)
+		handle, err := f.prefill(ctx, r)
 		if err != nil {
 			return err
 		}
@@ -81,7 +84,7 @@
 	r.started = f.clock.Now()
 	q := f.codec.EncodeRequest(r.request)
 	q.OnSend = r.onSend
-	a, err := f.do(r.ctx, r.name, r.address, q) //nolint:bodyclose // closed with the run
+	a, err := f.do(r.ctx, r.name, r.address, q, func() error { return f.checkSend(r) }) //nolint:bodyclose // closed with the run
 	r.answer = a
 	return err
 }
--- a/entryd/relay/send.go
+++ b/entryd/relay/send.go
@@ -18,13 +18,16 @@
 // any more leave to those that can.
 const lateSpare = 1
 
-// do sends a request of the call to a backend server. Right before its first byte the send
-// is counted in the retry budget, and what the server said of itself is looked at. If either
-// forbids it, nothing is sent.
-func (f *inflightCall) do(ctx context.Context, name, address string, q *httpc.Request) (*http.Response, error) {
+// do sends a request of the call to a backend server. Right before its first byte check is
+// called, since a wait for a connection may lie before it, the send is counted in the retry
+// budget, and what the server said of itself is looked at. If any forbids it, nothing is sent.
+func (f *inflightCall) do(ctx context.Context, name, address string, q *httpc.Request, check func() error) (*http.Response, error) {
 	var ticket *notice.Ticket
 	onSend := q.OnSend
 	q.OnSend = func() (err error) {
+		if err = check(); err != nil {
+			return err
+		}
 		if ticket, err = f.beginSend(name); err == nil && onSend != nil {
 			err = onSend()
 		}
@@ -118,7 +121,7 @@
 // forbidden reports whether an exchange wasn't made because this instance forbade it: the
 // server isn't at fault.
 func forbidden(err error) bool {
-	return errors.Is(err, errBudget) || errors.Is(err, notice.ErrLeaving) || errors.Is(err, notice.ErrQuiet)
+	return isLeaving(err) || errors.Is(err, errBudget) || errors.Is(err, notice.ErrLeaving) || errors.Is(err, notice.ErrQuiet)
 }
 
 // countRequest adds a caller's request, which arrived at the given time, to a pool's retry
--- a/entryd/relay/shutdown_test.go
+++ b/entryd/relay/shutdown_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,15 +23,20 @@
 const testGap = 20 * time.Millisecond
 
 // pacedEngine streams as many events as the path says, with a gap before each but the first,
-// and answers plain calls after as many gaps.
+// and answers plain calls after as many gaps. The first stream of the kind "broken" breaks off
+// after two events.
 type pacedEngine struct {
 	asked     atomic.Int32
+	prefills  atomic.Int32
 	onPrefill func() // before the answer to a prefill, nil for nothing
 }
 
 func (e *pacedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get("Stage") == "prefill" {
-		e.onPrefill()
+		e.prefills.Add(1)
+		if e.onPrefill != nil {
+			e.onPrefill()
+		}
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		fmt.Fprint(w, `{"handle_id":"h","tokens":1}`)
 		return
@@ -38,7 +44,7 @@
 	if r.Method == http.MethodDelete {
 		return
 	}
-	e.asked.Add(1)
+	asked := e.asked.Add(1)
 	var kind string
 	var n int
 	_, _ = fmt.Sscanf(r.URL.Path, "/%d/%s", &n, &kind)
@@ -49,10 +55,14 @@
 		return
 	}
 	w.Header().Set("Content-Type", stream.ContentType)
-	for i := range n {
+	begin, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	for i := begin; i < n; i++ {
 		if i > 0 {
 			time.Sleep(testGap)
 		}
+		if kind == "broken" && asked == 1 && i == 2 {
+			panic(http.ErrAbortHandler)
+		}
 		fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
 		_ = http.NewResponseController(w).Flush()
 	}
@@ -277,3 +287,57 @@
 		}
 	}
 }
+
+// dialSignal is told of connections and begins the shutdown while one is dialled, after as
+// many as skipped.
+type dialSignal struct {
+	*path
+	skipped int
+	leave   func()
+}
+
+// Dialling implements httpc.Observer.
+func (d *dialSignal) Dialling(address string) {
+	d.path.Dialling(address)
+	if d.skipped--; d.skipped < 0 {
+		d.leave()
+	}
+}
+
+// The last check came before the wait for a connection.
+func TestCallThatWaitsForConnectionWhenShutdownBeginsIsNotSent(t *testing.T) {
+	for _, c := range []struct {
+		name, kind string
+		ofPeer     bool
+		skipped    int
+		prompt     int
+		want       string
+		asked      int32
+	}{
+		{name: "stream", kind: "stream", want: "503, 0 events"},
+		{name: "plain call", kind: "plain", want: "503, 0 events"},
+		{name: "prefill", kind: "stream", prompt: 9000, want: "503, 0 events"},
+		{name: "stream of another instance", kind: "stream", ofPeer: true, want: "unable"},
+		{name: "plain call of another instance", kind: "plain", ofPeer: true, want: "unable"},
+		{name: "stream with events delivered", kind: "broken", skipped: 1, want: "200, 5 events", asked: 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newLeavingInstance(t)
+			s.setEngines(t, state.RoleDecode, state.RoleMixed, state.RolePrefill)
+			s.setGap(state.RoleDecode)
+			s.first.ofPeer = c.ofPeer
+			s.promptTokens = max(s.promptTokens, c.prompt)
+			s.first.pool.SetObserver(&dialSignal{path: s.first.fleet.path, skipped: c.skipped, leave: func() { s.leave(time.Second) }})
+			if got := s.call(t, c.kind, 5, 60, 20*time.Second); got != c.want {
+				t.Errorf("the caller gets %s, want %s", got, c.want)
+			}
+			if n := s.engine.asked.Load() + s.engine.prefills.Load(); n != c.asked || s.cutAt.Load() == nil {
+				t.Errorf("the servers got %d requests, want %d", n, c.asked)
+			}
+			m := s.first.meter
+			if lost := m.Value("screen", "lost") + m.Value("stream", "broken"); c.asked == 0 && (lost > 0 || m.Value("leaving", "refused") != 1) {
+				t.Errorf("%d losses, %d refusals", lost, m.Value("leaving", "refused"))
+			}
+		})
+	}
+}
