entryd/relay: leaving instances ask again before they pass a call on

What callers saw: an instance without a path to the servers passes its calls on to another one. A call that waited for the connection to that one when SIGTERM came was passed on, and cut with its answer when the instance stopped.

Cause: as with backend servers, the last question came before the wait for a connection.

Evidence: on the code before, the new test, with the signal during the dial, has "the caller gets 504, the other instance 1 calls".

Now the question is asked right before the first byte; the call is refused as not run and the other instance isn't at fault. The line forwarded says kept, and the counter peer.REASON.kept.

Result: the new test passes.

--- a/entryd/relay/peer.go
+++ b/entryd/relay/peer.go
@@ -89,7 +89,14 @@
 // an answer none is asked: how many servers were tried there isn't known, and the
 // route bounds them.
 func (f *inflightCall) askPeer(ctx context.Context, peer *state.Member, reason string) bool {
-	a, err := f.peers.Do(ctx, peer.LinkAddress, f.codec.EncodeCall(f.call, f.timeLeft(), f.snapshot.Version()))
+	q := f.codec.EncodeCall(f.call, f.timeLeft(), f.snapshot.Version())
+	q.OnSend = func() error { return f.checkLeaving(nil) }
+	a, err := f.peers.Do(ctx, peer.LinkAddress, q)
+	if isLeaving(err) {
+		f.logForwarded(peer, reason, "kept", 0, err)
+		f.endUnanswered(ctx, err.Error(), retryAfterOf(err))
+		return true
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			f.fleet.peerFailed(f.clock.Now(), peer.Name)
--- a/entryd/relay/shutdown_test.go
+++ b/entryd/relay/shutdown_test.go
@@ -341,3 +341,18 @@
 		})
 	}
 }
+
+// A call that is passed on runs through the instance, too.
+func TestCallThatWaitsForOtherInstanceWhenShutdownBeginsIsNotPassedOn(t *testing.T) {
+	list := newPeers(t, httptest.NewServer(nil), 1, 1)
+	var leaving atomic.Bool
+	list[0].draining = func() (time.Duration, bool) { return time.Second, leaving.Load() }
+	list[0].Proxy.peers.SetObserver(&dialSignal{path: list[0].fleet.path, leave: func() { leaving.Store(true) }})
+	a := send(t, newCallTo(t, list[0], "7", "/unsafe/", "x"))
+	if n := list[1].meter.Value("peer", "taken"); a.StatusCode != http.StatusServiceUnavailable || n != 0 || !leaving.Load() {
+		t.Errorf("the caller gets %d, the other instance %d calls", a.StatusCode, n)
+	}
+	if n := list[0].meter.Value("peer", "cut", "kept"); n != 1 {
+		t.Errorf("%d calls kept", n)
+	}
+}
