entryd: leaving instances ask again right before the first byte, also on the own interface

What callers saw: a call on the product's own interface that waited for a connection when its instance got SIGTERM was sent, and cut at the end of the grace.

Cause: MaySend was asked before the engines or the server were picked and before a decode, but not after the wait for a connection, which may take a second.

Now the connection pool asks once the request has its connection. It writes nothing if the answer is no: net/http can't have sent a byte, whichever connection it tries next, and asks no second time. The call ends as stopping, not run; a trial of a suspect ends as unused unless a prefill ran, the server isn't avoided, and the entry of a run-once call is closed in the ledger.

--- a/core/conn/pool/name.go
+++ b/core/conn/pool/name.go
@@ -54,9 +54,10 @@
 // before any byte was written to it.
 func (p *Pool) doPooled(r *http.Request) (resp *http.Response, unused bool, err error) {
 	var gotConn atomic.Pointer[conn]
+	check := sendCheck(r.Context())
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		if c, ok := i.Conn.(*conn); ok {
-			c.written.Store(false) // by an earlier request
+			c.begin(check)
 			gotConn.Store(c)
 		}
 	}}
@@ -65,7 +66,7 @@
 	resp, err = p.transport(r.URL.Host).RoundTrip(q)
 	if err != nil {
 		c := gotConn.Load()
-		unused = c != nil && !c.written.Load() && r.Context().Err() == nil
+		unused = c != nil && c.forbidden == nil && !c.written.Load() && r.Context().Err() == nil
 		return nil, unused && rewind(r), fmt.Errorf("ask %s: %w", r.URL.Host, withCause(r.Context(), err))
 	}
 	return resp, false, nil
--- a/core/conn/pool/pool.go
+++ b/core/conn/pool/pool.go
@@ -90,15 +90,48 @@
 	return nil
 }
 
+type checkKey struct{}
+
+// WithSendCheck makes the request of a context ask check once it has a connection, for which
+// it may have waited. If that returns an error, nothing is sent and the request fails; a
+// transport that tries another connection then gets the same error.
+func WithSendCheck(ctx context.Context, check func() error) context.Context {
+	var forbidden error
+	return context.WithValue(ctx, checkKey{}, func() error {
+		if forbidden == nil {
+			forbidden = check()
+		}
+		return forbidden
+	})
+}
+
 // conn records whether any byte was handed to the kernel for sending.
 type conn struct {
 	net.Conn
-	written atomic.Bool
+	written   atomic.Bool
+	forbidden error // why the current request isn't sent, nil if it may be
+}
+
+// sendCheck returns the check of a request.
+func sendCheck(ctx context.Context) func() error {
+	if check, ok := ctx.Value(checkKey{}).(func() error); ok {
+		return check
+	}
+	return func() error { return nil }
+}
+
+// begin prepares the connection for a request.
+func (c *conn) begin(check func() error) {
+	c.written.Store(false) // by an earlier request
+	c.forbidden = check()
 }
 
 // Write implements net.Conn. It sets written before the attempt because a
 // failed write may have sent some of the bytes.
 func (c *conn) Write(b []byte) (int, error) {
+	if c.forbidden != nil {
+		return 0, c.forbidden
+	}
 	c.written.Store(true)
 	return c.Conn.Write(b) //nolint:wrapcheck // net/http compares connection errors by value
 }
@@ -128,11 +161,13 @@
 // request. written reports whether any byte of it may have been sent.
 func (p *Pool) DoUnpooled(r *http.Request) (resp *http.Response, written bool, err error) {
 	var gotConn atomic.Pointer[conn]
+	check := sendCheck(r.Context())
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		c, ok := i.Conn.(*conn)
 		if !ok || i.Reused {
 			panic("pool: request that needs a new connection got a reused one")
 		}
+		c.begin(check)
 		gotConn.Store(c)
 	}}
 	resp, err = p.unpooled.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
--- a/core/conn/pool/pool_test.go
+++ b/core/conn/pool/pool_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,3 +175,35 @@
 		}
 	})
 }
+
+// What was asked before a wait for a connection may no longer hold after it.
+func TestRequestThatCheckForbidsIsNotSent(t *testing.T) {
+	var received atomic.Int32
+	s, _ := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		received.Add(1)
+		w.Header().Set(engine.HeaderExchange, r.Header.Get(engine.HeaderExchange))
+	}))
+	p, cleanup := pool.New()
+	defer cleanup()
+	errForbidden := errors.New("forbidden")
+	sent := int32(0)
+	for i, name := range []string{"new connection", "kept connection", "connection after one that wasn't used"} {
+		asked := 0
+		ctx := pool.WithSendCheck(t.Context(), func() error {
+			asked++
+			return errForbidden
+		})
+		if _, err := p.Do(newRequest(ctx, t, s.URL)); !errors.Is(err, errForbidden) || asked != 1 || received.Load() != sent { //nolint:bodyclose // there is no answer
+			t.Errorf("%s: %v, asked %d times, %d requests arrived, want %d", name, err, asked, received.Load(), sent)
+		}
+		for range 2 - i { // the first one shows that the server names exchanges
+			a, err := p.Do(newRequest(pool.WithSendCheck(t.Context(), func() error { return nil }), t, s.URL))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, a.Body)
+			_ = a.Body.Close()
+			sent++
+		}
+	}
+}
--- a/entryd/front/stopping_test.go
+++ b/entryd/front/stopping_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -123,3 +124,57 @@
 		t.Errorf("sent %d times; status %d: %.200s", n, a.StatusCode, body)
 	}
 }
+
+// The last check came before the wait for a connection.
+func TestCallThatWaitsForConnectionWhenShutdownBeginsIsNotSent(t *testing.T) {
+	long := strings.Replace(chatRequest, ":20}", ":2000}", 1)
+	split := strings.Replace(long, "Which", strings.Repeat("Which ", 1000), 1)
+	for _, c := range []struct {
+		name, path, body string
+		dial             int32 // during which the shutdown begins
+		sent             int
+	}{
+		{name: "answer", path: "/v1/chat/completions", body: long, dial: 1},
+		{name: "prefill", path: "/v1/chat/completions", body: split, dial: 1},
+		{name: "decode", path: "/v1/chat/completions", body: split, dial: 2, sent: 1},
+		{name: "plain call", path: "/s/registry/x", body: "x", dial: 1},
+		{name: "run-once call", path: "/s/permit/x", body: "x", dial: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e, p := newEngine(t), newEngine(t)
+			var calls atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+			defer server.Close()
+			role := state.RoleMixed
+			v := modelState(engineAt("m", e.URL, role))
+			if c.body == split {
+				role = state.RoleDecode
+				v = modelState(engineAt("p", p.URL, state.RolePrefill), engineAt("m", e.URL, state.RoleDecode))
+			}
+			v.Services = append(v.Services, state.Service{Name: "registry", Kind: state.KindPlain}, state.Service{Name: "permit", Kind: state.KindPlain, AtMostOnce: true})
+			for _, name := range []string{"registry", "permit"} {
+				v.Servers = append(v.Servers, state.Server{Name: name, URL: server.URL, Service: name, Phase: state.PhaseServing})
+			}
+			b := newTestEntry(t, v)
+			b.balancer.RecordLoad("m", engine.LoadReport{MeasuredAt: time.Now(), Role: role, TPOT: 10 * time.Millisecond})
+			var dials atomic.Int32
+			trace := &httptrace.ClientTrace{ConnectStart: func(string, string) {
+				if dials.Add(1) == c.dial {
+					b.front.BeginShutdown(time.Now().Add(time.Second))
+				}
+			}}
+			h := b.Config.Handler
+			b.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				h.ServeHTTP(w, r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+			})
+			a := b.send(t, http.MethodPost, c.path, c.body, "Idempotency-Key", "k")
+			body, _ := io.ReadAll(a.Body)
+			if a.StatusCode != http.StatusServiceUnavailable || !strings.Contains(string(body), `"code":"stopping"`) {
+				t.Errorf("status %d: %.200s", a.StatusCode, body)
+			}
+			if n := len(e.received) + len(p.received) + int(calls.Load()); n != c.sent || len(b.keeper.calls) > 0 || b.meter.Value("leaving", "refused") != 1 {
+				t.Errorf("%d requests, %d run-once calls, %d refusals", n, len(b.keeper.calls), b.meter.Value("leaving", "refused"))
+			}
+		})
+	}
+}
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -48,6 +48,7 @@
 	err        error
 	mayHaveRun bool // the engine may have begun to work on the request
 	terminal   bool // no retry: the request is invalid, or its caller hung up
+	forbidden  bool // nothing was sent, since the instance is shutting down
 }
 
 // attempt runs the call once on the engines of a plan, from the first token
@@ -72,20 +73,13 @@
 	if reservation.Plan.Split() {
 		prefilled, failed := c.prefill(ctx, reservation, &request)
 		if failed != nil {
-			return failed
+			return c.spareForbidden(failed, false)
 		}
 		request.KVSource, request.KVHandle = reservation.Plan.Prefill.URL, prefilled.KVHandle
 	}
 	kvSource := request.KVSource
-	if err := c.checkSend(); err != nil {
-		c.pass.Spared(kvSource != "")
-		if kvSource != "" {
-			c.cancelAttempt(kvSource, id) // it holds the KV cache
-		}
-		return &failure{reason: retry.ReasonDraining, server: reservation.Plan.Decode, err: err, terminal: true}
-	}
-	failed := c.decode(ctx, reservation, &request)
-	if failed != nil && failed.reason != retry.ReasonDial {
+	failed := c.spareForbidden(c.decode(ctx, reservation, &request), kvSource != "")
+	if failed != nil && failed.reason != retry.ReasonDial && !failed.forbidden {
 		c.cancelAttempt(reservation.Plan.Decode.URL, id)
 	}
 	if failed != nil && kvSource != "" {
@@ -94,6 +88,15 @@
 	return failed
 }
 
+// spareForbidden ends the screening of an attempt of which nothing was sent to its last engine,
+// and returns its failure. prefilled reports whether another engine got it.
+func (c *completion) spareForbidden(f *failure, prefilled bool) *failure {
+	if f != nil && f.forbidden {
+		c.pass.Spared(prefilled)
+	}
+	return f
+}
+
 // prefill computes the prompt on the plan's prefill engine, which keeps the KV
 // cache for the decode engine.
 func (c *completion) prefill(ctx context.Context, reservation *picker.Reservation, request *engine.Request) (engine.PrefillResult, *failure) {
@@ -245,8 +248,15 @@
 	if err != nil {
 		return nil, &failure{reason: retry.ReasonOverloaded, server: server, err: err}
 	}
-	a, err := c.pool.Do(request)
+	var refusal error
+	a, err := c.pool.Do(request.WithContext(pool.WithSendCheck(ctx, func() error {
+		refusal = c.checkSend()
+		return refusal
+	})))
 	c.balancer.EndSend(c.clock.Now(), ticket, a)
+	if err != nil && refusal != nil {
+		return nil, &failure{reason: retry.ReasonDraining, server: server, err: refusal, terminal: true, forbidden: true}
+	}
 	if err != nil {
 		return nil, connectionFailure(ctx, server, err)
 	}
--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -128,7 +128,11 @@
 	}
 	defer release()
 	written := false
-	r, answered, err := o.send(ctx, o.call, v, number, func(r *http.Request) (*http.Response, error) {
+	check := func() error {
+		o.stopping = o.checkSend(ctx, o.call)
+		return o.stopping
+	}
+	r, answered, err := o.send(pool.WithSendCheck(ctx, check), o.call, v, number, func(r *http.Request) (*http.Response, error) {
 		a, w, err := o.pool.DoUnpooled(r)
 		written = w
 		return a, err //nolint:wrapcheck // wrapped by the pool
@@ -142,6 +146,9 @@
 		screenFailure(o.pass, v.Name, pool.RetryReason(err), err)
 		o.meter.Count("once", "broken")
 		return o.state.OnSent(once.SendBroken, once.Result{})
+	case o.stopping != nil:
+		o.pass.Spared(false)
+		return o.state.Abandon(once.ReasonNotSent)
 	default:
 		o.pass.Spared(false)
 		o.meter.Count("retry", "unsent")
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -147,17 +147,21 @@
 		v, release, err := s.balancer.ReserveServer(s.clock.Now(), c.Service.Name, avoid)
 		if err != nil {
 			pass.Spared(false)
+			return Answer{}, noServerFault(c, err).Execution(ran)
 		}
-		if errors.Is(err, picker.ErrIsolated) {
-			return Answer{}, fault.New(fault.CodeStale, err.Error()).Execution(ran).RetryAfter(retryAfter)
-		}
-		if err != nil {
-			return Answer{}, fault.New(fault.CodeNoBackend, "no server of "+c.Service.Name+" can take the call: "+err.Error()).
-				Execution(ran).RetryAfter(picker.RetryAfter(err, retryAfter))
-		}
-		r, _, err := s.send(ctx, c, v, number, s.pool.Do)
+		var refusal error
+		r, _, err := s.send(pool.WithSendCheck(ctx, func() error {
+			if ran == once.NotExecuted {
+				refusal = s.checkSend(ctx, c)
+			}
+			return refusal
+		}), c, v, number, s.pool.Do)
 		release()
 		c.Record.AddStep(s.traceStep(c, v, number, err))
+		if err != nil && refusal != nil {
+			pass.Spared(false)
+			return Answer{}, refusal
+		}
 		if err == nil {
 			pass.Completed()
 			s.recordSuccess(v.Name)
@@ -183,6 +187,14 @@
 	}
 }
 
+// noServerFault returns the fault of a call that no server can take.
+func noServerFault(c *Call, err error) *fault.Error {
+	if errors.Is(err, picker.ErrIsolated) {
+		return fault.New(fault.CodeStale, err.Error()).RetryAfter(retryAfter)
+	}
+	return fault.New(fault.CodeNoBackend, "no server of "+c.Service.Name+" can take the call: "+err.Error()).RetryAfter(picker.RetryAfter(err, retryAfter))
+}
+
 // endedFault returns the fault of a call whose context has ended.
 func endedFault(ctx context.Context, ran once.Execution) error {
 	if errors.Is(context.Cause(ctx), leave.ErrCut) {
