entryd/plain: run-once calls that wait for their turn are answered at the cut

What callers saw: a run-once call on the own interface that waited for another call under its key, or for the ledger to record its start, lost its connection when the instance stopped.

Cause: such calls don't end with their caller's context, since the outcome must be recorded even if the caller leaves. So they didn't see the cut either.

Now the wait for the turn, and only that, ends at the cut: the caller gets 503 stopping with Retry-After and what is known of the run. A call that was sent goes on, its outcome is recorded and replayed under its key; the test asks for that, too. A caller that leaves still ends nothing.

--- a/entryd/front/stopping_test.go
+++ b/entryd/front/stopping_test.go
@@ -1,7 +1,9 @@
 package front_test
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +14,8 @@
 	"time"
 
 	"verbenahaven.example/core/conn/engine"
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/request/once"
 	"verbenahaven.example/core/version/state"
 )
@@ -178,3 +182,53 @@
 		})
 	}
 }
+
+// Such a call got no answer: its connection ended with the process.
+func TestRunOnceCallThatWaitsForAnotherIsAnsweredAtCut(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "stamped")
+	}))
+	defer server.Close()
+	b := newTestEntry(t, state.View{
+		Services: []state.Service{{Name: "permit", Kind: state.KindPlain, AtMostOnce: true}},
+		Servers:  []state.Server{{Name: "s", URL: server.URL, Service: "permit", Phase: state.PhaseServing}},
+	})
+	calls, cut := context.WithCancelCause(t.Context())
+	h := b.Config.Handler
+	b.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer context.AfterFunc(calls, func() { cancel(context.Cause(calls)) })()
+		h.ServeHTTP(w, r.WithContext(ctx))
+	})
+	answers := make(chan string, 2)
+	send := func() {
+		a := b.send(t, http.MethodPost, "/s/permit/x", "{}", "Idempotency-Key", "k")
+		body, _ := io.ReadAll(a.Body)
+		answers <- fmt.Sprint(a.StatusCode, " ", string(body), a.Header.Get("Retry-After-Ms"))
+	}
+	for n := range 2 {
+		go send()
+		for b.meter.Value("once", "begin", string([]proto.Verdict{proto.VerdictProceed, proto.VerdictBusy}[n])) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	cut(leave.ErrCut)
+	select {
+	case a := <-answers:
+		if !strings.HasPrefix(a, "503") || !strings.Contains(a, `"code":"stopping"`) || !strings.Contains(a, `"ran":"unknown"`) || !strings.HasSuffix(a, "500") {
+			t.Errorf("the call that waits gets %s", a)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the call that waits has no answer 5 s after the cut")
+	}
+	close(release)
+	if a := <-answers; a != "200 stamped" {
+		t.Errorf("the call that was sent gets %s", a)
+	}
+	send()
+	if a := <-answers; a != "200 stamped" {
+		t.Errorf("its outcome under the key is %s", a)
+	}
+}
--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -1,9 +1,11 @@
 package plain
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -12,6 +14,7 @@
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/request/once"
 	"verbenahaven.example/entryd/fault"
 	"verbenahaven.example/entryd/picker"
@@ -33,10 +36,12 @@
 	pass        *screen.Pass
 	held        error         // why the call wasn't sent, if it may crash servers
 	stopping    error         // the refusal of a call that wasn't sent since the instance is shutting down
+	cut         bool          // the instance stopped while the call waited for its turn
 	wait        time.Duration // until a server takes it, if none was found
 }
 
-func (s *Dispatcher) doOnce(ctx context.Context, c *Call) (Answer, error) {
+// doOnce runs a call that caller, its caller's context, doesn't end.
+func (s *Dispatcher) doOnce(ctx, caller context.Context, c *Call) (Answer, error) {
 	if err := s.checkSend(ctx, c); err != nil {
 		return Answer{}, err
 	}
@@ -49,22 +54,40 @@
 		Holder:      s.settings.Holder,
 	}}
 	defer o.pass.Close()
+	turn, stop := endAtCut(ctx, caller)
+	defer stop()
 	action := once.RecordStart
 	for action != once.Respond {
-		action = o.perform(ctx, action)
+		action = o.perform(ctx, turn, action)
 	}
 	return o.answer()
 }
 
-func (o *onceCall) perform(ctx context.Context, action once.Action) once.Action {
+// endAtCut returns a context that also ends when the caller's does because the instance stops.
+func endAtCut(ctx, caller context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(caller, func() {
+		if cause := context.Cause(caller); errors.Is(cause, leave.ErrCut) {
+			cancel(cause)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// perform takes a step. turn ends the wait for the call's turn.
+func (o *onceCall) perform(ctx, turn context.Context, action once.Action) once.Action {
 	switch action {
 	case once.RecordStart:
-		return o.begin(ctx)
+		return o.begin(turn)
 	case once.WaitForOther:
-		if ctx.Err() != nil {
+		if turn.Err() != nil {
+			o.cut = errors.Is(context.Cause(turn), leave.ErrCut)
 			return o.state.OnWaitTimeout()
 		}
-		clock.Sleep(ctx, ledgerBusyPause)
+		clock.Sleep(turn, ledgerBusyPause)
 		return once.RecordStart
 	case once.Send:
 		return o.sendAttempt(ctx)
@@ -99,6 +122,7 @@
 func (o *onceCall) begin(ctx context.Context) once.Action {
 	r, err := o.callLedger(ctx, proto.OnceBegin, ledgerTimeout)
 	if err != nil {
+		o.cut = errors.Is(context.Cause(ctx), leave.ErrCut)
 		return o.state.OnStartFailed()
 	}
 	return o.state.OnStartReply(r)
@@ -205,6 +229,9 @@
 	if o.held != nil && ran == once.NotExecuted {
 		return Answer{}, heldFault(o.held, ran)
 	}
+	if o.cut {
+		return Answer{}, fault.New(fault.CodeStopping, leave.ErrCut.Error()).Execution(ran).RetryAfter(cmp.Or(o.state.RetryAfter(), retryAfter))
+	}
 	code, ok := faultCodes[reason]
 	if !ok {
 		panic("plain: no code for reason " + string(reason))
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -119,7 +119,8 @@
 	do := s.doRetryable
 	if c.Service.AtMostOnce {
 		// The outcome must be recorded even if the caller disconnects.
-		ctx, do = context.WithoutCancel(ctx), s.doOnce
+		caller := ctx
+		ctx, do = context.WithoutCancel(ctx), func(ctx context.Context, c *Call) (Answer, error) { return s.doOnce(ctx, caller, c) }
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
