entryd/relay: test that the caller's hint doesn't bound an answer in a shutdown

No whole-call test let a caller announce a short answer and declare a long one. The code takes the declared maximum: the case passed at once. With the hint in its place, as a trial, it failed: "the caller gets cut after 244, want 503, 0 events". The own interface has no hint.

--- a/entryd/relay/shutdown_test.go
+++ b/entryd/relay/shutdown_test.go
@@ -78,6 +78,7 @@
 	store        *view.Store
 	backend      string
 	promptTokens int
+	hint         int    // of the callers, of the tokens of an answer, 0 for none
 	lastEventID  string // that callers have of the stream "begun", empty for new answers
 }
 
@@ -138,7 +139,7 @@
 		f.route.Kind, f.route.Resumable = state.RouteIdempotent, false
 		f.targetPool = state.Pool{Name: "plain"}
 	} else {
-		f.call.Prompt = &server.Prompt{Tokens: s.promptTokens, MaxOutput: 10 * most, Parts: []server.Part{{ID: "own", Tokens: s.promptTokens}}}
+		f.call.Prompt = &server.Prompt{Tokens: s.promptTokens, MaxOutput: 10 * most, OutputHint: s.hint, Parts: []server.Part{{ID: "own", Tokens: s.promptTokens}}}
 	}
 	f.call.LastEventID, f.call.Resumes = s.lastEventID, "begun"
 	f.start, f.route.Timeout = f.clock.Now(), deadline
@@ -194,20 +195,23 @@
 		name, kind string
 		events     int
 		most       int
+		hint       int
 		left       time.Duration
 		deadline   time.Duration
 		want       string
 	}{
-		{"long answer", "stream", 60, 60, time.Second, 20 * time.Second, "503, 0 events"},
-		{"short answer of a kind that may be long", "stream", 5, 60, time.Second, 20 * time.Second, "503, 0 events"},
-		{"long answer that ends in time", "stream", 30, 60, 8 * time.Second, 20 * time.Second, "200, 30 events"},
-		{"deadline before the cut", "stream", 5, 60, 5 * time.Second, 4 * time.Second, "200, 5 events"},
-		{"no limit of the answer", "stream", 60, 0, time.Second, 20 * time.Second, "503, 0 events"},
-		{"plain call with a long timeout", "plain", 60, 0, time.Second, 20 * time.Second, "503, 0 events"},
-		{"plain call", "plain", 2, 0, 5 * time.Second, 4 * time.Second, "200, 0 events"},
+		{"long answer", "stream", 60, 60, 0, time.Second, 20 * time.Second, "503, 0 events"},
+		{"long answer that its caller expects to be short", "stream", 300, 300, 20, 5 * time.Second, 20 * time.Second, "503, 0 events"},
+		{"short answer of a kind that may be long", "stream", 5, 60, 0, time.Second, 20 * time.Second, "503, 0 events"},
+		{"long answer that ends in time", "stream", 30, 60, 0, 8 * time.Second, 20 * time.Second, "200, 30 events"},
+		{"deadline before the cut", "stream", 5, 60, 0, 5 * time.Second, 4 * time.Second, "200, 5 events"},
+		{"no limit of the answer", "stream", 60, 0, 0, time.Second, 20 * time.Second, "503, 0 events"},
+		{"plain call with a long timeout", "plain", 60, 0, 0, time.Second, 20 * time.Second, "503, 0 events"},
+		{"plain call", "plain", 2, 0, 0, 5 * time.Second, 4 * time.Second, "200, 0 events"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			asked := s.engine.asked.Load()
+			s.hint = c.hint
 			s.leave(c.left)
 			if got := s.call(t, c.kind, c.events, c.most, c.deadline); got != c.want {
 				t.Errorf("the caller gets %s, want %s", got, c.want)
