entryd: a grace that isn't set doesn't end the process at once

What callers saw: on a platform that names no grace_s, or one that isn't positive, an instance exited with SIGTERM, and running calls lost their connections. On the own interface stop.grace = "0s" was taken and cut running calls without an answer.

Cause: an absent bound is 0, for which the product uses a default, but the shutdown took it as the grace. Every share of 0 is now, that of the forced exit too.

A reload of the platform's settings applies to the next signal; before, the value of the start did. The own interface refuses a grace below 1s: an operator writes it, and less leaves under 50 ms to write the answers of calls that are cut.

--- a/entryd/main.go
+++ b/entryd/main.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/core/process/exit"
 	"verbenahaven.example/entryd/setup"
 )
 
@@ -34,7 +35,9 @@
 		boot.KeepOnHangup()
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
-		if err := serveSite(ctx, *metrics); err != nil {
+		bound := exit.NewBound("entryd")
+		bound.Watch(ctx)
+		if err := serveSite(ctx, *metrics, bound); err != nil {
 			// The log has been closed by now.
 			fmt.Fprintln(os.Stderr, "entryd:", err)
 			return boot.ExitCode(err)
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -21,6 +21,7 @@
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/process/boot"
 	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/exit"
 	"verbenahaven.example/core/process/keys"
 	"verbenahaven.example/core/process/logger"
 	"verbenahaven.example/core/process/meter"
@@ -52,12 +53,10 @@
 	// refuseShare is the share of the grace after which new calls are refused as not run,
 	// closeShare that after which no new connections are accepted, cutShare that after
 	// which running calls are cut, and endShare that by which their refusals are written.
-	// After forcedExitShare the process exits unconditionally.
-	refuseShare     = 0.75
-	closeShare      = 0.8
-	cutShare        = 0.95
-	endShare        = 0.96
-	forcedExitShare = 0.98
+	refuseShare = 0.75
+	closeShare  = 0.8
+	cutShare    = 0.95
+	endShare    = 0.96
 	// addressTTL is how long callers may cache an address answer: short enough to
 	// learn within the grace that an instance is leaving.
 	addressTTL = 2 * time.Second
@@ -94,6 +93,7 @@
 	link     *link.Server
 	keeper   *keeper.Client
 	broker   *broker.Conn
+	bound    *exit.Bound
 }
 
 // leaving holds the shutdown state of the instance and counts its running
@@ -324,6 +324,7 @@
 			s.log.Warn("settings not taken", "err", err)
 			return
 		}
+		s.bound.SetGrace(next.Bounds.Grace)
 		s.keeper.SetKeepers(next.KeeperLinks())
 		s.fleet.SetRetryBudget(retryBudget(next))
 		s.relay.SetRevocation(revokeAfter(next), s.watch.SinceConfirmed)
@@ -331,17 +332,20 @@
 	})
 }
 
-// serveSite runs an entry instance on a platform until ctx ends.
-func serveSite(ctx context.Context, metrics string) error {
+// serveSite runs an entry instance on a platform until ctx ends. It sets the grace period
+// of the process.
+func serveSite(ctx context.Context, metrics string, bound *exit.Bound) error {
 	settings, err := platform.Load()
 	if err != nil {
 		return boot.WithExitCode(boot.ExitSettings, err)
 	}
+	bound.SetGrace(settings.Bounds.Grace)
 	s, cleanup, err := buildSite(ctx, settings, metricsSetting(metrics))
 	if err != nil {
 		return err
 	}
 	defer cleanup()
+	s.bound = bound
 	return s.run(ctx)
 }
 
--- /dev/null
+++ b/entryd/process_test.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const runMainVariable = "ENTRYD_TEST_RUN_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runMainVariable) != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+// process is an entryd of its own.
+type process struct {
+	*exec.Cmd
+	output bytes.Buffer // complete once exited is closed
+	exited chan struct{}
+}
+
+func startProcess(t *testing.T, env []string, args ...string) *process {
+	t.Helper()
+	p := &process{Cmd: exec.CommandContext(t.Context(), os.Args[0], args...), exited: make(chan struct{})}
+	p.Env = append(append(os.Environ(), runMainVariable+"=1"), env...)
+	p.Stdout, p.Stderr = &p.output, &p.output
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer close(p.exited)
+		_ = p.Wait()
+	}()
+	t.Cleanup(func() {
+		_ = p.Process.Kill()
+		<-p.exited
+		if t.Failed() {
+			t.Logf("output:\n%s", &p.output)
+		}
+	})
+	return p
+}
+
+func (p *process) terminate(t *testing.T) {
+	t.Helper()
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// freePorts returns the first of a number of consecutive ports of 127.0.0.1 that were free
+// for both TCP and UDP.
+func freePorts(t *testing.T, n int) int {
+	t.Helper()
+	for range 100 {
+		first, free := 20000+rand.IntN(10000), true
+		for port := first; free && port < first+n; port++ {
+			address := "127.0.0.1:" + strconv.Itoa(port)
+			l, err := net.Listen("tcp", address)
+			if err != nil {
+				free = false
+				break
+			}
+			_ = l.Close()
+			p, err := net.ListenPacket("udp", address)
+			if err != nil {
+				free = false
+				break
+			}
+			_ = p.Close()
+		}
+		if free {
+			return first
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+// awaitAnswer waits until the process answers calls, and reports whether it does.
+func (p *process) awaitAnswer(t *testing.T, address string) bool {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		select {
+		case <-p.exited:
+			return false
+		default:
+		}
+		if answers(t, address) {
+			return true
+		}
+	}
+	return false
+}
+
+func answers(t *testing.T, address string) bool {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = a.Body.Close()
+	return true
+}
+
+// startOnPlatform starts an entry instance with a line of bounds and returns its address
+// for callers.
+func startOnPlatform(t *testing.T, bound string) (p *process, address string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "boot.toml")
+	for range 5 { // another program may take a port first
+		first := freePorts(t, 6)
+		text := fmt.Sprintf(`node_name = "m"
+ip = "127.0.0.1"
+zone = "z"
+internal_ports = [%d,%d]
+seeds = ["127.0.0.1:%d"]
+[listen]
+front = "127.0.0.1:%d"
+ready = "127.0.0.1:%d"
+[bounds]
+%s
+`, first, first+2, first+3, first+4, first+5, bound)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p = startProcess(t, []string{"VERBENAHAVEN_BOOT=" + path}, "-platform")
+		address = "127.0.0.1:" + strconv.Itoa(first+4)
+		if p.awaitAnswer(t, address) {
+			return p, address
+		}
+	}
+	t.Fatal("not answering")
+	return nil, ""
+}
+
+// A process without a grace ended with the signal, and running calls had no answer.
+func TestInstanceWithoutGraceServesAfterSignal(t *testing.T) {
+	for _, bound := range []string{"", "grace_s = 0", "grace_s = -1"} {
+		t.Run(bound, func(t *testing.T) {
+			p, address := startOnPlatform(t, bound)
+			p.terminate(t)
+			time.Sleep(time.Second)
+			if !answers(t, address) {
+				t.Error("no answer 1 s after the signal")
+			}
+		})
+	}
+}
--- a/entryd/setup/setup.go
+++ b/entryd/setup/setup.go
@@ -143,7 +143,7 @@
 		requireDuration("retry.backoff", s.Retry.Backoff, time.Millisecond, 10*time.Second),
 		requireDuration("retry.silence", s.Retry.Silence, 50*time.Millisecond, time.Minute),
 		requireNumber("strike.limit", s.Strike.Limit, 1, 10),
-		requireDuration("stop.grace", s.Stop.Grace, 0, time.Hour),
+		requireDuration("stop.grace", s.Stop.Grace, time.Second, time.Hour),
 	}
 	for _, c := range checks {
 		if c.err != nil {
--- a/entryd/stop.go
+++ b/entryd/stop.go
@@ -3,26 +3,18 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
-	"runtime/pprof"
 	"sync"
 	"time"
 
 	"verbenahaven.example/core/conn/abort"
 	"verbenahaven.example/core/conn/drain"
 	"verbenahaven.example/core/conn/server"
-	"verbenahaven.example/core/process/boot"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/platform"
 )
 
-// profileTimeout bounds the time to write the running goroutines at a forced exit.
-const profileTimeout = 50 * time.Millisecond
-
 // httpServer is an http.Server or one that can be stopped without cutting requests.
 type httpServer interface {
 	Serve(l net.Listener) error
@@ -56,10 +48,9 @@
 // each request on an accepted connection is answered. cut cuts the running calls.
 func (s *site) stop(ctx context.Context, cut func(), callers, peers *drain.Server) {
 	began := time.Now()
-	grace := s.settings.Bounds.Grace
+	grace := s.bound.Grace()
 	after := func(share float64) time.Time { return began.Add(time.Duration(share * float64(grace))) }
 	s.leaving.begin(after(cutShare))
-	time.AfterFunc(time.Until(after(forcedExitShare)), func() { forceExit(os.Stderr, os.Exit) })
 	callers.Leave()
 	peers.Leave()
 	s.beat.Leave()
@@ -81,18 +72,3 @@
 	s.beat.FlushUsage(flush)
 	s.log.Info("stopped", "name", s.settings.Name, "calls", s.leaving.calls.Load(), "ms", time.Since(began).Milliseconds(), "err", errors.Join(err, peerErr))
 }
-
-// forceExit exits. It tells before which goroutines run, unless nobody reads that.
-func forceExit(w io.Writer, exit func(code int)) {
-	written := make(chan struct{})
-	go func() {
-		defer close(written)
-		_, _ = fmt.Fprintln(w, "entryd: shutdown did not finish within the grace period; exiting with these goroutines running:")
-		_ = pprof.Lookup("goroutine").WriteTo(w, 1) // an error can't be reported anywhere else
-	}()
-	select {
-	case <-written:
-	case <-time.After(profileTimeout):
-	}
-	exit(boot.ExitFailure)
-}
