keepd: ends within its grace whatever hangs

What users saw: a keeper whose disk, settings file or operator's call hung lived on after its grace, or for good: SIGTERM was caught and nothing came of it.

Cause: the end waited for all goroutines and for the member without a bound, a start on a disk that hangs didn't look at the signal at all, and operators' calls had 5 s whatever the grace was.

keepd takes the bound of entryd, core/process/exit: exit at 0.98 of the grace. Its storage is crash-safe, so what it acknowledged is durable then. A member that failed, and the time as a keeper without a disk that follows, end within the same bound. Operators' calls get half of the grace, at most 5 s; the rest is for the hand-over. stop.grace sets the grace on the own interface (30 s, 1s to 1h).

hang.txtar has three parts: the identity file is a FIFO that nobody writes; half a call of an operator; the settings file becomes such a FIFO while a keeper without a disk runs. With a grace of 2 s the code before ran on in each and was killed 4 s after the signal (its own interface had no grace to set, so the second ran with its fixed 5 s). All pass now with the race detector.

--- a/keepd/app.go
+++ b/keepd/app.go
@@ -18,6 +18,7 @@
 	"verbenahaven.example/core/conn/drain"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/core/process/exit"
 	"verbenahaven.example/core/process/node"
 	"verbenahaven.example/keepd/conf"
 	"verbenahaven.example/keepd/lead"
@@ -26,9 +27,16 @@
 
 const (
 	headerTimeout = 5 * time.Second
-	stopTimeout   = 5 * time.Second
+	// maxOperatorStopTimeout bounds the wait for operators' calls in a shutdown.
+	maxOperatorStopTimeout = 5 * time.Second
 )
 
+// operatorStopTimeout returns how long a shutdown waits for operators' calls. The rest of
+// the grace is for the hand-over of the leadership.
+func operatorStopTimeout(b *exit.Bound) time.Duration {
+	return min(maxOperatorStopTimeout, b.Grace()/2)
+}
+
 // app is a stand-alone keepd, configured by a settings file.
 type app struct {
 	lead     *lead.Leader
@@ -60,9 +68,8 @@
 }
 
 // run serves until ctx ends, the member of the log fails or the HTTP server
-// fails.
-func (a *app) run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+// fails. It cancels ctx when it begins to stop.
+func (a *app) run(ctx context.Context, cancel context.CancelFunc, stopTimeout time.Duration) error {
 	defer cancel()
 	var group sync.WaitGroup
 	group.Go(func() { a.lead.Serve(ctx) })
--- a/keepd/conf/conf.go
+++ b/keepd/conf/conf.go
@@ -30,6 +30,7 @@
 	Member   Member            `toml:"member"`
 	Platform Platform          `toml:"platform"`
 	Usage    Usage             `toml:"usage"`
+	Stop     Stop              `toml:"stop"`
 	Duties   Duties            `toml:"-"` // set on a platform only
 }
 
@@ -39,6 +40,11 @@
 	Late   boot.Duration `toml:"late"`   // from the end of a window until its report counts as late
 }
 
+// Stop configures the shutdown.
+type Stop struct {
+	Grace boot.Duration `toml:"grace"`
+}
+
 // Listen holds the addresses that this instance listens on.
 type Listen struct {
 	HTTP string `toml:"http"`
@@ -126,6 +132,7 @@
 		Ledger: Ledger{TTL: boot.Duration(24 * time.Hour), MaxBytes: 256 << 20, HolderTimeout: boot.Duration(5 * time.Second)},
 		Member: Member{Lease: boot.Duration(3 * time.Second)},
 		Usage:  Usage{Late: boot.Duration(10 * time.Second)},
+		Stop:   Stop{Grace: boot.Duration(30 * time.Second)},
 	}
 }
 
@@ -139,7 +146,7 @@
 
 // Check implements boot.Checker.
 func (s *Settings) Check() (string, error) {
-	for _, check := range []func() (string, error){s.checkNames, s.checkGroup, s.checkOrder, s.checkPlan, s.checkLedgerAndMember, s.checkUsage} {
+	for _, check := range []func() (string, error){s.checkNames, s.checkGroup, s.checkOrder, s.checkPlan, s.checkLedgerAndMember, s.checkStop, s.checkUsage} {
 		if key, err := check(); err != nil {
 			return key, err
 		}
@@ -305,6 +312,10 @@
 	)
 }
 
+func (s *Settings) checkStop() (string, error) {
+	return firstError(keyCheck{"stop.grace", checkDuration(s.Stop.Grace, time.Second, time.Hour)})
+}
+
 func (s *Settings) checkUsage() (string, error) {
 	if s.Usage.Window == 0 {
 		return "", nil
--- a/keepd/folder.go
+++ b/keepd/folder.go
@@ -10,24 +10,26 @@
 	"verbenahaven.example/core/process/boot"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/disk"
+	"verbenahaven.example/core/process/exit"
 	"verbenahaven.example/platform"
 )
 
 // servePlatform runs a keeper on a platform until ctx ends. While writes to its
 // disk fail, it continues as a keeper without a disk, which only forwards
 // operators' calls.
-func servePlatform(ctx context.Context, metrics string) error {
+func servePlatform(ctx context.Context, metrics string, bound *exit.Bound) error {
 	onStart := func(*slog.Logger) {}
 	for {
 		settings, err := platform.Load()
 		if err != nil {
 			return boot.WithExitCode(boot.ExitSettings, err)
 		}
+		bound.SetGrace(settings.Bounds.Grace)
 		folder := settings.DataDir
 		if folder == "" {
-			return buildAndRun(ctx, settings, metrics, buildForwardingApp, onStart)
+			return buildAndRun(ctx, settings, metrics, bound, buildForwardingApp, onStart)
 		}
-		diskErr := buildAndRun(ctx, settings, metrics, buildPlatformApp, onStart)
+		diskErr := buildAndRun(ctx, settings, metrics, bound, buildPlatformApp, onStart)
 		if ctx.Err() != nil || !isWriteFailure(diskErr) {
 			return diskErr
 		}
@@ -36,7 +38,7 @@
 			defer cancel()
 			waitWritable(untilWritable, folder)
 		}()
-		err = buildAndRun(untilWritable, settings, metrics, buildForwardingApp, func(l *slog.Logger) {
+		err = buildAndRun(untilWritable, settings, metrics, bound, buildForwardingApp, func(l *slog.Logger) {
 			l.Error("the disk takes no writes; operators' calls are passed on meanwhile", "folder", folder, "err", diskErr)
 		})
 		cancel()
@@ -51,14 +53,18 @@
 
 // buildAndRun builds a keeper and runs it. It calls onStart with the keeper's
 // log, which is closed with the keeper.
-func buildAndRun(ctx context.Context, s *platform.Settings, metrics string, build buildFunc, onStart func(*slog.Logger)) error {
+func buildAndRun(ctx context.Context, s *platform.Settings, metrics string, bound *exit.Bound, build buildFunc, onStart func(*slog.Logger)) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	defer bound.Watch(ctx)() // if the disk fails and hangs, a new process may do better
 	k, cleanup, err := build(s, metricsSetting(metrics))
 	if err != nil {
 		return err
 	}
 	defer cleanup()
+	k.bound = bound
 	onStart(k.log)
-	return k.run(ctx)
+	return k.run(ctx, stop)
 }
 
 // isWriteFailure reports whether an error means that the disk is full or
--- a/keepd/main.go
+++ b/keepd/main.go
@@ -10,10 +10,12 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"k8s.io/klog/v2"
 
 	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/core/process/exit"
 	"verbenahaven.example/keepd/conf"
 )
 
@@ -30,9 +32,11 @@
 	defer klog.Flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	bound := exit.NewBound("keepd")
+	bound.Watch(ctx)
 	if *onPlatform {
 		boot.KeepOnHangup()
-		if err := servePlatform(ctx, *metrics); err != nil {
+		if err := servePlatform(ctx, *metrics, bound); err != nil {
 			// The keeper's own log is closed by now, so report on standard
 			// error.
 			fmt.Fprintln(os.Stderr, "keepd:", err)
@@ -40,22 +44,26 @@
 		}
 		return boot.ExitOK
 	}
-	if err := serveStandalone(ctx, *path); err != nil {
+	if err := serveStandalone(ctx, *path, bound); err != nil {
 		fmt.Fprintln(os.Stderr, "keepd:", err)
 		return boot.ExitCode(err)
 	}
 	return boot.ExitOK
 }
 
-func serveStandalone(ctx context.Context, path string) error {
+func serveStandalone(ctx context.Context, path string, bound *exit.Bound) error {
 	settings := conf.Default()
 	if err := boot.Load(path, settings); err != nil {
 		return err //nolint:wrapcheck // the error names the file and carries the exit code
 	}
+	bound.SetGrace(time.Duration(settings.Stop.Grace))
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	bound.Watch(ctx) // a member that failed ends like one that is told to
 	a, cleanup, err := buildApp(ctx, settings)
 	if err != nil {
 		return err
 	}
 	defer cleanup()
-	return a.run(ctx)
+	return a.run(ctx, stop, operatorStopTimeout(bound))
 }
--- a/keepd/platform.go
+++ b/keepd/platform.go
@@ -20,6 +20,7 @@
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/boot"
 	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/exit"
 	"verbenahaven.example/core/process/keys"
 	"verbenahaven.example/core/process/logger"
 	"verbenahaven.example/core/process/meter"
@@ -101,6 +102,7 @@
 	keys     tlsConfig
 	meter    *meter.Registry
 	log      *slog.Logger
+	bound    *exit.Bound
 }
 
 // metricsSetting is the address for metrics as "PORT/PATH", or empty for none.
@@ -226,9 +228,8 @@
 }
 
 // run serves until ctx ends, or the member of the log or the server for
-// operators fails.
-func (s *platformApp) run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+// operators fails. It cancels ctx when it begins to stop.
+func (s *platformApp) run(ctx context.Context, cancel context.CancelFunc) error {
 	defer cancel()
 	if s.node != nil {
 		serve.Register(s.links.server, s.lead)
@@ -271,7 +272,7 @@
 	}
 	<-ctx.Done()
 	s.log.Info("stopping", "name", s.settings.KeeperLink())
-	shutdownCtx, cancelShutdown := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	shutdownCtx, cancelShutdown := context.WithTimeout(context.WithoutCancel(ctx), operatorStopTimeout(s.bound))
 	defer cancelShutdown()
 	if err := operators.Stop(shutdownCtx); err != nil {
 		s.log.Warn("operators' calls cut short by the shutdown", "err", err)
@@ -325,6 +326,7 @@
 			s.log.Warn("settings not taken", "err", err)
 			return
 		}
+		s.bound.SetGrace(next.Bounds.Grace)
 		s.client.SetKeepers(next.KeeperLinks())
 		s.log.Info("settings reloaded", "seeds", next.Seeds)
 	})
--- a/keepd/script_test.go
+++ b/keepd/script_test.go
@@ -34,6 +34,7 @@
 		Dir: "testdata/script", Setup: setUp,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"run": postRun, "get": getPath, "exits": expectExit, "occupy": occupyHTTPPort, "append": appendFile, "terminate": terminate, "replace": replace,
+			"hold": holdFIFO, "stall": stallCall, "platform": writePlatformSettings,
 		},
 	})
 }
@@ -139,11 +140,56 @@
 	ts.Defer(func() { _ = l.Close() })
 }
 
-// terminate sends SIGTERM to all background commands.
+// killAfter is how long after SIGTERM a command that still runs is killed: more than any
+// grace of the scripts.
+const killAfter = 4 * time.Second
+
+// terminate sends SIGTERM to the background command that was started last.
 func terminate(ts *testscript.TestScript, _ bool, _ []string) {
-	for _, c := range ts.BackgroundCmds() {
-		ts.Check(c.Process.Signal(syscall.SIGTERM))
+	commands := ts.BackgroundCmds()
+	process := commands[len(commands)-1].Process
+	ts.Check(process.Signal(syscall.SIGTERM))
+	kill := time.AfterFunc(killAfter, func() { _ = process.Kill() })
+	ts.Defer(func() { kill.Stop() })
+}
+
+// holdFIFO implements hold FIFO: it waits until a process reads the FIFO, and lets it wait
+// for data until the script ends.
+func holdFIFO(ts *testscript.TestScript, _ bool, args []string) {
+	for range 2000 {
+		fd, err := syscall.Open(ts.MkAbs(args[0]), syscall.O_WRONLY|syscall.O_NONBLOCK|syscall.O_CLOEXEC, 0)
+		if err == nil {
+			ts.Defer(func() { _ = syscall.Close(fd) })
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
 	}
+	ts.Fatalf("nothing reads %s", args[0])
+}
+
+// stallCall implements stall: it sends a part of a call, and no more until the script ends.
+func stallCall(ts *testscript.TestScript, _ bool, _ []string) {
+	c, err := net.Dial("tcp", ts.Getenv("HTTP"))
+	ts.Check(err)
+	ts.Defer(func() { _ = c.Close() })
+	_, err = io.WriteString(c, "POST /run HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+operatorToken+"\r\nContent-Length: 9\r\n\r\n{")
+	ts.Check(err)
+}
+
+// writePlatformSettings implements platform FILE: it writes the settings of a platform for
+// a keeper without a disk and a grace of 2 s.
+func writePlatformSettings(ts *testscript.TestScript, _ bool, args []string) {
+	text := fmt.Sprintf(`node_name = "m"
+ip = "127.0.0.1"
+zone = "z"
+internal_ports = [1,2]
+seeds = [%[1]q]
+[listen]
+control = %[1]q
+[bounds]
+grace_s = 2
+`, ts.Getenv("HTTP"))
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
 }
 
 // appendFile implements append FILE OTHER: it appends the content of OTHER.
