entryd/plain: the outcome to record is fixed before the answer

A run-once call whose outcome the ledger refused at first is recorded in the background. That read the call's state while the call went on to its answer: a data race, in which the same values were written again, so no wrong outcome was recorded.

TestOutcomeIsRecordedBesideAnswer failed with the race detector before (once.go:233 read, once.go:215 written) and passes now: the request is built before the first attempt.

--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -102,20 +102,29 @@
 
 // callLedger performs one step at the ledger. Steps are idempotent.
 func (o *onceCall) callLedger(ctx context.Context, step proto.OnceStep, limit time.Duration) (proto.OnceReply, error) {
+	return o.askLedger(ctx, o.newRequest(step), limit)
+}
+
+func (o *onceCall) newRequest(step proto.OnceStep) proto.OnceRequest {
 	r := o.baseRequest
 	r.Step = step
 	if step == proto.OnceFinish {
 		v := o.state.Result()
 		r.OutcomeUnknown, r.Status, r.ContentType, r.Body = o.state.OutcomeUnknown(), v.Status, v.Type, v.Body
 	}
+	return r
+}
+
+// askLedger doesn't use the state of the call, so that it may run beside it.
+func (o *onceCall) askLedger(ctx context.Context, r proto.OnceRequest, limit time.Duration) (proto.OnceReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	reply, err := o.keeper.Once(ctx, r)
 	if err != nil {
-		o.meter.Count("once", string(step), "failed")
+		o.meter.Count("once", string(r.Step), "failed")
 		return reply, err //nolint:wrapcheck // only counted and classified
 	}
-	o.meter.Count("once", string(step), string(reply.Verdict))
+	o.meter.Count("once", string(r.Step), string(reply.Verdict))
 	return reply, nil
 }
 
@@ -187,11 +196,12 @@
 // in the background after the caller got its answer.
 func (o *onceCall) finish(ctx context.Context) once.Action {
 	ctx = context.WithoutCancel(ctx)
-	if _, err := o.callLedger(ctx, proto.OnceFinish, ledgerTimeout); err != nil {
+	outcome := o.newRequest(proto.OnceFinish)
+	if _, err := o.askLedger(ctx, outcome, ledgerTimeout); err != nil {
 		o.recording.Add(1)
 		go func() {
 			defer o.recording.Done()
-			if _, err := o.callLedger(ctx, proto.OnceFinish, backgroundRecordTimeout); err != nil {
+			if _, err := o.askLedger(ctx, outcome, backgroundRecordTimeout); err != nil {
 				o.meter.Count("once", "unrecorded")
 			}
 		}()
--- /dev/null
+++ b/entryd/plain/record_test.go
@@ -0,0 +1,76 @@
+package plain
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/conn/pool"
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/retry"
+	"verbenahaven.example/core/request/route"
+	"verbenahaven.example/core/version/state"
+	"verbenahaven.example/core/version/view"
+	"verbenahaven.example/entryd/picker"
+	"verbenahaven.example/entryd/screen"
+	"verbenahaven.example/entryd/trail"
+)
+
+// slowLedger lets calls begin and refuses the first record of an outcome.
+type slowLedger struct {
+	proto.Keeper
+	records atomic.Int32
+	later   func(context.Context, proto.OnceRequest) error // takes the next records
+}
+
+func (l *slowLedger) Once(ctx context.Context, r proto.OnceRequest) (proto.OnceReply, error) {
+	switch {
+	case r.Step == proto.OnceBegin:
+		return proto.OnceReply{Verdict: proto.VerdictProceed}, nil
+	case l.records.Add(1) == 1:
+		return proto.OnceReply{}, errors.New("no leader")
+	}
+	return proto.OnceReply{Verdict: proto.VerdictRecorded}, l.later(ctx, r)
+}
+
+// callOnce runs a run-once call whose outcome is recorded after its answer.
+func callOnce(t *testing.T, later func(context.Context, proto.OnceRequest) error) (*Dispatcher, *meter.Registry) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "granted") }))
+	t.Cleanup(server.Close)
+	g, store, m, c := picker.New("entry1", "north", route.PolicyLoad), view.New(), meter.New(), clock.System()
+	if err := store.Apply(state.View{Version: 1, Servers: []state.Server{{Name: "s", URL: server.URL, Service: "permit", Phase: state.PhaseServing}}}); err != nil {
+		t.Fatal(err)
+	}
+	g.SetSnapshot(store.Current())
+	p, cleanup := pool.New()
+	t.Cleanup(cleanup)
+	s, stop := New(Settings{Holder: "h", Retry: retry.NewPolicy(0.1, time.Millisecond)}, g, p, &slowLedger{later: later},
+		screen.New(nil, g, m, slog.New(slog.DiscardHandler), c), m, c)
+	t.Cleanup(stop)
+	call := &Call{ID: "c", Key: "k", Service: state.Service{Name: "permit", AtMostOnce: true}, Method: http.MethodPost, Target: "/", Record: &trail.Record{}}
+	if a, err := s.Do(t.Context(), call); err != nil || string(a.Body) != "granted" {
+		t.Fatalf("%q, %v", a.Body, err)
+	}
+	return s, m
+}
+
+// The outcome was read while the call went on to its answer, a data race.
+func TestOutcomeIsRecordedBesideAnswer(t *testing.T) {
+	recorded := make(chan string, 1)
+	callOnce(t, func(_ context.Context, r proto.OnceRequest) error {
+		recorded <- string(r.Body)
+		return nil
+	})
+	if got := <-recorded; got != "granted" {
+		t.Errorf("recorded %q", got)
+	}
+}
