entryd: ends within its grace on the own interface too

What operators saw: after SIGTERM an instance whose log, disk or ledger hung lived on after stop.grace. Outcomes of run-once calls that the ledger didn't take were waited for up to 20 s, however short the grace was.

Cause: only the platform's interface had a forced exit; the clean-up waited for recording without looking at the grace.

The own interface takes the bound of core/process/exit (0.98 of stop.grace from the signal). Calls have until 0.96 of it, as on a platform, and no longer all of it; outcomes until 0.97. Those that aren't recorded then are given up, logged with the call and counted (once.unrecorded). An outcome whose first attempt still runs counts too. The line "leaving" is written after the calls' cut is set, which it delayed if nobody read the log.

TestInstanceThatHangsEndsWithinGrace (standard error that nobody reads) ran 4 s after the signal before, with a grace of 1 s, and TestShutdownGivesUpOutcomesThatLedgerDoesNotTake waited for 20.0 s.

--- a/entryd/app.go
+++ b/entryd/app.go
@@ -18,6 +18,7 @@
 	"verbenahaven.example/entryd/front"
 	"verbenahaven.example/entryd/infer"
 	"verbenahaven.example/entryd/listed"
+	"verbenahaven.example/entryd/plain"
 	"verbenahaven.example/entryd/poll"
 	"verbenahaven.example/entryd/quota"
 	"verbenahaven.example/entryd/screen"
@@ -30,6 +31,9 @@
 	// leaveGraceShare is the share of stop.grace that may pass until the other
 	// instances know that this one is leaving; the rest is for its requests.
 	leaveGraceShare = 0.5
+	// recordShare is the share of stop.grace after which outcomes of run-once calls that
+	// aren't recorded are given up.
+	recordShare = 0.97
 )
 
 // app is one entry instance.
@@ -41,6 +45,7 @@
 	poll     *poll.Poll
 	quota    *quota.Quota
 	infer    *infer.Dispatcher
+	plain    *plain.Dispatcher
 	strikes  *infer.Strikes
 	screen   *screen.Screen
 	listed   *listed.Listed
@@ -86,20 +91,26 @@
 // in progress. Those that still run shortly before the end of the grace are cut, so that
 // their callers learn whether they ran.
 func (a *app) stop(ctx context.Context, server *drain.Server, cut func()) error {
-	klog.InfoS("leaving", "name", a.settings.Name)
-	grace := time.Duration(a.settings.Stop.Grace)
-	ctx, cancel := context.WithTimeout(ctx, grace)
+	began := time.Now()
+	grace := float64(a.settings.Stop.Grace)
+	recording, cancelRecording := context.WithDeadline(ctx, began.Add(time.Duration(recordShare*grace)))
+	defer cancelRecording()
+	ctx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(endShare*grace)))
 	defer cancel()
-	untilCut := time.Duration(cutShare * float64(grace))
+	untilCut := time.Duration(cutShare * grace)
 	defer time.AfterFunc(untilCut, cut).Stop()
 	a.beat.Leave()
-	a.front.BeginShutdown(time.Now().Add(untilCut))
+	a.front.BeginShutdown(began.Add(untilCut))
 	server.Leave()
+	klog.InfoS("leaving", "name", a.settings.Name)
 	a.awaitLeaveConfirmed(ctx)
 	clock.Sleep(ctx, time.Duration(a.settings.Address.Life))
 	err := server.Stop(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
+	if err != nil {
 		_ = server.Close()
+	}
+	a.plain.EndRecording(recording)
+	if errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("requests were still running at the end of stop.grace: %w", err)
 	}
 	if err != nil {
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -31,12 +32,12 @@
 		return boot.ExitUsage
 	}
 	defer klog.Flush()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	bound := exit.NewBound("entryd")
+	bound.Watch(ctx)
 	if *onPlatform {
 		boot.KeepOnHangup()
-		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-		defer stop()
-		bound := exit.NewBound("entryd")
-		bound.Watch(ctx)
 		if err := serveSite(ctx, *metrics, bound); err != nil {
 			// The log has been closed by now.
 			fmt.Fprintln(os.Stderr, "entryd:", err)
@@ -49,8 +50,7 @@
 		klog.ErrorS(err, "start")
 		return boot.ExitCode(err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	bound.SetGrace(time.Duration(s.Stop.Grace))
 	a, cleanup, err := build(s)
 	if err != nil {
 		klog.ErrorS(err, "start")
--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
@@ -195,17 +197,19 @@
 // finish records the outcome. If the ledger can't be reached, recording goes on
 // in the background after the caller got its answer.
 func (o *onceCall) finish(ctx context.Context) once.Action {
-	ctx = context.WithoutCancel(ctx)
+	ctx, done := o.recorder.begin(ctx)
 	outcome := o.newRequest(proto.OnceFinish)
-	if _, err := o.askLedger(ctx, outcome, ledgerTimeout); err != nil {
-		o.recording.Add(1)
-		go func() {
-			defer o.recording.Done()
-			if _, err := o.askLedger(ctx, outcome, backgroundRecordTimeout); err != nil {
-				o.meter.Count("once", "unrecorded")
-			}
-		}()
+	if _, err := o.askLedger(ctx, outcome, ledgerTimeout); err == nil {
+		done()
+		return o.state.OnOutcomeRecorded()
 	}
+	go func() {
+		defer done()
+		if _, err := o.askLedger(ctx, outcome, backgroundRecordTimeout); err != nil {
+			o.meter.Count("once", "unrecorded")
+			klog.ErrorS(err, "outcome of a run-once call not recorded", "call", o.call.ID, "service", o.call.Service.Name)
+		}
+	}()
 	return o.state.OnOutcomeRecorded()
 }
 
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -48,15 +48,15 @@
 
 // Dispatcher proxies calls to plain services.
 type Dispatcher struct {
-	settings  Settings
-	balancer  *picker.Balancer
-	pool      *pool.Pool
-	keeper    proto.Keeper
-	screen    *screen.Screen
-	meter     *meter.Registry
-	clock     clock.Clock
-	recording sync.WaitGroup
-	slowest   *leave.Slowest[string] // calls, by service
+	settings Settings
+	balancer *picker.Balancer
+	pool     *pool.Pool
+	keeper   proto.Keeper
+	screen   *screen.Screen
+	meter    *meter.Registry
+	clock    clock.Clock
+	recorder *recorder
+	slowest  *leave.Slowest[string] // calls, by service
 
 	mutex   sync.Mutex
 	budgets *retry.Budgets
@@ -67,10 +67,18 @@
 func New(
 	s Settings, g *picker.Balancer, p *pool.Pool, k proto.Keeper, n *screen.Screen, m *meter.Registry, c clock.Clock,
 ) (*Dispatcher, func()) {
-	v := &Dispatcher{settings: s, balancer: g, pool: p, keeper: k, screen: n, meter: m, clock: c, budgets: retry.NewBudgets(s.Retry), slowest: leave.NewSlowest[string]()}
-	return v, v.recording.Wait
+	r, closeRecorder := newRecorder()
+	v := &Dispatcher{settings: s, balancer: g, pool: p, keeper: k, screen: n, meter: m, clock: c, budgets: retry.NewBudgets(s.Retry), slowest: leave.NewSlowest[string](), recorder: r}
+	return v, func() {
+		v.EndRecording(context.Background())
+		closeRecorder()
+	}
 }
 
+// EndRecording waits until outcomes in progress are recorded. When ctx ends, it gives up
+// those that aren't.
+func (s *Dispatcher) EndRecording(ctx context.Context) { s.recorder.end(ctx) }
+
 // Call is one call of a plain service.
 type Call struct {
 	ID        string
--- a/entryd/plain/record_test.go
+++ b/entryd/plain/record_test.go
@@ -74,3 +74,24 @@
 		t.Errorf("recorded %q", got)
 	}
 }
+
+// An instance that shut down waited up to 20 s for a ledger that couldn't be reached.
+func TestShutdownGivesUpOutcomesThatLedgerDoesNotTake(t *testing.T) {
+	hangs := make(chan struct{})
+	s, m := callOnce(t, func(ctx context.Context, _ proto.OnceRequest) error {
+		close(hangs)
+		<-ctx.Done()
+		return ctx.Err() //nolint:wrapcheck // a test
+	})
+	<-hangs
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	s.EndRecording(ctx)
+	if took := time.Since(began); took < 50*time.Millisecond || took > 5*time.Second {
+		t.Errorf("ended after %v", took)
+	}
+	if n := m.Value("once", "unrecorded"); n != 1 {
+		t.Errorf("%d outcomes counted as unrecorded", n)
+	}
+}
--- a/entryd/process_test.go
+++ b/entryd/process_test.go
@@ -13,6 +13,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"verbenahaven.example/core/process/boot"
+	"verbenahaven.example/core/process/keys"
 )
 
 const runMainVariable = "ENTRYD_TEST_RUN_MAIN"
@@ -31,11 +34,12 @@
 	exited chan struct{}
 }
 
-func startProcess(t *testing.T, env []string, args ...string) *process {
+func startProcess(t *testing.T, configure func(*exec.Cmd), args ...string) *process {
 	t.Helper()
 	p := &process{Cmd: exec.CommandContext(t.Context(), os.Args[0], args...), exited: make(chan struct{})}
-	p.Env = append(append(os.Environ(), runMainVariable+"=1"), env...)
+	p.Env = append(os.Environ(), runMainVariable+"=1")
 	p.Stdout, p.Stderr = &p.output, &p.output
+	configure(p.Cmd)
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -140,7 +144,7 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		p = startProcess(t, []string{"VERBENAHAVEN_BOOT=" + path}, "-platform")
+		p = startProcess(t, func(c *exec.Cmd) { c.Env = append(c.Env, "VERBENAHAVEN_BOOT="+path) }, "-platform")
 		address = "127.0.0.1:" + strconv.Itoa(first+4)
 		if p.awaitAnswer(t, address) {
 			return p, address
@@ -163,3 +167,70 @@
 		})
 	}
 }
+
+// fullPipe returns a pipe whose reader doesn't read and that takes no more.
+func fullPipe(t *testing.T) *os.File {
+	t.Helper()
+	var fds [2]int
+	if err := syscall.Pipe2(fds[:], syscall.O_CLOEXEC|syscall.O_NONBLOCK); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fds[0]) })
+	for {
+		if _, err := syscall.Write(fds[1], make([]byte, 1)); err != nil {
+			break
+		}
+	}
+	if err := syscall.SetNonblock(fds[1], false); err != nil {
+		t.Fatal(err)
+	}
+	w := os.NewFile(uintptr(fds[1]), "full")
+	t.Cleanup(func() { _ = w.Close() })
+	return w
+}
+
+// A process on the own interface outlived its grace while something hung, here its log.
+func TestInstanceThatHangsEndsWithinGrace(t *testing.T) {
+	folder, from := t.TempDir(), time.Now().Add(-time.Hour)
+	if err := keys.CreateAuthority(folder, "test", from, 2*time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	if err := keys.IssueCertificate(folder, "e", from, 2*time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	first := freePorts(t, 3)
+	path := filepath.Join(folder, "entryd.toml")
+	text := fmt.Sprintf(`name = "e"
+centre = "north"
+[listen]
+http = "127.0.0.1:%d"
+link = "127.0.0.1:%d"
+[keys]
+authority = "fleet.crt"
+cert = "e.crt"
+key = "e.key"
+[keepers]
+k = "127.0.0.1:%d"
+[stop]
+grace = "1s"
+`, first, first+1, first+2)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := startProcess(t, func(c *exec.Cmd) {
+		c.Dir, c.Stderr = folder, fullPipe(t)
+		c.Env = append(c.Env, "GORACE=atexit_sleep_ms=0") // the race detector would wait for a second at the exit
+	}, "-settings", path)
+	if !p.awaitAnswer(t, "127.0.0.1:"+strconv.Itoa(first)) {
+		t.Fatal("not answering")
+	}
+	p.terminate(t)
+	select {
+	case <-p.exited:
+		if code := p.ProcessState.ExitCode(); code != boot.ExitFailure {
+			t.Errorf("exit code %d", code)
+		}
+	case <-time.After(4 * time.Second):
+		t.Error("still running 4 s after the signal, with a grace of 1 s")
+	}
+}
--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -75,6 +75,7 @@
 		poll:     pollPoll,
 		quota:    quota,
 		infer:    dispatcher,
+		plain:    plainDispatcher,
 		strikes:  strikes,
 		screen:   screenScreen,
 		listed:   listed,
