--- a/entryd/process_test.go
+++ b/entryd/process_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -10,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -30,15 +30,29 @@
 // process is an entryd of its own.
 type process struct {
 	*exec.Cmd
-	output bytes.Buffer // complete once exited is closed
+	output string // path of what it writes
 	exited chan struct{}
 }
 
+func (p *process) wrote(t *testing.T) string {
+	t.Helper()
+	b, err := os.ReadFile(p.output)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
 func startProcess(t *testing.T, configure func(*exec.Cmd), args ...string) *process {
 	t.Helper()
-	p := &process{Cmd: exec.CommandContext(t.Context(), os.Args[0], args...), exited: make(chan struct{})}
+	output, err := os.Create(filepath.Join(t.TempDir(), "output"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer output.Close()
+	p := &process{Cmd: exec.CommandContext(t.Context(), os.Args[0], args...), output: output.Name(), exited: make(chan struct{})}
 	p.Env = append(os.Environ(), runMainVariable+"=1")
-	p.Stdout, p.Stderr = &p.output, &p.output
+	p.Stdout, p.Stderr = output, output
 	configure(p.Cmd)
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
@@ -51,7 +65,7 @@
 		_ = p.Process.Kill()
 		<-p.exited
 		if t.Failed() {
-			t.Logf("output:\n%s", &p.output)
+			t.Logf("output:\n%s", p.wrote(t))
 		}
 	})
 	return p
@@ -123,11 +137,11 @@
 	return true
 }
 
-// startOnPlatform starts an entry instance with a line of bounds and returns its address
-// for callers.
-func startOnPlatform(t *testing.T, bound string) (p *process, address string) {
+// startOnPlatform starts an entry instance with a line of bounds. It returns its address for
+// callers, and the path of its settings, which end with that line.
+func startOnPlatform(t *testing.T, bound string) (p *process, address, path string) {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "boot.toml")
+	path = filepath.Join(t.TempDir(), "boot.toml")
 	for range 5 { // another program may take a port first
 		first := freePorts(t, 6)
 		text := fmt.Sprintf(`node_name = "m"
@@ -147,18 +161,18 @@
 		p = startProcess(t, func(c *exec.Cmd) { c.Env = append(c.Env, "VERBENAHAVEN_BOOT="+path) }, "-platform")
 		address = "127.0.0.1:" + strconv.Itoa(first+4)
 		if p.awaitAnswer(t, address) {
-			return p, address
+			return p, address, path
 		}
 	}
 	t.Fatal("not answering")
-	return nil, ""
+	return nil, "", ""
 }
 
 // A process without a grace ended with the signal, and running calls had no answer.
 func TestInstanceWithoutGraceServesAfterSignal(t *testing.T) {
 	for _, bound := range []string{"", "grace_s = 0", "grace_s = -1"} {
 		t.Run(bound, func(t *testing.T) {
-			p, address := startOnPlatform(t, bound)
+			p, address, _ := startOnPlatform(t, bound)
 			p.terminate(t)
 			time.Sleep(time.Second)
 			if !answers(t, address) {
@@ -168,6 +182,29 @@
 	}
 }
 
+// A change of the grace didn't count until the next start.
+func TestChangedGraceAppliesToNextSignal(t *testing.T) {
+	p, address, path := startOnPlatform(t, "grace_s = 1")
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte(strings.Replace(string(b), "grace_s = 1", "grace_s = 8", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for range 1000 { // a second of polling and a reserve
+		if strings.Contains(p.wrote(t), "settings reloaded") {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.terminate(t)
+	time.Sleep(1500 * time.Millisecond)
+	if !answers(t, address) {
+		t.Error("no answer 1.5 s after the signal")
+	}
+}
+
 // fullPipe returns a pipe whose reader doesn't read and that takes no more.
 func fullPipe(t *testing.T) *os.File {
 	t.Helper()
