relay: use no engine of another pool that a broker names

What callers saw: an instance whose broker was a version behind, or ahead, could send a generation of one pool to an engine that it knows in another pool, which runs another model.

Cause: a broker's reply was checked for engines that had left and for the build, not for the pool. The engine from which parts of the prompt are fetched wasn't checked at all, so that a leaving one could be asked.

Evidence: TestRepliesOfBrokersNeverGoBack plays brokers of any state while engines come, leave and change pools.

Why it works: the reply is only used as far as the state of the asking instance allows it; else that instance decides itself, as before for engines that had left.

--- a/entryd/relay/behind_test.go
+++ b/entryd/relay/behind_test.go
@@ -10,7 +10,9 @@
 
 	"pgregory.net/rapid"
 
+	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/conn/server"
+	"verbenahaven.example/core/request/sched"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
 )
@@ -108,3 +110,74 @@
 		})
 	})
 }
+
+// replyingBroker gives one reply, whatever is asked.
+type replyingBroker struct {
+	silentBroker
+	reply proto.PlaceReply
+}
+
+func (b *replyingBroker) Ask(context.Context, string, *proto.PlaceRequest) (*proto.PlaceReply, error) {
+	return &b.reply, nil
+}
+
+// Plays brokers that stood still or are ahead while engines leave, come and move between pools:
+// a generation goes to no engine that isn't a serving one of its pool and build, as the asking
+// instance knows them.
+func TestRepliesOfBrokersNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"e0", "e1", "e2"}
+		urlOf := func(name string) string { return "http://" + name + ":1" }
+		b, f, version := &replyingBroker{}, newTestFleet(), uint64(0)
+		f.broker = b
+		change := func(t *rapid.T) {
+			version++
+			v := state.View{Version: version}
+			for _, name := range names {
+				e := state.Engine{Name: name, URL: urlOf(name), Centre: "z", Version: version, Role: state.RoleMixed}
+				e.Pool = rapid.SampledFrom([]string{"m", "m", "n"}).Draw(t, "pool")
+				e.Build = rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "build")
+				e.Phase = rapid.SampledFrom([]state.Phase{state.PhaseServing, state.PhaseServing, state.PhaseLeaving}).Draw(t, "phase")
+				if rapid.IntRange(0, 4).Draw(t, "listed") > 0 {
+					v.Engines = append(v.Engines, e)
+				}
+			}
+			store := view.New()
+			if err := store.Apply(v); err != nil {
+				t.Fatal(err)
+			}
+			f.SetSnapshot(store.Current())
+			f.delegate.SetBroker("broker")
+		}
+		fits := func(name string, build *string) bool {
+			e, found := f.Snapshot().Engine(name)
+			return found && e.Phase == state.PhaseServing && e.Pool == "m" && (build == nil || e.Build == *build)
+		}
+		ask := func(t *rapid.T) {
+			engine := rapid.SampledFrom([]string{"", "e0", "e1", "e2", "unknown"})
+			b.reply = proto.PlaceReply{Decode: engine.Draw(t, "decode"), Prefill: engine.Draw(t, "prefill")}
+			from := engine.Draw(t, "fetch")
+			if from != "" {
+				b.reply.Fetch = urlOf(from)
+			}
+			r := &sched.Request{}
+			r.ID, r.Pool, r.Prompt = "1", "m", &server.Prompt{Tokens: 10, MaxOutput: 10}
+			if rapid.Bool().Draw(t, "resumes") {
+				r.Build = new("v1")
+			}
+			k, err := f.schedule(t.Context(), time.Now(), r)
+			if err != nil {
+				return // no engine fits
+			}
+			defer k.end(0, 0)
+			p := &k.Plan
+			if !fits(p.Decode.Name, r.Build) || p.Prefill.Name != "" && !fits(p.Prefill.Name, nil) {
+				t.Fatalf("placed at %+v and %+v after the reply %+v", p.Prefill, p.Decode, b.reply)
+			}
+			if p.FetchURL != "" && (p.FetchURL != b.reply.Fetch || !fits(from, nil)) {
+				t.Fatalf("fetches from %s after the reply %+v", p.FetchURL, b.reply)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){"change": change, "ask": ask})
+	})
+}
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -47,6 +47,7 @@
 	notices           *notice.Table
 	leaving           map[string]bool      // servers that say that they are leaving, as the placement knows them
 	limitsTold        map[string]time.Time // last message to the broker, by limited server
+	engineNames       map[string]string    // of snapshot, by URL
 	serving           []state.Member       // of snapshot; kept, since limits are looked up for each request
 	isBroker          bool
 	origins           *origin.Table
--- a/entryd/relay/notice.go
+++ b/entryd/relay/notice.go
@@ -118,7 +118,9 @@
 // updateStarts sets the servers of the snapshot. The caller holds the mutex.
 func (f *Fleet) updateStarts() {
 	starts := make(map[string]string)
+	f.engineNames = make(map[string]string)
 	for _, e := range f.snapshot.Engines() {
+		f.engineNames[e.URL] = e.Name
 		starts[e.Name] = startID(e.URL, e.Build, e.StartSerial)
 	}
 	for _, s := range f.snapshot.AllServers() {
@@ -168,6 +170,20 @@
 	return f.asHeard(e), found
 }
 
+// servingEngine returns an engine that may take requests of a pool. The caller holds the
+// mutex.
+func (f *Fleet) servingEngine(pool, name string) (state.Engine, bool) {
+	e, found := f.engine(name)
+	return e, found && e.Pool == pool && e.Phase == state.PhaseServing
+}
+
+// mayFetch reports whether the engine at a URL may be asked for what it keeps of a prompt.
+// The caller holds the mutex.
+func (f *Fleet) mayFetch(pool, url string) bool {
+	_, found := f.servingEngine(pool, f.engineNames[url])
+	return found
+}
+
 // sendOwn counts a request of the instance's own to the server at an address.
 func (f *Fleet) sendOwn(now time.Time, address string) (name string, k *notice.Ticket, err error) {
 	f.mutex.Lock()
--- a/entryd/relay/ticket.go
+++ b/entryd/relay/ticket.go
@@ -82,7 +82,7 @@
 		return nil
 	}
 	t := &ticket{fleet: f, id: r.ID, pool: r.Pool, broker: link}
-	if !t.apply(reply, r.Build, f.engine) {
+	if !t.apply(reply, r.Build, f.servingEngine) {
 		f.meter.Count("broker", "not_used")
 		f.broker.Tell(link, &proto.PlaceEvent{Kind: proto.PlaceEnded, ID: r.ID})
 		return nil
@@ -95,24 +95,28 @@
 }
 
 // apply sets the decision to that of a reply. It returns false if the reply
-// names no engine, or one that isn't serving or of another build than asked for
-// as far as this instance knows: then it decides itself.
-func (t *ticket) apply(r *proto.PlaceReply, build *string, engine func(string) (state.Engine, bool)) bool {
+// names no engine, or one that isn't serving in the pool or is of another build than asked
+// for, as far as this instance knows: then it decides itself. An engine that can't be
+// fetched from is left out.
+func (t *ticket) apply(r *proto.PlaceReply, build *string, engine func(pool, name string) (state.Engine, bool)) bool {
 	if r.Refused && r.Decode == "" {
 		t.Refused, t.RetryAfter = true, r.RetryAfter
 		return true
 	}
-	decode, found := engine(r.Decode)
-	if !found || decode.Phase != state.PhaseServing || build != nil && decode.Build != *build {
+	decode, found := engine(t.pool, r.Decode)
+	if !found || build != nil && decode.Build != *build {
 		return false
 	}
 	var prefill state.Engine
 	if r.Prefill != "" {
-		if prefill, found = engine(r.Prefill); !found || prefill.Phase != state.PhaseServing {
+		if prefill, found = engine(t.pool, r.Prefill); !found {
 			return false
 		}
 	}
-	t.Plan.Prefill, t.Plan.Decode, t.Plan.FetchURL = prefill, decode, r.Fetch
+	t.Plan.Prefill, t.Plan.Decode = prefill, decode
+	if t.fleet.mayFetch(t.pool, r.Fetch) {
+		t.Plan.FetchURL = r.Fetch
+	}
 	t.Plan.TimeToFirstEvent, t.Plan.PrefillTokens = r.Expected, r.PrefillTokens
 	t.Plan.QueuedTokens, t.Plan.QueueWait = r.QueuedTokens, r.QueueWait
 	t.Deferred, t.Refused, t.RetryAfter, t.Margin, t.Limit = r.Deferred, r.Refused, r.RetryAfter, r.Margin, r.Limit
