notice: the leader keeps what each start of a server said

What callers saw: while lists of instances differ, an instance that knows the earlier start of a server and heard later that it was leaving took the leader's record of the next start with it. The others then didn't learn that the next one is leaving too, and sent it requests that had to be retried.

Cause: the leader kept one statement for each server, whichever start had made it.

Why it works: statements are kept by server and start, for 30 s as before, so each instance finds the one for the start that it lists.

--- a/core/request/notice/notice.go
+++ b/core/request/notice/notice.go
@@ -328,4 +328,6 @@
 	return proto.ServerNotice{Server: server, Start: r.start, Leaving: r.leaving, Age: now.Sub(r.leavingAt)}
 }
 
-func compare(a, b proto.ServerNotice) int { return cmp.Compare(a.Server, b.Server) }
+func compare(a, b proto.ServerNotice) int {
+	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Start, b.Start))
+}
