pace: an older limit doesn't follow its end

What callers saw: an instance that learned the end of a server's limit, and hadn't known the limit, threw the news away. A report of the limit from before, held up or brought back by a new leader, then kept its requests from the server for up to 10 s more.

Cause: the end of a limit that wasn't known wasn't kept, so the older statement counted as the newest.

Evidence: TestNewestStatementHolds brings statements in any order and repeatedly to an instance and to the leader. On the code before it failed after 20 tries, with an end that came before a limit 0.5 s older: "limited true, the newest is {Server:s Limited:false ...}".

Why it works: the end is kept like a limit, for 10 s. An instance that goes on to hear that there is none doesn't report it to the leader with each answer any more, which those that had known the limit did.

--- a/core/request/pace/pace.go
+++ b/core/request/pace/pace.go
@@ -81,7 +81,11 @@
 // that wasn't known, another one, or its end.
 func (t *Table) Hear(now time.Time, server string, limited bool, rate float64) bool {
 	old := t.current(now, server)
-	if old == nil && !limited {
+	switch {
+	case old == nil && !limited:
+		return false
+	case !limited && !old.limited && !old.unreported:
+		old.at = now // nobody else need hear it again
 		return false
 	}
 	changed := old == nil || old.limited != limited || limited && old.rate != rate
@@ -90,12 +94,13 @@
 }
 
 // Learn takes what other instances have heard. Older statements than those known
-// here are ignored.
+// here are ignored: the end of a limit that wasn't known is kept, since the limit may still be
+// on its way.
 func (t *Table) Learn(now time.Time, list []proto.ServerLimit) {
 	for _, l := range list {
 		at := now.Add(-l.Age)
 		old := t.current(now, l.Server)
-		if old != nil && !at.After(old.at) || old == nil && !l.Limited {
+		if old != nil && !at.After(old.at) {
 			continue
 		}
 		t.set(now, l.Server, statement{limited: l.Limited, rate: l.Rate, at: at, unreported: old != nil && old.unreported})
--- a/core/request/pace/pace_test.go
+++ b/core/request/pace/pace_test.go
@@ -214,6 +214,31 @@
 	}
 }
 
+// Statements that were held up came after newer ones, or came twice: the newest holds, at the
+// leader and at the instances.
+func TestNewestStatementHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, board := epoch.Add(memory), NewBoard()
+		table := New(func(string, float64) float64 { return 0 })
+		newest := proto.ServerLimit{Age: memory}
+		for _, n := range rapid.SliceOfN(rapid.IntRange(0, 20), 1, 12).Draw(t, "ages") {
+			age := time.Duration(n) * memory / 21
+			l := proto.ServerLimit{Server: "s", Limited: n%3 > 0, Rate: float64(n), Age: age}
+			table.Learn(now, []proto.ServerLimit{l})
+			board.Put(now, []proto.ServerLimit{l})
+			if age < newest.Age {
+				newest = l
+			}
+		}
+		if list := board.List(now); len(list) != 1 || list[0] != newest {
+			t.Fatalf("the leader says %+v, the newest is %+v", list, newest)
+		}
+		if limited := table.Wait(now, "s") > 0; limited != newest.Limited {
+			t.Fatalf("limited %v, the newest is %+v", limited, newest)
+		}
+	})
+}
+
 // What another instance said since, or a lost report, must not keep a limit from the leader.
 func TestHeardLimitIsReportedUntilLeaderHasIt(t *testing.T) {
 	table := New(func(string, float64) float64 { return 1 })
