watch: test that a follower asks for what it missed

A keeper's delta that starts after the follower's version, and an older state, had tests for what is kept, none for what is asked for next. It passed on the code as it is.

--- a/entryd/watch/confirm_test.go
+++ b/entryd/watch/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,6 +74,37 @@
 	}
 }
 
+// scriptedKeeper answers polls with one view after the other, and notes what is asked for.
+type scriptedKeeper struct {
+	proto.Keeper
+	views  []state.View
+	asked  []uint64
+	cancel context.CancelFunc
+}
+
+func (k *scriptedKeeper) Watch(_ context.Context, r proto.WatchRequest) (proto.WatchReply, error) {
+	k.asked = append(k.asked, r.AfterVersion)
+	if len(k.asked) > len(k.views) {
+		k.cancel()
+		return proto.WatchReply{}, errors.New("no answer")
+	}
+	return proto.WatchReply{View: k.views[len(k.asked)-1]}, nil
+}
+
+// A follower that had missed changes would have gone on without them, or gone back to a keeper
+// that had.
+func TestFollowerAsksForWhatItMissed(t *testing.T) {
+	clock, store := &setClock{elapsed: time.Minute}, view.New()
+	ctx, cancel := context.WithCancel(t.Context())
+	k := &scriptedKeeper{cancel: cancel, views: []state.View{{Version: 3}, {Version: 9, Since: 7}, {Version: 2}, {Version: 8}, {Version: 9, Since: 8}}}
+	w, cleanup := watch.New(watch.Settings{Name: "a", Fanout: 4}, store, k, noSubscriber{}, nil, meter.New(), clock)
+	defer cleanup()
+	w.Run(ctx)
+	if want := []uint64{0, 3, 0, 0, 8, 9}; !slices.Equal(k.asked, want) || store.Current().Version() != 9 {
+		t.Errorf("asked for the changes after %v, want %v; the state is %d", k.asked, want, store.Current().Version())
+	}
+}
+
 // A heartbeat confirms only a state that the instance has.
 func TestHeartbeatConfirmsKnownState(t *testing.T) {
 	clock, store := &setClock{elapsed: time.Minute}, view.New()
