--- a/core/version/roster/behind_test.go
+++ b/core/version/roster/behind_test.go
@@ -85,3 +85,15 @@
 		t.Errorf("drained %d times: too little was played", drained)
 	}
 }
+
+// A report of an engine that an instance had held up took the place of a newer one.
+func TestOlderReportOfEngineIsDropped(t *testing.T) {
+	r := roster.New(0, settings())
+	for n, at := range []int64{5, 7, 6, 7, 3} {
+		report := proto.Report{Engine: "e", At: time.Unix(at, 0), Alive: true, Running: n}
+		r.RecordHeartbeat(0, proto.HeartbeatRequest{Member: members[n%2], Reports: []proto.Report{report}})
+	}
+	if p, _ := r.Report("e"); p.At.Unix() != 7 || p.Running != 3 {
+		t.Errorf("the newest report is %+v", p)
+	}
+}
