lead: notices in heartbeats are checked like those in datagrams

A heartbeat that names a statement of the future, by a negative age, would have kept a server from all instances for that long.

Cause: the leader checked the limits of a heartbeat for impossible values, not its notices; brokers check both. The age is the number by which receivers decide which statement is newer.

Evidence: TestHostileValuesOfHeartbeatAreDropped with notices without a server, with a negative age and with a start of 513 bytes: on the code before all were kept.

Result: go test ./lead -run 'Hostile|Notice|Heartbeat' in keepd passes.

--- a/keepd/lead/valid.go
+++ b/keepd/lead/valid.go
@@ -39,6 +39,9 @@
 	q.Limits = keepValid(q.Limits, &dropped, func(s proto.ServerLimit) bool {
 		return validName(s.Server) && validValues(s.Rate, s.Age.Seconds())
 	})
+	q.Notices = keepValid(q.Notices, &dropped, func(n proto.ServerNotice) bool {
+		return validName(n.Server) && len(n.Start) <= maxTextBytes && validValues(n.Age.Seconds())
+	})
 	if dropped > 0 {
 		l.meter.Count("heartbeat", "invalid")
 		klog.InfoS("values of a heartbeat dropped", "member", q.Member.Name, "values", dropped)
--- a/keepd/lead/valid_test.go
+++ b/keepd/lead/valid_test.go
@@ -23,10 +23,11 @@
 		OwnWork: []proto.EngineWork{{Engine: "e", Streams: 1}, {Engine: "e", PrefillTokens: -1}, {Engine: "e", KVTokens: math.MaxInt}, {Engine: strings.Repeat("x", maxTextBytes+1)}},
 		Speeds:  []proto.EngineSpeed{{Engine: "e", Prefills: 1}, {Engine: "e", Seconds: math.NaN()}, {Engine: "e", Tokens: 1e300}},
 		Limits:  []proto.ServerLimit{{Server: "e", Rate: 1}, {Server: "e", Rate: math.NaN()}, {Server: "e", Age: -time.Hour}},
+		Notices: []proto.ServerNotice{{Server: "e", Start: "1"}, {Server: "e", Age: -time.Hour}, {Start: "1"}, {Server: "e", Start: strings.Repeat("x", maxTextBytes+1)}},
 		Reports: []proto.Report{{Engine: "e", KVUsage: 0.5}, {Engine: "e", KVUsage: math.NaN()}, {Engine: "e", Running: -1}, {Engine: "e", TPOT: -1}},
 	}
 	l.dropInvalid(&q)
-	if len(q.Demand) != 1 || len(q.OwnWork) != 1 || len(q.Speeds) != 1 || len(q.Limits) != 1 || len(q.Reports) != 1 {
+	if len(q.Demand) != 1 || len(q.OwnWork) != 1 || len(q.Speeds) != 1 || len(q.Limits) != 1 || len(q.Notices) != 1 || len(q.Reports) != 1 {
 		t.Errorf("%+v", q)
 	}
 	if n := l.meter.Value("heartbeat", "invalid"); n != 1 {
