--- a/core/version/state/strike_test.go
+++ b/core/version/state/strike_test.go
@@ -25,3 +25,18 @@
 		t.Fatalf("%d strikes after a new request; the one that expires first is kept: %v", len(s.strikes.rows), found)
 	}
 }
+
+// A keeper is asked again if its answer is late, so commands come twice: a loss counts once.
+func TestRepeatedLossCountsOnce(t *testing.T) {
+	s := New()
+	for i := range 3 {
+		s.BeginCommand(uint64(i+1), time.Unix(1000+int64(i), 0))
+		if v := s.AddStrike("f", "e1"); len(v.LostEngines) != 1 {
+			t.Errorf("%v are lost after strike %d of e1", v.LostEngines, i+1)
+		}
+		s.Screen(Screening{Loss: &Loss{Engine: "e1", Trial: "t", Causes: []Cause{{Name: "c"}}}})
+		if lost := s.strikes.rows["c"].LostEngines; len(lost) != 1 {
+			t.Errorf("%v are lost after loss %d of e1", lost, i+1)
+		}
+	}
+}
