--- a/entryd/relay/behind_test.go
+++ b/entryd/relay/behind_test.go
@@ -33,11 +33,13 @@
 		name    string
 		catchUp time.Duration // until the instance behind has the newer state, 0 for never
 		third   bool          // another instance has it
+		ahead   bool          // the one asked first has a still newer state
 		want    int
 	}{
-		{"another has the newer state", 0, true, http.StatusOK},
-		{"none has it", 0, false, http.StatusServiceUnavailable},
-		{"it comes soon", 10 * time.Millisecond, false, http.StatusOK},
+		{"another has the newer state", 0, true, false, http.StatusOK},
+		{"none has it", 0, false, false, http.StatusServiceUnavailable},
+		{"it comes soon", 10 * time.Millisecond, false, false, http.StatusOK},
+		{"the instance is ahead", 0, false, true, http.StatusOK},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			list := newPeers(t, before, 1, 2)
@@ -48,6 +50,9 @@
 			}
 			id := idPreferring(t, list[0], hostOf(list[1].peers), hostOf(list[2].peers))
 			list[0].setState(t, newer, []string{closedAddress(t)}, links)
+			if c.ahead {
+				list[1].setState(t, newer+1, []string{hostOf(after)}, links)
+			}
 			if c.catchUp > 0 {
 				time.AfterFunc(c.catchUp, func() { list[1].setState(t, newer, []string{hostOf(after)}, links) })
 			}
