pace: the end of a limit is reported once

What callers saw: nothing; each heartbeat of an instance that had known a server's limit told of its end again, for as long as the server answered.

Cause: each answer without a limit was a newer statement than the one in the heartbeat, so it never counted as reported.

Why it works: the time of the end stays that of the first answer until the leader has it.

--- a/core/request/pace/pace.go
+++ b/core/request/pace/pace.go
@@ -84,8 +84,10 @@
 	switch {
 	case old == nil && !limited:
 		return false
-	case !limited && !old.limited && !old.unreported:
-		old.at = now // nobody else need hear it again
+	case !limited && !old.limited:
+		if !old.unreported { // else it would never count as reported
+			old.at = now
+		}
 		return false
 	}
 	changed := old == nil || old.limited != limited || limited && old.rate != rate
--- a/core/request/pace/pace_test.go
+++ b/core/request/pace/pace_test.go
@@ -254,3 +254,23 @@
 		t.Errorf("unreported %+v after the report", list)
 	}
 }
+
+// An instance that had known a limit told the leader of its end with each heartbeat, for as long
+// as the server answered.
+func TestEndOfLimitIsReportedOnce(t *testing.T) {
+	table, now, reports := New(func(string, float64) float64 { return 1 }), epoch, 0
+	table.Hear(now, "s", true, 10)
+	table.MarkReported(now)
+	for range 20 {
+		taken := now
+		reports += len(table.Unreported(taken))
+		for range 5 { // answers while the heartbeat is on its way
+			now = now.Add(tick)
+			table.Hear(now, "s", false, 0)
+		}
+		table.MarkReported(taken)
+	}
+	if reports != 1 {
+		t.Errorf("the end of a limit is in %d heartbeats", reports)
+	}
+}
