quorum: one place says what a violation is

The two simulations turned a panic into a violation by the same lines. Their tests pass (TestFirstStart*, TestRandomFaults, TestEachSafeguardIsNeeded).

--- a/core/process/quorum/first_test.go
+++ b/core/process/quorum/first_test.go
@@ -161,12 +161,8 @@
 // run plays the start and returns the violation found, "" for none.
 func (f *firstStart) run() (found violation) {
 	defer func() {
-		switch v := recover().(type) {
-		case nil:
-		case violation:
-			found = v
-		default:
-			found = violation(fmt.Sprint(v))
+		if v := recover(); v != nil {
+			found = violationOf(v)
 		}
 	}()
 	f.runUntil(func() bool { return f.now >= firstStartPeriod })
--- a/core/process/quorum/sim_test.go
+++ b/core/process/quorum/sim_test.go
@@ -49,6 +49,15 @@
 // violation describes a broken invariant.
 type violation string
 
+// violationOf returns the violation that a panic stands for: a check that failed, or a panic
+// of the core itself.
+func violationOf(v any) violation {
+	if found, ok := v.(violation); ok {
+		return found
+	}
+	return violation(fmt.Sprint(v))
+}
+
 // sim runs a group of members on a simulated clock and network.
 type sim struct {
 	options      options
@@ -133,13 +142,8 @@
 	s := newSim(o, seed)
 	defer func() {
 		steps = s.steps
-		switch v := recover().(type) {
-		case nil:
-		case violation:
-			found = v
-		default:
-			// A panic of the core itself.
-			found = violation(fmt.Sprint(v))
+		if v := recover(); v != nil {
+			found = violationOf(v)
 		}
 	}()
 	for _, f := range faults {
