relay: a cut server of the tests listens again at an address of its own

TestCallsOfCutInstanceAreServed/refuses failed twice beside other work (load averages of 22 and 25 on 8 cores) with 'bind: address already in use': the server that is cut closes its port for a second, in which a connection of any other process may get it as its local one. What the test asks for is the same.

--- a/entryd/relay/path_test.go
+++ b/entryd/relay/path_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -35,7 +37,10 @@
 
 func newCutBackend(t *testing.T) *cutBackend {
 	t.Helper()
-	b := &cutBackend{t: t, address: "127.0.0.1:0", healed: make(chan struct{})}
+	// Of its own, so that no connection of others has its port when it listens again.
+	pid := os.Getpid()
+	address := fmt.Sprintf("127.%d.%d.%d:0", 128+pid>>16&63, pid>>8&255, pid&255)
+	b := &cutBackend{t: t, address: address, healed: make(chan struct{})}
 	b.listen()
 	t.Cleanup(func() { _ = b.server.Close() })
 	return b
