keepd: scripts of the tests have a loopback address of their own

hang.txtar failed once beside other tests (load average about 24 on 8 cores): 'signal: terminated' after 'get 200 /healthz', whose answer was the event stream of another test's server. The port had been chosen free, and another process listened on it before keepd did, so the signal came before keepd had started. Scripts now have an address of their own; what they ask for is the same.

--- a/keepd/script_test.go
+++ b/keepd/script_test.go
@@ -47,12 +47,15 @@
 	if err := keys.IssueCertificate(e.WorkDir, "keep1", from, 2*time.Hour); err != nil {
 		return err
 	}
-	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	// Of its own, so that no connection or listener of others has a port before keepd starts.
+	pid := os.Getpid()
+	address := fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, pid&255)
+	tcp, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
 	defer tcp.Close()
-	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+	udp, err := net.ListenPacket("udp", address)
 	if err != nil {
 		return err
 	}
