entryd: the grace begins with the signal, also during a start

What callers saw: an instance that got SIGTERM before it had started took calls by a grace that began only with its shutdown. The platform kills it shortly after.

Cause: the forced exit counts from the signal, all other steps of the shutdown counted from the end of the start.

Evidence: TestGraceBeginsWithSignalDuringStart, whose settings file is read 2 s after the signal.

Now both take the time from core/process/exit. The own interface does, too.

--- a/core/process/exit/exit.go
+++ b/core/process/exit/exit.go
@@ -31,6 +31,7 @@
 	output  io.Writer
 	exit    func(code int)
 	grace   atomic.Int64
+	began   atomic.Pointer[time.Time]
 	once    sync.Once
 }
 
@@ -52,23 +53,38 @@
 // Grace returns the grace period.
 func (b *Bound) Grace() time.Duration { return time.Duration(b.grace.Load()) }
 
+// Begin returns when the shutdown began: now, unless Watch saw it begin, which may have been
+// while the process was still starting.
+func (b *Bound) Begin() time.Time {
+	now := time.Now()
+	b.began.CompareAndSwap(nil, &now)
+	if began := b.began.Load(); began != nil { // not released meanwhile
+		return *began
+	}
+	return now
+}
+
 // Watch makes the process exit if it still runs shortly before the end of the grace
 // period that begins when ctx ends. It goes on if release is called before.
 func (b *Bound) Watch(ctx context.Context) (release func()) {
-	watched, release := context.WithCancel(context.WithoutCancel(ctx))
+	watched, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	go func() {
 		select {
 		case <-watched.Done():
 			return
 		case <-ctx.Done():
 		}
+		b.Begin()
 		select {
 		case <-watched.Done():
 		case <-time.After(time.Duration(forcedShare * float64(b.Grace()))):
 			b.force()
 		}
 	}()
-	return release
+	return func() {
+		cancel()
+		b.began.Store(nil)
+	}
 }
 
 // force exits. It tells before which goroutines run, unless nobody reads that.
--- a/entryd/app.go
+++ b/entryd/app.go
@@ -13,6 +13,7 @@
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/process/boot"
 	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/exit"
 	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/entryd/beat"
 	"verbenahaven.example/entryd/front"
@@ -50,6 +51,7 @@
 	screen   *screen.Screen
 	listed   *listed.Listed
 	link     *link.Server
+	bound    *exit.Bound
 }
 
 // run serves until ctx ends, then shuts down gracefully.
@@ -91,16 +93,15 @@
 // in progress. Those that still run shortly before the end of the grace are cut, so that
 // their callers learn whether they ran.
 func (a *app) stop(ctx context.Context, server *drain.Server, cut func()) error {
-	began := time.Now()
-	grace := float64(a.settings.Stop.Grace)
+	began, grace := a.bound.Begin(), float64(a.settings.Stop.Grace)
 	recording, cancelRecording := context.WithDeadline(ctx, began.Add(time.Duration(recordShare*grace)))
 	defer cancelRecording()
 	ctx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(endShare*grace)))
 	defer cancel()
-	untilCut := time.Duration(cutShare * grace)
-	defer time.AfterFunc(untilCut, cut).Stop()
+	cutAt := began.Add(time.Duration(cutShare * grace))
+	defer time.AfterFunc(time.Until(cutAt), cut).Stop()
 	a.beat.Leave()
-	a.front.BeginShutdown(began.Add(untilCut))
+	a.front.BeginShutdown(cutAt)
 	server.Leave()
 	klog.InfoS("leaving", "name", a.settings.Name)
 	a.awaitLeaveConfirmed(ctx)
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -51,7 +51,7 @@
 		return boot.ExitCode(err)
 	}
 	bound.SetGrace(time.Duration(s.Stop.Grace))
-	a, cleanup, err := build(s)
+	a, cleanup, err := build(s, bound)
 	if err != nil {
 		klog.ErrorS(err, "start")
 		return boot.ExitCode(err)
--- a/entryd/process_test.go
+++ b/entryd/process_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -144,18 +145,7 @@
 	path = filepath.Join(t.TempDir(), "boot.toml")
 	for range 5 { // another program may take a port first
 		first := freePorts(t, 6)
-		text := fmt.Sprintf(`node_name = "m"
-ip = "127.0.0.1"
-zone = "z"
-internal_ports = [%d,%d]
-seeds = ["127.0.0.1:%d"]
-[listen]
-front = "127.0.0.1:%d"
-ready = "127.0.0.1:%d"
-[bounds]
-%s
-`, first, first+2, first+3, first+4, first+5, bound)
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(path, platformSettings(first, bound), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		p = startProcess(t, func(c *exec.Cmd) { c.Env = append(c.Env, "VERBENAHAVEN_BOOT="+path) }, "-platform")
@@ -168,6 +158,21 @@
 	return nil, "", ""
 }
 
+// platformSettings returns settings with six ports and a line of bounds.
+func platformSettings(first int, bound string) []byte {
+	return fmt.Appendf(nil, `node_name = "m"
+ip = "127.0.0.1"
+zone = "z"
+internal_ports = [%d,%d]
+seeds = ["127.0.0.1:%d"]
+[listen]
+front = "127.0.0.1:%d"
+ready = "127.0.0.1:%d"
+[bounds]
+%s
+`, first, first+2, first+3, first+4, first+5, bound)
+}
+
 // A process without a grace ended with the signal, and running calls had no answer.
 func TestInstanceWithoutGraceServesAfterSignal(t *testing.T) {
 	for _, bound := range []string{"", "grace_s = 0", "grace_s = -1"} {
@@ -205,6 +210,39 @@
 	}
 }
 
+// The grace of an instance that got the signal during its start began anew with its shutdown.
+func TestGraceBeginsWithSignalDuringStart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.toml")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := startProcess(t, func(c *exec.Cmd) {
+		c.Env = append(c.Env, "VERBENAHAVEN_BOOT="+path, "GORACE=atexit_sleep_ms=0")
+	}, "-platform")
+	w, err := os.OpenFile(path, os.O_WRONLY, 0) // waits until the process reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	p.terminate(t)
+	time.Sleep(2 * time.Second)
+	settings, next := platformSettings(freePorts(t, 6), "grace_s = 5"), path+".next"
+	if err := os.WriteFile(next, settings, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(next, path); err != nil {
+		t.Fatal(err)
+	}
+	_, err = w.Write(settings)
+	if err := errors.Join(err, w.Close()); err != nil {
+		t.Fatal(err)
+	}
+	<-p.exited
+	if took := time.Since(began); took > 5*time.Second || !strings.Contains(p.wrote(t), "stopped") {
+		t.Errorf("ended %v after the signal, with a grace of 5 s", took)
+	}
+}
+
 // fullPipe returns a pipe whose reader doesn't read and that takes no more.
 func fullPipe(t *testing.T) *os.File {
 	t.Helper()
--- a/entryd/stop.go
+++ b/entryd/stop.go
@@ -47,8 +47,7 @@
 // callers that cached an older answer, and returns within the grace period. Until then
 // each request on an accepted connection is answered. cut cuts the running calls.
 func (s *site) stop(ctx context.Context, cut func(), callers, peers *drain.Server) {
-	began := time.Now()
-	grace := s.bound.Grace()
+	began, grace := s.bound.Begin(), s.bound.Grace()
 	after := func(share float64) time.Time { return began.Add(time.Duration(share * float64(grace))) }
 	s.leaving.begin(after(cutShare))
 	callers.Leave()
--- a/entryd/wire.go
+++ b/entryd/wire.go
@@ -12,6 +12,7 @@
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/exit"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/version/view"
 	"verbenahaven.example/entryd/beat"
@@ -30,7 +31,7 @@
 )
 
 // build makes an entry instance and its clean-up.
-func build(s *setup.Settings) (*app, func(), error) {
+func build(s *setup.Settings, b *exit.Bound) (*app, func(), error) {
 	wire.Build(
 		clock.System, meter.New, view.New, trail.New, pool.New,
 		provideTLS, provideKeeper, provideBalancer, provideStrikes, provideRetry, provideInfer, provideHolder, providePlain,
--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/exit"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/version/view"
 	"verbenahaven.example/entryd/beat"
@@ -28,7 +29,7 @@
 // Injectors from wire.go:
 
 // build makes an entry instance and its clean-up.
-func build(s *setup.Settings) (*app, func(), error) {
+func build(s *setup.Settings, b *exit.Bound) (*app, func(), error) {
 	settings := provideFront(s)
 	balancer := provideBalancer(s)
 	watchSettings := provideWatch(s)
@@ -80,6 +81,7 @@
 		screen:   screenScreen,
 		listed:   listed,
 		link:     server,
+		bound:    b,
 	}
 	return mainApp, func() {
 		cleanup5()
