pace: a later answer without a limit is newer than a report from between

An instance that had heard twice that a server's limit is gone, and hadn't reported that yet, took another instance's report of a limit from between the two for newer: it kept its requests from the server until the next answer, and the leader heard of the older end.

Cause: so that an end counts as reported, it kept the time of its first answer, by which receivers decide what is newer.

Evidence: TestLaterAnswerWithoutLimitIsNewerThanReport. On the code before: "the limit holds, which an answer a second later didn't name".

Now the time of the first answer, which tells whether the leader has the end, is kept apart.

--- a/core/request/pace/pace.go
+++ b/core/request/pace/pace.go
@@ -37,7 +37,8 @@
 	limited    bool
 	rate       float64 // requests a second from all instances together, if limited
 	at         time.Time
-	unreported bool // heard here, and the leader may not have it
+	since      time.Time // when it was first heard, which is earlier for an end that was heard again
+	unreported bool      // heard here, and the leader may not have it
 }
 
 // expired reports whether a statement is too old to hold.
@@ -85,13 +86,11 @@
 	case old == nil && !limited:
 		return false
 	case !limited && !old.limited:
-		if !old.unreported { // else it would never count as reported
-			old.at = now
-		}
+		old.at = now
 		return false
 	}
 	changed := old == nil || old.limited != limited || limited && old.rate != rate
-	t.set(now, server, statement{limited: limited, rate: rate, at: now, unreported: true})
+	t.set(now, server, statement{limited: limited, rate: rate, at: now, since: now, unreported: true})
 	return changed
 }
 
@@ -105,7 +104,7 @@
 		if old != nil && !at.After(old.at) {
 			continue
 		}
-		t.set(now, l.Server, statement{limited: l.Limited, rate: l.Rate, at: at, unreported: old != nil && old.unreported})
+		t.set(now, l.Server, statement{limited: l.Limited, rate: l.Rate, at: at, since: at, unreported: old != nil && old.unreported})
 	}
 }
 
@@ -143,10 +142,11 @@
 	return list
 }
 
-// MarkReported records that the leader has what Unreported returned at a time.
+// MarkReported records that the leader has what Unreported returned at a time. An end that was
+// heard again since is no news to it.
 func (t *Table) MarkReported(taken time.Time) {
 	for _, s := range t.statements {
-		s.unreported = s.unreported && s.at.After(taken)
+		s.unreported = s.unreported && s.since.After(taken)
 	}
 }
 
--- a/core/request/pace/pace_test.go
+++ b/core/request/pace/pace_test.go
@@ -274,3 +274,19 @@
 		t.Errorf("the end of a limit is in %d heartbeats", reports)
 	}
 }
+
+// An instance that had heard of the end of a limit twice took a report from between for newer.
+func TestLaterAnswerWithoutLimitIsNewerThanReport(t *testing.T) {
+	table := New(func(string, float64) float64 { return 0 })
+	table.Hear(epoch, "s", true, 10)
+	table.Hear(epoch.Add(time.Second), "s", false, 0)
+	table.Hear(epoch.Add(3*time.Second), "s", false, 0)
+	now := epoch.Add(4 * time.Second)
+	table.Learn(now, []proto.ServerLimit{{Server: "s", Limited: true, Rate: 10, Age: 2 * time.Second}})
+	if table.Wait(now, "s") > 0 {
+		t.Error("the limit holds, which an answer a second later didn't name")
+	}
+	if list := table.Unreported(now); len(list) != 1 || list[0].Age != time.Second {
+		t.Errorf("unreported %+v, want the later answer", list)
+	}
+}
