entryd/plain: a ledger that hangs keeps no answer from its caller at the cut

What callers saw: a run-once call that had its answer, and recorded it, when running calls were cut got none if the ledger hung: it was kept for up to 2.5 s, while connections end 0.01 of the grace after the cut. A call whose start hung there was told so only 2.5 s after the cut, too: the wait for the start ended, but the close that follows didn't.

Cause: only the wait for the turn ended at the cut.

Evidence: TestCallIsAnsweredAtCutWhileLedgerHangs.

Now the caller gets its answer at the cut, and recording goes on in the background as for a ledger that can't be reached. An attempt is closed within 50 ms of the cut; if it isn't, the call isn't called unrun.

--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -27,6 +27,9 @@
 	ledgerTimeout           = 2500 * time.Millisecond
 	backgroundRecordTimeout = 20 * time.Second
 	ledgerBusyPause         = 50 * time.Millisecond
+	// closeAfterCut is how long an attempt may be closed after running calls are cut: the
+	// callers' connections end soon after.
+	closeAfterCut = 50 * time.Millisecond
 )
 
 // onceCall drives the state machine of one run-once call.
@@ -40,6 +43,7 @@
 	stopping    error         // the refusal of a call that wasn't sent since the instance is shutting down
 	cut         bool          // the instance stopped while the call waited for its turn
 	wait        time.Duration // until a server takes it, if none was found
+	untilCut    untilCut
 }
 
 // doOnce runs a call that caller, its caller's context, doesn't end.
@@ -55,8 +59,11 @@
 		Attempt:     c.ID,
 		Holder:      s.settings.Holder,
 	}}
+	o.untilCut = func(ctx context.Context, delay time.Duration) (context.Context, func()) {
+		return endAtCut(ctx, caller, delay)
+	}
 	defer o.pass.Close()
-	turn, stop := endAtCut(ctx, caller)
+	turn, stop := o.untilCut(ctx, 0)
 	defer stop()
 	action := once.RecordStart
 	for action != once.Respond {
@@ -65,11 +72,15 @@
 	return o.answer()
 }
 
-// endAtCut returns a context that also ends when the caller's does because the instance stops.
-func endAtCut(ctx, caller context.Context) (context.Context, func()) {
+// untilCut returns a context that also ends a delay after running calls are cut.
+type untilCut func(ctx context.Context, delay time.Duration) (context.Context, func())
+
+// endAtCut is untilCut for the call of a caller, whose context ends at the cut.
+func endAtCut(ctx, caller context.Context, delay time.Duration) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(caller, func() {
 		if cause := context.Cause(caller); errors.Is(cause, leave.ErrCut) {
+			clock.Sleep(ctx, delay)
 			cancel(cause)
 		}
 	})
@@ -194,12 +205,14 @@
 	}
 }
 
-// finish records the outcome. If the ledger can't be reached, recording goes on
-// in the background after the caller got its answer.
+// finish records the outcome. If the ledger can't be reached, or running calls are cut,
+// recording goes on in the background after the caller got its answer.
 func (o *onceCall) finish(ctx context.Context) once.Action {
 	ctx, done := o.recorder.begin(ctx)
 	outcome := o.newRequest(proto.OnceFinish)
-	if _, err := o.askLedger(ctx, outcome, ledgerTimeout); err == nil {
+	first, stop := o.untilCut(ctx, 0)
+	defer stop()
+	if _, err := o.askLedger(first, outcome, ledgerTimeout); err == nil {
 		done()
 		return o.state.OnOutcomeRecorded()
 	}
@@ -214,7 +227,9 @@
 }
 
 func (o *onceCall) close(ctx context.Context) once.Action {
-	r, err := o.callLedger(context.WithoutCancel(ctx), proto.OnceClose, ledgerTimeout)
+	ctx, stop := o.untilCut(context.WithoutCancel(ctx), closeAfterCut)
+	defer stop()
+	r, err := o.callLedger(ctx, proto.OnceClose, ledgerTimeout)
 	if err != nil {
 		return o.state.OnCloseFailed()
 	}
--- a/entryd/plain/record_test.go
+++ b/entryd/plain/record_test.go
@@ -15,6 +15,7 @@
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/request/route"
 	"verbenahaven.example/core/version/state"
@@ -43,6 +44,20 @@
 
 // callOnce runs a run-once call whose outcome is recorded after its answer.
 func callOnce(t *testing.T, later func(context.Context, proto.OnceRequest) error) (*Dispatcher, *meter.Registry) {
+	t.Helper()
+	s, m := newOnceDispatcher(t, &slowLedger{later: later})
+	if a, err := s.Do(t.Context(), newOnceCall()); err != nil || string(a.Body) != "granted" {
+		t.Fatalf("%q, %v", a.Body, err)
+	}
+	return s, m
+}
+
+func newOnceCall() *Call {
+	return &Call{ID: "c", Key: "k", Service: state.Service{Name: "permit", AtMostOnce: true}, Method: http.MethodPost, Target: "/", Record: &trail.Record{}}
+}
+
+// newOnceDispatcher returns a dispatcher with a server that answers at once.
+func newOnceDispatcher(t *testing.T, k proto.Keeper) (*Dispatcher, *meter.Registry) {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "granted") }))
 	t.Cleanup(server.Close)
@@ -53,13 +68,9 @@
 	g.SetSnapshot(store.Current())
 	p, cleanup := pool.New()
 	t.Cleanup(cleanup)
-	s, stop := New(Settings{Holder: "h", Retry: retry.NewPolicy(0.1, time.Millisecond)}, g, p, &slowLedger{later: later},
+	s, stop := New(Settings{Holder: "h", Retry: retry.NewPolicy(0.1, time.Millisecond)}, g, p, k,
 		screen.New(nil, g, m, slog.New(slog.DiscardHandler), c), m, c)
 	t.Cleanup(stop)
-	call := &Call{ID: "c", Key: "k", Service: state.Service{Name: "permit", AtMostOnce: true}, Method: http.MethodPost, Target: "/", Record: &trail.Record{}}
-	if a, err := s.Do(t.Context(), call); err != nil || string(a.Body) != "granted" {
-		t.Fatalf("%q, %v", a.Body, err)
-	}
 	return s, m
 }
 
@@ -95,3 +106,53 @@
 		t.Errorf("%d outcomes counted as unrecorded", n)
 	}
 }
+
+// hangingLedger answers no step but that of the start, if it answers that.
+type hangingLedger struct {
+	proto.Keeper
+	begins bool
+	asked  chan proto.OnceStep
+}
+
+func (l *hangingLedger) Once(ctx context.Context, r proto.OnceRequest) (proto.OnceReply, error) {
+	if r.Step == proto.OnceBegin && l.begins {
+		return proto.OnceReply{Verdict: proto.VerdictProceed}, nil
+	}
+	l.asked <- r.Step
+	<-ctx.Done()
+	return proto.OnceReply{}, ctx.Err() //nolint:wrapcheck // a test
+}
+
+// The caller got no answer: a ledger that hangs kept the call until its connection was closed.
+func TestCallIsAnsweredAtCutWhileLedgerHangs(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		begins bool
+		want   string
+	}{
+		{name: "start", want: "stopping: " + leave.ErrCut.Error()},
+		{name: "outcome", begins: true, want: "granted"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := &hangingLedger{begins: c.begins, asked: make(chan proto.OnceStep, 2)}
+			s, _ := newOnceDispatcher(t, l)
+			ctx, cut := context.WithCancelCause(t.Context())
+			answered := make(chan string)
+			go func() {
+				a, err := s.Do(ctx, newOnceCall())
+				if err != nil {
+					answered <- err.Error()
+					return
+				}
+				answered <- string(a.Body)
+			}()
+			<-l.asked
+			cut(leave.ErrCut)
+			began := time.Now()
+			if got := <-answered; got != c.want || time.Since(began) > time.Second {
+				t.Errorf("%q %v after the cut, want %q", got, time.Since(began), c.want)
+			}
+			s.EndRecording(ctx)
+		})
+	}
+}
