node: tests of small disks compare each command with its outcome

The tests of small disks counted the commands that members hold.

Each command has a number of its own now. Members must hold it as often as it was acknowledged, and at most as often again as its outcome was unknown, so a refused one must have no effect. A member with power must not stop by itself, nor store more than its budget.

--- a/core/process/node/group_test.go
+++ b/core/process/node/group_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
@@ -26,8 +27,9 @@
 	mutex    sync.Mutex
 	count    uint64
 	total    uint64
-	padBytes int  // size of the padding in each snapshot
-	grows    bool // the padding grows by each command
+	added    map[uint64]uint64 // how often each number was added
+	padBytes int               // size of the padding in each snapshot
+	grows    bool              // the padding grows by each command
 	delay    time.Duration
 }
 
@@ -36,7 +38,12 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.count++
-	s.total += binary.BigEndian.Uint64(command)
+	v := binary.BigEndian.Uint64(command)
+	s.total += v
+	if s.added == nil {
+		s.added = make(map[uint64]uint64)
+	}
+	s.added[v]++
 	if s.grows {
 		s.padBytes += len(command)
 	}
@@ -48,6 +55,11 @@
 	defer s.mutex.Unlock()
 	b := binary.BigEndian.AppendUint64(nil, s.count)
 	b = binary.BigEndian.AppendUint64(b, s.total)
+	b = binary.BigEndian.AppendUint64(b, uint64(len(s.added)))
+	for v, times := range s.added {
+		b = binary.BigEndian.AppendUint64(b, v)
+		b = binary.BigEndian.AppendUint64(b, times)
+	}
 	return append(b, make([]byte, s.padBytes)...), nil
 }
 
@@ -55,10 +67,24 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.count, s.total = binary.BigEndian.Uint64(b), binary.BigEndian.Uint64(b[8:])
-	s.padBytes = len(b) - 16
+	numbers := binary.BigEndian.Uint64(b[16:])
+	b = b[24:]
+	s.added = make(map[uint64]uint64)
+	for range numbers {
+		s.added[binary.BigEndian.Uint64(b)] = binary.BigEndian.Uint64(b[8:])
+		b = b[16:]
+	}
+	s.padBytes = len(b)
 	return nil
 }
 
+// readAdded returns how often each number was added.
+func (s *sumMachine) readAdded() map[uint64]uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.added)
+}
+
 func (s *sumMachine) read() (count, total uint64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/core/process/node/smalldisk_test.go
+++ b/core/process/node/smalldisk_test.go
@@ -21,6 +21,7 @@
 	files    map[string]*smallFile
 	durable  map[string]*smallFile // names as of the last sync of the folder
 	capacity int
+	peak     int // largest size so far
 	off      bool
 	onWrite  func(path string) error // called before each write, may be nil
 }
@@ -68,6 +69,13 @@
 	d.capacity = bytes
 }
 
+// usage returns the largest size so far, and whether the disk has power.
+func (d *smallDisk) usage() (peak int, on bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.peak, !d.off
+}
+
 func (d *smallDisk) size() int {
 	n := 0
 	for _, f := range d.files {
@@ -208,6 +216,7 @@
 			f.data = append(f.data, make([]byte, end-len(f.data))...)
 		}
 		copy(f.data[at:], b)
+		d.peak = max(d.peak, d.size())
 		return nil
 	})
 	if err != nil {
