pool: a request that may not be sent leaves the other kept connections alone

A call that an instance refused right before its first byte, since it was shutting down, cost its server all kept connections. The calls that the instance still took there waited for new ones.

Cause: net/http takes a connection on which nothing could be written for one that the server had closed, and tries the next kept one.

Evidence: TestForbiddenRequestKeepsOtherConnections.

Now the request's context ends with the refusal, after which the transport tries no other connection.

--- a/core/conn/pool/pool.go
+++ b/core/conn/pool/pool.go
@@ -93,13 +93,17 @@
 type checkKey struct{}
 
 // WithSendCheck makes the request of a context ask check once it has a connection, for which
-// it may have waited. If that returns an error, nothing is sent and the request fails; a
-// transport that tries another connection then gets the same error.
+// it may have waited. If that returns an error, nothing is sent, the request fails and its
+// context ends: the transport would try each kept connection, and close it. If it tries one
+// nevertheless, that gets the same error.
 func WithSendCheck(ctx context.Context, check func() error) context.Context {
+	ctx, cancel := context.WithCancelCause(ctx)
 	var forbidden error
 	return context.WithValue(ctx, checkKey{}, func() error {
 		if forbidden == nil {
-			forbidden = check()
+			if forbidden = check(); forbidden != nil {
+				cancel(forbidden)
+			}
 		}
 		return forbidden
 	})
--- a/core/conn/pool/pool_test.go
+++ b/core/conn/pool/pool_test.go
@@ -207,3 +207,49 @@
 		}
 	}
 }
+
+// A request that wasn't sent cost its server all kept connections, one after the other.
+func TestForbiddenRequestKeepsOtherConnections(t *testing.T) {
+	const kept = 8
+	all := make(chan struct{}, kept)
+	s, connections := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engine.HeaderExchange, r.Header.Get(engine.HeaderExchange))
+		if r.URL.Path == "/together" {
+			for all <- struct{}{}; len(all) < kept; {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}))
+	p, cleanup := pool.New()
+	defer cleanup()
+	send := func(path string) {
+		a, err := p.Do(newRequest(t.Context(), t, s.URL+path))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, a.Body)
+		_ = a.Body.Close()
+	}
+	sendTogether := func() int {
+		var group sync.WaitGroup
+		before := connections()
+		for range kept {
+			group.Go(func() { send("/together") })
+		}
+		group.Wait()
+		for range kept {
+			<-all
+		}
+		return connections() - before
+	}
+	send("/") // shows that the server names exchanges
+	sendTogether()
+	errForbidden := errors.New("forbidden")
+	if _, err := p.Do(newRequest(pool.WithSendCheck(t.Context(), func() error { return errForbidden }), t, s.URL)); !errors.Is(err, errForbidden) { //nolint:bodyclose // there is no answer
+		t.Fatal(err)
+	}
+	if n := sendTogether(); n != 1 {
+		t.Errorf("%d new connections for %d requests, want one", n, kept)
+	}
+}
