entryd/plain: a leaving instance that knows no calls of a service goes by the deadline

What callers saw: a plain or run-once call without a limit of its own, on the product's own interface, was taken by an instance that got SIGTERM soon after its start, or after some minutes without such calls, whenever 2.1 s were left, and cut if it took longer. A run-once call that is cut can't be repeated.

Cause: without recent calls the slowest one was taken to be 0, so the bound was a constant: the cause of docs/incidents/leaving-instance.md in the one place that was left.

Evidence: a new row of TestLeavingInstanceTakesNoCallThatMayOutlastIt. On the code before: "plain call without one, others aren't known: status 200, want 503". The row "others were fast" had seen no other call before; now it has one.

TestSlowestCallCountsForAWhile asked for 2 s without recent calls, which was the fault. It now asks that nothing is known there; its other bounds are as before.

Result: core/request/leave, entryd/plain passed with the race detector; entryd/front and entryd without.

--- a/core/request/leave/slowest.go
+++ b/core/request/leave/slowest.go
@@ -57,14 +57,16 @@
 	t.current = max(t.current, took)
 }
 
-// Bound returns the time within which a call of a kind is expected to end.
-func (s *Slowest[K]) Bound(now time.Time, kind K) time.Duration {
+// Bound returns the time within which a call of a kind is expected to end. It isn't known
+// without recent calls of the kind.
+func (s *Slowest[K]) Bound(now time.Time, kind K) (bound time.Duration, known bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t := s.kinds[kind]
 	if t == nil {
-		return pause
+		return 0, false
 	}
 	t.rotate(now)
-	return slowestFactor*max(t.current, t.previous) + pause
+	slowest := max(t.current, t.previous)
+	return slowestFactor*slowest + pause, slowest > 0
 }
--- a/core/request/leave/slowest_test.go
+++ b/core/request/leave/slowest_test.go
@@ -16,11 +16,17 @@
 	}
 	want := func(bound time.Duration) {
 		t.Helper()
-		if got := s.Bound(now, "x"); got != bound {
-			t.Fatalf("at %v: %v, want %v", now.Unix(), got, bound)
+		if got, known := s.Bound(now, "x"); got != bound || !known {
+			t.Fatalf("at %v: %v, known %v, want %v", now.Unix(), got, known, bound)
 		}
 	}
-	want(2 * time.Second)
+	wantUnknown := func() {
+		t.Helper()
+		if got, known := s.Bound(now, "x"); known {
+			t.Fatalf("at %v: %v without recent calls", now.Unix(), got)
+		}
+	}
+	wantUnknown()
 	observe(20, time.Millisecond)
 	observe(1, time.Second)
 	want(4 * time.Second)
@@ -30,5 +36,5 @@
 	now = now.Add(2 * time.Minute)
 	want(2*time.Second + 2*time.Millisecond)
 	now = now.Add(time.Hour)
-	want(2 * time.Second)
+	wantUnknown()
 }
--- a/entryd/front/stopping_test.go
+++ b/entryd/front/stopping_test.go
@@ -27,9 +27,12 @@
 	p := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
 	defer p.Close()
 	v := modelState(engineAt("m", e.URL, state.RoleMixed))
-	v.Services = append(v.Services, state.Service{Name: "registry", Kind: state.KindPlain})
-	v.Servers = []state.Server{{Name: "s", URL: p.URL, Service: "registry", Phase: state.PhaseServing}}
+	for _, name := range []string{"registry", "archive"} {
+		v.Services = append(v.Services, state.Service{Name: name, Kind: state.KindPlain})
+		v.Servers = append(v.Servers, state.Server{Name: name, URL: p.URL, Service: name, Phase: state.PhaseServing})
+	}
 	b := newTestEntry(t, v)
+	b.send(t, http.MethodPost, "/s/registry/x", "x")
 	b.balancer.RecordLoad("m", engine.LoadReport{MeasuredAt: time.Now(), Role: state.RoleMixed, TPOT: 10 * time.Millisecond})
 	b.front.BeginShutdown(time.Now().Add(5 * time.Second))
 	for _, c := range []struct {
@@ -41,6 +44,7 @@
 		{"no limit of the answer", "/v1/chat/completions", strings.Replace(chatRequest, `,"max_tokens":20`, "", 1), "", http.StatusServiceUnavailable},
 		{"plain call with a distant deadline", "/s/registry/x", "x", "20000", http.StatusServiceUnavailable},
 		{"plain call without one, others were fast", "/s/registry/x", "x", "", http.StatusOK},
+		{"plain call without one, others aren't known", "/s/archive/x", "x", "", http.StatusServiceUnavailable},
 		{"plain call with a deadline", "/s/registry/x", "x", "2000", http.StatusOK},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -99,15 +99,16 @@
 }
 
 // checkSend returns the refusal of a call that must not be sent now. ctx ends with its
-// time limit. One without a limit is judged by the slowest recent calls of its service.
+// time limit. One without a limit is judged by the slowest recent calls of its service, if any
+// are known.
 func (s *Dispatcher) checkSend(ctx context.Context, c *Call) error {
 	until, limited := ctx.Deadline()
 	if c.MaySend == nil || !limited {
 		return nil
 	}
 	left := time.Until(until)
-	if c.TimeLimit == 0 {
-		left = min(left, s.slowest.Bound(s.clock.Now(), c.Service.Name))
+	if bound, known := s.slowest.Bound(s.clock.Now(), c.Service.Name); known && c.TimeLimit == 0 {
+		left = min(left, bound)
 	}
 	return c.MaySend(left)
 }
