exit: test that the shutdown begins with the signal

It passed on the code as it is, five times with the race detector: a shutdown that Watch saw begin keeps its time, and one that was released doesn't.

--- a/core/process/exit/exit_test.go
+++ b/core/process/exit/exit_test.go
@@ -82,3 +82,22 @@
 		t.Fatal("still running 5 s later")
 	}
 }
+
+func TestShutdownBeginsWithSignal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, _ := newTestBound(t, io.Discard)
+		ctx, stop := context.WithCancel(t.Context())
+		release := b.Watch(ctx)
+		signal := time.Now()
+		stop()
+		synctest.Wait()
+		time.Sleep(time.Second)
+		if got := b.Begin(); !got.Equal(signal) {
+			t.Errorf("it began %v after the signal", got.Sub(signal))
+		}
+		release() // it wasn't the end of the process
+		if got := b.Begin(); time.Since(got) != 0 {
+			t.Errorf("the next one began %v ago", time.Since(got))
+		}
+	})
+}
