relay: wait for lost engines before an answer is given up

Callers got 502 with an unknown outcome, or an answer that broke off, about 100 ms after the last engine of their call was lost, with most of their time and a retry left. A call whose engines all failed waits 100 ms and may then use them again; but a lost engine isn't picked for 300 ms or more, so this wait never helped after a loss.

A call that may have run, which its caller can't repeat, now waits 300 ms more before it gives up. One that ran nowhere is refused as soon as before. Tries, attempts, retry budget and the screening of requests bound the rest as they did; a wait more asks the screen once more.

TestCallGoesOnOnceLostEnginesAreBack failed on the code before: 502 for an answer lost before its first event, and broken off for one lost inside.

TestAnswerDoesNotGoOnAtAnotherBuild expected a broken answer where the only engine of the build loses it once; the answer now goes on there, at its build, which the test expects as a case of its own. The case without an engine of the build takes the engine out of the fleet, and expects the same as before. go test ./relay passed.

--- a/entryd/relay/build_test.go
+++ b/entryd/relay/build_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -51,19 +52,41 @@
 	return strings.Join(list, " ")
 }
 
+// loseEngine makes a backend whose first engine that is asked is gone from then on.
+func loseEngine(f **inflightCall, b *scriptedBackend) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		other := map[string]string{"v1-0": "v2-1", "v2-1": "v1-0"}[r.Header.Get("Expect-Instance")]
+		build, _, _ := strings.Cut(other, "-")
+		fleet := (*f).fleet
+		fleet.mutex.Lock()
+		fleet.local.Update([]state.Engine{
+			{Name: other, URL: "http://" + r.Host, Pool: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Centre: "z", Build: build},
+		}, nil)
+		fleet.mutex.Unlock()
+		b.ServeHTTP(w, r)
+	})
+}
+
 func TestAnswerDoesNotGoOnAtAnotherBuild(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		builds []string
+		gone   bool // the first engine
 		want   string
 		runs   []string
 	}{
-		{"another engine of the build", []string{"v1", "v2", "v1", "v2"}, `200 "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" whole`, []string{"v1 v1", "v2 v2"}},
-		{"no engine of the build", []string{"v1", "v2"}, `200 "id: 1\ndata: a\n\n" broken off`, []string{"v1", "v2"}},
+		{"another engine of the build", []string{"v1", "v2", "v1", "v2"}, false, `200 "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" whole`, []string{"v1 v1", "v2 v2"}},
+		{"the only engine of the build", []string{"v1", "v2"}, false, `200 "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" whole`, []string{"v1 v1", "v2 v2"}},
+		{"no engine of the build", []string{"v1", "v2"}, true, `200 "id: 1\ndata: a\n\n" broken off`, []string{"v1", "v2"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := &scriptedBackend{answers: []string{firstHalf, secondHalf}}
-			f := newScriptedCall(t, b, "resumable", c.builds...)
+			var f *inflightCall
+			var h http.Handler = b
+			if c.gone {
+				h = loseEngine(&f, b)
+			}
+			f = newScriptedCall(t, h, "resumable", c.builds...)
 			got := strings.TrimSpace(deliverTo(t, f))
 			if runs := buildsOf(b); got != c.want || runs != c.runs[0] && runs != c.runs[1] {
 				t.Errorf("%s, run by %s; want %s, run by one of %q", got, runs, c.want, c.runs)
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -80,10 +80,9 @@
 		t, err := f.fleet.schedule(ctx, f.clock.Now(), request)
 		if err != nil {
 			f.pass.Spared(false)
-			if len(f.avoid) == 0 || !f.waitToRetryAll(ctx) {
+			if !f.waitToRetryAll(ctx) {
 				break
 			}
-			f.avoid = nil
 			continue
 		}
 		f.admissionAttrs = []any{
@@ -189,16 +188,25 @@
 }
 
 // waitToRetryAll waits before the engines that failed may be picked again, and
-// reports whether the call has a try left for them.
+// reports whether the call has a try left for them. Lost engines aren't picked for a
+// while, so a call that may have run, which its caller can't repeat, waits once more.
 func (f *inflightCall) waitToRetryAll(ctx context.Context) bool {
-	if f.tries >= maxTries {
+	wait := busyRetryAfter / 3
+	switch {
+	case len(f.avoid) > 0 && f.tries < maxTries:
+		f.tries++
+		f.waitsAgain = len(f.mayHaveRun) > 0
+	case len(f.avoid) == 0 && f.waitsAgain:
+		wait = busyRetryAfter
+		f.waitsAgain = false
+	default:
 		return false
 	}
-	f.tries++
+	f.avoid = nil
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(busyRetryAfter / 3):
+	case <-time.After(wait):
 		return true
 	}
 }
--- a/entryd/relay/generate_test.go
+++ b/entryd/relay/generate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -112,3 +113,23 @@
 		}
 	}
 }
+
+// Lost engines weren't picked again before the call had given up.
+func TestCallGoesOnOnceLostEnginesAreBack(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		first, second string
+		want          string
+	}{
+		{"before the first event", `connection ""`, whole, `200 "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" whole`},
+		{"inside the answer", firstHalf, secondHalf, `200 "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" whole`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := &scriptedBackend{answers: []string{c.first, c.second}}
+			f := newScriptedCall(t, b, "resumable", "v1")
+			if got := strings.TrimSpace(deliverTo(t, f)); got != c.want {
+				t.Errorf("the caller gets %s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -118,6 +118,7 @@
 	start      time.Time
 	deadline   time.Time
 	tries      int        // counted against maxTries
+	waitsAgain bool       // if the engines that failed can't be retried yet
 	placed     int        // attempts that were placed, each under an ID of its own
 	mayHaveRun []string   // backend servers that may have executed the call
 	avoid      []string   // backend servers that failed or refused the call
