node: benchmark of lost power and disks after 5,000 changes

BenchmarkConfigurations shows the changes, the restart and the disks, but its disks have no limit and its power isn't lost; the tests of small disks have 300 commands on 6 MB.

BenchmarkLostPowerAndDisks has all of it, on disks that refuse what doesn't fit, and reads the newest acknowledged configuration back on all members after each fault. BenchmarkConfigurations fails if the last changes take longer than the first ones, or if disk or memory exceed the limits.

--- a/core/process/node/benchspace_test.go
+++ b/core/process/node/benchspace_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -86,7 +87,14 @@
 	b.ReportMetric(float64(len(routingCommand(b, changes, routes))), "command-B")
 	b.ReportMetric(float64(retries), "retries")
 	b.ReportMetric(float64(diskPeak)/1e6, "disk-MB")
-	b.ReportMetric(float64(residentPeak(b))/1e6, "three-members-MB")
+	memoryPeak := residentPeak(b)
+	b.ReportMetric(float64(memoryPeak)/1e6, "three-members-MB")
+	if early, late := quantile(took[:part], 0.5), quantile(took[changes-part:], 0.5); late > early*3/2 {
+		b.Errorf("half of the last changes took more than %s, of the first %s", late, early)
+	}
+	if diskPeak > benchDiskBytes || memoryPeak > 3*benchMemoryBytes {
+		b.Errorf("%d bytes of disk, %d of memory for three members", diskPeak, memoryPeak)
+	}
 	for _, name := range g.names {
 		g.stop(name)
 	}
@@ -104,6 +112,83 @@
 	}
 }
 
+// BenchmarkLostPowerAndDisks has as many changes of a configuration on such disks, and
+// reads the newest acknowledged one back after each fault.
+func BenchmarkLostPowerAndDisks(b *testing.B) {
+	const routes, changes = 400, 5000
+	for b.Loop() {
+		g := newLimitedGroup(b, 3, 1, benchDiskBytes, benchMemoryBytes)
+		g.newOther = func() node.StateMachine { return store.New() }
+		g.encode = func(number uint64, _ int) []byte { return routingCommand(b, int(number), routes) }
+		g.start(g.names...)
+		g.proposeLarge(changes)
+		peak := 0
+		for _, d := range g.disks {
+			v, _ := d.usage()
+			peak = max(peak, v)
+		}
+		b.ReportMetric(float64(peak)/1e6, "disk-MB")
+		b.ReportMetric(float64(len(g.unknown)), "unknown")
+		g.restartAll()
+		g.waitNewest()
+		for _, name := range g.names {
+			g.lose(name)
+			g.setDisk(name, newSmallDisk(benchDiskBytes))
+			g.start(name)
+			g.waitNewest()
+			g.wait("three voters that run", func() bool { return len(g.runningVoters()) == 3 })
+		}
+		for range 3 {
+			g.proposeLarge(10)
+			g.losePower()
+			g.waitNewest()
+		}
+		for at := range 3 {
+			g.powerLossAtWrite("snap-", at)
+			g.waitNewest()
+		}
+		leader := g.leader()
+		voters := g.runningVoters()
+		g.lose(voters[(slices.Index(voters, leader)+1)%len(voters)])
+		g.powerLossAtChange(leader, 0)
+		g.waitNewest()
+		g.checkUnknown()
+		for _, name := range g.names {
+			g.stop(name)
+		}
+	}
+}
+
+// runningVoters returns the members that run as voters.
+func (g *smallGroup) runningVoters() []string {
+	return slices.DeleteFunc(slices.Clone(g.names), func(name string) bool {
+		m := g.members[name]
+		return m == nil || m.node.Status().Role == node.RoleLearner
+	})
+}
+
+// waitNewest waits until all members have the newest routing table that was
+// acknowledged, or one after it whose outcome was unknown.
+func (g *smallGroup) waitNewest() {
+	g.tb.Helper()
+	newest := slices.Max(slices.Collect(maps.Keys(g.acknowledged)))
+	g.wait("newest table everywhere", func() bool {
+		for _, m := range g.members {
+			var number uint64
+			m.other.(*store.Store).Read(func(s *state.State, _ *ledger.Ledger) {
+				if r := s.Routing(); r != nil {
+					number = r.Number
+				}
+			})
+			if number < newest || number > newest && g.unknown[number] == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	g.checkMembers()
+}
+
 // waitPublished waits until all members have the routing table of the last change.
 func (g *group) waitPublished(number int) {
 	g.tb.Helper()
--- a/core/process/node/smallgroup_test.go
+++ b/core/process/node/smallgroup_test.go
@@ -25,6 +25,8 @@
 // its own, so that what the members hold can be compared with the outcomes.
 type smallGroup struct {
 	*group
+	diskBytes    int
+	encode       func(number uint64, size int) []byte // returns a command
 	disks        map[string]*smallDisk
 	lastNumber   uint64
 	acknowledged map[uint64]uint64 // how often each number was acknowledged
@@ -32,15 +34,30 @@
 	faults       int               // proposals that faults may have left without an outcome
 }
 
-func newSmallGroup(t *testing.T, voters, spares int) *smallGroup {
-	t.Helper()
+func newSmallGroup(tb testing.TB, voters, spares int) *smallGroup {
+	tb.Helper()
+	return newLimitedGroup(tb, voters, spares, smallDiskBytes, 64<<20)
+}
+
+func newLimitedGroup(tb testing.TB, voters, spares, diskBytes, memoryBytes int) *smallGroup {
+	tb.Helper()
 	disks := make(map[string]*smallDisk)
-	g := newGroup(t, voters, spares, func(s *node.Settings) {
-		disks[s.Name] = newSmallDisk(smallDiskBytes)
-		s.FileSystem, s.DiskBytes, s.MemoryBytes = disks[s.Name], smallDiskBytes, 64<<20
+	g := newGroup(tb, voters, spares, func(s *node.Settings) {
+		disks[s.Name] = newSmallDisk(diskBytes)
+		s.FileSystem, s.DiskBytes, s.MemoryBytes = disks[s.Name], int64(diskBytes), int64(memoryBytes)
 		s.ElectionTimeout = 500 * time.Millisecond
 	})
-	return &smallGroup{group: g, disks: disks, acknowledged: make(map[uint64]uint64), unknown: make(map[uint64]uint64)}
+	return &smallGroup{
+		group: g, diskBytes: diskBytes, encode: numberCommand, disks: disks,
+		acknowledged: make(map[uint64]uint64), unknown: make(map[uint64]uint64),
+	}
+}
+
+// numberCommand returns a command that adds a number.
+func numberCommand(number uint64, size int) []byte {
+	b := make([]byte, size)
+	binary.BigEndian.PutUint64(b, number)
+	return b
 }
 
 func (g *smallGroup) setDisk(name string, d *smallDisk) {
@@ -59,7 +76,7 @@
 		if err := m.node.Err(); err != nil && on {
 			g.tb.Errorf("%s stopped by itself: %v", name, err)
 		}
-		if most := node.MostOnDisk(smallDiskBytes); int64(peak) > most {
+		if most := node.MostOnDisk(int64(g.diskBytes)); int64(peak) > most {
 			g.tb.Errorf("%s stored %d bytes, its budget is %d", name, peak, most)
 		}
 	}
@@ -73,6 +90,14 @@
 	g.stop(name)
 }
 
+func (g *smallGroup) restartAll() {
+	g.tb.Helper()
+	for _, name := range g.names {
+		g.lose(name)
+	}
+	g.start(g.names...)
+}
+
 func (g *smallGroup) cutPower() {
 	for _, d := range g.disks {
 		d.cutPower()
@@ -107,8 +132,7 @@
 }
 
 func (g *smallGroup) tryAt(name string, number uint64, size int, timeout time.Duration) error {
-	b := make([]byte, size)
-	binary.BigEndian.PutUint64(b, number)
+	b := g.encode(number, size)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	_, err := g.members[name].node.Propose(ctx, b)
@@ -157,18 +181,26 @@
 		}
 		return true
 	})
-	unknown := 0
 	for number := range g.lastNumber + 1 {
 		least, most := g.acknowledged[number], g.acknowledged[number]+g.unknown[number]
 		if v := added[number]; v < least || v > most {
 			g.tb.Errorf("command %d was applied %d times, want %d to %d", number, v, least, most)
 		}
-		unknown += int(g.unknown[number])
+	}
+	g.checkUnknown()
+	g.checkMembers()
+}
+
+// checkUnknown fails the test if too many outcomes were unknown.
+func (g *smallGroup) checkUnknown() {
+	g.tb.Helper()
+	unknown := 0
+	for _, times := range g.unknown {
+		unknown += int(times)
 	}
 	if limit := g.faults + len(g.acknowledged)/unknownShare; unknown > limit {
 		g.tb.Errorf("%d outcomes were unknown in %d commands and %d faults, limit %d", unknown, len(g.acknowledged), g.faults, limit)
 	}
-	g.checkMembers()
 }
 
 // proposeUntil proposes large commands to all members until the power is cut.
--- a/core/process/node/space_test.go
+++ b/core/process/node/space_test.go
@@ -16,10 +16,7 @@
 	g.padBytes = 200 << 10
 	g.start(g.names...)
 	g.proposeLarge(300)
-	for _, name := range g.names {
-		g.lose(name)
-	}
-	g.start(g.names...)
+	g.restartAll()
 	g.waitAcknowledged()
 	for _, name := range g.names {
 		g.lose(name)
