--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -1,32 +1,17 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"time"
 
-	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/httpc"
-	"verbenahaven.example/core/conn/server"
-	"verbenahaven.example/core/conn/stream"
 	"verbenahaven.example/core/request/sched"
 )
 
-const (
-	// releaseTimeout bounds the request that frees a KV cache.
-	releaseTimeout = time.Second
-	// maxPrefillAnswer bounds the answer to a prefill and other short answers,
-	// in bytes.
-	maxPrefillAnswer = 64 << 10
-	// readBufferSize is the size of reads from an event stream, in bytes.
-	readBufferSize = 16 << 10
-)
-
 var (
 	errUnsigned         = errors.New("the answer isn't the server's own")
 	errStatus           = errors.New("the engine answered with a failure")
@@ -38,28 +23,6 @@
 	errFailureDelivered = errors.New("the engine's failure was passed on")
 )
 
-// answerStream tracks how much of a streamed answer the caller has received. It
-// spans the attempts of a call.
-type answerStream struct {
-	headSent    bool   // the HTTP header was sent
-	lastEventID string // of the last complete event
-	events      int
-	partial     []byte        // start of an incomplete event, not yet sent
-	framing     httpc.Framing // of the last engine's answer
-}
-
-// resumable reports whether another attempt can go on after what the caller has.
-func (o *answerStream) resumable() bool { return !o.headSent || o.lastEventID != "" }
-
-// mayGoOn reports whether another attempt may go on after what the caller has.
-func (f *inflightCall) mayGoOn(o *answerStream) bool { return f.route.Resumable && o.resumable() }
-
-// goesOnWith reports whether an answer may follow what the caller has. An engine may report
-// an error with the status of success.
-func (o *answerStream) goesOnWith(a *http.Response) bool {
-	return !o.headSent || stream.IsStream(a.Header)
-}
-
 // forwardGeneration runs a generation on the engines of a plan, and retries it
 // on others as far as the route and the retry budget allow. Admission control
 // applies to the first plan only.
@@ -160,16 +123,6 @@
 	return list
 }
 
-// answerTime returns the time since the first event.
-func (f *inflightCall) answerTime() time.Duration {
-	return f.clock.Now().Sub(f.start) - f.timeToFirstEvent
-}
-
-// tokensIn returns the most tokens that the events of an answer may hold.
-func (f *inflightCall) tokensIn(out *answerStream) int {
-	return out.events * max(1, f.targetPool.Spec.MaxTokensPerEvent)
-}
-
 // logIncomplete logs and counts a stream that ended early. A caller that hung
 // up isn't a failure of the system, but its context is also cancelled when a
 // shutdown cuts the stream, which is one.
@@ -254,72 +207,6 @@
 	return nil
 }
 
-// releaseKV frees a KV cache that no decode engine will fetch.
-func (s *Proxy) releaseKV(ctx context.Context, address, handle string) {
-	q := s.codec.EncodeRelease(address, handle)
-	end, allowed := s.beginOwn(address, q)
-	if !allowed {
-		s.meter.Count("handle", "not_released")
-		return
-	}
-	defer end()
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	a, err := s.pool.Do(ctx, address, q)
-	if err != nil {
-		// The engine frees it later: the handle expires.
-		s.meter.Count("handle", "not_released")
-		return
-	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxPrefillAnswer)) // so that the connection is kept
-	_ = a.Body.Close()
-	s.meter.Count("handle", "released")
-}
-
-// prefill computes the prompt on the plan's prefill engine and returns the
-// handle of its KV cache. It doesn't count as a run of the call.
-func (f *inflightCall) prefill(ctx context.Context, r *run) (string, error) {
-	t, plan := r.ticket, &r.ticket.Plan
-	name := plan.Prefill.Name
-	progressCtx, stop := f.withPrefillTimeout(ctx, f.firstProgressTimeout(t))
-	defer stop()
-	send := &server.Request{Call: f.call, ServerID: name, TimeLeft: f.timeLeft(), PrefillOnly: true, Priority: f.enginePriority(&t.Decision)}
-	if plan.FetchURL != "" {
-		send.PrefixSource = server.HostPort(plan.FetchURL)
-	}
-	start := f.clock.Now()
-	f.tries++
-	a, err := f.do(progressCtx, name, server.HostPort(plan.Prefill.URL), f.codec.EncodeRequest(send), func() error { return f.checkSend(r) })
-	if err != nil {
-		f.recordEngineLoss(ctx, t, name, server.HostPort(plan.Prefill.URL), false, err)
-		return "", fmt.Errorf("prefill: %w", err)
-	}
-	defer func() { _ = a.Body.Close() }()
-	content, err := body.Read(a.Body, maxPrefillAnswer)
-	if err != nil {
-		f.recordEngineLoss(ctx, t, name, server.HostPort(plan.Prefill.URL), false, err)
-		return "", fmt.Errorf("prefill: %w", err)
-	}
-	f.parseHead(name, a)
-	took := f.clock.Now().Sub(start)
-	f.meter.Time(took, "prefill")
-	f.prefillTime = took
-	if a.StatusCode != http.StatusOK {
-		return "", f.recordRefusal(t, name, a)
-	}
-	prefilled, err := f.codec.DecodePrefill(content)
-	if err != nil {
-		f.avoid = append(f.avoid, name)
-		f.pass.Spared(true)
-		t.engineFailed(name, false)
-		return "", fmt.Errorf("prefill: %w", err)
-	}
-	f.prefillAccepted()
-	f.pass.Prefilled()
-	t.prefilled(took)
-	return prefilled.KVHandle, nil
-}
-
 // recordRefusal records that an engine answered with a failure status, and
 // returns the error for it.
 func (f *inflightCall) recordRefusal(t *ticket, name string, a *http.Response) error {
@@ -352,121 +239,3 @@
 		f.mayHaveRun = append(f.mayHaveRun, name)
 	}
 }
-
-// handleNonStream handles an engine's answer that isn't an event stream. A
-// failure that the engine itself reports is delivered to the caller, unless the
-// call may be retried on another engine.
-func (f *inflightCall) handleNonStream(ctx context.Context, t *ticket, name string, a *http.Response, out *answerStream) error {
-	content, err := f.buffer(ctx, a)
-	f.avoid = append(f.avoid, name)
-	f.pass.Spared(true)
-	t.engineFailed(name, false)
-	head := f.codec.ParseHead(a)
-	retryable := f.route.Resumable && len(f.mayHaveRun) < f.route.MaxAttempts
-	if err != nil || out.headSent || !head.Signed || retryable || ctx.Err() != nil {
-		return fmt.Errorf("engine %s: status %d: %w", name, a.StatusCode, errStatus)
-	}
-	f.deliver(&wholeAnswer{response: a, head: head, body: content, server: name})
-	return errFailureDelivered
-}
-
-// forwardStream forwards a run's complete events to the caller as they arrive. It
-// returns errMoved if the stream goes on at another engine. Only complete events are
-// progress: an engine that sends parts of one, or comments, now and then is silent.
-func (f *inflightCall) forwardStream(ctx context.Context, r *run, s *standby, out *answerStream) error {
-	a := r.answer
-	out.partial, out.framing = out.partial[:0], httpc.FramingOf(a)
-	buffer := make([]byte, readBufferSize)
-	control := http.NewResponseController(f.w)
-	ahead, stop := newReadAhead(a.Body, f.memory.events.Hold(f.urgency()), func() { r.cancel(nil) })
-	defer stop()
-	var cursor stream.Cursor
-	for {
-		end, err := readEvents(ahead, buffer, &cursor, out)
-		if s.settle(err == nil || errors.Is(err, io.EOF)) != nil {
-			return errMoved
-		}
-		ended := errors.Is(err, io.EOF)
-		if ended {
-			end = len(out.partial) // also the end of an answer that isn't an event stream
-		}
-		if end > 0 {
-			if ahead.active() {
-				r.lastGap = time.Time{}
-			}
-			ahead.beginWrite()
-			err := f.forwardEvents(control, r, out, end)
-			ahead.endWrite()
-			if err != nil {
-				return err
-			}
-		}
-		switch {
-		case ended && !out.headSent:
-			return f.writeEvents(control, a, out, nil)
-		case ended:
-			return nil
-		case err != nil:
-			return err //nolint:wrapcheck // wrapped by decode
-		case len(out.partial) > stream.MaxEventBytes:
-			return stream.ErrTooLarge
-		}
-		s.arm(ctx, f.eventTimeout())
-	}
-}
-
-// forwardEvents forwards the complete events at the start of out.partial, end bytes, and
-// observes when they came.
-func (f *inflightCall) forwardEvents(control *http.ResponseController, r *run, out *answerStream, end int) error {
-	if stream.IsStream(r.answer.Header) && !stream.ValidEvents(out.partial[:end], f.codec.EventFields()...) {
-		return fmt.Errorf("engine %s: %w", r.name, errNoStream)
-	}
-	arrived, before := f.clock.Now(), out.events
-	if !r.begun {
-		f.beginEvents(r)
-	}
-	if err := f.writeEvents(control, r.answer, out, out.partial[:end]); err != nil {
-		return err
-	}
-	out.partial = append(out.partial[:0], out.partial[end:]...)
-	f.observeGap(r, arrived, out.events-before)
-	return nil
-}
-
-// readEvents reads until an event has ended, the answer ends or its event is too large.
-// It appends what it read to the answer's partial event, and returns the length of its
-// complete events.
-func readEvents(r io.Reader, buffer []byte, cursor *stream.Cursor, out *answerStream) (end int, err error) {
-	for before := cursor.Ended(); err == nil && cursor.Ended() == before && len(out.partial) <= stream.MaxEventBytes; {
-		var n int
-		n, err = r.Read(buffer)
-		if length := cursor.Advance(buffer[:n]); length > 0 {
-			end = len(out.partial) + length
-		}
-		out.partial = append(out.partial, buffer[:n]...)
-	}
-	return end, err //nolint:wrapcheck // io.EOF is compared by value
-}
-
-// writeEvents writes complete events to the caller, preceded by the header of
-// the first engine's answer, and keeps the ID of the last event to resume from.
-func (f *inflightCall) writeEvents(control *http.ResponseController, a *http.Response, out *answerStream, events []byte) error {
-	if !out.headSent {
-		f.codec.CopyHeader(f.w.Header(), a)
-		f.w.WriteHeader(a.StatusCode)
-		out.headSent = true
-	}
-	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
-		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
-			out.lastEventID = string(bytes.TrimSpace(id))
-			out.events++
-		}
-	}
-	if _, err := f.w.Write(events); err != nil {
-		return fmt.Errorf("%w: %w", errCallerConn, err)
-	}
-	if err := control.Flush(); err != nil {
-		return fmt.Errorf("%w: %w", errCallerConn, err)
-	}
-	return nil
-}
--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -71,13 +71,6 @@
 	return f.recheck(ctx, r)
 }
 
-// releasePrefill frees the KV cache that was computed for a run that didn't use it.
-func (f *inflightCall) releasePrefill(ctx context.Context, r *run) {
-	if r.request.KVHandle != "" {
-		go f.releaseKV(context.WithoutCancel(ctx), r.request.KVSource, r.request.KVHandle)
-	}
-}
-
 // send sends the request to the decode engine and awaits the head of its answer.
 func (f *inflightCall) send(r *run) error {
 	r.request.TimeLeft = f.timeLeft()
