keepd: a leader that stops hands over before it waits for operators' calls

What callers saw: a keeper that led and got SIGTERM refused instances from then on, but handed over only once all calls of its operators had ended. Half a call of one operator kept the deployment without a leader for half of the grace, 4 s of 8 s: no heartbeat, no grant and no run-once call was answered.

Cause: the hand-over was part of the clean-up, after the wait for operators' connections.

Now the leader hands over as soon as what acts under its lease has ended. What operators still send there is passed on to the next leader, like at any other keeper. If no voter is up to date, the clean-up hands over as before. The stand-alone mode is as before.

--- a/keepd/platform.go
+++ b/keepd/platform.go
@@ -263,7 +263,10 @@
 	s.log.Info("started", "name", s.settings.KeeperLink(), "machine", s.settings.Name, "zone", s.settings.Zone, "seeds", s.settings.Seeds,
 		"founding", s.settings.Bootstrap, "disk", s.node != nil)
 	if s.node != nil {
-		group.Go(func() { s.lead.Serve(ctx) })
+		group.Go(func() {
+			s.lead.Serve(ctx)
+			s.node.HandOver() // not after the operators' calls: one may hang
+		})
 		select {
 		case <-ctx.Done():
 		case <-s.node.Done():
