--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -46,7 +46,8 @@
 	untilCut    untilCut
 }
 
-// doOnce runs a call that caller, its caller's context, doesn't end.
+// doOnce runs a call. ctx bounds it; caller is the context of who sent it, and ends only its
+// waits, when the instance stops.
 func (s *Dispatcher) doOnce(ctx, caller context.Context, c *Call) (Answer, error) {
 	if err := s.checkSend(ctx, c); err != nil {
 		return Answer{}, err
