relay: count no time in which the process stood still as overlap

TestSecondAttemptRunsBesideFirstOnlyBriefly failed beside other work: it allows two engines 400 ms together, where a timer of 300 ms ends it, and counted the time in which its process didn't run.

The time in which the process stood still, as a timer of 5 ms that comes more than 15 ms late shows, isn't counted now; the bound is the same.

--- a/entryd/relay/second_test.go
+++ b/entryd/relay/second_test.go
@@ -45,15 +45,16 @@
 }
 
 // overlap returns how long the first two requests were at work at the same time, once
-// both have ended.
-func (b *spans) overlap(t *testing.T) time.Duration {
+// both have ended, without the time in which the process stood still.
+func (b *spans) overlap(t *testing.T, s *standstills) time.Duration {
 	t.Helper()
 	for range 100 {
 		b.mutex.Lock()
 		begun, ended := b.begun, slices.Clone(b.ended)
 		b.mutex.Unlock()
 		if len(begun) == 2 && !ended[0].IsZero() && !ended[1].IsZero() {
-			return min(ended[0].Sub(begun[1]), ended[1].Sub(begun[1]))
+			end := slices.MinFunc(ended, time.Time.Compare)
+			return end.Sub(begun[1]) - s.within(begun[1], end)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -61,6 +62,50 @@
 	return 0
 }
 
+// standstills are the times in which this process didn't run, as a timer shows.
+type standstills struct {
+	mutex sync.Mutex
+	list  [][2]time.Time // begin and end
+	seen  time.Time      // until then
+}
+
+func watchStandstills(t *testing.T) *standstills {
+	t.Helper()
+	const tick, late = 5 * time.Millisecond, 20 * time.Millisecond
+	s := &standstills{seen: time.Now()}
+	var group sync.WaitGroup
+	t.Cleanup(group.Wait)
+	group.Go(func() {
+		for t.Context().Err() == nil {
+			time.Sleep(tick)
+			s.mutex.Lock()
+			before, now := s.seen, time.Now()
+			if now.Sub(before) > late {
+				s.list = append(s.list, [2]time.Time{before.Add(tick), now})
+			}
+			s.seen = now
+			s.mutex.Unlock()
+		}
+	})
+	return s
+}
+
+// within returns how much of a time they take.
+func (s *standstills) within(from, to time.Time) (sum time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for s.seen.Before(to) {
+		s.mutex.Unlock()
+		time.Sleep(time.Millisecond)
+		s.mutex.Lock()
+	}
+	for _, v := range s.list {
+		begin, end := slices.MaxFunc([]time.Time{v[0], from}, time.Time.Compare), slices.MinFunc([]time.Time{v[1], to}, time.Time.Compare)
+		sum += max(0, end.Sub(begin))
+	}
+	return sum
+}
+
 // 400 ms is what two engines may work on one request.
 func TestSecondAttemptRunsBesideFirstOnlyBriefly(t *testing.T) {
 	for _, c := range []struct {
@@ -77,8 +122,9 @@
 			b := &spans{silentBackend: &silentBackend{lines: []string{c.first, c.second}}}
 			f := newSilentCall(t, b, 2, 2, 1)
 			f.route.LatencyTarget = c.target
+			s := watchStandstills(t)
 			got := deliverTo(t, f)
-			if o := b.overlap(t); o > 400*time.Millisecond || !strings.HasSuffix(got, " whole\n") {
+			if o := b.overlap(t, s); o > 400*time.Millisecond || !strings.HasSuffix(got, " whole\n") {
 				t.Errorf("the first engine works %v beside the second, the caller gets %s", o, got)
 			}
 		})
