front: let the caller of the whole answer's test be late

TestWholeAnswerToSlowCaller failed beside other work: it writes with 500 ms a chunk, which a process that stands still for that long misses.

The time is 3 s now and the caller takes as many bytes each 50 ms in place of 10, so that the whole answer still takes twice the time of a chunk, and the caller that takes a byte is still cut off.

--- a/entryd/front/whole_test.go
+++ b/entryd/front/whole_test.go
@@ -14,9 +14,9 @@
 // A caller that reads a byte now and then must not hold its call for good; one that is slow
 // but takes the answer piece by piece must get all of it.
 func TestWholeAnswerToSlowCaller(t *testing.T) {
-	const size, timeout = 16 << 20, 500 * time.Millisecond
+	const size, timeout = 16 << 20, 3 * time.Second
 	for name, c := range map[string]struct {
-		bytes int // that the caller reads each 10 ms
+		bytes int // that the caller reads each 50 ms
 		whole bool
 	}{"a byte": {1, false}, "slowly": {128 << 10, true}} {
 		t.Run(name, func(t *testing.T) {
@@ -35,7 +35,7 @@
 			_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
 			_, _ = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 			go func() {
-				for b := make([]byte, c.bytes); ; time.Sleep(10 * time.Millisecond) {
+				for b := make([]byte, c.bytes); ; time.Sleep(50 * time.Millisecond) {
 					if _, err := io.ReadFull(conn, b); err != nil {
 						return
 					}
