front: give the test's callers two seconds for a request

TestBrokenCallWithoutAnotherServerIsNotReportedAsNotRun failed beside other work: the instance of these tests closes a connection whose request takes 200 ms, and the process may stand still for that long between the two. The caller got an end of its connection in place of an answer.

The limit is 2 s now.

--- a/entryd/front/fake_test.go
+++ b/entryd/front/fake_test.go
@@ -251,7 +251,7 @@
 	i := infer.New(infer.Settings{SilenceTimeout: 200 * time.Millisecond, Retry: policy}, b.balancer, p, infer.NewStrikes(k, m, 2), sc, m, c)
 	s, cleanPlain := plain.New(plain.Settings{Holder: "entry1/1", Retry: policy}, b.balancer, p, k, sc, m, c)
 	f := front.New(front.Settings{
-		Name: "entry1", Centre: "north", AddressTTL: time.Second, MaxAddresses: 2, MaxBodyBytes: 1 << 16, MaxHeaderBytes: 1 << 14, ReadTimeout: 200 * time.Millisecond,
+		Name: "entry1", Centre: "north", AddressTTL: time.Second, MaxAddresses: 2, MaxBodyBytes: 1 << 16, MaxHeaderBytes: 1 << 14, ReadTimeout: 2 * time.Second,
 	}, b.balancer, w, i, s, quota.New("entry1", k, b.balancer, m, c), trail.New(), m, c, &b.lease)
 	b.Server = httptest.NewUnstartedServer(nil)
 	b.front, b.Config = f, f.Server(t.Context())
