quorum: members without a leader name the voters whose votes they need

Operators couldn't see why two keepers of three with the whole log elected nobody: the line 'no leader' told how many votes a member had, not of whom it needs them. The line now names the voters by instance and folder, and both halves of a joint configuration.

--- a/core/process/quorum/elect.go
+++ b/core/process/quorum/elect.go
@@ -29,8 +29,9 @@
 func (c *Core) handleElectionTimeout() {
 	if c.leader != "" || c.now-c.electionNoted >= electionNoteInterval {
 		c.electionNoted = c.now
-		c.note("no leader for %s: %s in term %d, votes of %d members, last entry %d of term %d, %d writes pending",
-			(c.now - c.leaderContact).Round(time.Millisecond), c.role, c.hardState.Term, len(c.votes), c.log.last(), c.log.lastTerm(), len(c.pendingPersists))
+		c.note("no leader for %s: %s in term %d, votes of %d members, voters %s, last entry %d of term %d, %d writes pending",
+			(c.now - c.leaderContact).Round(time.Millisecond), c.role, c.hardState.Term, len(c.votes), c.config().voterNames(),
+			c.log.last(), c.log.lastTerm(), len(c.pendingPersists))
 	}
 	c.leader = ""
 	c.resetElectionDeadline()
--- a/core/process/quorum/majority.go
+++ b/core/process/quorum/majority.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 )
 
 // voterSets holds one set of voter identities, or two for a joint configuration.
@@ -27,6 +28,22 @@
 	return voterSets{voters, outgoing}
 }
 
+// voterNames names the voters by instance and folder; for a joint configuration the outgoing
+// ones follow, of which a majority is needed too.
+func (c Config) voterNames() string {
+	sets := c.voterSets()
+	texts := make([]string, 0, len(sets))
+	for _, set := range sets {
+		names := make([]string, 0, len(set))
+		for _, identity := range set {
+			m, _ := c.Find(identity)
+			names = append(names, m.Name+"/"+identity[:min(len(identity), 4)])
+		}
+		texts = append(texts, strings.Join(names, " "))
+	}
+	return strings.Join(texts, " and ")
+}
+
 // hasMajority reports whether the condition holds for a majority of each set.
 func (v voterSets) hasMajority(holds func(identity string) bool) bool {
 	for _, set := range v {
