node: a stopped member isn't asked again in the tests of lost power

Traced: the disks lose power one after the other, 13 ms between the first and the last in one play, and the test went on to propose to members that had stopped meanwhile. Each of their refusals ('propose: stopped') counted as an unknown outcome, two and three times for one member. The test allows one for each.

A member that has stopped gets no further proposal now; what is allowed is the same.

--- a/core/process/node/smallgroup_test.go
+++ b/core/process/node/smallgroup_test.go
@@ -206,10 +206,12 @@
 // proposeUntil proposes large commands to all members until the power is cut.
 func (g *smallGroup) proposeUntil(cut <-chan struct{}) {
 	g.tb.Helper()
+	stopped := make(map[string]bool) // the disks lose power one after the other
 	g.wait("power loss", func() bool {
 		for _, name := range g.names {
-			if g.members[name] != nil {
-				_ = g.tryAt(name, g.newNumber(), largeCommand, time.Second)
+			if g.members[name] != nil && !stopped[name] {
+				err := g.tryAt(name, g.newNumber(), largeCommand, time.Second)
+				stopped[name] = errors.Is(err, node.ErrStopped)
 			}
 		}
 		select {
