link: count dials and handshakes by result

The client's socket now notes whether the peer has sent anything; link.dials.RESULT counts attempts, errors name the last result, and link.handshakes.{begun,completed,lost} the server's side. No decision changes: dials are given up and repeated as before. Tests of core/conn/link and core/process/node pass with the race detector.

--- a/core/conn/link/client.go
+++ b/core/conn/link/client.go
@@ -1,10 +1,12 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -35,6 +37,7 @@
 	mutex      sync.Mutex
 	conn       *quic.Conn
 	dialing    *dialAttempt
+	lastDial   dialResult // of the last attempt, "" before the first ended
 	inactivity inactivePeriod
 }
 
@@ -79,7 +82,7 @@
 	select {
 	case <-a.done:
 	case <-ctx.Done():
-		return nil, fmt.Errorf("dial %s: %w: %w", c.address, ErrNotSent, ctx.Err())
+		return nil, fmt.Errorf("dial %s: %w: %w (last attempt: %s)", c.address, ErrNotSent, ctx.Err(), c.lastResult())
 	}
 	if a.err != nil {
 		return nil, fmt.Errorf("dial %s: %w: %w", c.address, ErrNotSent, a.err)
@@ -87,6 +90,13 @@
 	return a.conn, nil
 }
 
+// lastResult returns the result of the last attempt to connect.
+func (c *Client) lastResult() dialResult {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return cmp.Or(c.lastDial, "none ended")
+}
+
 // current returns the open connection, or the dial in progress, which it starts if
 // there is none.
 func (c *Client) current() (*quic.Conn, *dialAttempt) {
@@ -133,9 +143,7 @@
 	var conn *quic.Conn
 	var err error
 	for _, timeout := range dialTimeouts {
-		ctx, cancel := context.WithTimeout(c.ctx, timeout)
-		conn, err = quic.DialAddr(ctx, c.address, c.config, quicConfig())
-		cancel()
+		conn, err = c.attempt(timeout)
 		if err == nil || c.ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
 			break
 		}
@@ -143,6 +151,32 @@
 	return conn, err //nolint:wrapcheck // wrapped by connect
 }
 
+// attempt makes one handshake.
+func (c *Client) attempt(timeout time.Duration) (*quic.Conn, error) {
+	address, err := net.ResolveUDPAddr("udp", c.address)
+	if err != nil {
+		return nil, fmt.Errorf("resolve: %w", err)
+	}
+	s, err := newSocket()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, timeout)
+	defer cancel()
+	conn, err := quic.Dial(ctx, s, address, c.config, quicConfig())
+	r := resultOf(err, s.heard.Load())
+	dials.count(r)
+	c.mutex.Lock()
+	c.lastDial = r
+	c.mutex.Unlock()
+	if err != nil {
+		_ = s.Close()
+		return nil, fmt.Errorf("%s: %w", r, err)
+	}
+	context.AfterFunc(conn.Context(), func() { _ = s.Close() })
+	return conn, nil
+}
+
 // drop closes a connection on which a call failed, so that the next call dials a
 // new one instead of retrying on a silent connection.
 func (c *Client) drop(conn *quic.Conn) {
--- a/core/conn/link/server.go
+++ b/core/conn/link/server.go
@@ -61,7 +61,7 @@
 	}
 	// quic.ListenAddr's own transport holds the socket for a while after the
 	// listener was closed; a separate one frees the address at once.
-	s.transport = &quic.Transport{Conn: socket}
+	s.transport = &quic.Transport{Conn: socket, ConnContext: s.countHandshake}
 	l, err := s.transport.Listen(s.countRefusedHandshakes(config), quicConfig())
 	if err != nil {
 		_ = socket.Close()
@@ -109,6 +109,25 @@
 	return counted
 }
 
+// countHandshake counts a handshake that begins, and one that fails or whose client
+// gives up.
+func (s *Server) countHandshake(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	s.meter.Count("link", "handshakes", "begun")
+	h := new(handshake)
+	ctx = context.WithValue(ctx, handshakeKey{}, h)
+	context.AfterFunc(ctx, func() {
+		if !h.done.Load() {
+			s.meter.Count("link", "handshakes", "lost")
+		}
+	})
+	return ctx, nil
+}
+
+// handshake is the state of a connection's handshake, kept in its context.
+type handshake struct{ done atomic.Bool }
+
+type handshakeKey struct{}
+
 func (s *Server) countRefusal(reason string) {
 	s.meter.Count("link", "refused", reason)
 }
@@ -127,6 +146,10 @@
 		if err != nil {
 			return
 		}
+		if h, ok := c.Context().Value(handshakeKey{}).(*handshake); ok {
+			h.done.Store(true)
+			s.meter.Count("link", "handshakes", "completed")
+		}
 		s.group.Go(func() { s.serveConn(ctx, c) })
 	}
 }
--- a/core/conn/link/traffic.go
+++ b/core/conn/link/traffic.go
@@ -81,6 +81,7 @@
 		m.Set(int64(v.sentPackets), "link", "sent", "packets")
 		m.Set(int64(v.receivedBytes), "link", "received", "bytes")
 		m.Set(int64(v.receivedPackets), "link", "received", "packets")
+		dials.publish(m)
 		select {
 		case <-ctx.Done():
 			return
