link: a slow server finishes handshakes instead of beginning new ones

Cause: a client gave up a handshake at 250 ms and began another, with new keys. The server went on with the old one. Once a server was 250 ms behind, all its work was thrown away, and its clients asked for more of it as fast as they failed. A metastable failure: the load that keeps it up is that of the repeats.

Change: a client gives up at 250 ms only if not a single packet has come; else it waits 2 s. Attempts that cost the server something are repeated after random pauses that grow across calls to 1 s, and to 100 ms between members of the group. New connections that go silent raise the silence that counts, so that a slow peer isn't dialled again and again.

--- a/core/conn/link/client.go
+++ b/core/conn/link/client.go
@@ -6,37 +6,43 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/quic-go/quic-go"
+
+	"verbenahaven.example/core/process/clock"
 )
 
-// dialTimeouts are those of the handshakes of one dial, one after the other.
-var dialTimeouts = []time.Duration{250 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second}
+// silenceTimeout is how long a connection with waiting calls may go without a
+// received packet before it counts as silent. An acknowledgement takes one
+// round trip plus at most 25 ms. It grows while new connections go silent, too.
+const silenceTimeout = 250 * time.Millisecond
 
-const (
-	// silenceTimeout is how long a connection with waiting calls may go without a
-	// received packet before it counts as silent. An acknowledgement takes one
-	// round trip plus at most 25 ms.
-	silenceTimeout = 250 * time.Millisecond
+var (
+	errClosed     = errors.New("client closed")
+	errUnanswered = errors.New("no packet from the peer")
+	errUnfinished = errors.New("handshake not finished in time")
 )
 
-var errClosed = errors.New("client closed")
-
 // Client calls the server at one address. It dials on first use, and again after
 // the connection broke or went silent.
 type Client struct {
 	address string
 	config  *tls.Config
+	from    netip.Addr      // local address, invalid for any
 	ctx     context.Context // cancelled when the client is closed
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 
 	mutex      sync.Mutex
 	conn       *quic.Conn
+	connected  time.Time // when conn was opened
 	dialing    *dialAttempt
+	redial     redial
 	lastDial   dialResult // of the last attempt, "" before the first ended
 	inactivity inactivePeriod
 }
@@ -50,8 +56,19 @@
 
 // NewClient returns a client for a UDP address, and a function that closes it.
 func NewClient(address string, config *tls.Config) (*Client, func()) {
+	return newClient(address, config, netip.Addr{}, maxDialPause)
+}
+
+// NewUrgentClient returns a client that waits less than others between two attempts to
+// connect, for the few peers on which all others depend. It sends from an address of this
+// machine, by which the peer may prefer it, unless that can't be had.
+func NewUrgentClient(address string, config *tls.Config, from netip.Addr) (*Client, func()) {
+	return newClient(address, config, from, maxUrgentPause)
+}
+
+func newClient(address string, config *tls.Config, from netip.Addr, maxPause time.Duration) (*Client, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Client{address: address, config: config, ctx: ctx, cancel: cancel}
+	c := &Client{address: address, config: config, from: from, ctx: ctx, cancel: cancel, redial: newRedial(maxPause)}
 	return c, c.close
 }
 
@@ -105,6 +122,7 @@
 	if c.conn != nil && c.conn.Context().Err() == nil {
 		return c.conn, nil
 	}
+	c.forget(false)
 	if c.dialing != nil {
 		return nil, c.dialing
 	}
@@ -119,8 +137,16 @@
 	return nil, a
 }
 
+// forget gives up the connection, if there is one. The mutex must be held.
+func (c *Client) forget(silent bool) {
+	if c.conn != nil {
+		c.conn = nil
+		c.redial.ended(time.Since(c.connected), silent)
+	}
+}
+
 func (c *Client) dial(a *dialAttempt) {
-	conn, err := c.handshake()
+	conn, err := c.open()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.dialing = nil
@@ -130,59 +156,74 @@
 	}
 	if err == nil {
 		traffic.track(conn)
-		c.conn = conn
+		c.conn, c.connected = conn, time.Now()
 	}
 	a.conn, a.err = conn, err
 	close(a.done)
 }
 
-// handshake opens a connection. It starts anew if the peer doesn't answer soon:
-// QUIC repeats its first packet at growing intervals, so a peer that begins to
-// listen a moment after that packet would be reached a second later.
-func (c *Client) handshake() (*quic.Conn, error) {
-	var conn *quic.Conn
-	var err error
-	for _, timeout := range dialTimeouts {
-		conn, err = c.attempt(timeout)
-		if err == nil || c.ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
-			break
+// open opens a connection. For a while it repeats attempts that aren't answered or that
+// come too early for a busy peer.
+func (c *Client) open() (*quic.Conn, error) {
+	for began := time.Now(); ; {
+		c.mutex.Lock()
+		pause := c.redial.pause(rand.Float64())
+		c.mutex.Unlock()
+		clock.Sleep(c.ctx, pause)
+		conn, err := c.attempt()
+		r := resultOf(err)
+		if again := r == dialUnanswered || r == dialRefused; !again || c.ctx.Err() != nil || time.Since(began) >= dialPeriod {
+			return conn, err
 		}
 	}
-	return conn, err //nolint:wrapcheck // wrapped by connect
 }
 
-// attempt makes one handshake.
-func (c *Client) attempt(timeout time.Duration) (*quic.Conn, error) {
+// attempt makes one handshake. It is given up soon only if the peer doesn't answer at all:
+// a slow peer would go on with it and begin another one in vain.
+func (c *Client) attempt() (*quic.Conn, error) {
 	address, err := net.ResolveUDPAddr("udp", c.address)
 	if err != nil {
 		return nil, fmt.Errorf("resolve: %w", err)
 	}
-	s, err := newSocket()
+	s, err := newSocket(c.from)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	ctx, stop := context.WithTimeoutCause(ctx, dialTimeout, errUnfinished)
+	defer stop()
+	answer := time.AfterFunc(dialAnswerTimeout, func() {
+		if !s.heard.Load() {
+			cancel(errUnanswered)
+		}
+	})
+	defer answer.Stop()
 	conn, err := quic.Dial(ctx, s, address, c.config, quicConfig())
-	r := resultOf(err, s.heard.Load())
-	dials.count(r)
-	c.mutex.Lock()
-	c.lastDial = r
-	c.mutex.Unlock()
+	c.record(resultOf(err))
 	if err != nil {
 		_ = s.Close()
-		return nil, fmt.Errorf("%s: %w", r, err)
+		return nil, fmt.Errorf("handshake: %w", err)
 	}
 	context.AfterFunc(conn.Context(), func() { _ = s.Close() })
 	return conn, nil
 }
 
+// record records the result of an attempt.
+func (c *Client) record(r dialResult) {
+	dials.count(r)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.lastDial = r
+	c.redial.attempted(r)
+}
+
 // drop closes a connection on which a call failed, so that the next call dials a
 // new one instead of retrying on a silent connection.
-func (c *Client) drop(conn *quic.Conn) {
+func (c *Client) drop(conn *quic.Conn, silent bool) {
 	c.mutex.Lock()
 	if c.conn == conn {
-		c.conn = nil
+		c.forget(silent)
 	}
 	c.mutex.Unlock()
 	_ = conn.CloseWithError(0, "dropped")
@@ -238,8 +279,9 @@
 // with waiting calls and no incoming packets is dead. A packet already in flight
 // when the path failed can hide this from one call, but not from the next.
 func (c *Client) handleFailure(ctx context.Context, conn *quic.Conn) {
-	if ctx.Err() == nil || c.isSilent(conn) {
-		c.drop(conn)
+	silent := c.isSilent(conn)
+	if ctx.Err() == nil || silent {
+		c.drop(conn, silent)
 	}
 }
 
@@ -270,11 +312,11 @@
 	}
 }
 
-// isSilent reports whether calls have waited for silenceTimeout without a packet
+// isSilent reports whether calls have waited for the silence timeout without a packet
 // arriving on conn.
 func (c *Client) isSilent(conn *quic.Conn) bool {
 	packets := conn.ConnectionStats().PacketsReceived
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.inactivity.conn == conn && c.inactivity.packets == packets && time.Since(c.inactivity.since) >= silenceTimeout
+	return c.inactivity.conn == conn && c.inactivity.packets == packets && time.Since(c.inactivity.since) >= c.redial.silenceTimeout()
 }
--- a/core/conn/link/dials.go
+++ b/core/conn/link/dials.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"context"
 	"errors"
 	"sync/atomic"
 
@@ -22,20 +21,19 @@
 )
 
 // resultOf returns the result of an attempt that ended with err.
-func resultOf(err error, heard bool) dialResult {
+func resultOf(err error) dialResult {
 	var refused *quic.TransportError
 	var idle *quic.IdleTimeoutError
 	var slow *quic.HandshakeTimeoutError
 	switch {
 	case err == nil:
 		return dialConnected
+	case errors.Is(err, errUnanswered):
+		return dialUnanswered
 	case errors.As(err, &refused) && refused.ErrorCode == quic.ConnectionRefused:
 		return dialRefused
-	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &idle), errors.As(err, &slow):
-		if heard {
-			return dialUnfinished
-		}
-		return dialUnanswered
+	case errors.Is(err, errUnfinished), errors.As(err, &idle), errors.As(err, &slow):
+		return dialUnfinished
 	default:
 		return dialFailed
 	}
--- a/core/conn/link/link.go
+++ b/core/conn/link/link.go
@@ -73,9 +73,10 @@
 
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		MaxIdleTimeout:     idleTimeout,
-		KeepAlivePeriod:    keepAlivePeriod,
-		MaxIncomingStreams: maxStreamsPerConn,
+		HandshakeIdleTimeout: dialTimeout / 2, // the whole handshake may take twice as long
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      keepAlivePeriod,
+		MaxIncomingStreams:   maxStreamsPerConn,
 	}
 }
 
--- a/core/conn/link/oneway.go
+++ b/core/conn/link/oneway.go
@@ -51,7 +51,7 @@
 		return fmt.Errorf("send %s: %w", p.kind, err)
 	}
 	if p.client.isSilent(p.conn) {
-		p.client.drop(p.conn)
+		p.client.drop(p.conn, true)
 		p.reset()
 		return fmt.Errorf("send %s: %w", p.kind, ErrSilent)
 	}
--- /dev/null
+++ b/core/conn/link/redial.go
@@ -0,0 +1,86 @@
+package link
+
+import (
+	"time"
+
+	"verbenahaven.example/core/process/pace"
+)
+
+const (
+	// dialAnswerTimeout is how long a dial waits for the first packet of its peer. QUIC
+	// repeats its own first packet at growing intervals, so a peer that begins to listen a
+	// moment after one would be reached a second later.
+	dialAnswerTimeout = 250 * time.Millisecond
+	// dialTimeout bounds a handshake with a peer that answers.
+	dialTimeout = 2 * time.Second
+	// dialPeriod is how long a dial goes on with a peer that doesn't answer or is busy.
+	dialPeriod = 2 * time.Second
+
+	// dialJitter bounds the random pause between two attempts that weren't answered, which
+	// cost the peer next to nothing.
+	dialJitter = 50 * time.Millisecond
+	// minDialPause is the mean pause after the first attempt that cost the peer something.
+	// maxDialPause bounds the mean pause, maxUrgentPause that of urgent clients.
+	minDialPause   = 25 * time.Millisecond
+	maxDialPause   = time.Second
+	maxUrgentPause = 100 * time.Millisecond
+	// steadyAge is the age from which a connection that breaks counts as one that worked.
+	steadyAge = time.Second
+
+	// maxSilenceTimeout bounds the silence after which a connection is given up.
+	maxSilenceTimeout = 2 * time.Second
+)
+
+// redial decides when a client tries to connect to its peer again, and how long it takes a
+// silent connection for one that is only slow. A handshake is the dearest work that a client
+// can ask of its peer, so the load of all clients together must fall while their attempts
+// fail: pauses are random, and grow across calls with each attempt that cost the peer
+// something.
+type redial struct {
+	costly     pace.Backoff // attempts that the peer refused or didn't finish, and connections that didn't last
+	unanswered bool         // the last attempt wasn't answered
+	silent     int          // connections in a row that were soon given up as silent
+}
+
+func newRedial(limit time.Duration) redial {
+	return redial{costly: pace.NewBackoff(minDialPause, limit)}
+}
+
+// attempted records the result of an attempt.
+func (r *redial) attempted(result dialResult) {
+	r.unanswered = result == dialUnanswered
+	switch result {
+	case dialRefused, dialUnfinished, dialFailed:
+		r.costly.Fail()
+	case dialConnected, dialUnanswered:
+	}
+}
+
+// ended records that a connection of some age ended, given up as silent or not.
+func (r *redial) ended(age time.Duration, silent bool) {
+	if age >= steadyAge {
+		r.costly.Reset()
+	} else {
+		r.costly.Fail()
+	}
+	switch {
+	case !silent:
+	case age >= r.silenceTimeout()+steadyAge:
+		r.silent = 0
+	default:
+		r.silent++
+	}
+}
+
+// pause returns the time to wait before the next attempt, given a random number from 0 to 1.
+func (r *redial) pause(random float64) time.Duration {
+	if r.unanswered && r.costly.Failures() == 0 {
+		return time.Duration(random * float64(dialJitter))
+	}
+	return r.costly.Pause(random)
+}
+
+// silenceTimeout returns how long a connection may bring no packet while calls wait.
+func (r *redial) silenceTimeout() time.Duration {
+	return pace.Doubled(silenceTimeout, r.silent, maxSilenceTimeout)
+}
--- a/core/conn/link/server.go
+++ b/core/conn/link/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,8 @@
 type Server struct {
 	handlers     map[string]handler
 	allowed      map[string][]string // peer names by message kind; a kind without an entry allows all peers
+	preferred    func(netip.Addr) bool
+	gate         gate
 	meter        *meter.Registry
 	activeCalls  atomic.Int64
 	pendingBytes atomic.Int64 // of requests being read or handled
@@ -61,7 +64,7 @@
 	}
 	// quic.ListenAddr's own transport holds the socket for a while after the
 	// listener was closed; a separate one frees the address at once.
-	s.transport = &quic.Transport{Conn: socket, ConnContext: s.countHandshake}
+	s.transport = &quic.Transport{Conn: socket, VerifySourceAddress: s.mustValidate, ConnContext: s.beginHandshake}
 	l, err := s.transport.Listen(s.countRefusedHandshakes(config), quicConfig())
 	if err != nil {
 		_ = socket.Close()
@@ -109,25 +112,6 @@
 	return counted
 }
 
-// countHandshake counts a handshake that begins, and one that fails or whose client
-// gives up.
-func (s *Server) countHandshake(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
-	s.meter.Count("link", "handshakes", "begun")
-	h := new(handshake)
-	ctx = context.WithValue(ctx, handshakeKey{}, h)
-	context.AfterFunc(ctx, func() {
-		if !h.done.Load() {
-			s.meter.Count("link", "handshakes", "lost")
-		}
-	})
-	return ctx, nil
-}
-
-// handshake is the state of a connection's handshake, kept in its context.
-type handshake struct{ done atomic.Bool }
-
-type handshakeKey struct{}
-
 func (s *Server) countRefusal(reason string) {
 	s.meter.Count("link", "refused", reason)
 }
@@ -147,8 +131,7 @@
 			return
 		}
 		if h, ok := c.Context().Value(handshakeKey{}).(*handshake); ok {
-			h.done.Store(true)
-			s.meter.Count("link", "handshakes", "completed")
+			s.endHandshake(h, "completed")
 		}
 		s.group.Go(func() { s.serveConn(ctx, c) })
 	}
--- a/core/conn/link/socket.go
+++ b/core/conn/link/socket.go
@@ -1,8 +1,10 @@
 package link
 
 import (
+	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync/atomic"
 
 	"golang.org/x/net/ipv4"
@@ -17,8 +19,19 @@
 	heard atomic.Bool
 }
 
-func newSocket() (*socket, error) {
-	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4zero})
+var errNoAddress = errors.New("no local address")
+
+// newSocket opens a socket at a local address, or at any if that is invalid or not this
+// machine's.
+func newSocket(from netip.Addr) (*socket, error) {
+	var c *net.UDPConn
+	err := errNoAddress
+	if from.IsValid() {
+		c, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(from, 0)))
+	}
+	if err != nil {
+		c, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4zero})
+	}
 	if err != nil {
 		return nil, fmt.Errorf("open socket: %w", err)
 	}
--- a/core/conn/link/storm_test.go
+++ b/core/conn/link/storm_test.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -34,7 +35,7 @@
 
 // startSlowServer starts a server that makes one handshake after the other, as one with a
 // slow processor does.
-func startSlowServer(t *testing.T) string {
+func startSlowServer(t *testing.T, preferred netip.Addr) string {
 	t.Helper()
 	config := isolatedConfig(t, "keep1")
 	var processor sync.Mutex
@@ -48,6 +49,7 @@
 	link.Handle(s, "echo", func(_ context.Context, peer string, p ping) (ping, error) {
 		return ping{Text: peer + " " + p.Text}, nil
 	})
+	s.Prefer(func(a netip.Addr) bool { return a == preferred })
 	address, cleanup, err := s.Listen("127.0.0.1:0", config)
 	if err != nil {
 		t.Fatal(err)
@@ -74,35 +76,65 @@
 	}
 }
 
-// Clients gave up handshakes that the server went on with, and began new ones, so that none ended.
-func TestSlowServerConnectsAllClients(t *testing.T) {
-	address := startSlowServer(t)
-	ctx, cancel := context.WithTimeout(t.Context(), recoveryTarget)
-	defer cancel()
-	began := time.Now()
-	errs := make(chan error, stormClients)
-	total := 0
+// startStorm makes many clients call a server until each is served once, and returns a
+// function that waits for them.
+func startStorm(ctx context.Context, t *testing.T, address string) (wait func() (unserved, failed int, last error)) {
+	t.Helper()
+	var group sync.WaitGroup
 	var mutex sync.Mutex
+	var unserved, failed int
+	var last error
 	for i := range stormClients {
 		c, cleanup := link.NewClient(address, isolatedConfig(t, fmt.Sprintf("entry%d", i)))
-		defer cleanup()
-		go func() {
-			failed, err := callUntilServed(ctx, c)
+		t.Cleanup(cleanup)
+		group.Go(func() {
+			n, err := callUntilServed(ctx, c)
 			mutex.Lock()
 			defer mutex.Unlock()
-			total += failed
-			errs <- err
-		}()
+			failed += n
+			if err != nil {
+				unserved, last = unserved+1, err
+			}
+		})
 	}
-	var last error
-	unserved := 0
-	for range stormClients {
-		if err := <-errs; err != nil {
-			unserved, last = unserved+1, err
-		}
+	return func() (int, int, error) {
+		group.Wait()
+		return unserved, failed, last
 	}
+}
+
+// Clients gave up handshakes that the server went on with, and began new ones, so that none ended.
+func TestSlowServerConnectsAllClients(t *testing.T) {
+	address := startSlowServer(t, netip.Addr{})
+	ctx, cancel := context.WithTimeout(t.Context(), recoveryTarget)
+	defer cancel()
+	began := time.Now()
+	unserved, failed, err := startStorm(ctx, t, address)()
 	if unserved > 0 {
-		t.Fatalf("%d of %d clients not served in %v, %d calls failed: %v", unserved, stormClients, recoveryTarget, total, last)
+		t.Fatalf("%d of %d clients not served in %v, %d calls failed: %v", unserved, stormClients, recoveryTarget, failed, err)
+	}
+	t.Logf("all served after %v, %d calls failed", time.Since(began), failed)
+}
+
+// A voter waited behind the clients of a keeper that it had to reach for an election.
+func TestVoterConnectsBesideManyClients(t *testing.T) {
+	const electionTimeout = 600 * time.Millisecond
+	voter := netip.MustParseAddr("127.0.0.2")
+	address := startSlowServer(t, voter)
+	ctx, cancel := context.WithTimeout(t.Context(), recoveryTarget)
+	defer cancel()
+	wait := startStorm(ctx, t, address)
+	for range 6 {
+		time.Sleep(handshakeCost * stormClients / 10)
+		c, cleanup := link.NewUrgentClient(address, isolatedConfig(t, "keep2"), voter)
+		attempt, stop := context.WithTimeout(ctx, electionTimeout)
+		if _, err := link.Call[ping, ping](attempt, c, "echo", ping{}); err != nil {
+			t.Errorf("not connected within an election timeout: %v", err)
+		}
+		stop()
+		cleanup()
+	}
+	if unserved, _, err := wait(); unserved > 0 {
+		t.Errorf("%d clients not served: %v", unserved, err)
 	}
-	t.Logf("all served after %v, %d calls failed", time.Since(began), total)
 }
--- a/core/process/node/member.go
+++ b/core/process/node/member.go
@@ -138,6 +138,7 @@
 	n.stateBytes.Store(store.Stored().Snapshot.Size)
 	n.publish()
 	link.Handle(server, raftKind, n.receive)
+	server.Prefer(n.isMember)
 	n.start(ctx)
 	return n, func() {
 		n.transferLeadership()
--- a/core/process/node/sender.go
+++ b/core/process/node/sender.go
@@ -26,7 +26,7 @@
 }
 
 func newSender(n *Node, address string, config *tls.Config) *sender {
-	client, cleanup := link.NewClient(address, config)
+	client, cleanup := link.NewUrgentClient(address, config, addressOf(n.ownLink()))
 	return &sender{node: n, queue: make(chan quorum.Message, senderQueueSize), stream: client.OneWayStream(raftKind), close: cleanup}
 }
 
