keeper: ask for the leader at a pace that grows, and the same keeper

While there is no leader, each call of each instance asked the next keeper each 20 ms, for as long as it could: with 200 instances some 9,000 questions a second and a connection to every keeper, on processors that the election needs.

Change: one growing random pause for all calls of a client, 20 ms after the first failure, 250 ms at most; the same keeper is asked four times in a row, since it learns of a leader as soon as others do; clients begin at different keepers; a leader that is overloaded stays the one to ask. A leader that was just named is called at once.

TestInstancesFindNewLeaderSoon holds before and after: a leader is found within a second.

--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -8,19 +8,29 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/pace"
 	"verbenahaven.example/core/version/state"
 )
 
 const (
 	attemptTimeout = time.Second
-	retryInterval  = 20 * time.Millisecond
 	skipPeriod     = time.Second // how long an unresponsive keeper isn't tried
+	// minRetryPause is the mean pause after the first failed attempt of a call, and
+	// maxRetryPause the limit to which it grows: while there is no leader, 1,000 instances
+	// ask 4,000 times a second together.
+	minRetryPause = 20 * time.Millisecond
+	maxRetryPause = 250 * time.Millisecond
+	// maxAsks is how often in a row a keeper is asked that knows no leader. It learns of a
+	// new one as soon as others do, unless it is cut off from them.
+	maxAsks = 4
 )
 
 // ErrNoLeader reports that no leader answered before the context ended. A call
@@ -39,8 +49,11 @@
 	clients   map[string]*link.Client
 	cleanups  []func()
 	leader    string
-	next      int                  // round-robin position in names
+	next      int                  // position in names
+	asks      int                  // times in a row that the keeper at that position knew no leader
 	skipUntil map[string]time.Time // unresponsive keepers aren't tried before this time
+	hinted    bool                 // the last failed attempt named a leader
+	backoff   pace.Backoff         // of the attempts of all calls
 }
 
 var _ proto.Keeper = (*Client)(nil)
@@ -48,7 +61,7 @@
 // New returns a client for a fixed group of keepers, given as link addresses by
 // name, and its clean-up.
 func New(addresses map[string]string, config *tls.Config) (*Client, func()) {
-	c := &Client{config: config, clients: make(map[string]*link.Client), skipUntil: make(map[string]time.Time)}
+	c := newClient(config)
 	for name, address := range addresses {
 		c.add(name, address)
 		c.seeds = append(c.seeds, name)
@@ -60,13 +73,23 @@
 // link addresses, and its clean-up. It starts with the seeds and follows
 // leaders that aren't among them.
 func OpenDynamic(seeds []string, config *tls.Config) (*Client, func()) {
-	c := &Client{config: config, dynamic: true, seeds: slices.Clone(seeds), clients: make(map[string]*link.Client), skipUntil: make(map[string]time.Time)}
+	c := newClient(config)
+	c.dynamic, c.seeds = true, slices.Clone(seeds)
 	for _, address := range seeds {
 		c.add(address, address)
 	}
 	return c, c.close
 }
 
+// newClient returns a client without keepers. Clients begin at different ones, so that those
+// of a fleet don't all ask the same keeper first.
+func newClient(config *tls.Config) *Client {
+	return &Client{
+		config: config, clients: make(map[string]*link.Client), next: rand.IntN(math.MaxInt32),
+		skipUntil: make(map[string]time.Time), backoff: pace.NewBackoff(minRetryPause, maxRetryPause),
+	}
+}
+
 // add creates the link client of a keeper unless it exists.
 func (c *Client) add(name, address string) {
 	if _, known := c.clients[name]; known {
@@ -178,23 +201,31 @@
 func (c *Client) advance() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.next++
+	c.moveOn()
 }
 
-// callTarget returns the presumed leader, or else the next keeper that isn't
-// marked as unresponsive. If all are marked it returns one of them.
+// moveOn goes on to the next keeper. The mutex must be held.
+func (c *Client) moveOn() { c.next, c.asks = c.next+1, 0 }
+
+// callTarget returns the presumed leader, or else the keeper to ask for it: always the same
+// as long as it answers, since each other one costs both ends a connection. If all are
+// marked as unresponsive it returns one of them.
 func (c *Client) callTarget() string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.leader != "" {
 		return c.leader
 	}
+	if c.asks >= maxAsks {
+		c.moveOn()
+	}
 	for range c.names {
-		c.next++
 		if name := c.names[c.next%len(c.names)]; !c.isUnresponsive(name) {
 			return name
 		}
+		c.moveOn()
 	}
+	c.moveOn()
 	return c.names[c.next%len(c.names)]
 }
 
@@ -202,11 +233,10 @@
 	return time.Now().Before(c.skipUntil[name])
 }
 
-// followHint presumes that a keeper named by another one leads. After a leader
-// stops, the other keepers still name it until they have elected a new one, so
-// an unresponsive keeper isn't accepted. With an empty name no leader is
-// presumed.
-func (c *Client) followHint(name string) {
+// followHint presumes that a keeper named by another one leads, and reports whether it
+// does. After a leader stops, the other keepers still name it until they have elected a new
+// one, so an unresponsive keeper isn't accepted. With an empty name no leader is presumed.
+func (c *Client) followHint(name string) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.dynamic && name != "" {
@@ -216,6 +246,7 @@
 		name = ""
 	}
 	c.leader = name
+	return name != ""
 }
 
 // confirmLeader records that a keeper served a call as leader.
@@ -223,7 +254,8 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	delete(c.skipUntil, name)
-	c.leader = name
+	c.leader, c.asks = name, 0
+	c.backoff.Reset()
 }
 
 // markUnresponsive records that a keeper didn't answer.
@@ -236,9 +268,45 @@
 	}
 }
 
+// recordFailure takes what a failed attempt tells of the keeper, and returns how long to
+// wait before the next one: not long if it names the leader, unless that named another one.
+func (c *Client) recordFailure(ctx context.Context, name string, err error) time.Duration {
+	var remote *link.RemoteError
+	hinted := false
+	switch answered := errors.As(err, &remote); {
+	case answered && remote.Code == link.CodeNotLeader:
+		hinted = c.followHint(remote.Detail)
+		if !hinted {
+			c.countAsk()
+		}
+	case answered && remote.Code == link.CodeOverloaded:
+		// Another keeper would only name this one again.
+	case answered && remote.Code != link.CodeStopping, ctx.Err() != nil:
+		c.followHint("")
+		c.advance()
+	default:
+		c.markUnresponsive(name)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.backoff.Fail()
+	soon := hinted && !c.hinted
+	c.hinted = hinted
+	if soon {
+		return time.Duration(rand.Float64() * float64(minRetryPause))
+	}
+	return c.backoff.Pause(rand.Float64())
+}
+
+func (c *Client) countAsk() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.asks++
+}
+
 // isFinal reports whether every keeper would answer with the same error code.
 func isFinal(code string) bool {
-	return code != link.CodeInternal && code != link.CodeOverloaded && code != link.CodeStopping
+	return code != link.CodeNotLeader && code != link.CodeInternal && code != link.CodeOverloaded && code != link.CodeStopping
 }
 
 // callLeader sends an idempotent call to the leader and retries until a leader
@@ -254,20 +322,14 @@
 			return reply, nil
 		}
 		var remote *link.RemoteError
-		switch {
-		case errors.As(err, &remote) && remote.Code == link.CodeNotLeader:
-			c.followHint(remote.Detail)
-		case errors.As(err, &remote) && isFinal(remote.Code):
+		if errors.As(err, &remote) && isFinal(remote.Code) {
 			return reply, fmt.Errorf("ask %s: %w", name, err)
-		case errors.As(err, &remote) && remote.Code != link.CodeStopping, ctx.Err() != nil:
-			c.followHint("")
-		default:
-			c.markUnresponsive(name)
 		}
+		pause := c.recordFailure(ctx, name, err)
 		select {
 		case <-ctx.Done():
 			return reply, fmt.Errorf("ask %s: %w: %w", kind, ErrNoLeader, err)
-		case <-time.After(retryInterval):
+		case <-time.After(pause):
 		}
 	}
 }
--- /dev/null
+++ b/core/conn/keeper/keeper_test.go
@@ -0,0 +1,119 @@
+package keeper_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"verbenahaven.example/core/conn/keeper"
+	"verbenahaven.example/core/conn/link"
+	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/process/keys"
+	"verbenahaven.example/core/process/meter"
+)
+
+// fakeGroup is a group of keepers that answer heartbeats with the leader's name, if there is
+// one.
+type fakeGroup struct {
+	addresses []string
+	leader    atomic.Pointer[string]
+	asks      atomic.Int64
+	asked     sync.Map // by keeper and caller
+}
+
+func startGroup(t *testing.T, size int) *fakeGroup {
+	t.Helper()
+	g := &fakeGroup{}
+	g.leader.Store(new(string))
+	for range size {
+		config, err := keys.UnauthenticatedConfig("keep")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := link.NewServer(meter.New())
+		own := new(atomic.Pointer[string])
+		link.Handle(s, proto.KindHeartbeat, func(_ context.Context, peer string, _ proto.HeartbeatRequest) (proto.HeartbeatReply, error) {
+			g.asks.Add(1)
+			g.asked.Store(*own.Load()+" "+peer, true)
+			if leader := *g.leader.Load(); leader != *own.Load() {
+				return proto.HeartbeatReply{}, &link.RemoteError{Code: link.CodeNotLeader, Detail: leader}
+			}
+			return proto.HeartbeatReply{}, nil
+		})
+		own.Store(new("unbound"))
+		a, cleanup, err := s.Listen("127.0.0.1:0", config)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(cleanup)
+		own.Store(new(a.String()))
+		g.addresses = append(g.addresses, a.String())
+	}
+	return g
+}
+
+// startInstances makes instances send heartbeats until the first is answered, and returns a
+// function that waits for them.
+func (g *fakeGroup) startInstances(ctx context.Context, t *testing.T, n int) (wait func() (served int)) {
+	t.Helper()
+	var group sync.WaitGroup
+	var served atomic.Int64
+	for i := range n {
+		config, err := keys.UnauthenticatedConfig("entry" + string(rune('a'+i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, cleanup := keeper.OpenDynamic(g.addresses, config)
+		t.Cleanup(cleanup)
+		group.Go(func() {
+			for ctx.Err() == nil {
+				attempt, cancel := context.WithTimeout(ctx, time.Second)
+				_, err := c.Heartbeat(attempt, proto.HeartbeatRequest{})
+				cancel()
+				if err == nil {
+					served.Add(1)
+					return
+				}
+			}
+		})
+	}
+	return func() int {
+		group.Wait()
+		return int(served.Load())
+	}
+}
+
+const instances = 20
+
+// All instances asked all keepers each 20 ms, which kept these from electing a leader.
+func TestInstancesWithoutLeaderAskRarely(t *testing.T) {
+	g := startGroup(t, 5)
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	g.startInstances(ctx, t, instances)()
+	// Four in a second, and a few more before the pauses have grown.
+	if asks := g.asks.Load(); asks > instances*14 {
+		t.Errorf("%d instances asked %d times in 1.5 s", instances, asks)
+	}
+	t.Logf("asked %d times", g.asks.Load())
+	connections := 0
+	g.asked.Range(func(any, any) bool { connections++; return true })
+	if connections > 4*instances {
+		t.Errorf("%d instances asked %d keepers of 5 each", instances, connections/instances)
+	}
+}
+
+// Pauses that have grown while there was no leader delayed the first calls to the new one.
+func TestInstancesFindNewLeaderSoon(t *testing.T) {
+	g := startGroup(t, 5)
+	ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+	defer cancel()
+	wait := g.startInstances(ctx, t, instances)
+	time.Sleep(1500 * time.Millisecond)
+	g.leader.Store(&g.addresses[2])
+	if served := wait(); served != instances {
+		t.Errorf("%d of %d instances have found the leader after a second", served, instances)
+	}
+}
