link: a handler ends with its caller

The context of a handler now ends when its caller cancels the call or its connection ends. TestHandlerEndsWithItsCaller fails without it: the handler goes on until the server closes.

--- a/core/conn/link/link_test.go
+++ b/core/conn/link/link_test.go
@@ -314,6 +314,34 @@
 	}
 }
 
+// A keeper went on with the calls of instances that had long called again.
+func TestHandlerEndsWithItsCaller(t *testing.T) {
+	ended := make(chan time.Time, 1)
+	s := link.NewServer(meter.New())
+	link.Handle(s, "hang", func(ctx context.Context, _ string, _ ping) (ping, error) {
+		<-ctx.Done()
+		ended <- time.Now()
+		return ping{}, ctx.Err()
+	})
+	address, cleanup, err := s.Listen("127.0.0.1:0", isolatedConfig(t, "keep1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cleanup()
+	c, closeClient := link.NewClient(address.String(), isolatedConfig(t, "entry1"))
+	defer closeClient()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := link.Call[ping, ping](ctx, c, "hang", ping{}); err == nil {
+		t.Fatal("answered")
+	}
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the handler goes on")
+	}
+}
+
 // TestSharedDial checks that calls waiting for a dial return at their own
 // deadline.
 func TestSharedDial(t *testing.T) {
--- a/core/conn/link/server.go
+++ b/core/conn/link/server.go
@@ -185,6 +185,9 @@
 		s.reject(stream, e.Kind, "peer", CodeNotAllowed)
 		return
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(stream.Context(), cancel)() //nolint:contextcheck // ends with the caller
 	body, err := handle(ctx, peer, e.Body)
 	reply := envelope{Kind: e.Kind, Body: body}
 	if err != nil {
