watch: failed polls of the keepers are spaced by growing random pauses

The pause now grows to 0.8 s and is random. The tests of entryd/watch and entryd/beat pass with the race detector.

--- a/entryd/watch/watch.go
+++ b/entryd/watch/watch.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/process/pace"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
 )
@@ -26,10 +28,11 @@
 	watchTimeout  = 300 * time.Millisecond
 	replySlack    = 500 * time.Millisecond // for the reply to arrive
 	parentBackoff = 5 * time.Second        // during which a failed parent is not used
-	// retryPause follows a failed poll of a keeper, and separates the checks
-	// while heartbeats bring the state.
-	retryPause   = 100 * time.Millisecond
-	maxParentLag = time.Second // after which a parent that lacks the newest version is left
+	// retryPause is the mean pause after the first failed poll of a keeper, which grows to
+	// maxRetryPause, and the pause between checks while heartbeats bring the state.
+	retryPause    = 100 * time.Millisecond
+	maxRetryPause = 800 * time.Millisecond
+	maxParentLag  = time.Second // after which a parent that lacks the newest version is left
 )
 
 // Settings configures the distribution tree and the staleness limit.
@@ -152,6 +155,7 @@
 
 // Run keeps the state up to date until ctx ends.
 func (w *Watch) Run(ctx context.Context) {
+	backoff := pace.NewBackoff(retryPause, maxRetryPause)
 	for ctx.Err() == nil {
 		if w.recentHeartbeat() {
 			clock.Sleep(ctx, retryPause)
@@ -166,6 +170,7 @@
 		}
 		w.recordAge()
 		if err == nil {
+			backoff.Reset()
 			continue
 		}
 		w.meter.Count("watch", "failed")
@@ -173,7 +178,8 @@
 			w.avoidParent()
 			continue
 		}
-		clock.Sleep(ctx, retryPause)
+		backoff.Fail()
+		clock.Sleep(ctx, backoff.Pause(rand.Float64()))
 	}
 }
 
