keys: handshakes on isolated networks without post-quantum key exchange

ML-KEM, which crypto/tls uses by default, takes nearly half of a handshake; on links whose names aren't authenticated it protects nothing. With key files nothing changes. Older builds offer X25519, too, so both kinds connect.

--- a/core/process/keys/isolated.go
+++ b/core/process/keys/isolated.go
@@ -58,6 +58,9 @@
 			}
 			return nil
 		},
+		// Post-quantum key exchange takes about as long as the rest of a handshake. It would
+		// protect nothing here, as anyone on the network can take an instance's place.
+		CurvePreferences:       []tls.CurveID{tls.X25519},
 		SessionTicketsDisabled: true,
 	}, nil
 }
