link: attempts that aren't answered become rarer, too

A peer that listens again within a second or so is reached as soon as before (TestPeerThatListensLaterIsReachedSoon).

--- a/core/conn/link/redial.go
+++ b/core/conn/link/redial.go
@@ -16,9 +16,12 @@
 	// dialPeriod is how long a dial goes on with a peer that doesn't answer or is busy.
 	dialPeriod = 2 * time.Second
 
-	// dialJitter bounds the random pause between two attempts that weren't answered, which
-	// cost the peer next to nothing.
-	dialJitter = 50 * time.Millisecond
+	// dialJitter bounds the random pause between the first soonDials attempts that aren't
+	// answered: they cost the peer next to nothing, and it may be about to listen. The mean
+	// pause after the next one is minSilentPause, and grows like the others.
+	dialJitter     = 50 * time.Millisecond
+	soonDials      = 4
+	minSilentPause = 100 * time.Millisecond
 	// minDialPause is the mean pause after the first attempt that cost the peer something.
 	// maxDialPause bounds the mean pause, maxUrgentPause that of urgent clients.
 	minDialPause   = 25 * time.Millisecond
@@ -35,24 +38,32 @@
 // silent connection for one that is only slow. A handshake is the dearest work that a client
 // can ask of its peer, so the load of all clients together must fall while their attempts
 // fail: pauses are random, and grow across calls with each attempt that cost the peer
-// something.
+// something, or that may wait unread at a peer that is far behind.
 type redial struct {
 	costly     pace.Backoff // attempts that the peer refused or didn't finish, and connections that didn't last
-	unanswered bool         // the last attempt wasn't answered
+	unanswered pace.Backoff // attempts that weren't answered, beyond the first ones
+	soon       int          // attempts that weren't answered, up to soonDials
 	silent     int          // connections in a row that were soon given up as silent
 }
 
 func newRedial(limit time.Duration) redial {
-	return redial{costly: pace.NewBackoff(minDialPause, limit)}
+	return redial{costly: pace.NewBackoff(minDialPause, limit), unanswered: pace.NewBackoff(minSilentPause, limit)}
 }
 
 // attempted records the result of an attempt.
 func (r *redial) attempted(result dialResult) {
-	r.unanswered = result == dialUnanswered
-	switch result {
-	case dialRefused, dialUnfinished, dialFailed:
+	if result == dialUnanswered {
+		if r.soon < soonDials {
+			r.soon++
+		} else {
+			r.unanswered.Fail()
+		}
+		return
+	}
+	r.soon = 0
+	r.unanswered.Reset()
+	if result != dialConnected {
 		r.costly.Fail()
-	case dialConnected, dialUnanswered:
 	}
 }
 
@@ -74,10 +85,11 @@
 
 // pause returns the time to wait before the next attempt, given a random number from 0 to 1.
 func (r *redial) pause(random float64) time.Duration {
-	if r.unanswered && r.costly.Failures() == 0 {
+	pause := max(r.costly.Pause(random), r.unanswered.Pause(random))
+	if pause == 0 && r.soon > 0 {
 		return time.Duration(random * float64(dialJitter))
 	}
-	return r.costly.Pause(random)
+	return pause
 }
 
 // silenceTimeout returns how long a connection may bring no packet while calls wait.
