link: connections that last for a second or two don't reset the pauses

A call waits a second before its connection can count as silent, so those of a peer that is far behind ended at an age of a second or more. That counted as a connection that had worked: the pause before the next handshake and the silence that counts began anew each time. Only connections of 10 s do so now.

Tried beside it and dropped: more patience with the first packet, and a receive buffer of 512 KiB.

--- a/core/conn/link/redial.go
+++ b/core/conn/link/redial.go
@@ -28,7 +28,7 @@
 	maxDialPause   = time.Second
 	maxUrgentPause = 100 * time.Millisecond
 	// steadyAge is the age from which a connection that breaks counts as one that worked.
-	steadyAge = time.Second
+	steadyAge = 10 * time.Second
 
 	// maxSilenceTimeout bounds the silence after which a connection is given up.
 	maxSilenceTimeout = 2 * time.Second
@@ -71,14 +71,11 @@
 func (r *redial) ended(age time.Duration, silent bool) {
 	if age >= steadyAge {
 		r.costly.Reset()
-	} else {
-		r.costly.Fail()
-	}
-	switch {
-	case !silent:
-	case age >= r.silenceTimeout()+steadyAge:
 		r.silent = 0
-	default:
+		return
+	}
+	r.costly.Fail()
+	if silent {
 		r.silent++
 	}
 }
