node: refuses no command by a budget that is out of date

Callers saw large configurations refused as too large (413) long after a full disk had room again.

A leader's budget follows what its disk has free.

Any refusal is now judged by the present budget.

TestLargeCommandsAreTakenOnceDiskHasRoomAgain failed before: no command of 100 KB was taken within 15 s of the disk having 6 MB again.

--- a/core/process/node/budget.go
+++ b/core/process/node/budget.go
@@ -124,16 +124,19 @@
 }
 
 func (n *Node) checkRoom(command int64) error {
-	err := n.findRoom(command)
-	if !errors.Is(err, ErrNoRoom) {
-		return err
+	if n.findRoom(command) == nil {
+		return nil
 	}
-	// Other files may have left, and the size of the state is known after a snapshot.
+	// Other files may have left since the budget was computed.
 	n.updateBudget()
-	if err = n.findRoom(command); err != nil {
+	err := n.findRoom(command)
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		n.meter.Count("raft", "refused", "too_large")
+	case errors.Is(err, ErrNoRoom):
 		n.meter.Count("raft", "refused", "no_room")
 		select {
-		case n.applyQueue <- snapshotRequest{}:
+		case n.applyQueue <- snapshotRequest{}: // then the size of the state is known
 		default:
 		}
 	}
@@ -145,7 +148,6 @@
 	state, log := n.stateBytes.Load()+n.bytesSinceSnapshot.Load()+pending-command, n.store.LogBytes()+pending
 	switch {
 	case command > b.command():
-		n.meter.Count("raft", "refused", "too_large")
 		return fmt.Errorf("command of %d bytes, limit %d: %w", command, b.command(), ErrTooLarge)
 	case !b.fits(state, command):
 		return fmt.Errorf("command of %d bytes, state of %d, limit %d: %w", command, state, b.state, ErrNoRoom)
