disk, node: shrinks a log that was continued in one segment

Callers saw every change refused for lack of room, small ones too, although the disk had room again and all processes ran.

A segment that can't be started, for example because no further file can be created, is continued. But the newest segment is never dropped, and a new one is started by a write only: the log stayed at its limit, so nothing was written.

TestCommandsAreTakenOnceFilesCanBeCreatedAgain failed without either part, each in 3 runs of 3: no command was taken within 15 s. With both it passed in 3 of 3.

--- a/core/process/disk/snapshot.go
+++ b/core/process/disk/snapshot.go
@@ -40,6 +40,14 @@
 		return fmt.Errorf("save: %w: %w", ErrWriteFailed, err)
 	}
 	s.coveredIndex = max(s.coveredIndex, v.Meta.Index)
+	// The newest segment is never dropped. One that was continued because the disk was full
+	// may be the whole log, and a log at its limit isn't written to.
+	if g := s.segments[len(s.segments)-1]; g.size >= s.segmentBytes {
+		if err := s.rotate(g.number + 1); err != nil {
+			s.failure = err
+			return fmt.Errorf("save: %w: %w", ErrWriteFailed, err)
+		}
+	}
 	if err := s.dropSegments(v.Meta.Index); err != nil {
 		return fmt.Errorf("save: %w", err)
 	}
--- a/core/process/node/apply.go
+++ b/core/process/node/apply.go
@@ -59,8 +59,8 @@
 	case quorum.Demoted:
 		a.failPending()
 	case snapshotRequest:
-		if a.node.snapshotFailed.Load() {
-			a.snapshot()
+		if a.node.snapshotFailed.Load() || a.node.store.LogBytes() >= 2*a.node.budget.Load().log {
+			a.snapshot() // at its limit the log gets no further entries, after which one would be due
 		}
 		a.snapshotIfUseful()
 	}
--- a/core/process/node/fulldisk_test.go
+++ b/core/process/node/fulldisk_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"errors"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"verbenahaven.example/core/process/node"
 )
@@ -24,3 +29,56 @@
 	g.proposeLarge(1)
 	g.waitAcknowledged()
 }
+
+// A log without room for a new segment was one large segment, which no snapshot removed.
+func TestCommandsAreTakenOnceFilesCanBeCreatedAgain(t *testing.T) {
+	for _, commandsBehind := range []int{0, 60} {
+		g := newSmallGroup(t, 1, 0)
+		g.applyDelay = 10 * time.Millisecond
+		g.start(g.names...)
+		g.leader()
+		var full atomic.Bool
+		full.Store(true)
+		g.disks[g.names[0]].onCreate = func(path string) error {
+			if full.Load() && !strings.HasSuffix(path, "/synced") {
+				return syscall.ENOSPC
+			}
+			return nil
+		}
+		for refused := false; !refused; {
+			err := g.try(g.newNumber(), largeCommand)
+			refused = errors.Is(err, node.ErrNoRoom)
+			if err != nil && !refused {
+				t.Fatal(err)
+			}
+		}
+		full.Store(false)
+		g.proposeBehindSnapshot(commandsBehind)
+		g.proposeLarge(20)
+		g.waitAcknowledged()
+	}
+}
+
+// proposeBehindSnapshot proposes small commands while a refused command asks for a snapshot,
+// so that some are in the log but not in the snapshot.
+func (g *smallGroup) proposeBehindSnapshot(count int) {
+	g.tb.Helper()
+	n, first := g.members[g.leader()].node, g.lastNumber+1
+	g.lastNumber += uint64(count)
+	var proposals sync.WaitGroup
+	for i := range count {
+		proposals.Go(func() {
+			if _, err := n.Propose(g.tb.Context(), g.encode(first+uint64(i), smallCommand)); err != nil {
+				g.tb.Error(err)
+			}
+		})
+		if i == count/4 {
+			_ = g.try(g.newNumber(), largeCommand)
+		}
+		time.Sleep(3 * time.Millisecond)
+	}
+	proposals.Wait()
+	for i := range count {
+		g.acknowledged[first+uint64(i)]++
+	}
+}
--- a/core/process/node/smalldisk_test.go
+++ b/core/process/node/smalldisk_test.go
@@ -24,6 +24,7 @@
 	peak     int // largest size so far
 	off      bool
 	onWrite  func(path string) error // called before each write, may be nil
+	onCreate func(path string) error // called before a file is created, may be nil
 }
 
 type smallFile struct {
@@ -140,6 +141,11 @@
 }
 
 func (d *smallDisk) Create(path string) (disk.File, error) {
+	if d.onCreate != nil {
+		if err := d.onCreate(path); err != nil {
+			return nil, err
+		}
+	}
 	f := &smallFile{disk: d, path: path}
 	return f, d.do(func() error {
 		d.files[path] = f
