quorum: a leader whose disk hangs hands over

Callers saw changes unanswered for as long as the disk of the leader hung, while the leader went on to send heartbeats and to hold its lease.

A leader answers for an entry once it is committed and durable on its own disk. The other voters commit without it, so nothing made it step down, and followers that hear heartbeats don't campaign. Load: a disk that takes no writes for longer than an election takes.

A leader that has waited two election timeouts for a write hands over to a voter that is up to date. The request to take over no longer waits for the leader's own entries to be durable: the one that takes over has them.

The simulation has two new faults, a disk that hangs and that of the leader, in all its random runs.

--- a/core/process/quorum/core.go
+++ b/core/process/quorum/core.go
@@ -49,6 +49,7 @@
 type pendingPersist struct {
 	number    uint64
 	lastIndex uint64 // last log index once this persist is durable
+	at        time.Duration
 }
 
 // indexedConfig is a configuration and its log index.
@@ -232,7 +233,7 @@
 		p.Hard = &hard
 		c.hardStatePersist = c.persistNumber
 	}
-	c.pendingPersists = append(c.pendingPersists, pendingPersist{number: c.persistNumber, lastIndex: c.log.last()})
+	c.pendingPersists = append(c.pendingPersists, pendingPersist{number: c.persistNumber, lastIndex: c.log.last(), at: c.now})
 	c.actions = append(c.actions, p)
 	if c.newSnapshot != nil {
 		c.actions = append(c.actions, InstallSnapshot{Snapshot: *c.newSnapshot})
--- a/core/process/quorum/elect.go
+++ b/core/process/quorum/elect.go
@@ -288,6 +288,22 @@
 	c.transfer = transfer{requested: true, expiresAt: c.now + c.settings.ElectionTimeout}
 }
 
+// stalledWriteTimeouts is the number of election timeouts after which a leader no longer
+// waits for a write.
+const stalledWriteTimeouts = 2
+
+// handOverStalled begins a transfer of leadership if this leader's disk hangs: the others
+// commit entries, but a leader answers only for those that are durable here too.
+func (c *Core) handOverStalled() {
+	if c.transfer.requested || len(c.pendingPersists) == 0 || !c.hasSuccessor() {
+		return
+	}
+	if waited := c.now - c.pendingPersists[0].at; waited >= stalledWriteTimeouts*c.settings.ElectionTimeout {
+		c.note("a write has taken %s so far, handing over leadership", waited.Round(time.Millisecond))
+		c.startTransfer()
+	}
+}
+
 // continueTransfer asks the first reachable voter with the complete log to take
 // over, and steps down when the transfer expires.
 func (c *Core) continueTransfer() {
@@ -307,7 +323,7 @@
 			continue
 		}
 		c.transfer.target, c.transfer.leaseGivenUp = m.Identity, true
-		c.send(m, Message{Kind: MessageTimeoutNow, Term: c.hardState.Term}, afterStep)
+		c.send(m, Message{Kind: MessageTimeoutNow, Term: c.hardState.Term}, afterHardState)
 		return
 	}
 }
--- a/core/process/quorum/fault_test.go
+++ b/core/process/quorum/fault_test.go
@@ -20,16 +20,18 @@
 const (
 	faultCrash faultKind = iota
 	faultPause
-	faultCutLink       // cuts one direction of a link
-	faultIsolate       // cuts off one member
-	faultLoseFolder    // the data folder is lost; the new one may bootstrap
-	faultRefuseFolder  // the data folder is damaged and refused; the new one may not bootstrap
-	faultTransfer      // asks for a leadership transfer
-	faultChange        // asks for a membership change
-	faultCrashLeader   // crashes the current leader
-	faultIsolateLeader // cuts off the current leader
-	faultCutPair       // cuts both directions of a link
-	faultPartition     // cuts off two members from the others
+	faultCutLink         // cuts one direction of a link
+	faultIsolate         // cuts off one member
+	faultLoseFolder      // the data folder is lost; the new one may bootstrap
+	faultRefuseFolder    // the data folder is damaged and refused; the new one may not bootstrap
+	faultTransfer        // asks for a leadership transfer
+	faultChange          // asks for a membership change
+	faultCrashLeader     // crashes the current leader
+	faultIsolateLeader   // cuts off the current leader
+	faultCutPair         // cuts both directions of a link
+	faultPartition       // cuts off two members from the others
+	faultStallDisk       // a disk makes nothing durable
+	faultStallLeaderDisk // the current leader's disk does
 	faultKindCount
 )
 
@@ -82,6 +84,12 @@
 		if m := s.leader(); m != nil {
 			s.isolate(m.index, f.length)
 		}
+	case faultStallDisk:
+		m.stallDisk(f.length)
+	case faultStallLeaderDisk:
+		if m := s.leader(); m != nil {
+			m.stallDisk(f.length)
+		}
 	case faultPause:
 		m.paused = true
 		s.after(f.length, m.resume)
--- a/core/process/quorum/lead.go
+++ b/core/process/quorum/lead.go
@@ -49,6 +49,7 @@
 	if c.now+c.settings.HeartbeatInterval/heartbeatEarlyDivisor >= c.nextHeartbeat {
 		c.sendHeartbeats()
 	}
+	c.handOverStalled()
 	c.continueTransfer()
 	if c.role == RoleLeader {
 		c.repairMembership()
--- a/core/process/quorum/simmember_test.go
+++ b/core/process/quorum/simmember_test.go
@@ -68,10 +68,11 @@
 	readFloors    map[uint64]uint64 // lowest index that a read may return, by read ID
 	snapshotIndex uint64
 	saving        bool
-	checkedConfig uint64   // index of the last configuration checked
-	level         uint64   // of commands that its build understands, from its next boot on
-	seeds         []string // names in its settings, nil for all initial voters
-	gone          bool     // lost for good
+	stalledUntil  time.Duration // the disk makes nothing durable before
+	checkedConfig uint64        // index of the last configuration checked
+	level         uint64        // of commands that its build understands, from its next boot on
+	seeds         []string      // names in its settings, nil for all initial voters
+	gone          bool          // lost for good
 }
 
 // newFolder gives the instance an empty data folder with a new identity.
@@ -204,6 +205,14 @@
 	}
 }
 
+func (m *simMember) stallDisk(d time.Duration) {
+	m.stalledUntil = max(m.stalledUntil, m.sim.now+d)
+}
+
+func (m *simMember) syncTime() time.Duration {
+	return max(0, m.stalledUntil-m.sim.now) + m.sim.randomUpTo(m.sim.options.maxSync)
+}
+
 // crash stops the instance and loses a random suffix of the unsynced writes. The
 // first lost write may be torn.
 func (m *simMember) crash() {
@@ -250,7 +259,7 @@
 	case Persist:
 		m.disk.pending = append(m.disk.pending, a)
 		epoch := m.epoch
-		s.after(s.randomUpTo(s.options.maxSync), func() { m.synced(epoch, a.Number) })
+		s.after(m.syncTime(), func() { m.synced(epoch, a.Number) })
 	case Send:
 		s.send(a.Message, m)
 	case Apply:
@@ -317,7 +326,7 @@
 	meta.Size = int64(len(data))
 	m.saving, m.snapshotIndex = true, m.applied
 	epoch := m.epoch
-	s.after(s.randomUpTo(s.options.maxSync), func() { m.snapshotSynced(epoch, meta, data) })
+	s.after(m.syncTime(), func() { m.snapshotSynced(epoch, meta, data) })
 }
 
 func (m *simMember) snapshotSynced(epoch int, meta SnapshotMeta, data []byte) {
