node: a leader whose write fails hands over before it stops

Callers saw no leader until the others' election timeouts when the disk of the leader was full: it stopped at once, with its lease still running for the others.

Handing over needs no write of the leader, so it asks an up-to-date voter to take over and stops when that leads, or after one election timeout. Nothing is acknowledged meanwhile: what waits for a write is sent once it is durable.

TestLeaderWithFullDiskHandsOver failed before: the member stopped as leader, and the next one was elected 0.59 s after the write had failed, with an election timeout of 0.5 s.

--- a/core/process/node/fulldisk_test.go
+++ b/core/process/node/fulldisk_test.go
@@ -82,3 +82,20 @@
 		g.acknowledged[first+uint64(i)]++
 	}
 }
+
+// A leader whose disk was full left the others without one until their election timeouts.
+func TestLeaderWithFullDiskHandsOver(t *testing.T) {
+	g := newSmallGroup(t, 3, 0)
+	g.start(g.names...)
+	g.proposeLarge(5)
+	full := g.leader()
+	g.disks[full].fill(1000)
+	g.faults++
+	_ = g.try(g.newNumber(), largeCommand)
+	m := g.members[full]
+	g.wait("end of the member", func() bool { return m.node.Err() != nil && m.node.Status().Role != node.RoleLeader })
+	g.stop(full)
+	g.disks[full].setCapacity(smallDiskBytes)
+	g.start(full)
+	g.waitAcknowledged()
+}
--- a/core/process/node/member.go
+++ b/core/process/node/member.go
@@ -287,7 +287,8 @@
 }
 
 // fail stops the member after a write or the restore of a snapshot failed: it
-// must not acknowledge anything that may not be durable.
+// must not acknowledge anything that may not be durable. A leader hands over
+// before, which needs no write.
 func (n *Node) fail(err error) {
 	klog.Errorf("member stops after a failure: %v", err)
 	n.meter.Count("disk", "failed")
@@ -295,6 +296,7 @@
 		n.meter.Count("disk", "full")
 	}
 	n.failure.CompareAndSwap(nil, &err)
+	n.transferLeadership()
 	n.cancel()
 }
 
