--- a/core/process/node/fulldisk_test.go
+++ b/core/process/node/fulldisk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -99,3 +100,59 @@
 	g.start(full)
 	g.waitAcknowledged()
 }
+
+// Long after disks had been full one after the other, commands were refused or unanswered.
+func TestDisksFullInTurn(t *testing.T) {
+	for _, voters := range []int{3, 5} {
+		g := newSmallOpenGroup(t, voters, 1)
+		g.start(g.names...)
+		g.proposeLarge(20)
+		draw := rand.New(rand.NewPCG(51, uint64(voters)))
+		for _, name := range g.names {
+			if draw.IntN(2) == 0 {
+				name = g.leader()
+			}
+			free, length := draw.IntN(3)*largeCommand, time.Duration(draw.Int64N(int64(1500*time.Millisecond)))
+			g.fillFor(name, free, length)
+		}
+		g.proposeLarge(5)
+		g.waitAcknowledged()
+		g.wait("all voters", func() bool { return len(g.voters()) == voters })
+	}
+}
+
+// newSmallOpenGroup returns a group with open membership whose members have small disks.
+func newSmallOpenGroup(t *testing.T, voters, others int) *smallGroup {
+	t.Helper()
+	g := &smallGroup{
+		group: newOpenGroup(t, voters, others, voters), diskBytes: smallDiskBytes, encode: numberCommand, disks: make(map[string]*smallDisk),
+		acknowledged: make(map[uint64]uint64), unknown: make(map[uint64]uint64),
+	}
+	for name, s := range g.settings {
+		s.DiskBytes, s.MemoryBytes = smallDiskBytes, 64<<20
+		g.settings[name] = s
+		g.setDisk(name, newSmallDisk(smallDiskBytes))
+	}
+	return g
+}
+
+// fillFor lets other files fill a member's disk for some time, while commands are proposed.
+// A member that has stopped is started again once the disk has room.
+func (g *smallGroup) fillFor(name string, free int, length time.Duration) {
+	g.tb.Helper()
+	g.disks[name].fill(free)
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		_ = g.try(g.newNumber(), largeCommand)
+		if m := g.members[name]; m != nil && m.node.Err() != nil {
+			g.faults++
+			g.stop(name)
+		}
+	}
+	g.disks[name].setCapacity(smallDiskBytes)
+	if m := g.members[name]; m != nil && m.node.Err() != nil {
+		g.stop(name)
+	}
+	if g.members[name] == nil {
+		g.start(name)
+	}
+}
--- a/core/process/node/smalldisk_test.go
+++ b/core/process/node/smalldisk_test.go
@@ -213,22 +213,23 @@
 			return 0, err
 		}
 	}
+	var full error // what fits is written
 	err := d.do(func() error {
-		end := int(at) + len(b)
-		if d.size()+max(0, end-len(f.data)) > d.capacity {
-			return syscall.ENOSPC
+		free := max(0, d.capacity-d.size())
+		if end := int(at) + len(b); end > len(f.data)+free {
+			b, full = b[:max(0, len(f.data)+free-int(at))], syscall.ENOSPC
 		}
-		if end > len(f.data) {
+		if end := int(at) + len(b); end > len(f.data) {
 			f.data = append(f.data, make([]byte, end-len(f.data))...)
 		}
 		copy(f.data[at:], b)
 		d.peak = max(d.peak, d.size())
-		return nil
+		return full
 	})
-	if err != nil {
+	if err != nil && full == nil {
 		return 0, err
 	}
-	return len(b), nil
+	return len(b), err
 }
 
 func (f *smallFile) Sync() error {
