keepd: stays while its disk is full

Configured by a settings file, a keeper whose write failed ended with 1. By reading, one that is started again on a full disk runs until its first write and ends again, so how long it is away is up to the supervisor: one that gives up after a few starts in a row leaves it down for good, although the disk has room.

A folder that can't be used for another reason still ends it.

TestDiskFull wanted the end of the process and started it again itself. It wants more now: the process stays and refuses calls while others accept changes, and once its disk has room it catches up and votes without help, which is shown by killing one of the other two.

--- a/keepd/app.go
+++ b/keepd/app.go
@@ -96,6 +96,22 @@
 	return nil
 }
 
+// refuseUntilWritable refuses operators' calls until writes to the data folder succeed, or
+// ctx ends.
+func refuseUntilWritable(ctx context.Context, s *conf.Settings) error {
+	l, err := boot.Listen(ctx, "listen.http", s.Listen.HTTP)
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(serve.RefuseWithoutDisk), ReadHeaderTimeout: headerTimeout}
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(l) })
+	waitWritable(ctx, s.Folder)
+	_ = server.Close()
+	group.Wait()
+	return nil
+}
+
 // folderError attaches the exit code for an unusable data folder to errors of
 // the file system.
 func folderError(err error) error {
--- a/keepd/main.go
+++ b/keepd/main.go
@@ -57,10 +57,24 @@
 		return err //nolint:wrapcheck // the error names the file and carries the exit code
 	}
 	bound.SetGrace(time.Duration(settings.Stop.Grace))
+	for {
+		diskErr := buildAndRunApp(ctx, settings, bound)
+		if ctx.Err() != nil || !isWriteFailure(diskErr) {
+			return diskErr
+		}
+		klog.Errorf("%s: the disk takes no writes: %v", settings.Folder, diskErr)
+		if err := refuseUntilWritable(ctx, settings); ctx.Err() != nil || err != nil {
+			return err
+		}
+		klog.Infof("%s: the disk takes writes again", settings.Folder)
+	}
+}
+
+func buildAndRunApp(ctx context.Context, s *conf.Settings, bound *exit.Bound) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	bound.Watch(ctx) // a member that failed ends like one that is told to
-	a, cleanup, err := buildApp(ctx, settings)
+	defer bound.Watch(ctx)() // if the disk fails and hangs, a new process may do better
+	a, cleanup, err := buildApp(ctx, s)
 	if err != nil {
 		return err
 	}
--- a/keepd/serve/serve.go
+++ b/keepd/serve/serve.go
@@ -202,15 +202,27 @@
 	}
 }
 
+// RefuseWithoutDisk refuses all calls while the keeper's disk takes no writes.
+func RefuseWithoutDisk(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", restful.MIME_JSON)
+	w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = json.NewEncoder(w).Encode(newRefusal("no_leader", "not_run", "the disk of this keeper takes no writes"))
+}
+
 func (a *API) writeRefusal(w *restful.Response, status int, code, ran, message string) {
 	a.meter.Count("refused", "run", code)
-	writeJSON(w, status, struct {
+	writeJSON(w, status, newRefusal(code, ran, message))
+}
+
+func newRefusal(code, ran, message string) any {
+	return struct {
 		Error any `json:"error"`
 	}{struct {
 		Code    string `json:"code"`
 		Message string `json:"message"`
 		Ran     string `json:"ran"`
-	}{code, message, ran}})
+	}{code, message, ran}}
 }
 
 // writeJSON writes v as one line of JSON.
--- a/trial/proof/disk_test.go
+++ b/trial/proof/disk_test.go
@@ -1,7 +1,9 @@
 package proof_test
 
 import (
-	"errors"
+	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -59,8 +61,9 @@
 }
 
 // TestDiskFull limits the file size so that the leader's log can't grow. The
-// leader must stop and log the cause, and the others keep serving with all
-// accepted changes.
+// leader must stop leading and log the cause, and the others keep serving with all
+// accepted changes. Its process refuses calls until the log can grow again, and then
+// votes again by itself.
 func TestDiskFull(t *testing.T) {
 	g := startDiskGroup(t, 0)
 	g.declareModels(5)
@@ -73,26 +76,57 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	size := uint64(info.Size()) + 1
-	limit := unix.Rlimit{Cur: size, Max: size}
-	if err := unix.Prlimit(victim.PID(), unix.RLIMIT_FSIZE, &limit, nil); err != nil {
-		t.Fatal(err)
-	}
+	limitFiles(t, victim, uint64(info.Size())+1)
 	g.declareModels(10)
-	g.waitFor("the member to stop", func() error {
-		if victim.Running() {
-			return errors.New("still runs")
-		}
-		return nil
-	})
+	limitFiles(t, victim, 0) // also of the files that it probes its disk with
+	g.waitFor("the keeper to refuse calls", func() error { return g.refusesWithoutDisk(victim) })
 	if b, _ := os.ReadFile(victim.LogPath()); !strings.Contains(string(b), disk.ErrWriteFailed.Error()) {
 		t.Errorf("output doesn't name the disk failure: %s", b)
 	}
-	g.start(victim)
+	g.declareModels(5, victim)
+	if !victim.Running() {
+		t.Fatal("the keeper has ended")
+	}
+	limitFiles(t, victim, unix.RLIM_INFINITY)
 	g.waitCaughtUp(victim)
+	g.waitVoting(victim)
+	for _, p := range g.Keepers() {
+		if p != victim {
+			p.Kill()
+			break
+		}
+	}
+	g.declareModels(5)
 	g.checkModels()
 }
 
+// limitFiles limits the size of the files that a process may write.
+func limitFiles(t *testing.T, p *fleet.Process, bytes uint64) {
+	t.Helper()
+	limit := unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}
+	if err := unix.Prlimit(p.PID(), unix.RLIMIT_FSIZE, &limit, nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// refusesWithoutDisk returns an error unless a keeper refuses a call for its disk.
+func (g *diskGroup) refusesWithoutDisk(p *fleet.Process) error {
+	r, err := http.NewRequestWithContext(g.t.Context(), http.MethodGet, p.URL()+"/healthz", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err == nil && (resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(string(b), "takes no writes")) {
+		err = fmt.Errorf("status %d: %s", resp.StatusCode, b)
+	}
+	return err
+}
+
 // TestDiskAllKilled kills and restarts all members three times, each time after
 // a series of changes. No accepted change may be lost.
 func TestDiskAllKilled(t *testing.T) {
