keepd: keeps its settings when a full disk has room again

Seen by reading: a keeper on a platform reads its settings again when its disk takes writes again, and ended with 3 if they couldn't be read at that moment, although it goes on with the former ones at any other time.

The former settings stay in force, with a warning. The metrics' address is free before the keeper that follows listens on it, which was a race.

TestPathFullDiskIsSurvivedWithDamagedSettings failed before: "keeper 0 has ended: platform settings: toml: expected value". TestPathDisksFullInTurn plays full disks one after the other with large tables meanwhile, and has shown no fault.

--- a/keepd/folder.go
+++ b/keepd/folder.go
@@ -18,12 +18,12 @@
 // disk fail, it continues as a keeper without a disk, which only forwards
 // operators' calls.
 func servePlatform(ctx context.Context, metrics string, bound *exit.Bound) error {
+	settings, err := platform.Load()
+	if err != nil {
+		return boot.WithExitCode(boot.ExitSettings, err)
+	}
 	onStart := func(*slog.Logger) {}
 	for {
-		settings, err := platform.Load()
-		if err != nil {
-			return boot.WithExitCode(boot.ExitSettings, err)
-		}
 		bound.SetGrace(settings.Bounds.Grace)
 		folder := settings.DataDir
 		if folder == "" {
@@ -45,7 +45,16 @@
 		if ctx.Err() != nil || err != nil {
 			return err
 		}
-		onStart = func(l *slog.Logger) { l.Info("the disk takes writes again", "folder", folder) }
+		next, err := platform.Load()
+		if err == nil {
+			settings = next
+		}
+		onStart = func(l *slog.Logger) {
+			l.Info("the disk takes writes again", "folder", folder)
+			if err != nil {
+				l.Warn("settings not taken", "err", err)
+			}
+		}
 	}
 }
 
--- a/keepd/platform.go
+++ b/keepd/platform.go
@@ -255,7 +255,7 @@
 		}
 	})
 	if s.metrics != "" {
-		if err := s.serveMetrics(ctx); err != nil {
+		if err := s.serveMetrics(ctx, &group); err != nil {
 			return err
 		}
 	}
@@ -289,7 +289,8 @@
 	return nil
 }
 
-func (s *platformApp) serveMetrics(ctx context.Context) error {
+// serveMetrics serves metrics until ctx ends. The address is free when the group is done.
+func (s *platformApp) serveMetrics(ctx context.Context, group *sync.WaitGroup) error {
 	address, path, err := s.settings.MetricsAddress(s.metrics)
 	if err != nil {
 		return boot.WithExitCode(boot.ExitUsage, err)
@@ -301,8 +302,11 @@
 	mux := http.NewServeMux()
 	mux.Handle(path, s.meter)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(l) }() // not waited for: it is closed when ctx ends
-	context.AfterFunc(ctx, func() { _ = server.Close() })
+	group.Go(func() { _ = server.Serve(l) })
+	group.Go(func() {
+		<-ctx.Done()
+		_ = server.Close()
+	})
 	return nil
 }
 
