disk: test of a disk that is full from each operation on

No fault was found: once there is room, the folder is neither damaged nor behind what was acknowledged, at whichever operation the disk became full and however much of the record fitted.

--- a/core/process/disk/memory_test.go
+++ b/core/process/disk/memory_test.go
@@ -28,6 +28,7 @@
 	crashAt        int // number of the operation at which the machine crashes, 0 for never
 	failSyncAt     int // number of the operation from which on syncs fail, 0 for never
 	capacityBytes  int // size of the disk, 0 for unlimited
+	fullAt         int // number of the operation from which on files don't grow, 0 for never
 	skipFileSync   bool
 	skipFolderSync bool
 }
@@ -220,10 +221,14 @@
 	if limit := f.fs.capacityBytes; limit > 0 && f.fs.size()+len(b) > limit {
 		return 0, syscall.ENOSPC
 	}
+	var full error
+	if end := int(at) + len(b); f.fs.fullAt > 0 && f.fs.operations >= f.fs.fullAt && end > len(f.data) {
+		b, full = b[:min(len(b), max(0, len(f.data)-int(at))+len(b)/2)], syscall.ENOSPC // a part fits
+	}
 	w := memoryWrite{at: int(at), data: append([]byte{}, b...)}
 	f.data = w.apply(f.data)
 	f.unsyncedWrites = append(f.unsyncedWrites, w)
-	return len(b), nil
+	return len(b), full
 }
 
 func (f *memoryFile) Sync() error {
--- a/core/process/disk/space_test.go
+++ b/core/process/disk/space_test.go
@@ -112,3 +112,24 @@
 		}
 	}
 }
+
+// A disk that is full from some operation on, and has room again, must leave a folder that is
+// neither damaged nor behind what was acknowledged.
+func TestFolderIsIntactOnceFullDiskHasRoom(t *testing.T) {
+	all := callSequence()
+	for at := 1; ; at++ {
+		m := newMemory()
+		m.fullAt = at
+		done, err := runCalls(m, all)
+		if m.operations < at {
+			return
+		}
+		if err != nil && !disk.IsFull(err) {
+			t.Errorf("full from operation %d on: %v", at, err)
+		}
+		m.fullAt = 0
+		if err := checkRecovery(m, all, done); err != nil {
+			t.Errorf("full from operation %d on: %v", at, err)
+		}
+	}
+}
