disk: a log that is shorter than was synced is damaged

Only one that ended inside a record was refused.

TestOpenRejectsLogCutBeforeSyncedPosition failed before: the folder opened without an error.

--- a/core/process/disk/disk_test.go
+++ b/core/process/disk/disk_test.go
@@ -304,6 +304,23 @@
 	}
 }
 
+// A log that ended with a whole record counted as complete, although more had been synced.
+func TestOpenRejectsLogCutBeforeSyncedPosition(t *testing.T) {
+	all := callSequence()[:5]
+	m, shorter := newMemory(), newMemory()
+	if _, err := runCalls(m, all); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := runCalls(shorter, all[:4]); err != nil {
+		t.Fatal(err)
+	}
+	name := m.namesWithPrefix("log-")[0]
+	m.files[name].data = m.files[name].data[:len(shorter.files[name].data)]
+	if _, _, err := disk.Open(folder, options(m)); !errors.Is(err, disk.ErrDamaged) {
+		t.Errorf("got %v", err)
+	}
+}
+
 func TestOpenIgnoresRecordCutAtAnyByte(t *testing.T) {
 	all := callSequence()[:5]
 	before, after := newMemory(), newMemory()
--- a/core/process/disk/log.go
+++ b/core/process/disk/log.go
@@ -319,11 +319,11 @@
 	if err != nil && !errors.Is(err, errInvalidRecord) {
 		return err
 	}
+	behind := synced.Segment == number && int64(size) < synced.Offset
+	if behind || err != nil && !newest {
+		return fmt.Errorf("segment %d at byte %d: %w", number, size, errors.Join(ErrDamaged, err))
+	}
 	if err != nil {
-		beforeSynced := synced.Segment > number || (synced.Segment == number && int64(size) < synced.Offset)
-		if !newest || beforeSynced {
-			return fmt.Errorf("segment %d at byte %d: %w: %w", number, size, ErrDamaged, err)
-		}
 		if size == 0 {
 			return s.removeTornSegment(g)
 		}
