disk: writes again what was read after a failed sync

After a sync that failed, for example because a file system that allocates late has no room, the operating system may count the pages as written: they can be read, and no later sync writes them. A member that opened the folder again, which it does once the disk has room, relied on such records, and a power loss then took them, or left a segment without a header.

The records after the last position known to be synced are written again before they are synced. They have their place already, so that needs no further room.

TestRecordsReadAfterFailedSyncAreDurable failed before, with syncs that fail from any operation from the tenth on. By reading of the behaviour of Linux, not seen on a real disk.

--- a/core/process/disk/disk_test.go
+++ b/core/process/disk/disk_test.go
@@ -224,6 +224,33 @@
 	}
 }
 
+// What was read after a failed sync counted as durable, although the operating system had
+// given up writing it.
+func TestRecordsReadAfterFailedSyncAreDurable(t *testing.T) {
+	all := callSequence()
+	for at := 1; ; at++ {
+		m := newMemory()
+		m.failSyncAt, m.dropFailedSync = at, true
+		if _, err := runCalls(m, all); err == nil {
+			return
+		}
+		m.failSyncAt = 0
+		var read [2]quorum.DurableState
+		for i := range read {
+			s, cleanup, err := disk.Open(folder, options(m))
+			if err != nil {
+				t.Fatalf("syncs fail from operation %d on: %v", at, err)
+			}
+			read[i] = s.Stored()
+			cleanup()
+			m = m.crash(rand.New(rand.NewPCG(1, uint64(at))))
+		}
+		if !equalState(read[0], read[1]) {
+			t.Errorf("syncs fail from operation %d on: %+v, after a crash %+v", at, read[0], read[1])
+		}
+	}
+}
+
 func TestWriteFailureIsFinal(t *testing.T) {
 	m := newMemory()
 	s, cleanup, err := disk.Open(folder, options(m))
--- a/core/process/disk/log.go
+++ b/core/process/disk/log.go
@@ -264,7 +264,7 @@
 	if err := s.mergeLog(r); err != nil {
 		return err
 	}
-	return s.openLastSegment()
+	return s.openLastSegment(synced)
 }
 
 // mergeLog combines the snapshot with the entries that follow it in the log.
@@ -291,15 +291,27 @@
 	return nil
 }
 
-// openLastSegment opens the last segment. It syncs what was read: the records
-// may not have been synced before the crash, but are relied on from now on.
-func (s *Store) openLastSegment() error {
+// openLastSegment opens the last segment. It writes and syncs what was read after the
+// synced position: the records may not have been synced before the crash, but are relied on
+// from now on. After a sync that failed, another one wouldn't write them.
+func (s *Store) openLastSegment(synced syncedPosition) error {
 	g := s.segments[len(s.segments)-1]
+	from := int64(0)
+	if synced.Segment == g.number {
+		from = synced.Offset
+	}
+	tail, err := s.files.ReadAt(s.path(g.name()), from, int(g.size-from))
+	if err != nil {
+		return fmt.Errorf("open segment: %w", err)
+	}
 	f, err := s.files.Append(s.path(g.name()))
 	if err != nil {
 		return fmt.Errorf("open segment: %w", err)
 	}
 	s.currentFile = f
+	if _, err := f.WriteAt(tail, from); err != nil {
+		return fmt.Errorf("open segment: %w", err)
+	}
 	if err := f.Sync(); err != nil {
 		return fmt.Errorf("open segment: %w", err)
 	}
--- a/core/process/disk/memory_test.go
+++ b/core/process/disk/memory_test.go
@@ -25,10 +25,11 @@
 	pendingNameChanges []func()               // creations, renames and removals that aren't durable yet
 
 	operations     int
-	crashAt        int // number of the operation at which the machine crashes, 0 for never
-	failSyncAt     int // number of the operation from which on syncs fail, 0 for never
-	capacityBytes  int // size of the disk, 0 for unlimited
-	fullAt         int // number of the operation from which on files don't grow, 0 for never
+	crashAt        int  // number of the operation at which the machine crashes, 0 for never
+	failSyncAt     int  // number of the operation from which on syncs fail, 0 for never
+	dropFailedSync bool // what a failed sync didn't write is read, but never written by a later one
+	capacityBytes  int  // size of the disk, 0 for unlimited
+	fullAt         int  // number of the operation from which on files don't grow, 0 for never
 	skipFileSync   bool
 	skipFolderSync bool
 }
@@ -236,10 +237,16 @@
 		return err
 	}
 	if f.fs.failSyncAt > 0 && f.fs.operations >= f.fs.failSyncAt {
+		if f.fs.dropFailedSync {
+			f.unsyncedWrites = nil
+		}
 		return errSync
 	}
 	if !f.fs.skipFileSync {
-		f.durable, f.unsyncedWrites = slices.Clone(f.data), nil
+		for _, w := range f.unsyncedWrites {
+			f.durable = w.apply(f.durable)
+		}
+		f.unsyncedWrites = nil
 	}
 	return nil
 }
