disk: replaced entries keep no segments

A member that had appended entries which a later leader replaced kept their segments, and all that followed, until the log had grown to the same index again. As a leader it refuses commands once its log is at its limit, so the log stopped growing before, and it refused all of them for good; as a follower its log could outgrow its share of the disk.

Once the records that replace them are durable, the indexes of the replaced ones no longer count, also after a replay.

That a leader is stuck by it is by reading: it takes more commands without a majority than the log's limit has room for between them.

--- a/core/process/disk/disk_test.go
+++ b/core/process/disk/disk_test.go
@@ -509,3 +509,40 @@
 		t.Fatalf("after a damaged folder: identity %s, founding %+v, may bootstrap %t", s.Identity(), s.Founding(), s.MayBootstrap())
 	}
 }
+
+// Segments whose entries a later leader had replaced were kept until the log had grown to the
+// same index again, which a log at its limit never does.
+func TestReplacedEntriesKeepNoSegments(t *testing.T) {
+	entries := func(from, to, term uint64) []quorum.Persist {
+		var p quorum.Persist
+		for i := from; i <= to; i++ {
+			p.Entries = append(p.Entries, quorum.Entry{Index: i, Term: term, Kind: quorum.EntryCommand, Data: make([]byte, 100)})
+		}
+		return []quorum.Persist{p}
+	}
+	for _, reopens := range []bool{false, true} {
+		m := newMemory()
+		s, cleanup, err := disk.Open(folder, options(m))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, persists := range [][]quorum.Persist{entries(1, 10, 1), entries(11, 60, 1), entries(11, 15, 2), entries(16, 20, 2)} {
+			if err := s.Write(persists); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if reopens {
+			cleanup()
+			if s, cleanup, err = disk.Open(folder, options(m)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := s.SaveSnapshot(quorum.Snapshot{Meta: quorum.SnapshotMeta{Index: 20, Term: 2}}); err != nil {
+			t.Fatal(err)
+		}
+		if n := s.LogBytes(); n > 2*700 {
+			t.Errorf("reopened %t: a log of %d bytes whose entries are all in the snapshot", reopens, n)
+		}
+		cleanup()
+	}
+}
--- a/core/process/disk/log.go
+++ b/core/process/disk/log.go
@@ -16,8 +16,8 @@
 type segment struct {
 	number uint64
 	size   int64
-	// lastIndex is the highest index of an entry or reset in the segment; after
-	// a replay it is at least that of the header.
+	// lastIndex is the highest index of an entry or reset in the segment that no
+	// later record replaces, or that of the preceding segment if it is higher.
 	lastIndex uint64
 }
 
@@ -63,6 +63,7 @@
 	if n := len(s.segments); n > 0 {
 		h.LastIndex = s.segments[n-1].lastIndex
 	}
+	g.lastIndex = h.LastIndex
 	b, err := encodeRecord(nil, recordSegmentHeader, h)
 	if err != nil {
 		_ = f.Close()
@@ -112,7 +113,7 @@
 				return err
 			}
 		}
-		if err := s.encodePersist(p, g); err != nil {
+		if err := s.encodePersist(p); err != nil {
 			return err
 		}
 	}
@@ -128,6 +129,14 @@
 	}
 	g.size += int64(len(s.buffer))
 	s.logBytes.Add(int64(len(s.buffer)))
+	for _, p := range persists {
+		if p.Snapshot != nil {
+			s.endLogAt(g, p.Snapshot.Meta.Index)
+		}
+		for i := range p.Entries {
+			s.endLogAt(g, p.Entries[i].Index)
+		}
+	}
 	if g.size >= s.segmentBytes {
 		if err := s.rotate(g.number + 1); err != nil {
 			return err
@@ -136,6 +145,17 @@
 	return s.dropReplaced(persists)
 }
 
+// endLogAt records that the log ends with a durable record of the given index in segment g,
+// the newest one. Records of higher indexes count no longer.
+func (s *Store) endLogAt(g *segment, index uint64) {
+	if index < g.lastIndex {
+		for i := range s.segments {
+			s.segments[i].lastIndex = min(s.segments[i].lastIndex, index)
+		}
+	}
+	g.lastIndex = index
+}
+
 // rotate starts a new segment. If the disk is full, the current one is continued.
 func (s *Store) rotate(number uint64) error {
 	err := s.startSegment(number)
@@ -167,14 +187,13 @@
 	return nil
 }
 
-func (s *Store) encodePersist(p quorum.Persist, g *segment) error {
+func (s *Store) encodePersist(p quorum.Persist) error {
 	var err error
 	if p.Snapshot != nil {
 		r := logReset{Index: p.Snapshot.Meta.Index, Term: p.Snapshot.Meta.Term}
 		if s.buffer, err = encodeRecord(s.buffer, recordReset, r); err != nil {
 			return err
 		}
-		g.lastIndex = max(g.lastIndex, r.Index)
 	}
 	if p.Hard != nil {
 		s.hardState = *p.Hard
@@ -186,7 +205,6 @@
 		if s.buffer, err = encodeRecord(s.buffer, recordEntry, &p.Entries[i]); err != nil {
 			return err
 		}
-		g.lastIndex = max(g.lastIndex, p.Entries[i].Index)
 	}
 	return nil
 }
@@ -377,39 +395,45 @@
 		if err != nil {
 			return size, err
 		}
-		if err := r.applyRecord(g, kind, body); err != nil {
+		index, err := r.applyRecord(kind, body)
+		if err != nil {
 			return size, err
 		}
+		if index > 0 {
+			s.endLogAt(g, index)
+		}
 		size += n
 	}
 	return size, nil
 }
 
-func (r *replay) applyRecord(g *segment, kind recordKind, body []byte) error {
+// applyRecord returns the index with which the log ends after the record, 0 if it doesn't
+// change that.
+func (r *replay) applyRecord(kind recordKind, body []byte) (uint64, error) {
 	switch kind {
 	case recordHardState:
 		var h quorum.HardState
 		if err := cbor.Unmarshal(body, &h); err != nil {
-			return fmt.Errorf("hard state: %w: %w", ErrDamaged, err)
+			return 0, fmt.Errorf("hard state: %w: %w", ErrDamaged, err)
 		}
 		r.hardState = h
+		return 0, nil
 	case recordReset:
 		var v logReset
 		if err := cbor.Unmarshal(body, &v); err != nil {
-			return fmt.Errorf("reset: %w: %w", ErrDamaged, err)
+			return 0, fmt.Errorf("reset: %w: %w", ErrDamaged, err)
 		}
-		r.entries, g.lastIndex = nil, max(g.lastIndex, v.Index)
+		r.entries = nil
+		return v.Index, nil
 	case recordEntry:
 		var e quorum.Entry
 		if err := cbor.Unmarshal(body, &e); err != nil {
-			return fmt.Errorf("entry: %w: %w", ErrDamaged, err)
+			return 0, fmt.Errorf("entry: %w: %w", ErrDamaged, err)
 		}
-		g.lastIndex = max(g.lastIndex, e.Index)
-		return r.appendEntry(e)
+		return e.Index, r.appendEntry(e)
 	default:
-		return fmt.Errorf("unknown record kind %d: %w", kind, ErrDamaged)
+		return 0, fmt.Errorf("unknown record kind %d: %w", kind, ErrDamaged)
 	}
-	return nil
 }
 
 func (r *replay) appendEntry(e quorum.Entry) error {
