--- a/core/process/disk/disk_test.go
+++ b/core/process/disk/disk_test.go
@@ -224,6 +224,33 @@
 	}
 }
 
+// What was read after a failed sync counted as durable, although the operating system had
+// given up writing it.
+func TestRecordsReadAfterFailedSyncAreDurable(t *testing.T) {
+	all := callSequence()
+	for at := 1; ; at++ {
+		m := newMemory()
+		m.failSyncAt, m.dropFailedSync = at, true
+		if _, err := runCalls(m, all); err == nil {
+			return
+		}
+		m.failSyncAt = 0
+		var read [2]quorum.DurableState
+		for i := range read {
+			s, cleanup, err := disk.Open(folder, options(m))
+			if err != nil {
+				t.Fatalf("syncs fail from operation %d on: %v", at, err)
+			}
+			read[i] = s.Stored()
+			cleanup()
+			m = m.crash(rand.New(rand.NewPCG(1, uint64(at))))
+		}
+		if !equalState(read[0], read[1]) {
+			t.Errorf("syncs fail from operation %d on: %+v, after a crash %+v", at, read[0], read[1])
+		}
+	}
+}
+
 func TestWriteFailureIsFinal(t *testing.T) {
 	m := newMemory()
 	s, cleanup, err := disk.Open(folder, options(m))
@@ -304,6 +331,23 @@
 	}
 }
 
+// A log that ended with a whole record counted as complete, although more had been synced.
+func TestOpenRejectsLogCutBeforeSyncedPosition(t *testing.T) {
+	all := callSequence()[:5]
+	m, shorter := newMemory(), newMemory()
+	if _, err := runCalls(m, all); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := runCalls(shorter, all[:4]); err != nil {
+		t.Fatal(err)
+	}
+	name := m.namesWithPrefix("log-")[0]
+	m.files[name].data = m.files[name].data[:len(shorter.files[name].data)]
+	if _, _, err := disk.Open(folder, options(m)); !errors.Is(err, disk.ErrDamaged) {
+		t.Errorf("got %v", err)
+	}
+}
+
 func TestOpenIgnoresRecordCutAtAnyByte(t *testing.T) {
 	all := callSequence()[:5]
 	before, after := newMemory(), newMemory()
@@ -465,3 +509,40 @@
 		t.Fatalf("after a damaged folder: identity %s, founding %+v, may bootstrap %t", s.Identity(), s.Founding(), s.MayBootstrap())
 	}
 }
+
+// Segments whose entries a later leader had replaced were kept until the log had grown to the
+// same index again, which a log at its limit never does.
+func TestReplacedEntriesKeepNoSegments(t *testing.T) {
+	entries := func(from, to, term uint64) []quorum.Persist {
+		var p quorum.Persist
+		for i := from; i <= to; i++ {
+			p.Entries = append(p.Entries, quorum.Entry{Index: i, Term: term, Kind: quorum.EntryCommand, Data: make([]byte, 100)})
+		}
+		return []quorum.Persist{p}
+	}
+	for _, reopens := range []bool{false, true} {
+		m := newMemory()
+		s, cleanup, err := disk.Open(folder, options(m))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, persists := range [][]quorum.Persist{entries(1, 10, 1), entries(11, 60, 1), entries(11, 15, 2), entries(16, 20, 2)} {
+			if err := s.Write(persists); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if reopens {
+			cleanup()
+			if s, cleanup, err = disk.Open(folder, options(m)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := s.SaveSnapshot(quorum.Snapshot{Meta: quorum.SnapshotMeta{Index: 20, Term: 2}}); err != nil {
+			t.Fatal(err)
+		}
+		if n := s.LogBytes(); n > 2*700 {
+			t.Errorf("reopened %t: a log of %d bytes whose entries are all in the snapshot", reopens, n)
+		}
+		cleanup()
+	}
+}
--- a/core/process/disk/memory_test.go
+++ b/core/process/disk/memory_test.go
@@ -25,9 +25,11 @@
 	pendingNameChanges []func()               // creations, renames and removals that aren't durable yet
 
 	operations     int
-	crashAt        int // number of the operation at which the machine crashes, 0 for never
-	failSyncAt     int // number of the operation from which on syncs fail, 0 for never
-	capacityBytes  int // size of the disk, 0 for unlimited
+	crashAt        int  // number of the operation at which the machine crashes, 0 for never
+	failSyncAt     int  // number of the operation from which on syncs fail, 0 for never
+	dropFailedSync bool // what a failed sync didn't write is read, but never written by a later one
+	capacityBytes  int  // size of the disk, 0 for unlimited
+	fullAt         int  // number of the operation from which on files don't grow, 0 for never
 	skipFileSync   bool
 	skipFolderSync bool
 }
@@ -220,10 +222,14 @@
 	if limit := f.fs.capacityBytes; limit > 0 && f.fs.size()+len(b) > limit {
 		return 0, syscall.ENOSPC
 	}
+	var full error
+	if end := int(at) + len(b); f.fs.fullAt > 0 && f.fs.operations >= f.fs.fullAt && end > len(f.data) {
+		b, full = b[:min(len(b), max(0, len(f.data)-int(at))+len(b)/2)], syscall.ENOSPC // a part fits
+	}
 	w := memoryWrite{at: int(at), data: append([]byte{}, b...)}
 	f.data = w.apply(f.data)
 	f.unsyncedWrites = append(f.unsyncedWrites, w)
-	return len(b), nil
+	return len(b), full
 }
 
 func (f *memoryFile) Sync() error {
@@ -231,10 +237,16 @@
 		return err
 	}
 	if f.fs.failSyncAt > 0 && f.fs.operations >= f.fs.failSyncAt {
+		if f.fs.dropFailedSync {
+			f.unsyncedWrites = nil
+		}
 		return errSync
 	}
 	if !f.fs.skipFileSync {
-		f.durable, f.unsyncedWrites = slices.Clone(f.data), nil
+		for _, w := range f.unsyncedWrites {
+			f.durable = w.apply(f.durable)
+		}
+		f.unsyncedWrites = nil
 	}
 	return nil
 }
--- a/core/process/node/smalldisk_test.go
+++ b/core/process/node/smalldisk_test.go
@@ -24,6 +24,7 @@
 	peak     int // largest size so far
 	off      bool
 	onWrite  func(path string) error // called before each write, may be nil
+	onCreate func(path string) error // called before a file is created, may be nil
 }
 
 type smallFile struct {
@@ -140,6 +141,11 @@
 }
 
 func (d *smallDisk) Create(path string) (disk.File, error) {
+	if d.onCreate != nil {
+		if err := d.onCreate(path); err != nil {
+			return nil, err
+		}
+	}
 	f := &smallFile{disk: d, path: path}
 	return f, d.do(func() error {
 		d.files[path] = f
@@ -207,22 +213,23 @@
 			return 0, err
 		}
 	}
+	var full error // what fits is written
 	err := d.do(func() error {
-		end := int(at) + len(b)
-		if d.size()+max(0, end-len(f.data)) > d.capacity {
-			return syscall.ENOSPC
+		free := max(0, d.capacity-d.size())
+		if end := int(at) + len(b); end > len(f.data)+free {
+			b, full = b[:max(0, len(f.data)+free-int(at))], syscall.ENOSPC
 		}
-		if end > len(f.data) {
+		if end := int(at) + len(b); end > len(f.data) {
 			f.data = append(f.data, make([]byte, end-len(f.data))...)
 		}
 		copy(f.data[at:], b)
 		d.peak = max(d.peak, d.size())
-		return nil
+		return full
 	})
-	if err != nil {
+	if err != nil && full == nil {
 		return 0, err
 	}
-	return len(b), nil
+	return len(b), err
 }
 
 func (f *smallFile) Sync() error {
