keeper: a keeper passes calls on to the leader that its own log names

The client of a keeper now asks its log first. TestKeeperCallsLeaderThatItsLogKnows: one call instead of two after a change.

--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -53,6 +53,7 @@
 	asks      int                  // times in a row that the keeper at that position knew no leader
 	skipUntil map[string]time.Time // unresponsive keepers aren't tried before this time
 	hinted    bool                 // the last failed attempt named a leader
+	known     func() string        // names the leader as far as this process knows, nil if it can't
 	backoff   pace.Backoff         // of the attempts of all calls
 }
 
@@ -128,6 +129,10 @@
 	}
 }
 
+// SetLeaderSource sets a function that names the leader, or "" while it knows none. A process
+// that is itself a keeper learns of a new leader first. It must be set before the first call.
+func (c *Client) SetLeaderSource(known func() string) { c.known = known }
+
 func (c *Client) client(name string) *link.Client {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -213,6 +218,12 @@
 func (c *Client) callTarget() string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.known != nil {
+		if name := c.known(); name != "" && !c.isUnresponsive(name) {
+			c.add(name, name)
+			return name
+		}
+	}
 	if c.leader != "" {
 		return c.leader
 	}
--- a/core/conn/keeper/keeper_test.go
+++ b/core/conn/keeper/keeper_test.go
@@ -117,3 +117,27 @@
 		t.Errorf("%d of %d instances have found the leader after a second", served, instances)
 	}
 }
+
+// A keeper asked the lost leader first, and then the others, for what its own log knew.
+func TestKeeperCallsLeaderThatItsLogKnows(t *testing.T) {
+	g := startGroup(t, 5)
+	config, err := keys.UnauthenticatedConfig("keep")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, cleanup := keeper.OpenDynamic([]string{g.addresses[0]}, config)
+	t.Cleanup(cleanup)
+	known := g.addresses[0]
+	c.SetLeaderSource(func() string { return known })
+	for _, leader := range []int{0, 4} {
+		g.leader.Store(&g.addresses[leader])
+		known = g.addresses[leader]
+		before := g.asks.Load()
+		if _, err := c.Heartbeat(t.Context(), proto.HeartbeatRequest{}); err != nil {
+			t.Fatal(err)
+		}
+		if asks := g.asks.Load() - before; asks != 1 {
+			t.Errorf("leader %d called after %d questions", leader, asks)
+		}
+	}
+}
--- a/keepd/platform.go
+++ b/keepd/platform.go
@@ -190,6 +190,7 @@
 ) *platformApp {
 	l.UseDiscovery(e, lead.PollIntervals{List: platformListInterval, Report: platformReportInterval})
 	l.UseDuties(e)
+	c.SetLeaderSource(func() string { return n.Status().Leader })
 	return &platformApp{settings: s, metrics: string(metrics), lead: l, node: n, links: k, client: c, keys: t, meter: m, log: log}
 }
 
