core/request/leave: leave time for the answers of calls that a shutdown cuts

Callers of plain calls that were taken before the signal and outlast the grace, among them calls that may run only once, lost their connection without an answer. Calls were cut at 0.95 of the grace and connections closed at 0.96 of it: with a grace of 1 s that is 10 ms for all answers of an instance.

The times of a shutdown are now a schedule of their own, which both interfaces follow: from the cut to the end there are at least 120 ms. What still runs is cut within the last sixth of any grace, as before.

--- a/core/request/leave/leave_test.go
+++ b/core/request/leave/leave_test.go
@@ -33,6 +33,19 @@
 	})
 }
 
+func TestCutLeavesTimeForAnswers(t *testing.T) {
+	datadriven.RunTest(t, "testdata/schedules", func(t *testing.T, d *datadriven.TestData) string {
+		var text string
+		d.ScanArgs(t, "grace", &text)
+		grace, err := time.ParseDuration(text)
+		if err != nil {
+			d.Fatalf(t, "grace: %v", err)
+		}
+		s := leave.NewSchedule(grace)
+		return fmt.Sprintf("refuse %v, close %v, cut %v, end %v\n", s.Refuse, s.Close, s.Cut, s.End)
+	})
+}
+
 // Plays calls of instances that leave, with gaps and pauses within what engines do.
 func TestTakenCallIsNeverCut(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/entryd/app.go
+++ b/entryd/app.go
@@ -93,12 +93,13 @@
 // in progress. Those that still run shortly before the end of the grace are cut, so that
 // their callers learn whether they ran.
 func (a *app) stop(ctx context.Context, server *drain.Server, cut func()) error {
-	began, grace := a.bound.Begin(), float64(a.settings.Stop.Grace)
-	recording, cancelRecording := context.WithDeadline(ctx, began.Add(time.Duration(recordShare*grace)))
+	began, grace := a.bound.Begin(), time.Duration(a.settings.Stop.Grace)
+	times := leave.NewSchedule(grace)
+	recording, cancelRecording := context.WithDeadline(ctx, began.Add(time.Duration(recordShare*float64(grace))))
 	defer cancelRecording()
-	ctx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(endShare*grace)))
+	ctx, cancel := context.WithDeadline(ctx, began.Add(times.End))
 	defer cancel()
-	cutAt := began.Add(time.Duration(cutShare * grace))
+	cutAt := began.Add(times.Cut)
 	defer time.AfterFunc(time.Until(cutAt), cut).Stop()
 	a.beat.Leave()
 	a.front.BeginShutdown(cutAt)
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -50,13 +50,6 @@
 	// of its window, and requests that the platform counts for another pool while the
 	// version of the routing table changes.
 	retrySlackShare = 0.9
-	// refuseShare is the share of the grace after which new calls are refused as not run,
-	// closeShare that after which no new connections are accepted, cutShare that after
-	// which running calls are cut, and endShare that by which their refusals are written.
-	refuseShare = 0.75
-	closeShare  = 0.8
-	cutShare    = 0.95
-	endShare    = 0.96
 	// addressTTL is how long callers may cache an address answer: short enough to
 	// learn within the grace that an instance is leaving.
 	addressTTL = 2 * time.Second
--- a/entryd/stop.go
+++ b/entryd/stop.go
@@ -12,6 +12,7 @@
 	"verbenahaven.example/core/conn/drain"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/platform"
 )
 
@@ -48,19 +49,20 @@
 // each request on an accepted connection is answered. cut cuts the running calls.
 func (s *site) stop(ctx context.Context, cut func(), callers, peers *drain.Server) {
 	began, grace := s.bound.Begin(), s.bound.Grace()
-	after := func(share float64) time.Time { return began.Add(time.Duration(share * float64(grace))) }
-	s.leaving.begin(after(cutShare))
+	times := leave.NewSchedule(grace)
+	cutAt := began.Add(times.Cut)
+	s.leaving.begin(cutAt)
 	callers.Leave()
 	peers.Leave()
 	s.beat.Leave()
 	s.log.Info("leaving", "name", s.settings.Name, "calls", s.leaving.calls.Load(), "grace_ms", grace.Milliseconds())
-	clock.Sleep(ctx, time.Until(after(refuseShare)))
+	clock.Sleep(ctx, time.Until(began.Add(times.Refuse)))
 	callers.Refuse(s.refuseCalls(false))
 	peers.Refuse(s.refuseCalls(true))
-	clock.Sleep(ctx, time.Until(after(closeShare)))
-	ctx, cancel := context.WithDeadline(ctx, after(endShare))
+	clock.Sleep(ctx, time.Until(began.Add(times.Close)))
+	ctx, cancel := context.WithDeadline(ctx, began.Add(times.End))
 	defer cancel()
-	defer time.AfterFunc(time.Until(after(cutShare)), cut).Stop()
+	defer time.AfterFunc(time.Until(cutAt), cut).Stop()
 	var peerErr error
 	var group sync.WaitGroup
 	group.Go(func() { peerErr = peers.Stop(ctx) })
