entryd: tell a call that a shutdown cut from one whose caller left

On a platform a call that an instance cut at the end of its grace was logged as "caller left" and counted among callers that left, so a cut didn't show in any figure. The context of running calls now ends with the cause leave.ErrCut: what was cut is refused under its own reason, counted as leaving.cut, and named in the log with its inputs. One that another instance passed on and that reached no server is given back to that.

TestCutCallIsToldWhetherItRan; before, both kinds counted as left.

--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -25,6 +25,7 @@
 	"verbenahaven.example/core/process/keys"
 	"verbenahaven.example/core/process/logger"
 	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/request/tally"
 	"verbenahaven.example/core/version/state"
@@ -229,8 +230,8 @@
 	for _, f := range []func(context.Context){s.watch.Run, s.watch.RunPeers, s.beat.Run, s.relay.Run, s.screen.Run, s.reload} {
 		group.Go(func() { f(background) })
 	}
-	calls, cut := context.WithCancel(background)
-	defer cut()
+	calls, cut := context.WithCancelCause(background)
+	defer cut(nil)
 	callers, peers := s.callServer(calls, s.relay), s.callServer(calls, s.relay.PeerHandler())
 	servers := map[string]httpServer{
 		s.settings.Listen.Callers: callers,
@@ -265,7 +266,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	s.stop(context.WithoutCancel(ctx), cut, callers, peers)
+	s.stop(context.WithoutCancel(ctx), func() { cut(leave.ErrCut) }, callers, peers)
 	return nil
 }
 
--- a/entryd/relay/generate.go
+++ b/entryd/relay/generate.go
@@ -127,12 +127,12 @@
 // up isn't a failure of the system, but its context is also cancelled when a
 // shutdown cuts the stream, which is one.
 func (f *inflightCall) logIncomplete(ctx context.Context, out *answerStream, reason string) {
-	remaining, draining := f.draining()
-	if errors.Is(ctx.Err(), context.Canceled) && (!draining || remaining > 0) {
+	if errors.Is(ctx.Err(), context.Canceled) && !wasCut(ctx) {
 		f.meter.Count("caller", "left")
 		f.log.Info("caller left", "request", f.call.ID, "route", f.route.Name, "events", out.events, "ran", f.mayHaveRun, "ms", f.elapsedMS())
 		return
 	}
+	_, draining := f.draining()
 	f.meter.Count("stream", "broken")
 	f.log.Warn("stream broken", slices.Concat([]any{
 		"request", f.call.ID, "route", f.route.Name, "events", out.events, "max_output", f.call.Prompt.MaxOutput, "ran", f.mayHaveRun,
--- a/entryd/relay/leaving.go
+++ b/entryd/relay/leaving.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -18,6 +19,9 @@
 	return "the instance is shutting down before the answer could end"
 }
 
+// wasCut reports whether a call was cut since the instance is shutting down.
+func wasCut(ctx context.Context) bool { return errors.Is(context.Cause(ctx), leave.ErrCut) }
+
 // isLeaving reports whether a call wasn't sent since the instance is shutting down.
 func isLeaving(err error) bool {
 	var leaving *leavingError
--- a/entryd/relay/peer.go
+++ b/entryd/relay/peer.go
@@ -139,11 +139,10 @@
 	}
 	f.w.WriteHeader(a.StatusCode)
 	err = f.copyAnswer(a, buffer, n, err)
-	_, draining := f.draining()
 	switch {
 	case err == nil:
 		f.logForwarded(peer, reason, "served", a.StatusCode, nil)
-	case errors.Is(err, errCallerConn), errors.Is(ctx.Err(), context.Canceled) && !draining:
+	case errors.Is(err, errCallerConn), errors.Is(ctx.Err(), context.Canceled) && !wasCut(ctx):
 		f.meter.Count("caller", "left")
 		f.logForwarded(peer, reason, "left", a.StatusCode, err)
 	default:
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -23,6 +23,7 @@
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/request/peers"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/request/strike"
@@ -272,8 +273,13 @@
 // endUnanswered ends a call that no backend server answered. The refusal states
 // whether the call may have run.
 func (f *inflightCall) endUnanswered(ctx context.Context, reason string, retryAfter time.Duration) {
+	cut := wasCut(ctx)
+	if cut {
+		reason, retryAfter = leave.ErrCut.Error(), f.fleet.ReturnAfterLeaving()
+		f.meter.Count("leaving", "cut")
+	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !cut:
 		f.meter.Count("caller", "left")
 		f.log.Info("caller left", "request", f.call.ID, "route", f.route.Name, "tries", f.tries, "ran", f.mayHaveRun, "ms", f.elapsedMS())
 		f.writeToLeaver(reason, retryAfter)
@@ -286,7 +292,7 @@
 		_, draining := f.draining()
 		unable := f.ofPeer && (doubtful || draining && !f.anySent())
 		f.refuse(server.Refusal{Kind: server.RefuseNotExecuted, RetryAfter: retryAfter, Message: reason, Unable: unable})
-	case ctx.Err() != nil:
+	case ctx.Err() != nil && !cut:
 		f.refuse(server.Refusal{Kind: server.RefuseDeadline, Message: reason})
 	default:
 		f.refuse(server.Refusal{Kind: server.RefuseOutcomeUnknown, Message: reason})
--- a/entryd/relay/shutdown_test.go
+++ b/entryd/relay/shutdown_test.go
@@ -16,6 +16,7 @@
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/conn/stream"
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
 )
@@ -120,6 +121,16 @@
 	s.first.fleet.local.ApplyReports(time.Now(), []proto.Report{{Engine: string(r), EventGap: testGap}}, nil)
 }
 
+// fillMemory takes all memory for answers.
+func (s *leavingInstance) fillMemory() []*body.Hold {
+	answers := s.first.memory.answers
+	held := []*body.Hold{answers.Hold(0)}
+	for n := answers.Size(); held[len(held)-1].Grow(n); n = answerStart {
+		held = append(held, answers.Hold(0))
+	}
+	return held
+}
+
 // leave makes the instance cut its calls after a time.
 func (s *leavingInstance) leave(after time.Duration) {
 	at := time.Now().Add(after)
@@ -158,10 +169,10 @@
 func deliverUntil(t *testing.T, f *inflightCall, cutAt *time.Time) string {
 	t.Helper()
 	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx, cut := context.WithCancel(r.Context())
-		defer cut()
+		ctx, cut := context.WithCancelCause(r.Context())
+		defer cut(nil)
 		if cutAt != nil {
-			defer time.AfterFunc(time.Until(*cutAt), cut).Stop()
+			defer time.AfterFunc(time.Until(*cutAt), func() { cut(leave.ErrCut) }).Stop()
 		}
 		f.w = w
 		f.forward(ctx)
@@ -261,11 +272,7 @@
 // The check came before the waits of the call.
 func TestPlainCallThatWaitsForMemoryWhenShutdownBeginsIsNotSent(t *testing.T) {
 	s := newLeavingInstance(t)
-	answers := s.first.memory.answers
-	held := []*body.Hold{answers.Hold(0)}
-	for n := answers.Size(); held[len(held)-1].Grow(n); n = answerStart {
-		held = append(held, answers.Hold(0))
-	}
+	held := s.fillMemory()
 	time.AfterFunc(100*time.Millisecond, func() {
 		s.leave(time.Second)
 		for _, h := range held {
@@ -360,3 +367,31 @@
 		t.Errorf("%d calls kept", n)
 	}
 }
+
+// Calls that were cut looked in the log and in the counters as if their callers had left.
+func TestCutCallIsToldWhetherItRan(t *testing.T) {
+	for _, c := range []struct {
+		name, kind  string
+		beforeFirst bool // the cut comes while the call waits for memory
+		want        string
+	}{
+		{"plain call that reached its server", "plain", false, "502, 0 events"},
+		{"plain call that waits", "plain", true, "503, 0 events"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newLeavingInstance(t)
+			if c.beforeFirst {
+				s.fillMemory()
+			}
+			at := time.Now().Add(100 * time.Millisecond)
+			s.first.draining = func() (time.Duration, bool) { return time.Until(at), time.Until(at) <= 0 }
+			s.cutAt.Store(&at)
+			if got := s.call(t, c.kind, 100, 0, 20*time.Second); got != c.want {
+				t.Errorf("the caller gets %s, want %s", got, c.want)
+			}
+			if m := s.first.meter; m.Value("caller", "left") != 0 || m.Value("leaving", "cut") != 1 {
+				t.Errorf("%d callers left, %d calls cut", m.Value("caller", "left"), m.Value("leaving", "cut"))
+			}
+		})
+	}
+}
