entryd: refuse a call whose body hasn't arrived when calls are cut

Callers that were still sending their body at the end of the grace lost their connection without an answer, on both interfaces: reading a body didn't end with the context of the call. It does now, and the call is refused as not run.

TestBodyThatArrivesPastCutIsRefused in entryd/relay and entryd/front; before, the one read on until 200, the other answered 408 after its time limit for bodies.

--- a/entryd/front/read.go
+++ b/entryd/front/read.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -9,6 +10,8 @@
 	"strings"
 	"time"
 
+	"verbenahaven.example/core/request/leave"
+	"verbenahaven.example/core/request/once"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
 	"verbenahaven.example/entryd/fault"
@@ -62,6 +65,7 @@
 	// The error is ignored: response writers without a connection have no
 	// deadlines.
 	_ = control.SetReadDeadline(f.clock.Now().Add(f.settings.ReadTimeout))
+	defer context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })()
 	if r.ContentLength > f.settings.MaxBodyBytes {
 		return nil, tooLarge(f.settings.MaxBodyBytes)
 	}
@@ -73,6 +77,9 @@
 		return b, nil
 	case errors.As(err, &tooBig):
 		return nil, tooLarge(f.settings.MaxBodyBytes)
+	case errors.Is(context.Cause(r.Context()), leave.ErrCut):
+		return nil, fault.New(fault.CodeStopping, "the instance stopped before the body arrived").
+			Execution(once.NotExecuted).RetryAfter(leave.RetryAfter(f.settings.Name, f.balancer.Snapshot().LiveEntries()))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, fault.New(fault.CodeSlowBody, "the body didn't arrive in time")
 	default:
--- a/entryd/front/stopping_test.go
+++ b/entryd/front/stopping_test.go
@@ -187,6 +187,44 @@
 	}
 }
 
+// cutter returns a function that cuts the running calls.
+func (b *testEntry) cutter(t *testing.T) (cut func()) {
+	t.Helper()
+	calls, cancelCalls := context.WithCancelCause(t.Context())
+	h := b.Config.Handler
+	b.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer context.AfterFunc(calls, func() { cancel(context.Cause(calls)) })()
+		h.ServeHTTP(w, r.WithContext(ctx))
+	})
+	return func() { cancelCalls(leave.ErrCut) }
+}
+
+// The caller of such a body got no answer: its connection ended with the process.
+func TestBodyThatArrivesPastCutIsRefused(t *testing.T) {
+	b := newTestEntry(t, state.View{Services: []state.Service{{Name: "permit", Kind: state.KindPlain}}})
+	cut := b.cutter(t)
+	r, w := io.Pipe()
+	defer func() { _ = w.Close() }()
+	go func() {
+		_, _ = io.WriteString(w, "{")
+		cut()
+	}()
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, b.URL+"/s/permit/x", r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set("Authorization", "Bearer "+token)
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	if body, _ := io.ReadAll(a.Body); a.StatusCode != http.StatusServiceUnavailable || !strings.Contains(string(body), `"code":"stopping"`) || !strings.Contains(string(body), `"ran":"not_run"`) {
+		t.Errorf("status %d: %s", a.StatusCode, body)
+	}
+}
+
 // Such a call got no answer: its connection ended with the process.
 func TestRunOnceCallThatWaitsForAnotherIsAnsweredAtCut(t *testing.T) {
 	release := make(chan struct{})
@@ -199,13 +237,7 @@
 		Services: []state.Service{{Name: "permit", Kind: state.KindPlain, AtMostOnce: true}},
 		Servers:  []state.Server{{Name: "s", URL: server.URL, Service: "permit", Phase: state.PhaseServing}},
 	})
-	calls, cut := context.WithCancelCause(t.Context())
-	h := b.Config.Handler
-	b.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithCancelCause(r.Context())
-		defer context.AfterFunc(calls, func() { cancel(context.Cause(calls)) })()
-		h.ServeHTTP(w, r.WithContext(ctx))
-	})
+	cut := b.cutter(t)
 	answers := make(chan string, 2)
 	send := func() {
 		a := b.send(t, http.MethodPost, "/s/permit/x", "{}", "Idempotency-Key", "k")
@@ -218,7 +250,7 @@
 			time.Sleep(time.Millisecond)
 		}
 	}
-	cut(leave.ErrCut)
+	cut()
 	select {
 	case a := <-answers:
 		if !strings.HasPrefix(a, "503") || !strings.Contains(a, `"code":"stopping"`) || !strings.Contains(a, `"ran":"unknown"`) || !strings.HasSuffix(a, "500") {
--- a/entryd/relay/read.go
+++ b/entryd/relay/read.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -9,9 +10,11 @@
 )
 
 // bodyReader reads a body with a limit on the time between its bytes and one on
-// all of it. A caller that sends a long body steadily keeps the first.
+// all of it. A caller that sends a long body steadily keeps the first. Reading ends with
+// the context.
 type bodyReader struct {
 	io.Reader
+	ctx     context.Context
 	control *http.ResponseController
 	clock   clock.Clock
 	idle    time.Duration
@@ -26,5 +29,6 @@
 	}
 	// The error is ignored: readRequest counts connections without deadlines.
 	_ = b.control.SetReadDeadline(deadline)
+	defer context.AfterFunc(b.ctx, func() { _ = b.control.SetReadDeadline(time.Unix(1, 0)) })()
 	return b.Reader.Read(p) //nolint:wrapcheck // io.EOF is compared by value
 }
--- a/entryd/relay/read_test.go
+++ b/entryd/relay/read_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/view"
 )
@@ -95,3 +97,22 @@
 		t.Errorf("a body under the second table: status %d, want 400", got)
 	}
 }
+
+// The caller of such a body got no answer: its connection ended with the process.
+func TestBodyThatArrivesPastCutIsRefused(t *testing.T) {
+	f := newScriptedCall(t, &scriptedBackend{}, "safe", "v1")
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cut := context.WithCancelCause(r.Context())
+		defer cut(nil)
+		defer time.AfterFunc(100*time.Millisecond, func() { cut(leave.ErrCut) }).Stop()
+		f.w, f.start = w, f.clock.Now()
+		w.Header().Set("Connection", "close")
+		if refusal := f.readRequest(r.WithContext(ctx), state.Limits{}); refusal != nil {
+			f.refuse(*refusal)
+		}
+	}))
+	defer front.Close()
+	if got := sendSlowly(t, front.Listener.Addr().String(), 2, 400*time.Millisecond); got != http.StatusServiceUnavailable {
+		t.Errorf("status %d", got)
+	}
+}
--- a/entryd/relay/request.go
+++ b/entryd/relay/request.go
@@ -38,7 +38,7 @@
 		whole = f.call.TimeLeft
 	}
 	content, err := f.readBody(&bodyReader{
-		Reader: http.MaxBytesReader(f.w, r.Body, maxBytes), control: control, clock: f.clock, idle: timeout, end: f.start.Add(whole),
+		Reader: http.MaxBytesReader(f.w, r.Body, maxBytes), ctx: r.Context(), control: control, clock: f.clock, idle: timeout, end: f.start.Add(whole),
 	}, r.ContentLength, maxBytes)
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -46,6 +46,11 @@
 		return f.refuseMemory("bodies")
 	case errors.As(err, &tooLarge):
 		return &server.Refusal{Kind: server.RefuseBodyTooLarge, Message: fmt.Sprintf("the body is larger than %d bytes", maxBytes)}
+	case err != nil && wasCut(r.Context()):
+		f.meter.Count("leaving", "cut")
+		return &server.Refusal{
+			Kind: server.RefuseNotExecuted, RetryAfter: f.fleet.ReturnAfterLeaving(), Message: "the instance stopped before the body arrived", Unable: f.ofPeer,
+		}
 	case err != nil:
 		return &server.Refusal{Kind: server.RefuseBadRequest, Message: "the body was cut short"}
 	}
