entryd/plain: ask again before a call is repeated during a shutdown

On the product's own interface a plain call that may have run was sent once more however close the end of the grace was, unlike completions and all calls on a platform. If the repetition was slow its caller lost what another instance would have given it. The call is refused with its outcome unknown now, and its caller repeats it elsewhere.

TestLeavingInstanceRepeatsNoPlainCallThatMayOutlastIt; before, the server got it twice.

--- a/entryd/front/stopping_test.go
+++ b/entryd/front/stopping_test.go
@@ -133,6 +133,29 @@
 	}
 }
 
+// So was a plain call, which the others weren't.
+func TestLeavingInstanceRepeatsNoPlainCallThatMayOutlastIt(t *testing.T) {
+	var b *testEntry
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if calls.Add(1) == 1 {
+			b.front.BeginShutdown(time.Now().Add(5 * time.Second))
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	v := state.View{Services: []state.Service{{Name: "registry", Kind: state.KindPlain}}}
+	for _, name := range []string{"s1", "s2"} {
+		v.Servers = append(v.Servers, state.Server{Name: name, URL: server.URL, Service: "registry", Phase: state.PhaseServing})
+	}
+	b = newTestEntry(t, v)
+	a := b.send(t, http.MethodPost, "/s/registry/x", "x", "Deadline", "20000")
+	body, _ := io.ReadAll(a.Body)
+	if n := calls.Load(); n != 1 || a.StatusCode != http.StatusServiceUnavailable || !strings.Contains(string(body), `"code":"stopping"`) || !strings.Contains(string(body), `"ran":"unknown"`) {
+		t.Errorf("sent %d times; status %d: %.200s", n, a.StatusCode, body)
+	}
+}
+
 // The last check came before the wait for a connection.
 func TestCallThatWaitsForConnectionWhenShutdownBeginsIsNotSent(t *testing.T) {
 	long := strings.Replace(chatRequest, ":20}", ":2000}", 1)
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -148,8 +148,8 @@
 	pass := s.beginPass(c)
 	defer pass.Close()
 	for number := 1; ; number++ {
-		if err := s.checkSend(ctx, c); err != nil && ran == once.NotExecuted {
-			return Answer{}, err
+		if err := s.checkSend(ctx, c); err != nil {
+			return Answer{}, fault.FromError(err).Execution(ran)
 		}
 		if err := pass.Permit(ctx); err != nil {
 			return Answer{}, heldFault(err, ran)
@@ -161,16 +161,14 @@
 		}
 		var refusal error
 		r, _, err := s.send(pool.WithSendCheck(ctx, func() error {
-			if ran == once.NotExecuted {
-				refusal = s.checkSend(ctx, c)
-			}
+			refusal = s.checkSend(ctx, c)
 			return refusal
 		}), c, v, number, s.pool.Do)
 		release()
 		c.Record.AddStep(s.traceStep(c, v, number, err))
 		if err != nil && refusal != nil {
 			pass.Spared(false)
-			return Answer{}, refusal
+			return Answer{}, fault.FromError(refusal).Execution(ran)
 		}
 		if err == nil {
 			pass.Completed()
