entryd/plain: answer run-once calls that wait for their server at the cut

On the product's own interface a run-once call that still waited for its server, or for a connection to it, at the end of the grace lost its connection without an answer: such a call doesn't end with its caller, since its outcome must be recorded. It goes on without its caller now, who is told "stopping" with the outcome unknown 60 ms after the cut.

--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -16,6 +16,7 @@
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
+	"verbenahaven.example/core/process/safe"
 	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/request/once"
 	"verbenahaven.example/entryd/fault"
@@ -30,8 +31,13 @@
 	// closeAfterCut is how long an attempt may be closed after running calls are cut: the
 	// callers' connections end soon after.
 	closeAfterCut = 50 * time.Millisecond
+	// answerAfterCut is when the callers of calls that still run are told so: what closes
+	// until then is known not to have run.
+	answerAfterCut = closeAfterCut + 10*time.Millisecond
 )
 
+var errNoOutcome = errors.New("the call has no outcome")
+
 // onceCall drives the state machine of one run-once call.
 type onceCall struct {
 	*Dispatcher
@@ -46,6 +52,30 @@
 	untilCut    untilCut
 }
 
+// doOnceUntilCut runs a call. Its outcome must be recorded even if the caller disconnects, or
+// gets its answer since running calls are cut: then the call goes on.
+func (s *Dispatcher) doOnceUntilCut(caller context.Context, c *Call) (Answer, error) {
+	ctx, done := s.recorder.begin(caller)
+	var answer Answer
+	err := errNoOutcome
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer done()
+		safe.Run(s.meter, "run-once call", c.ID, func() {
+			answer, err = s.doWithin(ctx, c, func(ctx context.Context, c *Call) (Answer, error) { return s.doOnce(ctx, caller, c) })
+		})
+	}()
+	cut, stop := endAtCut(context.WithoutCancel(caller), caller, answerAfterCut)
+	defer stop()
+	select {
+	case <-ended:
+		return answer, err
+	case <-cut.Done():
+		return Answer{}, fault.New(fault.CodeStopping, leave.ErrCut.Error()).Execution(once.ExecutionUnknown).RetryAfter(retryAfter)
+	}
+}
+
 // doOnce runs a call. ctx bounds it; caller is the context of who sent it, and ends only its
 // waits, when the instance stops.
 func (s *Dispatcher) doOnce(ctx, caller context.Context, c *Call) (Answer, error) {
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -121,16 +121,18 @@
 
 // Do sends a call to a backend server and returns its response.
 func (s *Dispatcher) Do(ctx context.Context, c *Call) (Answer, error) {
+	if c.Service.AtMostOnce {
+		return s.doOnceUntilCut(ctx, c)
+	}
+	return s.doWithin(ctx, c, s.doRetryable)
+}
+
+// doWithin runs a call within its time limit.
+func (s *Dispatcher) doWithin(ctx context.Context, c *Call, do func(context.Context, *Call) (Answer, error)) (Answer, error) {
 	limit := defaultTimeout
 	if c.TimeLimit > 0 {
 		limit = c.TimeLimit
 	}
-	do := s.doRetryable
-	if c.Service.AtMostOnce {
-		// The outcome must be recorded even if the caller disconnects.
-		caller := ctx
-		ctx, do = context.WithoutCancel(ctx), func(ctx context.Context, c *Call) (Answer, error) { return s.doOnce(ctx, caller, c) }
-	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	began := s.clock.Elapsed()
