entryd: close connections within the grace where address answers live longer

On the product's own interface an instance began to close its connections once cached address answers had expired. With an address.life that reaches beyond stop.grace that was at the end of it: the listener was closed with connections in its queue, all others were cut at once, callers' requests on them had no answer, and the exit code was 1.

--- a/entryd/app.go
+++ b/entryd/app.go
@@ -105,8 +105,7 @@
 	a.front.BeginShutdown(cutAt)
 	server.Leave()
 	klog.InfoS("leaving", "name", a.settings.Name)
-	a.awaitLeaveConfirmed(ctx)
-	clock.Sleep(ctx, time.Duration(a.settings.Address.Life))
+	a.serveCached(ctx, began.Add(times.Close))
 	err := server.Stop(ctx)
 	if err != nil {
 		_ = server.Close()
@@ -122,6 +121,14 @@
 	return nil
 }
 
+// serveCached waits until cached address answers have expired, at most until a time.
+func (a *app) serveCached(ctx context.Context, until time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	a.awaitLeaveConfirmed(ctx)
+	clock.Sleep(ctx, time.Duration(a.settings.Address.Life))
+}
+
 // awaitLeaveConfirmed waits until no other instance lists this one's address any
 // more, at most for leaveGraceShare of the grace.
 func (a *app) awaitLeaveConfirmed(ctx context.Context) {
--- a/entryd/process_test.go
+++ b/entryd/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -264,8 +266,10 @@
 	return w
 }
 
-// A process on the own interface outlived its grace while something hung, here its log.
-func TestInstanceThatHangsEndsWithinGrace(t *testing.T) {
+// startOnOwnInterface starts an entry instance that reaches no keeper. It returns its address
+// for callers.
+func startOnOwnInterface(t *testing.T, grace string, configure func(*exec.Cmd)) (p *process, address string) {
+	t.Helper()
 	folder, from := t.TempDir(), time.Now().Add(-time.Hour)
 	if err := keys.CreateAuthority(folder, "test", from, 2*time.Hour); err != nil {
 		t.Fatal(err)
@@ -287,18 +291,26 @@
 [keepers]
 k = "127.0.0.1:%d"
 [stop]
-grace = "1s"
-`, first, first+1, first+2)
+grace = %q
+`, first, first+1, first+2, grace)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := startProcess(t, func(c *exec.Cmd) {
-		c.Dir, c.Stderr = folder, fullPipe(t)
+	p = startProcess(t, func(c *exec.Cmd) {
+		c.Dir = folder
 		c.Env = append(c.Env, "GORACE=atexit_sleep_ms=0") // the race detector would wait for a second at the exit
+		configure(c)
 	}, "-settings", path)
-	if !p.awaitAnswer(t, "127.0.0.1:"+strconv.Itoa(first)) {
+	address = "127.0.0.1:" + strconv.Itoa(first)
+	if !p.awaitAnswer(t, address) {
 		t.Fatal("not answering")
 	}
+	return p, address
+}
+
+// A process on the own interface outlived its grace while something hung, here its log.
+func TestInstanceThatHangsEndsWithinGrace(t *testing.T) {
+	p, _ := startOnOwnInterface(t, "1s", func(c *exec.Cmd) { c.Stderr = fullPipe(t) })
 	p.terminate(t)
 	select {
 	case <-p.exited:
@@ -309,3 +321,31 @@
 		t.Error("still running 4 s after the signal, with a grace of 1 s")
 	}
 }
+
+// Address answers that live longer than the grace left no time to close connections: calls on
+// them ended with the process.
+func TestInstanceAnswersCallsUntilItsConnectionsClose(t *testing.T) {
+	p, address := startOnOwnInterface(t, "2s", func(*exec.Cmd) {})
+	p.terminate(t)
+	var group sync.WaitGroup
+	for range 32 {
+		group.Go(func() {
+			for {
+				c, err := net.Dial("tcp4", address)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+				if b, err := io.ReadAll(c); err != nil || len(b) == 0 {
+					t.Errorf("no answer on a connection that was accepted: %q, %v", b, err)
+				}
+				_ = c.Close()
+			}
+		})
+	}
+	group.Wait()
+	<-p.exited
+	if code := p.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
