entryd/relay: go by the deadline at an engine whose pace isn't known itself

An instance that leaves bounds a stream by the gap between events at the slowest engine of its pool. An engine without long answers of its own, just started or after a change of its role, was taken to be as fast as the mean of the others: a long answer at one that is much slower was taken late in the grace and cut at its end.

The leader's reports say now whether a gap was observed of the engine itself. If it wasn't, the deadline decides, and the call goes to another instance.

TestLeavingInstanceGoesByDeadlineWithoutPaceOfEngine plays an engine that is ten times as slow as its pool; before, the stream was taken and cut in the middle. TestGapOfGroupIsNotThatOfNewEngine in core/request/speed.

--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -70,6 +70,7 @@
 	Age                time.Duration `cbor:"13,keyasint,omitempty"` // in place of At between instances, whose clocks may differ
 	Leaving            bool          `cbor:"17,keyasint,omitempty"` // the engine will stop soon
 	Reclaimable        bool          `cbor:"18,keyasint,omitempty"` // the platform may take the engine away at short notice
+	GapSeen            bool          `cbor:"19,keyasint,omitempty"` // EventGap was observed of the engine, not only of others of its pool
 	Orders             uint64        `cbor:"-"`                     // accepted since the engine started; known to the leader only
 }
 
--- a/core/request/place/learn.go
+++ b/core/request/place/learn.go
@@ -135,6 +135,13 @@
 	return longest
 }
 
+// GapSeen reports whether the expected gap between two events is that of an engine itself, not
+// only of its pool.
+func (p *Placer) GapSeen(engine string) bool {
+	v := p.engines[engine]
+	return v != nil && v.lastReport.GapSeen
+}
+
 // refreshSpeeds updates the expected speed of each engine: what its report
 // says, else what this instance observed, else what is known of the pool's
 // engines of the other role.
--- a/core/request/sched/sched.go
+++ b/core/request/sched/sched.go
@@ -377,6 +377,10 @@
 // an engine of a pool, 0 if it is unknown.
 func (s *Scheduler) LongestGap(pool string) time.Duration { return s.placer.LongestGap(pool) }
 
+// GapSeen reports whether the expected gap between two events is that of an engine itself, not
+// only of its pool.
+func (s *Scheduler) GapSeen(engine string) bool { return s.placer.GapSeen(engine) }
+
 // TakeSpeeds returns what was observed of the engines' speeds since the last
 // call.
 func (s *Scheduler) TakeSpeeds() []proto.EngineSpeed { return s.placer.TakeSpeeds() }
--- a/core/request/speed/machine_test.go
+++ b/core/request/speed/machine_test.go
@@ -178,3 +178,17 @@
 		t.Errorf("gaps of %v and %v are expected of alike machines", loaded.EventGap, idle.EventGap)
 	}
 }
+
+// The gap of a group says little of an engine that has no long answers yet.
+func TestGapOfGroupIsNotThatOfNewEngine(t *testing.T) {
+	w := newWorld(false, false)
+	w.run(4)
+	w.groups["new"] = "decode"
+	w.model.Keep(w.groups)
+	if v := w.model.Estimate("new"); v.EventGap == 0 || v.GapSeen {
+		t.Errorf("a new engine: %+v", v)
+	}
+	if v := w.model.Estimate("e20"); v.EventGap == 0 || !v.GapSeen {
+		t.Errorf("one with long answers: %+v", v)
+	}
+}
--- a/core/request/speed/speed.go
+++ b/core/request/speed/speed.go
@@ -45,6 +45,7 @@
 	StartTime    time.Duration // from the request for an answer whose prompt is prefilled elsewhere to its first event
 	EventGap     time.Duration // between two events of a long answer
 	SlowGap      time.Duration // the same during a slowdown
+	GapSeen      bool          // the gaps are the engine's, not only those of its group
 	Machine      float64       // time that the machine takes for any work, relative to others of the pool
 }
 
@@ -158,6 +159,7 @@
 	seen := &e.seen
 	v := Estimate{Machine: round(e.machine.trusted())}
 	v.EventGap, v.SlowGap = all.gaps(e)
+	v.GapSeen = e.seen.Gaps >= minGroupGaps || e.machine.trusted() > 0
 	if all.Starts > 0 {
 		v.StartTime = roundTime(all.StartSeconds / all.Starts)
 	}
--- a/entryd/relay/leaving.go
+++ b/entryd/relay/leaving.go
@@ -91,6 +91,9 @@
 		if t.Deferred { // waits for as long as it has time
 			c.Start = c.TimeLeft
 		}
+		if !f.fleet.gapSeen(t.Plan.Decode.Name) { // it may be much slower than the others
+			c.Gap = 0
+		}
 	}
 	return []any{
 		"left_ms", left.Milliseconds(), "longest_ms", c.Longest().Milliseconds(), "max_events", c.Events, "gap_us", c.Gap.Microseconds(),
@@ -105,6 +108,13 @@
 	return f.local.LongestGap(pool)
 }
 
+// gapSeen reports whether the gap between two events is known of an engine itself.
+func (f *Fleet) gapSeen(engine string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.local.GapSeen(engine)
+}
+
 // ReturnAfterLeaving returns when another instance can take a call that this one refuses
 // since it is shutting down, or else this one after its restart.
 func (f *Fleet) ReturnAfterLeaving() time.Duration {
--- a/entryd/relay/shutdown_test.go
+++ b/entryd/relay/shutdown_test.go
@@ -118,7 +118,7 @@
 
 // setGap tells the instance the gap between an engine's events.
 func (s *leavingInstance) setGap(r state.Role) {
-	s.first.fleet.local.ApplyReports(time.Now(), []proto.Report{{Engine: string(r), EventGap: testGap}}, nil)
+	s.first.fleet.local.ApplyReports(time.Now(), []proto.Report{{Engine: string(r), EventGap: testGap, GapSeen: true}}, nil)
 }
 
 // fillMemory takes all memory for answers.
@@ -243,6 +243,16 @@
 	}
 }
 
+// An engine without long answers yet was taken to be as fast as others of its pool.
+func TestLeavingInstanceGoesByDeadlineWithoutPaceOfEngine(t *testing.T) {
+	s := newLeavingInstance(t)
+	s.first.fleet.local.ApplyReports(time.Now(), []proto.Report{{Engine: string(state.RoleDecode), EventGap: testGap / 10}}, nil)
+	s.leave(5500 * time.Millisecond)
+	if got := s.call(t, "stream", 400, 400, 20*time.Second); got != "503, 0 events" || s.engine.asked.Load() != 0 {
+		t.Errorf("the caller gets %s, the engine %d calls", got, s.engine.asked.Load())
+	}
+}
+
 // The signal came while a call that was taken before it waited for its prefill.
 func TestCallThatWaitsWhenShutdownBeginsIsNotCut(t *testing.T) {
 	s := newLeavingInstance(t)
--- a/keepd/lead/discovery.go
+++ b/keepd/lead/discovery.go
@@ -338,7 +338,7 @@
 	for _, p := range reports {
 		learned := l.roster.Speed(p.Engine)
 		p.PrefillRate, p.PrefillDelay, p.StartTime = learned.PrefillRate, learned.PrefillDelay, learned.StartTime
-		p.EventGap, p.SlowGap = learned.EventGap, learned.SlowGap
+		p.EventGap, p.SlowGap, p.GapSeen = learned.EventGap, learned.SlowGap, learned.GapSeen
 		l.roster.RecordReport(p)
 	}
 }
