--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -121,16 +121,18 @@
 
 // Do sends a call to a backend server and returns its response.
 func (s *Dispatcher) Do(ctx context.Context, c *Call) (Answer, error) {
+	if c.Service.AtMostOnce {
+		return s.doOnceUntilCut(ctx, c)
+	}
+	return s.doWithin(ctx, c, s.doRetryable)
+}
+
+// doWithin runs a call within its time limit.
+func (s *Dispatcher) doWithin(ctx context.Context, c *Call, do func(context.Context, *Call) (Answer, error)) (Answer, error) {
 	limit := defaultTimeout
 	if c.TimeLimit > 0 {
 		limit = c.TimeLimit
 	}
-	do := s.doRetryable
-	if c.Service.AtMostOnce {
-		// The outcome must be recorded even if the caller disconnects.
-		caller := ctx
-		ctx, do = context.WithoutCancel(ctx), func(ctx context.Context, c *Call) (Answer, error) { return s.doOnce(ctx, caller, c) }
-	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	began := s.clock.Elapsed()
@@ -148,8 +150,8 @@
 	pass := s.beginPass(c)
 	defer pass.Close()
 	for number := 1; ; number++ {
-		if err := s.checkSend(ctx, c); err != nil && ran == once.NotExecuted {
-			return Answer{}, err
+		if err := s.checkSend(ctx, c); err != nil {
+			return Answer{}, fault.FromError(err).Execution(ran)
 		}
 		if err := pass.Permit(ctx); err != nil {
 			return Answer{}, heldFault(err, ran)
@@ -161,16 +163,14 @@
 		}
 		var refusal error
 		r, _, err := s.send(pool.WithSendCheck(ctx, func() error {
-			if ran == once.NotExecuted {
-				refusal = s.checkSend(ctx, c)
-			}
+			refusal = s.checkSend(ctx, c)
 			return refusal
 		}), c, v, number, s.pool.Do)
 		release()
 		c.Record.AddStep(s.traceStep(c, v, number, err))
 		if err != nil && refusal != nil {
 			pass.Spared(false)
-			return Answer{}, refusal
+			return Answer{}, fault.FromError(refusal).Execution(ran)
 		}
 		if err == nil {
 			pass.Completed()
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -25,6 +25,7 @@
 	"verbenahaven.example/core/process/keys"
 	"verbenahaven.example/core/process/logger"
 	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/request/leave"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/request/tally"
 	"verbenahaven.example/core/version/state"
@@ -50,13 +51,6 @@
 	// of its window, and requests that the platform counts for another pool while the
 	// version of the routing table changes.
 	retrySlackShare = 0.9
-	// refuseShare is the share of the grace after which new calls are refused as not run,
-	// closeShare that after which no new connections are accepted, cutShare that after
-	// which running calls are cut, and endShare that by which their refusals are written.
-	refuseShare = 0.75
-	closeShare  = 0.8
-	cutShare    = 0.95
-	endShare    = 0.96
 	// addressTTL is how long callers may cache an address answer: short enough to
 	// learn within the grace that an instance is leaving.
 	addressTTL = 2 * time.Second
@@ -236,8 +230,8 @@
 	for _, f := range []func(context.Context){s.watch.Run, s.watch.RunPeers, s.beat.Run, s.relay.Run, s.screen.Run, s.reload} {
 		group.Go(func() { f(background) })
 	}
-	calls, cut := context.WithCancel(background)
-	defer cut()
+	calls, cut := context.WithCancelCause(background)
+	defer cut(nil)
 	callers, peers := s.callServer(calls, s.relay), s.callServer(calls, s.relay.PeerHandler())
 	servers := map[string]httpServer{
 		s.settings.Listen.Callers: callers,
@@ -272,7 +266,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	s.stop(context.WithoutCancel(ctx), cut, callers, peers)
+	s.stop(context.WithoutCancel(ctx), func() { cut(leave.ErrCut) }, callers, peers)
 	return nil
 }
 
