quorum: a disk that is known to be lost is replaced without a wait

A voter whose instance is back with another folder was replaced after four election timeouts of silence, and each leader counted that silence from its own election. On the platform that is 2.4 s, of the 4 s after which the next disk may be lost. An election in between used them up; the second loss then left neither the old voters nor those of the replacement a majority.

An instance has one folder at a time and no folder comes back. So one answer of its new folder, to a message that the leader sent after the last one which the old folder answered, or after the leader first addressed the old folder, shows that the old one is gone. Each leader learns that from one answer of the learner, and no time has to pass. Hellos may be late, they still need a silence, of one election timeout, and must be later than the last word of the old folder.

All simulations now check that no voter is replaced while its folder is there before the replacement time, and that no replacement leaves fewer voters.

--- a/core/process/quorum/check_test.go
+++ b/core/process/quorum/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -167,6 +168,7 @@
 		return
 	}
 	m.checkedConfig = m.core.configIndex()
+	c.checkReplaced(m, all)
 	last, before := configs[len(configs)-1], configs[len(configs)-2]
 	if m.core.log.lastTerm() != m.core.Term() || len(before.config.Members) == 0 {
 		return
@@ -178,3 +180,25 @@
 		}
 	}
 }
+
+// checkReplaced checks that a leader replaces a voter whose folder is there only after the
+// replacement time, and that no replacement leaves fewer voters.
+func (c *invariants) checkReplaced(m *simMember, all []*simMember) {
+	config := m.core.config()
+	if term, _ := m.core.log.term(m.core.configIndex()); !config.IsJoint() || term != m.core.Term() {
+		return
+	}
+	outgoing := 0
+	for _, v := range config.Members {
+		if v.Outgoing {
+			outgoing++
+		}
+		lost := v.Outgoing && !v.Voter && m.core.now-m.core.lastHeard(v.Identity) < m.core.settings.ReplaceAfter
+		if lost && slices.ContainsFunc(all, func(o *simMember) bool { return o.identity == v.Identity }) {
+			reportViolation("%s replaces %s, whose folder %s is there", m.name, v.Name, v.Identity)
+		}
+	}
+	if config.VoterCount() != outgoing {
+		reportViolation("%s replaces a voter and goes from %d voters to %d", m.name, outgoing, config.VoterCount())
+	}
+}
--- a/core/process/quorum/member.go
+++ b/core/process/quorum/member.go
@@ -259,29 +259,56 @@
 	return config, "", false
 }
 
-// isLost reports whether a member counts as lost: it has been silent for the
-// replacement time, or for a shorter time while its instance is back with
-// another folder.
+// isLost reports whether a member counts as lost: its instance runs with another
+// folder, or it has been silent for the replacement time.
 func (c *Core) isLost(m Member) bool {
-	silence := c.now - c.lastHeard(m.Identity)
-	if silence >= c.settings.ReplaceAfter {
-		return true
-	}
-	return silence >= helloExpiryTimeouts*c.settings.ElectionTimeout && c.folderReplaced(m)
+	return c.folderReplaced(m) || c.now-c.lastHeard(m.Identity) >= c.settings.ReplaceAfter
 }
 
 // folderReplaced reports whether a member's instance runs with another folder.
 func (c *Core) folderReplaced(m Member) bool {
-	for _, identity := range c.recentJoiners() {
-		if c.joiners[identity].name == m.Name {
+	return c.answersWithAnotherFolder(m) || c.saysHelloWithAnotherFolder(m)
+}
+
+// answersWithAnotherFolder reports whether another folder of a member's instance answered
+// this leader later than the member did. An instance has one folder at a time and no folder
+// comes back, so this needs no time to pass and each leader learns it from one answer.
+func (c *Core) answersWithAnotherFolder(m Member) bool {
+	answered := c.lastAnswered(m.Identity)
+	for _, other := range c.config().Members {
+		if other.Name == m.Name && other.Identity != m.Identity && c.hasAnswered(other.Identity) && c.lastAnswered(other.Identity) > answered {
 			return true
 		}
 	}
-	for _, other := range c.config().Members {
-		reachable := c.now-c.lastHeard(other.Identity) < c.settings.ElectionTimeout
-		if other.Name == m.Name && other.Identity != m.Identity && reachable {
+	return false
+}
+
+// saysHelloWithAnotherFolder reports whether a member is silent and its instance sent a hello
+// with another folder meanwhile. A hello may be late, so the silence must last.
+func (c *Core) saysHelloWithAnotherFolder(m Member) bool {
+	heard := c.lastHeard(m.Identity)
+	if c.now-heard < c.settings.ElectionTimeout {
+		return false
+	}
+	for _, identity := range c.recentJoiners() {
+		if j := c.joiners[identity]; j.name == m.Name && j.helloAt > heard {
 			return true
 		}
 	}
 	return false
 }
+
+// hasAnswered reports whether a member has answered this leader.
+func (c *Core) hasAnswered(identity string) bool {
+	p := c.peers[identity]
+	return identity == c.settings.Identity || (p != nil && p.hasReplied)
+}
+
+// lastAnswered returns when this leader sent the latest message that a member answered. For
+// one that hasn't answered it is when this leader first addressed it.
+func (c *Core) lastAnswered(identity string) time.Duration {
+	if p := c.peers[identity]; p != nil && p.hasReplied {
+		return p.ackedSentAt
+	}
+	return c.lastHeard(identity)
+}
