quorum: members name each other to an instance that says hello

A newcomer knows the seeds of its settings only. A seed told the leader of it, and only the leader could admit it. So it stayed outside while its one live seed was cut off from the leader, and for good if that seed was lost before the group had a leader, though all others ran: nobody knew of the newcomer, and it knew of nobody.

A member now answers the hello of an instance that isn't one with the names of the members (one message for one message, at most 7 names). The newcomer says hello to them too, at the pace of its other hellos, one each half election timeout, and keeps at most 14 names until it follows a leader.

--- a/core/process/node/open_test.go
+++ b/core/process/node/open_test.go
@@ -90,6 +90,28 @@
 	g.waitApplied(2, 3)
 }
 
+// A newcomer whose only seed is lost before the group has a leader was never told of the others.
+func TestNewcomerOutlivesItsOnlySeed(t *testing.T) {
+	g := newOpenGroup(t, 3, 1, 3)
+	seed, newcomer := g.names[0], g.names[3]
+	g.start(g.names[:3]...)
+	g.propose(1)
+	g.waitApplied(1, 1)
+	g.stop(g.names[1])
+	g.stop(g.names[2])
+	g.wait("seed without a leader", func() bool { return g.members[seed].node.Status().Leader == "" })
+	s := g.settings[newcomer]
+	s.InitialVoters, s.Peers = nil, map[string]string{newcomer: newcomer, seed: seed}
+	g.settings[newcomer] = s
+	g.start(newcomer)
+	time.Sleep(10 * s.ElectionTimeout)
+	g.stop(seed)
+	g.start(g.names[1:3]...)
+	g.wait("voter in place of the seed", func() bool {
+		return slices.Contains(g.voters(), newcomer) && !slices.Contains(g.voters(), seed)
+	})
+}
+
 // A seed that never comes is replaced like a lost member, also by an instance whose
 // settings still speak of a first start.
 func TestFirstStartWithoutOneSeed(t *testing.T) {
--- a/core/process/quorum/core.go
+++ b/core/process/quorum/core.go
@@ -97,6 +97,7 @@
 	otherGroup       bool              // one of the founders belongs to another group
 	nextHello        time.Duration     // when to send the next hellos
 	joiners          map[string]joiner // by identity
+	introduced       []string          // names of members that members named to this one, the latest first
 	incoming         incomingSnapshot
 
 	// Valid while this member leads.
--- a/core/process/quorum/follow.go
+++ b/core/process/quorum/follow.go
@@ -12,6 +12,7 @@
 	}
 	if m.Term > c.hardState.Term || c.role != RoleFollower || c.leader != m.FromIdentity {
 		c.becomeFollower(m.Term, m.FromIdentity)
+		c.introduced = nil
 	}
 	c.leaderContact = c.now
 	c.resetElectionDeadline()
--- a/core/process/quorum/send.go
+++ b/core/process/quorum/send.go
@@ -41,6 +41,10 @@
 		c.actions = append(c.actions, Rejected{Reason: ErrMalformed})
 		return
 	}
+	if m.Kind == MessageMembers {
+		c.handleMembers(m)
+		return
+	}
 	if m.Group == "" || !c.acceptGroup(m) {
 		return
 	}
@@ -134,13 +138,15 @@
 
 // knownInstances returns the names of the other known instances, sorted and
 // without duplicates. With open membership it includes the members of the
-// configuration, since the instances in the settings may all be gone.
+// configuration and those that members named, since the instances in the settings may all be
+// gone.
 func (c *Core) knownInstances() []string {
 	names := slices.Clone(c.settings.Peers)
 	if c.settings.OpenMembership {
 		for _, m := range c.config().Members {
 			names = append(names, m.Name)
 		}
+		names = append(names, c.introduced...)
 	}
 	slices.Sort(names)
 	names = slices.Compact(names)
@@ -171,6 +177,41 @@
 	}
 	c.recordJoiner(m.FromIdentity, joiner{name: m.From, helloAt: c.now, mayBootstrap: m.MayBootstrap && m.Founder == c.settings.Identity})
 	c.forwardHello(Member{Name: m.From, Identity: m.FromIdentity})
+	c.nameMembers(m)
+}
+
+// nameMembers tells the sender of a hello who the members are. The leader may be out of this
+// member's reach but not out of the sender's, and this member may be lost before it can
+// introduce the sender.
+func (c *Core) nameMembers(hello Message) {
+	if !c.settings.OpenMembership || c.hardState.Group == "" {
+		return
+	}
+	var names []string
+	for _, m := range c.config().Members {
+		if !slices.Contains(names, m.Name) {
+			names = append(names, m.Name)
+		}
+	}
+	c.send(Member{Name: hello.From, Identity: hello.FromIdentity}, Message{Kind: MessageMembers, Names: names}, afterHardState)
+}
+
+// maxIntroduced is the maximum number of names that an instance without a leader keeps of those
+// that members named.
+const maxIntroduced = 2 * MaxMembers
+
+// handleMembers records the members' names, so that the next hellos go to them too.
+func (c *Core) handleMembers(m Message) {
+	if !c.settings.OpenMembership || c.leader != "" || (c.hardState.Group != "" && c.hardState.Group != m.Group) {
+		return
+	}
+	names := slices.Clone(m.Names[:min(len(m.Names), MaxMembers)])
+	for _, name := range c.introduced {
+		if !slices.Contains(names, name) && len(names) < maxIntroduced {
+			names = append(names, name)
+		}
+	}
+	c.introduced = names
 }
 
 // recordJoiner records an instance that isn't a member. An instance has one
--- a/core/process/quorum/types.go
+++ b/core/process/quorum/types.go
@@ -172,6 +172,7 @@
 	MessageChunkReply
 	MessageTimeoutNow   // the leader asks a follower to start an election at once
 	MessageForwardHello // a follower passes a non-member's hello on to the leader
+	MessageMembers      // a member names the others to the sender of a hello
 )
 
 // Message is a message between members. Which fields are used depends on its
@@ -199,6 +200,7 @@
 	Founder      string        `cbor:"20,keyasint,omitempty"` // hello: identity of the bootstrapping instance last heard from
 	MayBootstrap bool          `cbor:"21,keyasint,omitempty"` // hello: the sender is new and may take part in bootstrapping
 	Joiner       *Member       `cbor:"22,keyasint,omitempty"` // forwarded hello: the instance that wants to join
+	Names        []string      `cbor:"24,keyasint,omitempty"` // members: names of the members
 	Level        uint64        `cbor:"23,keyasint,omitempty"` // replies: highest level of commands that the sender understands; 0 for builds without levels
 }
 
