node: a member takes the seeds of changed settings

A newcomer went on asking the seeds that it was started with, although its settings named others by then: the client of the keepers took them, the consensus didn't.

Node.SetSeeds passes them to the core, which says hello to them at once.

--- a/core/process/node/loop.go
+++ b/core/process/node/loop.go
@@ -163,6 +163,14 @@
 	return struct{}{}, nil
 }
 
+// SetSeeds tells a member of a group with open membership the seeds of changed settings.
+func (n *Node) SetSeeds(addresses []string) {
+	select {
+	case n.inbox <- quorum.Seeds{Names: addresses}:
+	case <-n.done:
+	}
+}
+
 // enqueueSnapshot queues a snapshot of the state machine to be written.
 func (n *Node) enqueueSnapshot(ctx context.Context, s machineSnapshot) {
 	meta, ok := n.core.SnapshotMeta(s.index)
--- a/core/process/node/open_test.go
+++ b/core/process/node/open_test.go
@@ -112,6 +112,20 @@
 	})
 }
 
+// A newcomer kept asking the seeds that it was started with, although its settings had changed.
+func TestNewcomerTakesSeedsOfChangedSettings(t *testing.T) {
+	g := newOpenGroup(t, 3, 1, 3)
+	lost, newcomer := g.names[0], g.names[3]
+	g.start(g.names[1:3]...)
+	g.propose(1)
+	s := g.settings[newcomer]
+	s.InitialVoters, s.Peers = nil, map[string]string{newcomer: newcomer, lost: lost}
+	g.settings[newcomer] = s
+	g.start(newcomer)
+	g.members[newcomer].node.SetSeeds([]string{lost, g.names[1]})
+	g.wait("newcomer among the voters", func() bool { return slices.Contains(g.voters(), newcomer) })
+}
+
 // A seed that never comes is replaced like a lost member, also by an instance whose
 // settings still speak of a first start.
 func TestFirstStartWithoutOneSeed(t *testing.T) {
--- a/core/process/quorum/core.go
+++ b/core/process/quorum/core.go
@@ -207,6 +207,8 @@
 		if !e.IfReady || c.hasSuccessor() {
 			c.startTransfer()
 		}
+	case Seeds:
+		c.setSeeds(e.Names)
 	default:
 		panic(fmt.Sprintf("quorum: unknown event %T", event))
 	}
--- a/core/process/quorum/event.go
+++ b/core/process/quorum/event.go
@@ -43,6 +43,8 @@
 	// before it stops. If it goes on running, it should do so IfReady, that is,
 	// only if another voter is up to date.
 	TransferLeadership struct{ IfReady bool }
+	// Seeds replaces the Peers of the settings in a group with open membership.
+	Seeds struct{ Names []string }
 )
 
 // Command is a proposed command of the replicated state machine.
@@ -69,6 +71,7 @@
 func (Change) event()             {}
 func (SnapshotSaved) event()      {}
 func (TransferLeadership) event() {}
+func (Seeds) event()              {}
 
 // Action is an output that the driver must carry out. The actions of a step are
 // carried out in order, but a Send needn't wait for an earlier Persist: the core
--- a/core/process/quorum/send.go
+++ b/core/process/quorum/send.go
@@ -127,6 +127,13 @@
 	}
 }
 
+// setSeeds replaces the instances that this member says hello to, at once if it has no leader.
+func (c *Core) setSeeds(names []string) {
+	if c.settings.OpenMembership {
+		c.settings.Peers, c.nextHello = slices.Clone(names), c.now
+	}
+}
+
 func (c *Core) sendHello(name string) {
 	c.send(Member{Name: name}, Message{
 		Kind:         MessageHello,
