quorum: the model of lost disks also loses two in turn

Groups of 5 lose a second disk 1 to 10 election timeouts after the first came back, with the leader lost after each, before they lose as many as they tolerate together with the power of the others.

--- a/core/process/quorum/lostdisk_test.go
+++ b/core/process/quorum/lostdisk_test.go
@@ -69,23 +69,36 @@
 	}
 }
 
-// run loses one disk, then, once the first counts as replaced, as many as the group tolerates;
-// the others lose power. It returns the violation found, "" for none.
+// loseInTurn has one member after the other lose its disk, in groups that tolerate it before the
+// first counts as replaced. It returns when the last one is back.
+func (d *lostDisks) loseInTurn(members []int) time.Duration {
+	t := 2*time.Second + d.upTo(time.Second)
+	for _, i := range members {
+		d.at(t, fmt.Sprintf("m%d loses its disk", i), func() { d.wipe(d.members[i], 100*time.Millisecond) })
+		t += 100 * time.Millisecond
+		for range 1 + d.draw.IntN(2) {
+			d.interrupt(t + d.upTo(2*simElection))
+		}
+		if i != members[len(members)-1] {
+			t += simElection + d.upTo(9*simElection)
+		}
+	}
+	return t
+}
+
+// run loses disks in turn, then, once all of these count as replaced, as many as the group
+// tolerates; the others lose power. It returns the violation found, "" for none.
 func (d *lostDisks) run() (found violation) {
 	defer func() {
 		if v := recover(); v != nil {
 			found = violationOf(v)
 		}
 	}()
-	voters := d.options.voters
-	order := d.draw.Perm(voters)
-	start := 2*time.Second + d.upTo(time.Second)
-	d.at(start, fmt.Sprintf("m%d loses its disk", order[0]), func() { d.wipe(d.members[order[0]], 100*time.Millisecond) })
-	back := start + 100*time.Millisecond
-	for range 1 + d.draw.IntN(2) {
-		d.interrupt(back + d.upTo(2*simElection))
-	}
-	lost := order[1 : 1+(voters-1)/2]
+	tolerated := (d.options.voters - 1) / 2
+	order := d.draw.Perm(d.options.voters)
+	first := 1 + d.draw.IntN(tolerated)
+	back := d.loseInTurn(order[:first])
+	lost := order[first : first+tolerated]
 	d.at(back+catchUpTime, fmt.Sprintf("%v lose their disks, the others power", lost), func() {
 		for _, i := range lost {
 			d.wipe(d.members[i], d.upTo(simElection))
