--- a/keepd/platform.go
+++ b/keepd/platform.go
@@ -336,6 +336,9 @@
 		}
 		s.bound.SetGrace(next.Bounds.Grace)
 		s.client.SetKeepers(next.KeeperLinks())
+		if s.node != nil {
+			s.node.SetSeeds(next.KeeperLinks())
+		}
 		s.log.Info("settings reloaded", "seeds", next.Seeds)
 	})
 }
