quorum: a leader that was held up doesn't blame its disk

A leader hands over once a write has taken two election timeouts, and the members of a busy machine no longer judge each other by the time in which they didn't run. Joined, the first undid the second: a leader without processor for as long saw its timer before the write that had long ended, and handed over.

The time of a hold-up no longer counts for pending writes.

--- a/core/process/quorum/holdup.go
+++ b/core/process/quorum/holdup.go
@@ -26,8 +26,13 @@
 }
 
 // resumeLeader lets a leader that was held up keep its role without the answer of a majority, at
-// most once. A hold-up of an election timeout and more isn't silence of the others.
+// most once. A hold-up of an election timeout and more isn't silence of the others, and none is
+// time that its disk took for a write.
 func (c *Core) resumeLeader(heldUp time.Duration) {
+	for i := range c.pendingPersists {
+		p := &c.pendingPersists[i]
+		p.at = min(p.at+heldUp, c.now)
+	}
 	if sent, ok := c.majorityAckTime(); c.resumedAt == c.electedAt || (ok && sent >= c.resumedAt) {
 		c.resumedAt = c.now
 	}
--- a/core/process/quorum/holdup_test.go
+++ b/core/process/quorum/holdup_test.go
@@ -161,3 +161,24 @@
 	}
 	t.Fatal("two late ticks without a campaign")
 }
+
+// A leader that was held up after it had begun a write handed over, although its disk was well.
+func TestHeldUpLeaderKeepsLeadWithPendingWrite(t *testing.T) {
+	for seed := range uint64(20) {
+		h := newHoldUps(3, 0, seed)
+		h.runFor(3 * time.Second)
+		leader := h.leader()
+		h.after(0, func() {
+			leader.step(Propose{Commands: []Command{{ID: 1 << 40, Data: []byte("12345678")}}})
+			leader.paused = true
+		})
+		h.after(longHoldUp, func() {
+			leader.step(Tick{})
+			if leader.core.Role() == RoleLeader && leader.core.transfer.requested {
+				t.Errorf("seed %d: hands over", seed)
+			}
+			leader.resume()
+		})
+		h.runFor(2 * longHoldUp)
+	}
+}
