httpc: bounds the fields of a head before it ends

A broken server may send a head without end, or one that goes on slowly.

The lines of a head, with all interim heads before it, are bounded at 256, while they are read: net/http has no limit there. What is read further shows that the bytes before it belonged to the head, so those of a body in the same read don't count.

The text of errors is bounded too. net/http quotes the line that it can't parse, up to 64 KiB, in each line of the log. conn.head_too_large counts.

--- a/core/conn/httpc/conn.go
+++ b/core/conn/httpc/conn.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"io"
-	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -23,18 +21,18 @@
 	pool        *Pool
 	address     string
 	tcp         *net.TCPConn
-	limited     *io.LimitedReader // of tcp
-	reader      *bufio.Reader     // of limited
-	idleTimeout time.Duration     // maximum time in the pool
-	idleUntil   time.Time         // deadline for reuse from the pool
-	unproven    bool              // dialled for an exchange, and nothing has arrived
-	carried     carried           // exchanges so far
+	source      *source       // of tcp
+	reader      *bufio.Reader // of source
+	idleTimeout time.Duration // maximum time in the pool
+	idleUntil   time.Time     // deadline for reuse from the pool
+	unproven    bool          // dialled for an exchange, and nothing has arrived
+	carried     carried       // exchanges so far
 	once        sync.Once
 }
 
 func newConn(p *Pool, address string, tcp *net.TCPConn) *conn {
-	c := &conn{pool: p, address: address, tcp: tcp, limited: &io.LimitedReader{R: tcp, N: math.MaxInt64}, idleTimeout: defaultIdleTimeout}
-	c.reader = bufio.NewReaderSize(c.limited, bufferSize)
+	c := &conn{pool: p, address: address, tcp: tcp, source: &source{Reader: tcp}, idleTimeout: defaultIdleTimeout}
+	c.reader = bufio.NewReaderSize(c.source, bufferSize)
 	if err := c.withSocket(func(fd int) error {
 		return unix.SetsockoptInt(fd, syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
 	}); err != nil {
--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -27,6 +26,9 @@
 	// maxHeadBytes limits the head of a response, with all interim responses before
 	// it, in bytes.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines limits the lines of that. A parsed field takes some 130 bytes besides its
+	// text, so that many short ones take far more than they have.
+	maxHeadLines = 256
 	// maxUnmatchedBody limits the body of a skipped response, in bytes.
 	maxUnmatchedBody = 1 << 20
 	// lateHead is how long a response is awaited after the deadline of its request, if OnHead
@@ -35,7 +37,7 @@
 )
 
 // ErrHeadTooLarge means that the head of a response is larger than an HTTP
-// response needs, or has no end.
+// response needs, has too many fields or no end.
 var ErrHeadTooLarge = errors.New("the head of the answer is too large")
 
 // ErrUnmatchedResponse means that only responses to other requests arrived.
@@ -238,18 +240,21 @@
 }
 
 func (e *exchange) readResponse(method string) (*http.Response, error) {
-	e.conn.limited.N = maxHeadBytes
-	defer func() { e.conn.limited.N = math.MaxInt64 }()
+	e.conn.source.beginHead()
+	defer e.conn.source.endHead()
 	for {
 		if _, err := e.conn.reader.Peek(1); err == nil {
 			e.observeBytes()
 		}
 		resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: method})
-		if err != nil && e.conn.limited.N <= 0 {
+		if err == nil && len(resp.Header) > maxHeadLines {
 			err = ErrHeadTooLarge
 		}
 		if err != nil {
-			return nil, fmt.Errorf("read answer: %w", err)
+			if errors.Is(err, ErrHeadTooLarge) {
+				e.conn.pool.counter.Count("conn", "head_too_large")
+			}
+			return nil, fmt.Errorf("read answer: %w", brief(err))
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
