relay: counts unsent parts of events, and gives up streams without events

An event that a broken server doesn't end was read up to 1 MiB for each stream and kept until the call's deadline, besides the budget for events: 128 streams at once held 83 MB of an instance with 144 MB (TestEventsWithoutEndFitMemoryTogether, which failed before).

Comments and empty lines without end were passed on, 1 MiB at a time, as if they were progress: the call held until its deadline and no second attempt began. A stream that brings 1 MiB without the end of an event is given up now, and its engine recorded as failed, whatever the bytes are (TestEventWithoutEndIsGivenUp, which failed before for comments and empty lines: 112 and 66 MB were read).

--- a/entryd/relay/ahead_test.go
+++ b/entryd/relay/ahead_test.go
@@ -78,7 +78,7 @@
 		run := &run{ticket: &ticket{}, begun: true}
 		run.ctx, run.cancel = context.WithCancelCause(r.Context())
 		defer run.cancel(nil)
-		a, err := f.pool.Do(run.ctx, engine, &httpc.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		a, err := f.pool.Do(run.ctx, engine, &httpc.Request{Method: http.MethodGet, Target: r.RequestURI, Host: "h"})
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
--- a/entryd/relay/answer.go
+++ b/entryd/relay/answer.go
@@ -22,7 +22,6 @@
 	headSent    bool   // the HTTP header was sent
 	lastEventID string // of the last complete event
 	events      int
-	partial     []byte        // start of an incomplete event, not yet sent
 	framing     httpc.Framing // of the last engine's answer
 }
 
@@ -70,31 +69,34 @@
 // progress: an engine that sends parts of one, or comments, now and then is silent.
 func (f *inflightCall) forwardStream(ctx context.Context, r *run, s *standby, out *answerStream) error {
 	a := r.answer
-	out.partial, out.framing = out.partial[:0], httpc.FramingOf(a)
+	out.framing = httpc.FramingOf(a)
 	buffer := make([]byte, readBufferSize)
 	control := http.NewResponseController(f.w)
 	ahead, stop := newReadAhead(a.Body, f.memory.events.Hold(f.urgency()), func() { r.cancel(nil) })
 	defer stop()
+	unsent, release := newUnsent(f.memory.events.Hold(f.urgency()))
+	defer release()
 	var cursor stream.Cursor
 	for {
-		end, err := readEvents(ahead, buffer, &cursor, out)
+		end, err := readEvents(ahead, buffer, &cursor, unsent)
 		if s.settle(err == nil || errors.Is(err, io.EOF)) != nil {
 			return errMoved
 		}
 		ended := errors.Is(err, io.EOF)
 		if ended {
-			end = len(out.partial) // also the end of an answer that isn't an event stream
+			end = len(unsent.bytes) // also the end of an answer that isn't an event stream
 		}
 		if end > 0 {
 			if ahead.active() {
 				r.lastGap = time.Time{}
 			}
 			ahead.beginWrite()
-			err := f.forwardEvents(control, r, out, end)
+			err := f.forwardEvents(control, r, out, unsent.bytes[:end])
 			ahead.endWrite()
 			if err != nil {
 				return err
 			}
+			unsent.remove(end)
 		}
 		switch {
 		case ended && !out.headSent:
@@ -102,43 +104,46 @@
 		case ended:
 			return nil
 		case err != nil:
+			f.countUnsent(err)
 			return err //nolint:wrapcheck // wrapped by decode
-		case len(out.partial) > stream.MaxEventBytes:
-			return stream.ErrTooLarge
 		}
 		s.arm(ctx, f.eventTimeout())
 	}
 }
 
-// forwardEvents forwards the complete events at the start of out.partial, end bytes, and
-// observes when they came.
-func (f *inflightCall) forwardEvents(control *http.ResponseController, r *run, out *answerStream, end int) error {
-	if stream.IsStream(r.answer.Header) && !stream.ValidEvents(out.partial[:end], f.codec.EventFields()...) {
+// forwardEvents forwards complete events, and observes when they came.
+func (f *inflightCall) forwardEvents(control *http.ResponseController, r *run, out *answerStream, events []byte) error {
+	if stream.IsStream(r.answer.Header) && !stream.ValidEvents(events, f.codec.EventFields()...) {
 		return fmt.Errorf("engine %s: %w", r.name, errNoStream)
 	}
 	arrived, before := f.clock.Now(), out.events
 	if !r.begun {
 		f.beginEvents(r)
 	}
-	if err := f.writeEvents(control, r.answer, out, out.partial[:end]); err != nil {
+	if err := f.writeEvents(control, r.answer, out, events); err != nil {
 		return err
 	}
-	out.partial = append(out.partial[:0], out.partial[end:]...)
 	f.observeGap(r, arrived, out.events-before)
 	return nil
 }
 
-// readEvents reads until an event has ended, the answer ends or its event is too large.
-// It appends what it read to the answer's partial event, and returns the length of its
-// complete events.
-func readEvents(r io.Reader, buffer []byte, cursor *stream.Cursor, out *answerStream) (end int, err error) {
-	for before := cursor.Ended(); err == nil && cursor.Ended() == before && len(out.partial) <= stream.MaxEventBytes; {
+// readEvents reads until an event has ended or the answer ends. It returns the length of the
+// complete events. If more arrives without the end of an event than the largest one may
+// have, be it comments, it returns stream.ErrTooLarge.
+func readEvents(r io.Reader, buffer []byte, cursor *stream.Cursor, unsent *unsent) (end int, err error) {
+	before := cursor.Ended()
+	for err == nil && cursor.Ended() == before {
+		if len(unsent.bytes) > stream.MaxEventBytes {
+			return 0, stream.ErrTooLarge
+		}
 		var n int
 		n, err = r.Read(buffer)
 		if length := cursor.Advance(buffer[:n]); length > 0 {
-			end = len(out.partial) + length
+			end = len(unsent.bytes) + length
+		}
+		if full := unsent.add(buffer[:n]); full != nil {
+			return 0, full
 		}
-		out.partial = append(out.partial, buffer[:n]...)
 	}
 	return end, err //nolint:wrapcheck // io.EOF is compared by value
 }
--- a/entryd/relay/broken_test.go
+++ b/entryd/relay/broken_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -154,27 +156,79 @@
 
 // A server in trouble may send bytes until the caller closes.
 func TestEventWithoutEndIsGivenUp(t *testing.T) {
-	var sent atomic.Int64
-	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Request-Id", "1")
-		w.Header().Set("Server-Signature", "s")
-		w.Header().Set("Content-Type", stream.ContentType)
-		for block := bytes.Repeat([]byte("data"), 4<<10); ; {
-			n, err := w.Write(block)
-			sent.Add(int64(n))
-			if err != nil {
-				return
+	for name, text := range map[string]string{"an event": "data", "lines of an event": "data: x\n", "comments": ": x\n\n", "empty lines": "\n"} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Request-Id", "1")
+				w.Header().Set("Server-Signature", "s")
+				w.Header().Set("Content-Type", stream.ContentType)
+				for block := bytes.Repeat([]byte(text), 16<<10/len(text)); ; {
+					n, err := w.Write(block)
+					sent.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			}))
+			defer backend.Close()
+			f := newScriptedCall(t, &scriptedBackend{}, "stream", "v1")
+			f.fleet.local.Update([]state.Engine{{Name: "a", URL: backend.URL, Pool: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Centre: "z"}}, nil)
+			f.call.TimeLeft = 2 * time.Second
+			if got := strings.TrimSpace(deliverTo(t, f)); got != "502" || f.timeLeft() < time.Second {
+				t.Errorf("the caller gets %q with %v left", got, f.timeLeft())
+			}
+			if n := sent.Load(); n > 32<<20 {
+				t.Errorf("%d bytes were read", n)
 			}
+		})
+	}
+}
+
+// Starts of events that many broken servers send at once were each bounded, but not together.
+func TestEventsWithoutEndFitMemoryTogether(t *testing.T) {
+	const streams, perStream, part = 128, 128 << 10, instanceMemory / memoryShare / memoryKinds
+	var settled sync.WaitGroup
+	settled.Add(streams)
+	block := bytes.Repeat([]byte("data"), stream.MaxEventBytes/8)
+	address := serveSmall(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", stream.ContentType)
+		if r.URL.Path == "/sound" {
+			fmt.Fprintf(w, "data: %s\n\n", block[:perStream/8])
+			return
 		}
-	}))
-	defer backend.Close()
+		_, _ = w.Write(block)
+		_ = http.NewResponseController(w).Flush()
+		settled.Done()
+		<-r.Context().Done()
+	})
 	f := newScriptedCall(t, &scriptedBackend{}, "stream", "v1")
-	f.fleet.local.Update([]state.Engine{{Name: "a", URL: backend.URL, Pool: "m", Role: state.RoleDecode, Phase: state.PhaseServing, Centre: "z"}}, nil)
-	f.call.TimeLeft = 2 * time.Second
-	if got := strings.TrimSpace(deliverTo(t, f)); got != "502" || f.timeLeft() < time.Second {
-		t.Errorf("the caller gets %q with %v left", got, f.timeLeft())
+	f.SetMemory(instanceMemory)
+	front := serveAhead(t, f, address)
+	before := heapBytes()
+	for range streams {
+		dialSmall(t, front)
 	}
-	if n := sent.Load(); n > 32<<20 {
-		t.Errorf("%d bytes were read", n)
+	settled.Wait()
+	if held, limit := heapBytes()-before, int64(part+streams*perStream); held > limit {
+		t.Errorf("%d bytes held, %d allowed", held, limit)
 	}
+	if f.meter.Value("memory", "events", "refused") == 0 {
+		t.Error("no stream was given up")
+	}
+	a, err := http.Get("http://" + front + "/sound")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	if b, err := io.ReadAll(a.Body); err != nil || len(b) < perStream/8 {
+		t.Errorf("another caller gets %d bytes, error %v", len(b), err)
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
 }
