--- a/core/conn/items/items.go
+++ b/core/conn/items/items.go
@@ -9,7 +9,8 @@
 	"fmt"
 )
 
-// ErrUnreadable reports a document that isn't a list, or of which the end is missing.
+// ErrUnreadable reports a document that isn't a list, has too many items, or of which the end
+// is missing.
 var ErrUnreadable = errors.New("not a readable list")
 
 // Array returns the items of a document that is a list. They may be invalid JSON. The
--- a/core/conn/items/scan.go
+++ b/core/conn/items/scan.go
@@ -2,19 +2,32 @@
 
 import "encoding/json"
 
-// maxPasses bounds how often a document is read to find the ends of broken items.
-const maxPasses = 16
+const (
+	// maxPasses bounds how often a document is read to find the ends of broken items.
+	maxPasses = 16
+	// maxItems and maxDepth bound the items of a list, and how deeply a value is nested: a
+	// document without end may consist of them, and each takes more memory than its text.
+	maxItems = 1 << 16
+	maxDepth = 1 << 18
+)
 
 // scanner finds the ends of values in a document. It checks how they are nested, with a
 // stack of its own in place of recursion, but not what strings and numbers hold.
 type scanner struct {
 	text     []byte
-	left     int          // bytes that may still be read
-	unclosed map[int]bool // where the objects begin of which the end wasn't found
+	left     int  // bytes that may still be read
+	unclosed bits // where the objects begin of which the end wasn't found
 }
 
+// bits is a set of positions.
+type bits []uint64
+
+func (b bits) has(at int) bool { return b[at/64]&(1<<(at%64)) != 0 }
+
+func (b bits) add(at int) { b[at/64] |= 1 << (at % 64) }
+
 func newScanner(b []byte) *scanner {
-	return &scanner{text: b, left: maxPasses * (len(b) + 1), unclosed: make(map[int]bool)}
+	return &scanner{text: b, left: maxPasses * (len(b) + 1), unclosed: make(bits, len(b)/64+1)}
 }
 
 func (s *scanner) is(at int, c byte) bool { return at < len(s.text) && s.text[at] == c }
@@ -105,6 +118,9 @@
 	}
 	for broken := false; ; {
 		end, found := s.item(at, closes, broken)
+		if found && len(list) == maxItems {
+			return nil, at, false
+		}
 		if found {
 			list = append(list, s.text[at:end])
 		} else if end, broken = s.resume(at, closes); !broken {
@@ -149,7 +165,7 @@
 
 // value returns the end of the value at a position.
 func (s *scanner) value(at int) (end int, ok bool) {
-	if s.left <= 0 || s.unclosed[at] {
+	if s.left <= 0 || s.unclosed.has(at) {
 		return at, false
 	}
 	v := value{scanner: s, at: at}
@@ -157,7 +173,7 @@
 	s.left -= v.at - at + 1
 	for _, begin := range v.open {
 		if s.text[begin] == '{' {
-			s.unclosed[begin] = true
+			s.unclosed.add(begin)
 		}
 	}
 	return v.at, ok
--- a/core/conn/items/value.go
+++ b/core/conn/items/value.go
@@ -29,6 +29,9 @@
 		v.at = v.skipSpace(v.at)
 		switch {
 		case v.is(v.at, '[') || v.is(v.at, '{'):
+			if len(v.open) == maxDepth {
+				return false
+			}
 			v.open = append(v.open, v.at)
 		case v.is(v.at, '"'):
 			return v.string()
