pool, guard, list: bounds the heads of answers

On the product's own interface the head of an answer was bounded at the 10 MiB of net/http, and kept parsed, about twenty times as much if its fields are short, until the call ended: a few answers of a broken server filled an instance. The same held for the answers to orders, duties and probes, and for the list of instances. Heads are now bounded at 16 KiB, and the text of errors, which quotes what couldn't be parsed and is kept in traces, at 256 bytes.

TestHeadWithoutEndIsGivenUp (pool, guard) and the head of TestFetchGivesUpListWithoutEnd failed before; its body and compressed body passed.

--- a/core/conn/guard/guard.go
+++ b/core/conn/guard/guard.go
@@ -19,6 +19,8 @@
 	"golang.org/x/sys/unix"
 
 	"verbenahaven.example/core/conn/body"
+	"verbenahaven.example/core/conn/brief"
+	"verbenahaven.example/core/conn/pool"
 )
 
 // ErrLeaseTooShort reports that too little of the lease remained to write.
@@ -84,7 +86,8 @@
 	deadline, _ := ctx.Deadline()
 	var state writeState
 	transport := &http.Transport{
-		DisableKeepAlives: true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: pool.MaxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			// The transport's dial context doesn't carry the deadline.
 			return w.dial(ctx, network, address, time.Until(deadline), &state)
@@ -108,7 +111,7 @@
 func roundTrip(transport *http.Transport, r *http.Request) (int, []byte, error) {
 	resp, err := transport.RoundTrip(r)
 	if err != nil {
-		return 0, nil, fmt.Errorf("send order: %w", err)
+		return 0, nil, fmt.Errorf("send order: %w", brief.Error(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := body.Read(resp.Body, maxResponseBytes)
--- a/core/conn/guard/guard_test.go
+++ b/core/conn/guard/guard_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"verbenahaven.example/core/conn/guard"
+	"verbenahaven.example/core/conn/pool"
 )
 
 type response struct{ OK bool }
@@ -76,3 +79,22 @@
 		t.Fatal("request outlived the lease")
 	}
 }
+
+// An engine's answer to an order may have a head without end.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+strings.Repeat("a:\r\n", pool.MaxHeadBytes))
+		_, _ = io.Copy(io.Discard, c) // until the client closes
+	}))
+	defer s.Close()
+	w := guard.New(func() time.Duration { return time.Minute }, 100*time.Millisecond, 5*time.Second)
+	began := time.Now()
+	if _, err := w.PostJSON(t.Context(), s.URL, struct{}{}, new(response)); err == nil || time.Since(began) > 4*time.Second {
+		t.Errorf("error %v after %s", err, time.Since(began))
+	}
+}
--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"verbenahaven.example/core/conn/brief"
 	"verbenahaven.example/core/conn/stream"
 )
 
@@ -254,7 +255,7 @@
 			if errors.Is(err, ErrHeadTooLarge) {
 				e.conn.pool.counter.Count("conn", "head_too_large")
 			}
-			return nil, fmt.Errorf("read answer: %w", brief(err))
+			return nil, fmt.Errorf("read answer: %w", brief.Error(err))
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
--- a/core/conn/httpc/source.go
+++ b/core/conn/httpc/source.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 )
 
@@ -38,16 +37,3 @@
 	s.unread = bytes.Count(p[:n], []byte{'\n'})
 	return n, err //nolint:wrapcheck // as above
 }
-
-// maxErrorText limits the text of an error, in bytes.
-const maxErrorText = 256
-
-// brief returns an error with a bounded text: those of net/http quote what a server sent,
-// and are logged.
-func brief(err error) error {
-	text := err.Error()
-	if len(text) <= maxErrorText {
-		return err
-	}
-	return errors.New(text[:maxErrorText] + "...") //nolint:err113 // quotes the peer
-}
--- a/core/conn/list/fetch.go
+++ b/core/conn/list/fetch.go
@@ -9,6 +9,7 @@
 
 	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/items"
+	"verbenahaven.example/core/conn/pool"
 )
 
 // maxListBytes limits the size of the platform's response.
@@ -17,6 +18,13 @@
 // ErrStatus reports that the platform responded with a status other than 200.
 var ErrStatus = errors.New("unexpected status")
 
+// NewClient returns a client for Fetch.
+func NewClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone() //nolint:forcetypeassert // unless a program replaces it
+	t.MaxResponseHeaderBytes = pool.MaxHeadBytes
+	return &http.Client{Transport: t}
+}
+
 // Fetch returns the platform's list at a URL.
 func Fetch(ctx context.Context, c *http.Client, url string) ([]Instance, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
--- a/core/conn/list/fetch_test.go
+++ b/core/conn/list/fetch_test.go
@@ -1,14 +1,20 @@
 package list_test
 
 import (
+	"bytes"
+	"compress/gzip"
+	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"verbenahaven.example/core/conn/list"
+	"verbenahaven.example/core/conn/pool"
 )
 
 // An error response of the platform must not be read as an empty list.
@@ -102,3 +108,31 @@
 		}
 	}
 }
+
+// A list may be given with a head or a body without end, also a compressed one.
+func TestFetchGivesUpListWithoutEnd(t *testing.T) {
+	var zipped bytes.Buffer
+	w := gzip.NewWriter(&zipped)
+	_, _ = w.Write(bytes.Repeat([]byte("["), 64<<20))
+	_ = w.Close()
+	for name, text := range map[string]string{
+		"head": strings.Repeat("a:\r\n", pool.MaxHeadBytes), "body": "\r\n" + strings.Repeat("[", 8<<20),
+		"compressed": fmt.Sprintf("Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n%s", zipped.Len(), zipped.String()),
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+text)
+			_, _ = io.Copy(io.Discard, c) // until the client closes
+		}))
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		if l, err := list.Fetch(ctx, list.NewClient(), s.URL); err == nil || ctx.Err() != nil {
+			t.Errorf("%s: %d entries, error %.200v", name, len(l), err)
+		}
+		cancel()
+		s.Close()
+	}
+}
--- a/core/conn/pool/name.go
+++ b/core/conn/pool/name.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 
+	"verbenahaven.example/core/conn/brief"
 	"verbenahaven.example/core/conn/engine"
 )
 
@@ -67,7 +68,7 @@
 	if err != nil {
 		c := gotConn.Load()
 		unused = c != nil && c.forbidden == nil && !c.written.Load() && r.Context().Err() == nil
-		return nil, unused && rewind(r), fmt.Errorf("ask %s: %w", r.URL.Host, withCause(r.Context(), err))
+		return nil, unused && rewind(r), fmt.Errorf("ask %s: %w", r.URL.Host, withCause(r.Context(), brief.Error(err)))
 	}
 	return resp, false, nil
 }
--- a/core/conn/pool/pool.go
+++ b/core/conn/pool/pool.go
@@ -17,6 +17,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"verbenahaven.example/core/conn/brief"
 	"verbenahaven.example/core/request/retry"
 )
 
@@ -33,6 +34,10 @@
 	unackedTimeout = 4 * time.Second
 )
 
+// MaxHeadBytes limits the head of a response, in bytes. A parsed head of short fields takes
+// some twenty times as much.
+const MaxHeadBytes = 16 << 10
+
 // ErrStalled is the cause of a request that was cancelled because it made no
 // progress within its stall timeout.
 var ErrStalled = errors.New("no progress")
@@ -71,10 +76,11 @@
 			}
 			return &conn{Conn: c}, nil
 		},
-		DisableCompression:  true,
-		MaxIdleConns:        maxIdleConns,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
+		DisableCompression:     true,
+		MaxIdleConns:           maxIdleConns,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 }
 
@@ -178,7 +184,7 @@
 	c := gotConn.Load()
 	written = c != nil && c.written.Load()
 	if err != nil {
-		return nil, written, fmt.Errorf("ask %s: %w", r.URL.Host, withCause(r.Context(), err))
+		return nil, written, fmt.Errorf("ask %s: %w", r.URL.Host, withCause(r.Context(), brief.Error(err)))
 	}
 	if err := checkFinal(resp); err != nil {
 		return nil, written, err
--- a/core/conn/pool/pool_test.go
+++ b/core/conn/pool/pool_test.go
@@ -253,3 +253,48 @@
 		t.Errorf("%d new connections for %d requests, want one", n, kept)
 	}
 }
+
+// A head without end was kept up to 10 MiB for each request, and quoted in errors.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	for name, text := range map[string]string{"fields": "a:\r\n", "informational heads": "HTTP/1.1 103 X\r\n\r\n", "no field": "a"} {
+		for _, pooled := range []bool{false, true} {
+			s, _ := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(engine.HeaderExchange, r.Header.Get(engine.HeaderExchange))
+				if r.Method == http.MethodGet {
+					return
+				}
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				defer func() { _ = c.Close() }()
+				_, _ = io.WriteString(c, "HTTP/1.1 100 X\r\n\r\n")
+				if !strings.HasPrefix(text, "HTTP") {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+				}
+				_, _ = io.WriteString(c, strings.Repeat(text, 2*pool.MaxHeadBytes/len(text)))
+				_, _ = io.Copy(io.Discard, c) // until the client closes
+			}))
+			p, cleanup := pool.New()
+			defer cleanup()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			if pooled {
+				r := newRequest(ctx, t, s.URL)
+				r.Method = http.MethodGet
+				a, err := p.Do(r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = a.Body.Close()
+			}
+			a, err := p.Do(newRequest(ctx, t, s.URL))
+			if err == nil {
+				_ = a.Body.Close()
+			}
+			if err == nil || ctx.Err() != nil || len(err.Error()) > 1<<10 {
+				t.Errorf("%s, pooled %v: error %.200v", name, pooled, err)
+			}
+		}
+	}
+}
--- a/entryd/listed/listed.go
+++ b/entryd/listed/listed.go
@@ -33,7 +33,9 @@
 
 // New returns a poller of the list at url. Without a url it does nothing.
 func New(url string, b *picker.Balancer, m *meter.Registry) *Listed {
-	return &Listed{url: url, balancer: b, meter: m, client: &http.Client{Timeout: readTimeout}}
+	c := list.NewClient()
+	c.Timeout = readTimeout
+	return &Listed{url: url, balancer: b, meter: m, client: c}
 }
 
 // Run polls the list until ctx ends. While it can't be fetched, the last one
--- a/keepd/lead/list.go
+++ b/keepd/lead/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -30,13 +29,14 @@
 	if url == "" {
 		return
 	}
+	client := list.NewClient()
 	runEvery(ctx, listPeriod, func() {
 		if l.heldTerm() == 0 {
 			return
 		}
 		fetchCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
-		instances, err := list.Fetch(fetchCtx, http.DefaultClient, url)
+		instances, err := list.Fetch(fetchCtx, client, url)
 		if err != nil {
 			l.meter.Count("list", "failed")
 			return
