entryd: one bound on what answers take on the own interface

A broken server may answer without end. On the own interface a plain answer was bounded at 8 MiB and read without regard to the others: 64 of them at once held 557 MB (TestAnswersWithoutEndFitMemoryTogether, which failed before). The text of a completion, kept to go on with it elsewhere, had no bound at all: an engine that sends tokens without end, or one event with 20,000 choices after the other, filled the instance, since a begun answer has no deadline. Events of other answers and comments without end counted as progress and held the call for good. 50 engines' polls held 60 MB (TestReportsWithoutEndFitMemoryTogether, which failed before).

Plain answers, texts and polls now share one budget, a sixth of the new setting memory.bytes, which is the machine's memory without it. As on a platform, the first 64 KiB of each may use a reserve, so sound servers are read meanwhile. A text is bounded at 8 MiB, an answer at one event more than max_tokens, an event at 64 KiB and 128 choices, events that are no part of the answer at 1,024 in a row, comments between events at an event's size, a prefill's answer and a load report at 64 KiB. What exceeds a bound is a failed attempt; an answer too long ends its call, since the text can't be taken back.

TestAnswerWithoutEndIsGivenUp failed before for comments, other answers, choices, tokens and long tokens (the calls didn't end within 12 s), and passed for events and answers to prefills.

--- a/core/conn/body/budget.go
+++ b/core/conn/body/budget.go
@@ -35,6 +35,9 @@
 	agingInterval = 100 * time.Millisecond
 )
 
+// DefaultSize is that of a budget whose user names none, in bytes.
+const DefaultSize = 64 << 20
+
 // Budget bounds the memory of the bodies that are held at one time.
 type Budget struct {
 	mutex   sync.Mutex
--- a/core/conn/stream/stream.go
+++ b/core/conn/stream/stream.go
@@ -10,12 +10,12 @@
 	"io"
 )
 
-// MaxEventBytes is the maximum size of an event's data, in bytes.
+// MaxEventBytes is the maximum size of an event's data, in bytes, unless a reader has another.
 const MaxEventBytes = 1 << 20
 
 const readBufferBytes = 4096
 
-// ErrTooLarge reports that an event is larger than MaxEventBytes.
+// ErrTooLarge reports that an event is larger than it may be.
 var ErrTooLarge = errors.New("event too large")
 
 // DataPrefix starts an event that has one data line.
@@ -29,20 +29,26 @@
 // Reader parses a stream of server-sent events.
 type Reader struct {
 	buffer *bufio.Reader
+	limit  int
 	data   []byte
 }
 
 // NewReader returns a Reader for the stream r.
-func NewReader(r io.Reader) *Reader {
-	return &Reader{buffer: bufio.NewReaderSize(r, readBufferBytes)}
+func NewReader(r io.Reader) *Reader { return NewLimitedReader(r, MaxEventBytes) }
+
+// NewLimitedReader returns a Reader for the stream r, whose events may have data of limit
+// bytes.
+func NewLimitedReader(r io.Reader, limit int) *Reader {
+	return &Reader{buffer: bufio.NewReaderSize(r, readBufferBytes), limit: limit}
 }
 
 // Next returns the data of the next event. The slice is valid until the next
 // call. If the stream ends within an event, Next returns io.ErrUnexpectedEOF
-// instead of the partial event.
+// instead of the partial event. Comments and other fields that are larger than an
+// event may be return ErrTooLarge, since they may come without end.
 func (r *Reader) Next() ([]byte, error) {
 	r.data = r.data[:0]
-	hasData := false
+	hasData, skipped := false, 0
 	for {
 		line, err := r.readLine()
 		if err != nil {
@@ -55,16 +61,18 @@
 			if hasData {
 				return r.data, nil
 			}
-			continue
 		}
 		value, ok := dataValue(line)
 		if !ok {
+			if skipped += len(line) + 1; skipped > r.limit {
+				return nil, ErrTooLarge
+			}
 			continue
 		}
 		if hasData {
 			r.data = append(r.data, '\n')
 		}
-		if len(r.data)+len(value) > MaxEventBytes {
+		if len(r.data)+len(value) > r.limit {
 			return nil, ErrTooLarge
 		}
 		r.data = append(r.data, value...)
@@ -89,7 +97,7 @@
 	}
 	long := append([]byte(nil), line...)
 	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(long) > MaxEventBytes {
+		if len(long) > r.limit {
 			return nil, ErrTooLarge
 		}
 		line, err = r.buffer.ReadSlice('\n')
--- a/core/process/node/budget.go
+++ b/core/process/node/budget.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"golang.org/x/sys/unix"
+	"verbenahaven.example/core/process/boot"
 
 	"verbenahaven.example/core/process/quorum"
 )
@@ -90,19 +90,10 @@
 	return state+command <= limit
 }
 
-// machineMemory returns the memory of this machine in bytes, 0 if it is unknown.
-func machineMemory() int64 {
-	var i unix.Sysinfo_t
-	if err := unix.Sysinfo(&i); err != nil {
-		return 0
-	}
-	return int64(i.Totalram) * int64(i.Unit)
-}
-
 // updateBudget adapts the budget to what the disk has free now.
 func (n *Node) updateBudget() {
 	capacity := n.store.Capacity()
-	b := newBudget(capacity, cmp.Or(n.settings.MemoryBytes, machineMemory()))
+	b := newBudget(capacity, cmp.Or(n.settings.MemoryBytes, boot.MachineMemory()))
 	n.budget.Store(&b)
 	n.meter.Set(capacity, "disk", "capacity_bytes")
 	n.meter.Set(n.store.Used(), "disk", "used_bytes")
--- a/entryd/front/plain.go
+++ b/entryd/front/plain.go
@@ -22,6 +22,7 @@
 	w.Header().Set("Request-Id", record.Request())
 	f.meter.Count("request", "plain")
 	a, err := f.runCall(r, w.ResponseWriter, record)
+	defer a.Release()
 	if err != nil {
 		record.SetRefusal(err)
 	}
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -18,6 +18,7 @@
 	"verbenahaven.example/core/conn/stream"
 	"verbenahaven.example/core/request/admit"
 	"verbenahaven.example/core/request/answer"
+	"verbenahaven.example/core/request/once"
 	"verbenahaven.example/core/request/retry"
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/entryd/fault"
@@ -31,6 +32,18 @@
 	// firstTokenFactor is how many times the expected time the first token may
 	// take: the expectation is based on load reports that lag.
 	firstTokenFactor = 3
+	// maxEventBytes limits an event, which is one token, maxChoices its alternatives, and
+	// maxPrefillBytes the answer to a prefill. A parsed event takes more memory than its text.
+	maxEventBytes   = 64 << 10
+	maxChoices      = 128
+	maxPrefillBytes = 64 << 10
+	// maxUnused limits the events in a row that are no part of the answer.
+	maxUnused = 1024
+	// maxTextBytes limits the text of an answer, which is kept to go on with it at another
+	// engine. textCopies is how many times it may be held.
+	maxTextBytes = 8 << 20
+	textCopies   = 4
+	textStep     = 16 << 10 // by which its memory grows
 )
 
 var (
@@ -38,6 +51,9 @@
 	errMissingTokens = errors.New("tokens are missing")
 	errNoEndMarker   = errors.New("the answer ended without its end mark")
 	errOtherAttempt  = errors.New("the answer belongs to another attempt")
+	errTooLong       = errors.New("the answer is longer than was asked for, or than there is room for")
+	errManyChoices   = errors.New("too many choices")
+	errUnused        = errors.New("no event is a part of the answer")
 	errStatus        = errors.New("the engine answered with a failure")
 )
 
@@ -111,7 +127,7 @@
 	}
 	defer func() { _ = a.Body.Close() }()
 	defer drainBody(a.Body)
-	if err := json.NewDecoder(io.LimitReader(a.Body, stream.MaxEventBytes)).Decode(&prefilled); err != nil {
+	if err := json.NewDecoder(io.LimitReader(a.Body, maxPrefillBytes)).Decode(&prefilled); err != nil {
 		return prefilled, connectionFailure(ctx, server, fmt.Errorf("read prefill answer: %w", err))
 	}
 	if prefilled.Attempt != request.Attempt {
@@ -133,11 +149,12 @@
 		return failed
 	}
 	defer func() { _ = a.Body.Close() }()
-	events := stream.NewReader(a.Body)
+	events := stream.NewLimitedReader(a.Body, maxEventBytes)
 	var lastEvent *engine.Event
 	// An engine sends its header once it has fetched the KV cache, before it
 	// decodes.
 	reservation.ReleasePrefill()
+	unused := 0
 	for {
 		data, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -160,8 +177,12 @@
 		}
 		switch outcome := c.assembly.Add(e); outcome {
 		case answer.Deliver:
+			unused = 0
 			c.observeFirstToken(e)
 			c.recordOutput(&reservation.Plan.Decode)
+			if err := c.checkLength(e); err != nil {
+				return &failure{reason: retry.ReasonMissingTokens, server: server, err: err, mayHaveRun: true, terminal: true}
+			}
 			successor.update()
 			if err := c.sink.Token(e, events.EventBuffered()); err != nil {
 				return callerGone(server, err)
@@ -173,11 +194,32 @@
 			return &failure{reason: retry.ReasonMissingTokens, server: server, err: errMissingTokens, mayHaveRun: true}
 		default:
 			c.meter.Count("event", string(outcome))
+			if unused++; unused > maxUnused {
+				return &failure{reason: retry.ReasonMissingTokens, server: server, err: errUnused, mayHaveRun: true}
+			}
 		}
 		progress.AwaitEvent()
 	}
 }
 
+// checkLength returns the refusal of an answer that goes on without end. Its text takes memory
+// as it grows.
+func (c *completion) checkLength(e *engine.Event) error {
+	text, limit := len(c.assembly.Text()), c.call.Request.MaxTokens
+	tooLong := text > maxTextBytes || limit > 0 && e.Token > limit
+	if !tooLong && text > c.counted {
+		if tooLong = !c.memory.Grow(int64((text - c.counted + textStep) * textCopies)); tooLong {
+			c.meter.Count("memory", "answers", "refused")
+		}
+		c.counted = text + textStep
+	}
+	if !tooLong {
+		return nil
+	}
+	c.meter.Count("answer", "too_large")
+	return fault.New(fault.CodeBackendFailed, errTooLong.Error()).Execution(once.Executed).RetryAfter(backendRetryAfter)
+}
+
 // DecodeEvent parses the fields of an event that an answer is built from. It
 // skips the others, which are the same in all events and slow to parse.
 func DecodeEvent(data []byte) (*engine.Event, error) {
@@ -196,6 +238,9 @@
 	if err := json.Unmarshal(data, &in); err != nil {
 		return nil, err //nolint:wrapcheck // wrapped by the caller
 	}
+	if len(in.Choices) > maxChoices {
+		return nil, errManyChoices
+	}
 	e := &engine.Event{Attempt: in.Attempt, Token: in.Token, Choices: make([]engine.Choice, len(in.Choices))}
 	for i, v := range in.Choices {
 		e.Choices[i] = engine.Choice{Index: v.Index, Delta: engine.Message{Content: v.Delta.Content}, Text: v.Text, FinishReason: v.Finish}
--- a/entryd/infer/complete.go
+++ b/entryd/infer/complete.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/conn/server"
 	"verbenahaven.example/core/request/admit"
@@ -49,6 +50,8 @@
 	pass              *screen.Pass
 	routeRequest      route.Request
 	assembly          answer.Assembler
+	memory            *body.Hold             // of the assembled text
+	counted           int                    // bytes in memory
 	attemptCount      int                    // numbers the attempts in their IDs
 	attemptsSinceMove int                    // since the call was last moved off a leaving engine
 	suspect           bool                   // the request may have caused the loss of an engine
@@ -68,12 +71,14 @@
 // Complete runs a call and passes its answer to the sink. An error before the
 // first token is a refusal that can still be answered with a status.
 func (s *Dispatcher) Complete(ctx context.Context, call *Call, sink Sink) error {
-	return s.begin(call, sink).run(ctx)
+	c := s.begin(call, sink)
+	defer c.memory.Release()
+	return c.run(ctx)
 }
 
 // begin returns the state of a call before its first attempt.
 func (s *Dispatcher) begin(call *Call, sink Sink) *completion {
-	c := &completion{Dispatcher: s, call: call, sink: sink}
+	c := &completion{Dispatcher: s, call: call, sink: sink, memory: s.settings.Answers.Hold(0)}
 	text := PromptText(&call.Request)
 	c.routeRequest = route.Request{
 		ID:              call.ID,
--- a/entryd/infer/infer.go
+++ b/entryd/infer/infer.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 	"sync"
 	"time"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/process/clock"
@@ -30,6 +32,7 @@
 type Settings struct {
 	SilenceTimeout time.Duration // longest time without progress of an engine
 	Retry          retry.Policy
+	Answers        *body.Budget // memory of answers
 }
 
 // Dispatcher runs completions on engines. It is safe for concurrent use.
@@ -60,6 +63,7 @@
 func New(
 	settings Settings, balancer *picker.Balancer, pool *pool.Pool, strikes *Strikes, screen *screen.Screen, meter *meter.Registry, clock clock.Clock,
 ) *Dispatcher {
+	settings.Answers = cmp.Or(settings.Answers, body.NewBudget(body.DefaultSize))
 	return &Dispatcher{
 		settings:         settings,
 		balancer:         balancer,
--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -217,7 +217,9 @@
 		done()
 		return o.state.OnOutcomeRecorded()
 	}
+	o.call.memory.retain()
 	go func() {
+		defer o.call.memory.release()
 		defer done()
 		if _, err := o.askLedger(ctx, outcome, backgroundRecordTimeout); err != nil {
 			o.meter.Count("once", "unrecorded")
--- a/entryd/plain/plain.go
+++ b/entryd/plain/plain.go
@@ -5,15 +5,16 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/conn/stream"
@@ -36,14 +37,16 @@
 	maxAnswerBytes = 8 << 20
 	defaultTimeout = 30 * time.Second // for calls without a deadline
 	retryAfter     = 500 * time.Millisecond
+	// answerCopies is how many times the bytes of an answer are held while it is read: its
+	// buffer grows by a copy.
+	answerCopies = 2
 )
 
-var errAnswerTooLarge = errors.New("answer too large")
-
 // Settings configures the proxying of calls.
 type Settings struct {
-	Holder string // name of this instance and start of its process
-	Retry  retry.Policy
+	Holder  string // name of this instance and start of its process
+	Retry   retry.Policy
+	Answers *body.Budget // memory of answers
 }
 
 // Dispatcher proxies calls to plain services.
@@ -67,6 +70,7 @@
 func New(
 	s Settings, g *picker.Balancer, p *pool.Pool, k proto.Keeper, n *screen.Screen, m *meter.Registry, c clock.Clock,
 ) (*Dispatcher, func()) {
+	s.Answers = cmp.Or(s.Answers, body.NewBudget(body.DefaultSize))
 	r, closeRecorder := newRecorder()
 	v := &Dispatcher{settings: s, balancer: g, pool: p, keeper: k, screen: n, meter: m, clock: c, budgets: retry.NewBudgets(s.Retry), slowest: leave.NewSlowest[string](), recorder: r}
 	return v, func() {
@@ -96,6 +100,8 @@
 	// MaySend returns the refusal of a call that must not be sent with a time left, or nil.
 	// A nil function allows every call.
 	MaySend func(timeLeft time.Duration) error
+
+	memory *answerMemory // set by Do
 }
 
 // checkSend returns the refusal of a call that must not be sent now. ctx ends with its
@@ -117,9 +123,18 @@
 type Answer struct {
 	once.Result
 	Replayed bool
+	memory   *answerMemory
 }
 
-// Do sends a call to a backend server and returns its response.
+// Release gives up the memory of the answer.
+func (a *Answer) Release() {
+	if a.memory != nil {
+		a.memory.release()
+	}
+}
+
+// Do sends a call to a backend server and returns its response, whose memory counts until it
+// is released.
 func (s *Dispatcher) Do(ctx context.Context, c *Call) (Answer, error) {
 	limit := defaultTimeout
 	if c.TimeLimit > 0 {
@@ -134,7 +149,13 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	began := s.clock.Elapsed()
+	c.memory = newAnswerMemory(s.settings.Answers)
 	a, err := do(ctx, c)
+	if err != nil {
+		c.memory.release()
+	} else {
+		a.memory = c.memory
+	}
 	if err == nil || ctx.Err() != nil { // one that was ended would have taken longer still
 		s.slowest.Observe(s.clock.Now(), c.Service.Name, s.clock.Elapsed()-began)
 	}
@@ -230,13 +251,18 @@
 
 // screenFailure records what a failed attempt means for a server.
 func screenFailure(p *screen.Pass, server string, reason retry.Reason, err error) {
-	if reason == retry.ReasonDial || errors.Is(err, errAnswerTooLarge) {
+	if reason == retry.ReasonDial || isTooLarge(err) {
 		p.Spared(reason != retry.ReasonDial)
 		return
 	}
 	p.Lost(server, false)
 }
 
+// isTooLarge reports whether an answer was larger than one may be, or than there was room for.
+func isTooLarge(err error) bool {
+	return errors.Is(err, body.ErrTooLarge) || errors.Is(err, body.ErrNoRoom)
+}
+
 // heldFault returns the refusal of a call that may crash servers, or the error
 // itself if it is another one.
 func heldFault(err error, ran once.Execution) error {
@@ -286,16 +312,24 @@
 		return once.Result{}, false, err
 	}
 	defer func() { _ = a.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(stream.Whole(a), maxAnswerBytes+1))
+	b, err := c.memory.Read(stream.Whole(a), maxAnswerBytes, a.ContentLength, answerCopies)
 	if err != nil {
+		s.countTooLarge(err)
 		return once.Result{}, true, fmt.Errorf("read answer: %w", err)
 	}
-	if len(b) > maxAnswerBytes {
-		return once.Result{}, true, errAnswerTooLarge
-	}
 	return once.Result{Status: a.StatusCode, Type: a.Header.Get("Content-Type"), Body: b}, true, nil
 }
 
+// countTooLarge counts an answer that was given up for its size.
+func (s *Dispatcher) countTooLarge(err error) {
+	switch {
+	case errors.Is(err, body.ErrNoRoom):
+		s.meter.Count("memory", "answers", "refused")
+	case errors.Is(err, body.ErrTooLarge):
+		s.meter.Count("answer", "too_large")
+	}
+}
+
 func (s *Dispatcher) recordFailure(v state.Server, reason retry.Reason) {
 	switch reason {
 	case retry.ReasonDial:
--- a/entryd/plain/record_test.go
+++ b/entryd/plain/record_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/pool"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
@@ -59,7 +60,13 @@
 // newOnceDispatcher returns a dispatcher with a server that answers at once.
 func newOnceDispatcher(t *testing.T, k proto.Keeper) (*Dispatcher, *meter.Registry) {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "granted") }))
+	return newTestDispatcher(t, k, nil, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "granted") })
+}
+
+// newTestDispatcher returns a dispatcher with a server.
+func newTestDispatcher(t *testing.T, k proto.Keeper, answers *body.Budget, h http.HandlerFunc) (*Dispatcher, *meter.Registry) {
+	t.Helper()
+	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
 	g, store, m, c := picker.New("entry1", "north", route.PolicyLoad), view.New(), meter.New(), clock.System()
 	if err := store.Apply(state.View{Version: 1, Servers: []state.Server{{Name: "s", URL: server.URL, Service: "permit", Phase: state.PhaseServing}}}); err != nil {
@@ -68,7 +75,7 @@
 	g.SetSnapshot(store.Current())
 	p, cleanup := pool.New()
 	t.Cleanup(cleanup)
-	s, stop := New(Settings{Holder: "h", Retry: retry.NewPolicy(0.1, time.Millisecond)}, g, p, k,
+	s, stop := New(Settings{Holder: "h", Retry: retry.NewPolicy(0.1, time.Millisecond), Answers: answers}, g, p, k,
 		screen.New(nil, g, m, slog.New(slog.DiscardHandler), c), m, c)
 	t.Cleanup(stop)
 	return s, m
--- a/entryd/poll/poll.go
+++ b/entryd/poll/poll.go
@@ -4,6 +4,7 @@
 package poll
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -20,7 +21,6 @@
 	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/conn/pool"
-	"verbenahaven.example/core/conn/stream"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/request/route"
@@ -31,6 +31,13 @@
 const (
 	engineListPeriod  = time.Second // between updates of the set of polled engines
 	failuresUntilLost = 2           // consecutive failed polls after which an engine counts as lost
+	// maxReportBytes limits a load report, and maxCacheBytes a page of cache events.
+	maxReportBytes = 64 << 10
+	maxCacheBytes  = 1 << 20
+	// reportCopies and cacheCopies are how many times its text a decoded report, and a page of
+	// short events, takes.
+	reportCopies = 2
+	cacheCopies  = 16
 )
 
 var (
@@ -44,6 +51,7 @@
 	MaxPerSecond int // maximum polls per second over all engines
 	Timeout      time.Duration
 	Policy       route.Policy
+	Answers      *body.Budget // memory of answers
 }
 
 // Poll polls the engines.
@@ -59,6 +67,7 @@
 
 // New returns a poller that isn't running yet.
 func New(s Settings, b *picker.Balancer, p *pool.Pool, m *meter.Registry, c clock.Clock) *Poll {
+	s.Answers = cmp.Or(s.Answers, body.NewBudget(body.DefaultSize))
 	return &Poll{settings: s, balancer: b, pool: p, meter: m, clock: c}
 }
 
@@ -144,7 +153,7 @@
 }
 
 func (p *Poll) fetchLoad(ctx context.Context, e state.Engine) error {
-	l, err := getJSON[engine.LoadReport](ctx, p, e.URL+engine.PathLoad)
+	l, err := getJSON[engine.LoadReport](ctx, p, e.URL+engine.PathLoad, maxReportBytes, reportCopies)
 	if err != nil {
 		return err
 	}
@@ -161,7 +170,7 @@
 }
 
 func (p *Poll) fetchCacheEvents(ctx context.Context, e state.Engine, since uint64) uint64 {
-	page, err := getJSON[engine.CacheEvents](ctx, p, e.URL+engine.PathCache+"?since="+strconv.FormatUint(since, 10))
+	page, err := getJSON[engine.CacheEvents](ctx, p, e.URL+engine.PathCache+"?since="+strconv.FormatUint(since, 10), maxCacheBytes, cacheCopies)
 	if err != nil {
 		p.meter.Count("poll", "cache_failed")
 		return since
@@ -173,7 +182,7 @@
 	return next
 }
 
-func getJSON[T any](ctx context.Context, p *Poll, target string) (T, error) {
+func getJSON[T any](ctx context.Context, p *Poll, target string, limit, copies int64) (T, error) {
 	var v T
 	ctx, cancel := context.WithTimeout(ctx, p.settings.Timeout)
 	defer cancel()
@@ -189,7 +198,9 @@
 	if a.StatusCode != http.StatusOK {
 		return v, fmt.Errorf("get %s: status %d: %w", target, a.StatusCode, errStatus)
 	}
-	b, err := body.Read(a.Body, stream.MaxEventBytes)
+	memory := p.settings.Answers.Hold(0)
+	defer memory.Release()
+	b, err := memory.Read(a.Body, limit, a.ContentLength, copies)
 	if err != nil {
 		return v, fmt.Errorf("get %s: %w", target, err)
 	}
--- a/entryd/provide.go
+++ b/entryd/provide.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"crypto/tls"
 	"fmt"
 	"strconv"
 	"time"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/keeper"
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/conn/proto"
@@ -51,8 +53,18 @@
 	return retry.NewPolicy(s.Retry.Share, time.Duration(s.Retry.Backoff))
 }
 
-func provideInfer(s *setup.Settings, r retry.Policy) infer.Settings {
-	return infer.Settings{SilenceTimeout: time.Duration(s.Retry.Silence), Retry: r}
+// answerShare is the part of the memory that answers may take together. The Go runtime may
+// use twice the live heap, and requests and the rest of the process need room.
+const answerShare = 6
+
+// provideAnswers returns the memory for answers, of which broken servers send as much as is
+// read.
+func provideAnswers(s *setup.Settings) *body.Budget {
+	return body.NewBudget(cmp.Or(s.Memory.Bytes, boot.MachineMemory()) / answerShare)
+}
+
+func provideInfer(s *setup.Settings, r retry.Policy, b *body.Budget) infer.Settings {
+	return infer.Settings{SilenceTimeout: time.Duration(s.Retry.Silence), Retry: r, Answers: b}
 }
 
 // provideHolder identifies the holder of run-once calls by instance name and
@@ -61,8 +73,8 @@
 	return beat.Holder(s.Name + "/" + strconv.FormatInt(c.Now().UnixNano(), 36))
 }
 
-func providePlain(h beat.Holder, r retry.Policy) plain.Settings {
-	return plain.Settings{Holder: string(h), Retry: r}
+func providePlain(h beat.Holder, r retry.Policy, b *body.Budget) plain.Settings {
+	return plain.Settings{Holder: string(h), Retry: r, Answers: b}
 }
 
 func provideFront(s *setup.Settings) front.Settings {
@@ -81,12 +93,13 @@
 	return watch.Settings{Name: s.Name, Fanout: s.Route.Fanout, StaleAfter: time.Duration(s.Route.Stale)}
 }
 
-func providePoll(s *setup.Settings) poll.Settings {
+func providePoll(s *setup.Settings, b *body.Budget) poll.Settings {
 	return poll.Settings{
 		Period:       time.Duration(s.Route.Report),
 		MaxPerSecond: s.Route.Polls,
 		Timeout:      time.Duration(s.Retry.Silence),
 		Policy:       s.Route.Policy,
+		Answers:      b,
 	}
 }
 
--- a/entryd/setup/setup.go
+++ b/entryd/setup/setup.go
@@ -25,6 +25,7 @@
 	Retry    Retry             `toml:"retry"`
 	Strike   Strike            `toml:"strike"`
 	Stop     Stop              `toml:"stop"`
+	Memory   Memory            `toml:"memory"`
 	Platform Platform          `toml:"platform"`
 }
 
@@ -81,6 +82,11 @@
 	Grace boot.Duration `toml:"grace"`
 }
 
+// Memory holds the bytes of memory that the process may use, 0 for those of the machine.
+type Memory struct {
+	Bytes int64 `toml:"bytes"`
+}
+
 // Platform holds the URL of the platform's service discovery list.
 type Platform struct {
 	List string `toml:"list"`
@@ -144,6 +150,7 @@
 		requireDuration("retry.silence", s.Retry.Silence, 50*time.Millisecond, time.Minute),
 		requireNumber("strike.limit", s.Strike.Limit, 1, 10),
 		requireDuration("stop.grace", s.Stop.Grace, time.Second, time.Hour),
+		requireMemory("memory.bytes", s.Memory.Bytes),
 	}
 	for _, c := range checks {
 		if c.err != nil {
@@ -153,6 +160,14 @@
 	return "", nil
 }
 
+// requireMemory rejects a memory that is too small for an instance.
+func requireMemory(key string, bytes int64) checkResult {
+	if bytes == 0 {
+		return checkResult{}
+	}
+	return requireNumber(key, bytes, 32<<20, 1<<50)
+}
+
 func requireText(key, value string) checkResult {
 	if value == "" {
 		return checkResult{key, errNotSet}
