route: bounds the index of an engine's cache

An engine that reports blocks of its cache without end made the index grow by each page of events, up to 1 MiB several times a second, and a block's name could have that size. An index now holds 16,384 blocks, those of 32 million tokens, with names of at most 64 bytes; further ones only cost the engine requests. TestPrefixIndexIsBounded failed before.

--- a/core/request/route/prefix.go
+++ b/core/request/route/prefix.go
@@ -14,6 +14,13 @@
 
 const blockBytes = engine.BlockTokens * BytesPerToken
 
+// Bounds of the index of one engine, whose events may come without end: the blocks of 32
+// million tokens, each named by a hash.
+const (
+	maxBlocks    = 1 << 14
+	maxBlockName = 64
+)
+
 // EstimateTokens estimates the number of tokens of a text.
 func EstimateTokens(text string) int {
 	return (len(text) + BytesPerToken - 1) / BytesPerToken
@@ -86,6 +93,9 @@
 		delete(p.blocks, e.Block)
 		return
 	}
+	if len(p.blocks) >= maxBlocks || len(e.Block) > maxBlockName {
+		return // the engine gets fewer requests than it could
+	}
 	if p.blocks == nil {
 		p.blocks = make(map[string]struct{})
 	}
--- a/core/request/route/route_test.go
+++ b/core/request/route/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -231,3 +232,28 @@
 		})
 	}
 }
+
+// An engine may report blocks of its cache without end.
+func TestPrefixIndexIsBounded(t *testing.T) {
+	var p route.PrefixIndex
+	const pages, perPage = 30, 1000
+	var first []string
+	for page := range uint64(pages) {
+		events := engine.CacheEvents{Seq: (page + 1) * perPage}
+		for i := range uint64(perPage) {
+			seq := page*perPage + i + 1
+			events.Events = append(events.Events, engine.CacheEvent{Seq: seq, Added: true, Block: strconv.FormatUint(seq, 16)})
+			if i == 0 {
+				first = append(first, events.Events[0].Block)
+			}
+		}
+		p.Apply(events)
+	}
+	if n := p.CachedBlocks(first); n == 0 || n == pages || p.Seq() != pages*perPage {
+		t.Errorf("blocks of %d of %d pages, up to event %d", n, pages, p.Seq())
+	}
+	p.Apply(engine.CacheEvents{Snapshot: true, Events: []engine.CacheEvent{{Added: true, Block: strings.Repeat("x", 1<<20)}}})
+	if p.CachedBlocks([]string{strings.Repeat("x", 1<<20)}) != 0 {
+		t.Error("a name of 1 MiB is kept")
+	}
+}
