httpc: plays the framing of bodies without end

Chunk sizes, extensions and trailers without end, and a size that no number holds, are given up by net/http within a connection's buffer.

--- a/core/conn/httpc/endless_test.go
+++ b/core/conn/httpc/endless_test.go
@@ -62,3 +62,32 @@
 		})
 	}
 }
+
+// What frames a body may have no end either.
+func TestFramingWithoutEndIsGivenUp(t *testing.T) {
+	long := strings.Repeat("a", 1<<20)
+	for name, body := range map[string]string{
+		"chunk size": long, "chunk extension": "1;" + long, "extensions": strings.Repeat("1;"+long[:100]+"\r\nx\r\n", 1000), "trailer": "0\r\nA: " + long,
+		"trailers": "0\r\n" + strings.Repeat("a: b\r\n", 100_000), "size beyond the largest": "fffffffffffffffff\r\n" + long,
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startServer(t, func(conn net.Conn, r *bufio.Reader) bool {
+				_, _ = http.ReadRequest(r)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+body)
+				_, _ = r.ReadByte() // until the client closes
+				return false
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			a, err := newPool(t).Do(ctx, address, &httpc.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			n, err := io.Copy(io.Discard, a.Body)
+			_ = a.Body.Close()
+			if err == nil || ctx.Err() != nil || n > 1<<10 {
+				t.Errorf("error %v after %d bytes", err, n)
+			}
+		})
+	}
+}
