relay: doesn't wait for the rest of a refusal

A server that turned a call away and went on to send its refusal's body, a few bytes now and then, held the call until its deadline, although the head says that the call didn't run and another server could take it. The rest is now awaited for 50 ms, which keeps the connection; then it is closed. The same for the refusals of other instances and the answers to releases. The body of a plain call's refusal isn't buffered any more, since it is never delivered.

TestRefusalWithoutEndLeavesCallTime failed before: 503 at the deadline.

--- a/entryd/relay/peer.go
+++ b/entryd/relay/peer.go
@@ -91,7 +91,9 @@
 func (f *inflightCall) askPeer(ctx context.Context, peer *state.Member, reason string) bool {
 	q := f.codec.EncodeCall(f.call, f.timeLeft(), f.snapshot.Version())
 	q.OnSend = func() error { return f.checkLeaving(nil) }
-	a, err := f.peers.Do(ctx, peer.LinkAddress, q)
+	exchange, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a, err := f.peers.Do(exchange, peer.LinkAddress, q)
 	if isLeaving(err) {
 		f.logForwarded(peer, reason, "kept", 0, err)
 		f.endUnanswered(ctx, err.Error(), retryAfterOf(err))
@@ -112,7 +114,7 @@
 	}
 	defer func() { _ = a.Body.Close() }()
 	if head := f.codec.ParseHead(a); head.Unable {
-		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxPrefillAnswer)) // so that the connection is kept
+		discard(a, cancel)
 		f.recordUnable(peer, reason, a.StatusCode, head.UnknownKey)
 		return false
 	}
--- a/entryd/relay/plain.go
+++ b/entryd/relay/plain.go
@@ -150,6 +150,8 @@
 // exchange sends the call to a server and reads its complete answer.
 func (f *inflightCall) exchange(ctx context.Context, v state.Server) (*wholeAnswer, error) {
 	request := f.codec.EncodeRequest(&server.Request{Call: f.call, ServerID: v.Name, TimeLeft: f.timeLeft(), Priority: -1})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	a, err := f.do(ctx, v.Name, server.HostPort(v.URL), request, f.checkPlain)
 	if err != nil {
 		f.recordPossibleRun(v.Name, err)
@@ -163,9 +165,11 @@
 	if a.StatusCode < http.StatusMultipleChoices && !head.Signed {
 		return nil, fmt.Errorf("answer of %s: %w", v.Name, errUnsigned)
 	}
-	if !head.NotExecuted {
-		f.countUsage()
+	if head.NotExecuted {
+		discard(a, cancel)
+		return &wholeAnswer{response: a, head: head, server: v.Name}, nil
 	}
+	f.countUsage()
 	content, err := f.buffer(ctx, a)
 	if err != nil {
 		return nil, fmt.Errorf("read answer of %s: %w", v.Name, err)
--- a/entryd/relay/prefill.go
+++ b/entryd/relay/prefill.go
@@ -17,8 +17,17 @@
 	// maxPrefillAnswer bounds the answer to a prefill and other short answers,
 	// in bytes.
 	maxPrefillAnswer = 64 << 10
+	// discardTimeout bounds the wait for the rest of an answer that isn't used.
+	discardTimeout = 50 * time.Millisecond
 )
 
+// discard reads the rest of a short answer that isn't used, so that its connection is kept.
+// cancel ends the exchange: an answer that goes on for longer isn't worth the wait.
+func discard(a *http.Response, cancel func()) {
+	defer time.AfterFunc(discardTimeout, cancel).Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxPrefillAnswer))
+}
+
 // prefill computes the prompt on the plan's prefill engine and returns the
 // handle of its KV cache. It doesn't count as a run of the call.
 func (f *inflightCall) prefill(ctx context.Context, r *run) (string, error) {
@@ -87,7 +96,7 @@
 		s.meter.Count("handle", "not_released")
 		return
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxPrefillAnswer)) // so that the connection is kept
+	discard(a, cancel)
 	_ = a.Body.Close()
 	s.meter.Count("handle", "released")
 }
--- a/entryd/relay/run.go
+++ b/entryd/relay/run.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -96,7 +95,7 @@
 func (f *inflightCall) accept(ctx context.Context, r *run, out *answerStream) error {
 	head := f.parseHead(r.name, r.answer)
 	if head.NotExecuted {
-		_, _ = io.Copy(io.Discard, io.LimitReader(r.answer.Body, maxPrefillAnswer)) // so that the connection is kept
+		discard(r.answer, func() { r.cancel(nil) })
 		return f.recordRefusal(r.ticket, r.name, r.answer)
 	}
 	f.countRun(r)
--- a/entryd/relay/trickle_test.go
+++ b/entryd/relay/trickle_test.go
@@ -7,8 +7,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"verbenahaven.example/core/conn/stream"
 )
 
 // trickleBackend stands for engines of which the first one to begin sends an event and
@@ -98,3 +101,33 @@
 		t.Errorf("%d runs, %q", runs, out)
 	}
 }
+
+// A refusal whose body goes on for good held the call until its deadline, although another
+// server could take it.
+func TestRefusalWithoutEndLeavesCallTime(t *testing.T) {
+	for _, kind := range []string{"stream", "unsafe"} {
+		t.Run(kind, func(t *testing.T) {
+			var asked atomic.Int32
+			f := newScriptedCall(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Request-Id", "1")
+				if asked.Add(1) > 1 {
+					w.Header().Set("Server-Signature", "s")
+					w.Header().Set("Content-Type", stream.ContentType)
+					_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+					return
+				}
+				w.Header().Set("Not-Executed", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				for r.Context().Err() == nil {
+					_, _ = io.WriteString(w, "x")
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(10 * time.Millisecond)
+				}
+			}), kind, "v1", "v1")
+			f.call.TimeLeft = 3 * time.Second
+			if got := deliverTo(t, f); !strings.HasPrefix(got, "200 ") || f.timeLeft() < 2*time.Second {
+				t.Errorf("the caller gets %q with %v left", got, f.timeLeft())
+			}
+		})
+	}
+}
