infer: bounds the wait for an engine's failure

The body of a failure, and what follows the answer to a prefill, were awaited for as long as the engine sent something, so that the call of the only engine of a model never ended. They are now awaited for 200 ms; then the connection is closed.

TestFailureWithoutEndEndsCall failed before in both cases: no answer in 20 s.

--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,6 +30,8 @@
 	// maxErrorBody bounds the part of a failure's body that is kept, and of a
 	// body that is read only to reuse its connection, in bytes.
 	maxErrorBody = 4096
+	// errorBodyTimeout bounds the wait for it: an engine may send it without end.
+	errorBodyTimeout = 200 * time.Millisecond
 	// firstTokenFactor is how many times the expected time the first token may
 	// take: the expectation is based on load reports that lag.
 	firstTokenFactor = 3
@@ -308,7 +311,9 @@
 	if a.StatusCode == http.StatusOK {
 		return a, nil
 	}
+	stop := closeLate(a.Body)
 	errorBody, _ := io.ReadAll(io.LimitReader(a.Body, maxErrorBody))
+	stop()
 	drainBody(a.Body)
 	_ = a.Body.Close()
 	failed := &failure{
@@ -325,9 +330,17 @@
 	return nil, failed
 }
 
+// closeLate closes a body that isn't read within errorBodyTimeout, unless the returned function
+// is called.
+func closeLate(body io.Closer) (stop func()) {
+	t := time.AfterFunc(errorBodyTimeout, func() { _ = body.Close() })
+	return func() { t.Stop() }
+}
+
 // drainBody reads the rest of a short body, so that its connection can be
 // reused.
-func drainBody(body io.Reader) {
+func drainBody(body io.ReadCloser) {
+	defer closeLate(body)()
 	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxErrorBody))
 }
 
--- a/entryd/infer/endless_test.go
+++ b/entryd/infer/endless_test.go
@@ -1,6 +1,7 @@
 package infer
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,6 +16,38 @@
 	"verbenahaven.example/core/version/state"
 )
 
+// A failure whose body goes on for good held the call of the only engine for good.
+func TestFailureWithoutEndEndsCall(t *testing.T) {
+	for path, role := range map[string]state.Role{engine.PathChat: state.RoleMixed, engine.PathPrefill: state.RolePrefill} {
+		t.Run(path, func(t *testing.T) {
+			var asked atomic.Int32
+			s := startEngines(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != path {
+					return
+				}
+				asked.Add(1)
+				if path == engine.PathChat {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				} else {
+					_, _ = io.WriteString(w, `{"attempt":"r1-1","handle":"h"}`)
+				}
+				for r.Context().Err() == nil {
+					_, _ = io.WriteString(w, " ")
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(10 * time.Millisecond)
+				}
+			}), role, state.RoleDecode)
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			call := testCall()
+			call.Request.Messages[0].Content = strings.Repeat("x", 100_000)
+			if err := s.Complete(ctx, call, &textSink{}); err == nil || ctx.Err() != nil || asked.Load() == 0 {
+				t.Errorf("error %v after %d requests", err, asked.Load())
+			}
+		})
+	}
+}
+
 // A broken engine may answer without end: what is kept of that must be bounded, and the call
 // must end.
 func TestAnswerWithoutEndIsGivenUp(t *testing.T) {
@@ -34,13 +67,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var sent atomic.Int64
+			sink, call := &textSink{}, testCall()
 			role := []state.Role{state.RoleMixed}
 			if name == "prefill" {
 				role = []state.Role{state.RolePrefill, state.RoleDecode}
+				call.Request.Messages[0].Content = strings.Repeat("x", 100_000)
 			}
 			s := startEngines(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				var q engine.Request
-				if r.URL.Path == engine.PathState || json.NewDecoder(r.Body).Decode(&q) != nil {
+				if r.URL.Path == engine.PathState || name == "prefill" && r.URL.Path != engine.PathPrefill || json.NewDecoder(r.Body).Decode(&q) != nil {
 					return
 				}
 				for i := 0; ; i++ {
@@ -52,7 +87,6 @@
 				}
 			}), role...)
 			s.settings.Answers = body.NewBudget(memory)
-			sink, call := &textSink{}, testCall()
 			if name == "tokens" {
 				call.Request.MaxTokens = 1000
 			}
@@ -61,7 +95,7 @@
 			if _, peak := s.settings.Answers.Used(); err == nil || time.Since(began) > 5*time.Second || sink.text.Len() > memory || peak > memory*9/8 {
 				t.Errorf("error %v after %s, %d bytes delivered, %d held", err, time.Since(began), sink.text.Len(), peak)
 			}
-			if now, _ := s.settings.Answers.Used(); now != 0 || sent.Load() > 128<<20 {
+			if now, _ := s.settings.Answers.Used(); now != 0 || sent.Load() == 0 || sent.Load() > 128<<20 {
 				t.Errorf("%d bytes still held, %d sent", now, sent.Load())
 			}
 		})
