link: a pause ends while nobody calls

Pauses between attempts to connect outlast single calls. A keeper that had stopped, and that an instance had last tried minutes ago, was called only after one more pause of up to 1.5 s when it was elected later. The keeper client gives an attempt 1 s and then passes the new leader over for another.

The pause now counts from the end of the last attempt or connection. The spacing of attempts, and so the load on the peer, stays as it was.

--- a/core/conn/link/client.go
+++ b/core/conn/link/client.go
@@ -43,6 +43,7 @@
 	connected  time.Time // when conn was opened
 	dialing    *dialAttempt
 	redial     redial
+	lastEnd    time.Time  // of an attempt or a connection
 	lastDial   dialResult // of the last attempt, "" before the first ended
 	inactivity inactivePeriod
 }
@@ -142,6 +143,7 @@
 	if c.conn != nil {
 		c.conn = nil
 		c.redial.ended(time.Since(c.connected), silent)
+		c.lastEnd = time.Now()
 	}
 }
 
@@ -167,7 +169,7 @@
 func (c *Client) open() (*quic.Conn, error) {
 	for began := time.Now(); ; {
 		c.mutex.Lock()
-		pause := c.redial.pause(rand.Float64())
+		pause := c.redial.pause(rand.Float64(), time.Since(c.lastEnd))
 		c.mutex.Unlock()
 		clock.Sleep(c.ctx, pause)
 		conn, err := c.attempt()
@@ -214,7 +216,7 @@
 	dials.count(r)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.lastDial = r
+	c.lastDial, c.lastEnd = r, time.Now()
 	c.redial.attempted(r)
 }
 
--- a/core/conn/link/model_test.go
+++ b/core/conn/link/model_test.go
@@ -80,7 +80,7 @@
 	}
 	d.ended = true
 	d.redial.attempted(result)
-	d.after(d.redial.pause(d.random.Float64()), func() { d.dial(d.redial) })
+	d.after(d.redial.pause(d.random.Float64(), 0), func() { d.dial(d.redial) })
 }
 
 // arrive handles a client's first packet at the server.
--- a/core/conn/link/redial.go
+++ b/core/conn/link/redial.go
@@ -80,13 +80,15 @@
 	}
 }
 
-// pause returns the time to wait before the next attempt, given a random number from 0 to 1.
-func (r *redial) pause(random float64) time.Duration {
+// pause returns the time to wait before the next attempt, given a random number from 0 to 1
+// and the time since the last attempt or connection ended: a peer that nobody has called for
+// long has had its rest.
+func (r *redial) pause(random float64, rested time.Duration) time.Duration {
 	pause := max(r.costly.Pause(random), r.unanswered.Pause(random))
 	if pause == 0 && r.soon > 0 {
-		return time.Duration(random * float64(dialJitter))
+		pause = time.Duration(random * float64(dialJitter))
 	}
-	return pause
+	return max(0, pause-rested)
 }
 
 // silenceTimeout returns how long a connection may bring no packet while calls wait.
--- a/core/conn/link/redial_test.go
+++ b/core/conn/link/redial_test.go
@@ -18,22 +18,28 @@
 		var out strings.Builder
 		for line := range strings.Lines(d.Input) {
 			fields := strings.Fields(line)
-			applyDial(t, &r, fields)
-			fmt.Fprintf(&out, "%s: %v to %v, silent after %v\n", strings.Join(fields, " "), r.pause(0), r.pause(1), r.silenceTimeout())
+			rested := applyDial(t, &r, fields)
+			fmt.Fprintf(&out, "%s: %v to %v, silent after %v\n", strings.Join(fields, " "), r.pause(0, rested), r.pause(1, rested), r.silenceTimeout())
 		}
 		return out.String()
 	})
 }
 
-func applyDial(t *testing.T, r *redial, fields []string) {
+// applyDial applies an event and returns the time that has passed since the one before.
+func applyDial(t *testing.T, r *redial, fields []string) (rested time.Duration) {
 	t.Helper()
-	switch fields[0] {
-	case "ended":
-		age, err := time.ParseDuration(fields[1])
+	duration := func() time.Duration {
+		d, err := time.ParseDuration(fields[1])
 		if err != nil {
 			t.Fatal(err)
 		}
-		r.ended(age, len(fields) > 2)
+		return d
+	}
+	switch fields[0] {
+	case "rest":
+		return duration()
+	case "ended":
+		r.ended(duration(), len(fields) > 2)
 	default:
 		n := 1
 		if len(fields) > 1 {
@@ -43,6 +49,7 @@
 			r.attempted(dialResult(fields[0]))
 		}
 	}
+	return 0
 }
 
 func TestGateKeepsRoomForPreferredPeers(t *testing.T) {
