keeper: a deposed leader's hint counts for more than the own log

A keeper's own calls went to the leader that its log names as often as that answered, also if the answer named another leader. While its log lags behind, for instance when its loop is held up by the disk, or when the new leader reaches the other keepers but not this one yet, it never followed.

A keeper that says that it doesn't lead is no longer taken from the log, until it serves a call as leader again.

TestKeeperFollowsHintOfDeposedLeader failed before: no answer in 1 s.

--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -54,6 +54,7 @@
 	skipUntil map[string]time.Time // unresponsive keepers aren't tried before this time
 	hinted    bool                 // the last failed attempt named a leader
 	known     func() string        // names the leader as far as this process knows, nil if it can't
+	deposed   string               // keeper that said so although known names it
 	backoff   pace.Backoff         // of the attempts of all calls
 }
 
@@ -219,7 +220,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.known != nil {
-		if name := c.known(); name != "" && !c.isUnresponsive(name) {
+		if name := c.known(); name != "" && name != c.deposed && !c.isUnresponsive(name) {
 			c.add(name, name)
 			return name
 		}
@@ -266,6 +267,9 @@
 	defer c.mutex.Unlock()
 	delete(c.skipUntil, name)
 	c.leader, c.asks = name, 0
+	if c.deposed == name {
+		c.deposed = ""
+	}
 	c.backoff.Reset()
 }
 
@@ -287,9 +291,7 @@
 	switch answered := errors.As(err, &remote); {
 	case answered && remote.Code == link.CodeNotLeader:
 		hinted = c.followHint(remote.Detail)
-		if !hinted {
-			c.countAsk()
-		}
+		c.recordNotLeader(name, hinted)
 	case answered && remote.Code == link.CodeOverloaded:
 		// Another keeper would only name this one again.
 	case answered && remote.Code != link.CodeStopping, ctx.Err() != nil:
@@ -309,10 +311,15 @@
 	return c.backoff.Pause(rand.Float64())
 }
 
-func (c *Client) countAsk() {
+// recordNotLeader records that a keeper said that it doesn't lead, naming the leader or not.
+// It knows its own role better than this process does.
+func (c *Client) recordNotLeader(name string, hinted bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.asks++
+	c.deposed = name
+	if !hinted {
+		c.asks++
+	}
 }
 
 // isFinal reports whether every keeper would answer with the same error code.
--- a/core/conn/keeper/keeper_test.go
+++ b/core/conn/keeper/keeper_test.go
@@ -141,3 +141,21 @@
 		}
 	}
 }
+
+// A keeper whose own log named a leader that had lost its role asked this one for ever.
+func TestKeeperFollowsHintOfDeposedLeader(t *testing.T) {
+	g := startGroup(t, 3)
+	config, err := keys.UnauthenticatedConfig("keep")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, cleanup := keeper.OpenDynamic(g.addresses, config)
+	t.Cleanup(cleanup)
+	c.SetLeaderSource(func() string { return g.addresses[0] })
+	g.leader.Store(&g.addresses[1])
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if _, err := c.Heartbeat(ctx, proto.HeartbeatRequest{}); err != nil {
+		t.Errorf("the leader that the deposed one names isn't reached: %v", err)
+	}
+}
