keeper: leave a leader that has no majority

A leader that is cut off from the majority refuses calls, but names itself until it steps down after two election timeouts. Clients took that for a hint and went on asking it, also while the others had elected another leader.

A keeper that refuses and names itself counts as one that knows no leader: the client asks the others.

TestInstancesLeaveLeaderWithoutMajority failed before: the new leader wasn't reached in 2 s, against a leader that never steps down.

--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -290,7 +290,11 @@
 	hinted := false
 	switch answered := errors.As(err, &remote); {
 	case answered && remote.Code == link.CodeNotLeader:
-		hinted = c.followHint(remote.Detail)
+		leader := remote.Detail
+		if leader == name {
+			leader = "" // it has no majority at present, and the others may have elected another one
+		}
+		hinted = c.followHint(leader)
 		c.recordNotLeader(name, hinted)
 	case answered && remote.Code == link.CodeOverloaded:
 		// Another keeper would only name this one again.
--- a/core/conn/keeper/keeper_test.go
+++ b/core/conn/keeper/keeper_test.go
@@ -19,6 +19,7 @@
 type fakeGroup struct {
 	addresses []string
 	leader    atomic.Pointer[string]
+	cutOff    atomic.Pointer[string] // keeper that takes itself for the leader but has no majority
 	asks      atomic.Int64
 	asked     sync.Map // by keeper and caller
 }
@@ -27,6 +28,7 @@
 	t.Helper()
 	g := &fakeGroup{}
 	g.leader.Store(new(string))
+	g.cutOff.Store(new(string))
 	for range size {
 		config, err := keys.UnauthenticatedConfig("keep")
 		if err != nil {
@@ -37,6 +39,9 @@
 		link.Handle(s, proto.KindHeartbeat, func(_ context.Context, peer string, _ proto.HeartbeatRequest) (proto.HeartbeatReply, error) {
 			g.asks.Add(1)
 			g.asked.Store(*own.Load()+" "+peer, true)
+			if name := *own.Load(); name == *g.cutOff.Load() {
+				return proto.HeartbeatReply{}, &link.RemoteError{Code: link.CodeNotLeader, Detail: name}
+			}
 			if leader := *g.leader.Load(); leader != *own.Load() {
 				return proto.HeartbeatReply{}, &link.RemoteError{Code: link.CodeNotLeader, Detail: leader}
 			}
@@ -159,3 +164,23 @@
 		t.Errorf("the leader that the deposed one names isn't reached: %v", err)
 	}
 }
+
+// Instances kept asking a leader that was cut off from the majority, until that had stepped down.
+func TestInstancesLeaveLeaderWithoutMajority(t *testing.T) {
+	g := startGroup(t, 3)
+	config, err := keys.UnauthenticatedConfig("entry")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, cleanup := keeper.OpenDynamic(g.addresses, config)
+	t.Cleanup(cleanup)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	for leader := range g.addresses {
+		g.leader.Store(&g.addresses[leader])
+		if _, err := c.Heartbeat(ctx, proto.HeartbeatRequest{}); err != nil {
+			t.Fatalf("leader %d not reached while leader %d names itself: %v", leader, leader-1, err)
+		}
+		g.cutOff.Store(&g.addresses[leader])
+	}
+}
