lead: read the reports of all engines, in turn

Each round queued the engines' reports at once and in the same order, and skipped those beyond the 64 places of the queue. With hundreds of engines, or with some that don't answer, the last ones were never read: the leader knew neither their load nor that they were leaving.

A round now queues as the workers go, until the next one is due, and begins with the first engine that the one before had to skip. The rate stays at 100 reads a second.

TestReportsOfAllEnginesAreRead failed before: reports of all 300 engines weren't read within 5 s, with all engines answering within 1 ms.

--- a/keepd/lead/discovery.go
+++ b/keepd/lead/discovery.go
@@ -235,29 +235,23 @@
 			}
 		})
 	}
+	var first string // engine with which the next round begins
 	for ctx.Err() == nil {
-		n := l.queueReports(work)
-		wait := max(l.pollIntervals.Report, time.Duration(n)*time.Second/maxReportsPerSecond)
-		sleep(ctx, wait)
+		engines := l.polledEngines()
+		period := max(l.pollIntervals.Report, time.Duration(len(engines))*time.Second/maxReportsPerSecond)
+		round, cancel := context.WithTimeout(ctx, period)
+		first = l.queueReports(round, work, engines, first)
+		<-round.Done()
+		cancel()
 	}
 	close(work)
 	group.Wait()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
-// queueReports queues the engines for the workers and returns their number.
-// Engines that don't fit into the queue are skipped in this round.
-func (l *Leader) queueReports(work chan<- state.Engine) int {
+// polledEngines returns the engines whose reports this member reads, none unless it leads.
+func (l *Leader) polledEngines() []state.Engine {
 	if l.heldTerm() == 0 {
-		return 0
+		return nil
 	}
 	var engines []state.Engine
 	l.readState(func(s *state.State, _ *ledger.Ledger) { engines = s.View(0).Engines })
@@ -270,14 +264,23 @@
 		l.retainHeard(groups)
 		l.path.setEngines(engines)
 	})
-	for _, e := range engines {
+	return engines
+}
+
+// queueReports queues engines for the workers until ctx ends. If these can't keep up, the
+// rest is skipped in this round: it returns the first of them, with which the next one begins.
+func (l *Leader) queueReports(ctx context.Context, work chan<- state.Engine, engines []state.Engine, first string) string {
+	begin := max(0, slices.IndexFunc(engines, func(e state.Engine) bool { return e.Name == first }))
+	for i := range engines {
+		e := engines[(begin+i)%len(engines)]
 		select {
 		case work <- e:
-		default:
-			l.meter.Count("report", "skipped")
+		case <-ctx.Done():
+			l.meter.Add(int64(len(engines)-i), "report", "skipped")
+			return e.Name
 		}
 	}
-	return len(engines)
+	return first
 }
 
 func (l *Leader) pollReport(ctx context.Context, e state.Engine) {
--- a/keepd/lead/path_test.go
+++ b/keepd/lead/path_test.go
@@ -32,6 +32,7 @@
 	failed map[string]bool
 	silent bool            // failed engines don't answer, instead of refusing at once
 	orders int             // probes and orders
+	asked  map[string]bool // engines whose reports were read
 	leaves map[string]bool // engines that report that they are leaving
 
 	copies       []proto.Report // that come before the next reports, until the connections are closed
@@ -40,7 +41,7 @@
 }
 
 func newFakeFleet(engines int) *fakeFleet {
-	f := &fakeFleet{}
+	f := &fakeFleet{asked: make(map[string]bool)}
 	for i := range engines {
 		f.engines = append(f.engines, state.Engine{
 			Name: fmt.Sprint("e", i), URL: fmt.Sprintf("http://10.0.0.%d:1", i+1), Role: state.RoleDecode, Phase: state.PhaseServing,
@@ -56,6 +57,7 @@
 func (f *fakeFleet) Report(ctx context.Context, e state.Engine) (proto.Report, error) {
 	f.mutex.Lock()
 	failed, silent, leaves := f.failed[e.Name], f.silent, f.leaves[e.Name]
+	f.asked[e.Name] = true
 	if len(f.copies) > 0 && f.copies[0].Engine == e.Name {
 		p := f.copies[0]
 		f.copies = f.copies[1:]
