link: preferred peers may use all places of a server

Peers that are preferred by their address had the 8 places of members only, although all others' 16 were free. Where instances share a machine, or an address, with a member, all are preferred, so a third of the places was used.

A preferred peer that finds the members' places taken now takes one of the others'. Others still can't take the members' places.

TestGateGivesPreferredPeersAllPlaces failed before: 8 of 24 entered.

--- a/core/conn/link/gate.go
+++ b/core/conn/link/gate.go
@@ -45,11 +45,10 @@
 func (g *gate) enter(preferred bool) (leave func(), ok bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	count, limit := &g.others, maxHandshakes
-	if preferred {
-		count, limit = &g.preferred, maxPreferredHandshakes
-	}
-	if *count >= limit {
+	count := &g.others
+	if preferred && g.preferred < maxPreferredHandshakes {
+		count = &g.preferred
+	} else if g.others >= maxHandshakes {
 		return nil, false
 	}
 	*count++
--- a/core/conn/link/redial_test.go
+++ b/core/conn/link/redial_test.go
@@ -77,3 +77,17 @@
 		t.Errorf("%d entered after all had left", others)
 	}
 }
+
+// Where instances share the members' machines all are preferred, and had the few places of members only.
+func TestGateGivesPreferredPeersAllPlaces(t *testing.T) {
+	var g gate
+	entered := 0
+	for range 1000 {
+		if _, ok := g.enter(true); ok {
+			entered++
+		}
+	}
+	if entered != maxHandshakes+maxPreferredHandshakes {
+		t.Errorf("%d preferred entered an idle gate", entered)
+	}
+}
