quorum: hand over a stalled write only if the others write soon

A leader whose write takes two election timeouts hands over. The election needs durable votes of a majority, and a candidate waits for half to one election timeout. With the disks of the leader and of one other member of three that slow, the group had served, with late answers; after the hand-over no candidate got its votes in time, and there was no leader until a disk recovered.

The leader now hands over only while a majority without it makes entries durable within half an election timeout.

TestLeaderStaysWhileOthersWriteSlowly failed before: no acknowledgement in 10 s. With one slow disk it hands over as before.

--- a/core/process/quorum/elect.go
+++ b/core/process/quorum/elect.go
@@ -296,7 +296,7 @@
 // handOverStalled begins a transfer of leadership if this leader's disk hangs: the others
 // commit entries, but a leader answers only for those that are durable here too.
 func (c *Core) handOverStalled() {
-	if c.transfer.requested || len(c.pendingPersists) == 0 || !c.hasSuccessor() {
+	if c.transfer.requested || len(c.pendingPersists) == 0 || !c.hasSuccessor() || !c.othersWriteSoon() {
 		return
 	}
 	if waited := c.now - c.pendingPersists[0].at; waited >= stalledWriteTimeouts*c.settings.ElectionTimeout {
@@ -305,6 +305,23 @@
 	}
 }
 
+// othersWriteSoon reports whether a majority without this leader has made entries durable soon
+// enough for an election: it needs their votes, and a candidate doesn't wait longer for them.
+func (c *Core) othersWriteSoon() bool {
+	due := uint64(0)
+	for _, p := range c.pendingPersists {
+		if c.now-p.at >= c.settings.ElectionTimeout/2 {
+			due = p.lastIndex
+		}
+	}
+	return due <= majorityValue(c.voterSets(), func(identity string) uint64 {
+		if identity == c.settings.Identity {
+			return 0
+		}
+		return c.matchIndex(identity)
+	})
+}
+
 // continueTransfer asks the first reachable voter with the complete log to take
 // over, and steps down when the transfer expires.
 func (c *Core) continueTransfer() {
--- a/core/process/quorum/stall_test.go
+++ b/core/process/quorum/stall_test.go
@@ -25,3 +25,37 @@
 		}
 	}
 }
+
+// A leader handed over while its group served with slow disks, and no other one got its votes in time.
+func TestLeaderStaysWhileOthersWriteSlowly(t *testing.T) {
+	for _, write := range []time.Duration{2 * simElection, 5 * simElection} {
+		for seed := range uint64(5) {
+			o := defaultOptions(3, 0)
+			o.lossRate, o.duplicateRate, o.delayRate = 0, 0, 0
+			s := newSim(o, seed)
+			s.after(0, s.runClient)
+			s.runUntil(func() bool { return s.now >= 3*time.Second })
+			leader, slow := s.leader(), []*simMember{s.leader()}
+			for _, m := range s.members {
+				if m != leader && len(slow) < 2 {
+					slow = append(slow, m)
+				}
+			}
+			end := s.now + 20*time.Second
+			var slowDown func()
+			slowDown = func() {
+				for _, m := range slow {
+					m.stallDisk(write)
+				}
+				s.after(simTick, slowDown)
+			}
+			s.after(0, slowDown)
+			s.runUntil(func() bool { return s.now >= end-10*time.Second })
+			acked := s.invariants.ackCount
+			s.runUntil(func() bool { return s.now >= end })
+			if s.invariants.ackCount == acked {
+				t.Errorf("writes of %v, seed %d: none acknowledged in 10 s: %s", write, seed, s.describe())
+			}
+		}
+	}
+}
