--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -25,7 +25,7 @@
 	skipPeriod     = time.Second // how long an unresponsive keeper isn't tried
 	// minRetryPause is the mean pause after the first failed attempt of a call, and
 	// maxRetryPause the limit to which it grows: while there is no leader, 1,000 instances
-	// ask 4,000 times a second together.
+	// with one waiting call each ask 4,000 times a second together.
 	minRetryPause = 20 * time.Millisecond
 	maxRetryPause = 250 * time.Millisecond
 	// maxAsks is how often in a row a keeper is asked that knows no leader. It learns of a
