quorum: name whom a member without a leader greets and heard

Change: the line names the instances that the member says hello to, and the sender and age of the latest message. Result: tests of the package pass; the line of a newcomer that reaches nobody now ends with "nobody heard".

--- a/core/process/quorum/core.go
+++ b/core/process/quorum/core.go
@@ -92,6 +92,8 @@
 	deadlineExtended bool              // it was put off because this member was held up
 	lastTick         time.Duration     // when the last tick was handled, or the start
 	electionNoted    time.Duration     // latest note that there is no leader
+	heardFrom        string            // name of the latest message's sender
+	heardAt          time.Duration     // when it arrived
 	votes            map[string]bool   // identities that granted a vote or pre-vote
 	ignoreLease      bool              // this campaign was requested by the leader to transfer leadership
 	founder          string            // identity of the instance that bootstraps the group, as last heard
--- a/core/process/quorum/elect.go
+++ b/core/process/quorum/elect.go
@@ -1,7 +1,9 @@
 package quorum
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -30,9 +32,9 @@
 func (c *Core) handleElectionTimeout() {
 	if c.leader != "" || c.now-c.electionNoted >= electionNoteInterval {
 		c.electionNoted = c.now
-		c.note("no leader for %s: %s in term %d, votes of %d members, voters %s, last entry %d of term %d, %d writes pending",
+		c.note("no leader for %s: %s in term %d, votes of %d members, voters %s, hello to %s, %s, last entry %d of term %d, %d writes pending",
 			(c.now - c.leaderContact).Round(time.Millisecond), c.role, c.hardState.Term, len(c.votes), c.config().voterNames(),
-			c.log.last(), c.log.lastTerm(), len(c.pendingPersists))
+			strings.Join(c.knownInstances(), " "), c.lastSender(), c.log.last(), c.log.lastTerm(), len(c.pendingPersists))
 	}
 	c.leader = ""
 	c.resetElectionDeadline()
@@ -47,6 +49,14 @@
 	c.startPreVote()
 }
 
+// lastSender describes the latest message.
+func (c *Core) lastSender() string {
+	if c.heardFrom == "" {
+		return "nobody heard"
+	}
+	return fmt.Sprintf("%s heard %s ago", c.heardFrom, (c.now - c.heardAt).Round(time.Millisecond))
+}
+
 // mayCampaign reports whether this member is a voter in the latest committed
 // configuration or a later one. A member whose removal isn't committed yet may
 // campaign: it may be the only one with the latest log, which includes that
--- a/core/process/quorum/send.go
+++ b/core/process/quorum/send.go
@@ -29,6 +29,7 @@
 // handleMessage checks a message's address, form and group and dispatches it by
 // kind.
 func (c *Core) handleMessage(m Message) {
+	c.heardFrom, c.heardAt = m.From, c.now
 	if m.Kind == MessageHello {
 		c.handleHello(m)
 		return
