keepd: keepers without a disk lead instances to the members of the log

Callers saw: CONFIG. A machine that came with settings whose seeds are all keepers without a disk served no table, and a keeper with an empty disk never joined the group, without any load or fault beside it. Cause: a keeper without a disk serves operators, so settings may name it as a seed, but it opened no links: nothing listened where the others look for the leader. The larger a site, the more of its keepers have no disk. Why it works: such a keeper answers calls for a leader with the member to ask, learned from the leader through its own client, or from members whose settings name it; a newcomer asks the same way and says hello to the members that it is told of. A watch that is directed elsewhere follows that instead of leaving the keeper out for a second.

--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -41,10 +41,12 @@
 // Client implements proto.Keeper with calls to the leader.
 type Client struct {
 	config  *tls.Config
-	dynamic bool     // keepers are named by address, and the group may grow beyond the seeds
-	seeds   []string // keepers known at the start
+	dynamic bool // keepers are named by address, and the group may grow beyond the seeds
 
 	mutex     sync.Mutex
+	seeds     []string // keepers that the settings name
+	members   []string // keepers that were told to be members of the log
+	turn      int      // position in members of the one that is named next
 	names     []string // keepers to try, in round-robin order
 	clients   map[string]*link.Client
 	cleanups  []func()
@@ -111,23 +113,88 @@
 	}
 }
 
-// SetKeepers replaces the keepers that a client made by OpenDynamic tries. The
-// seeds are still tried after them. Other clients ignore it.
+// SetKeepers replaces the members of the log that a client made by OpenDynamic tries
+// before its seeds. Other clients ignore it.
 func (c *Client) SetKeepers(addresses []string) {
-	if !c.dynamic || len(addresses) == 0 {
-		return
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.dynamic && len(addresses) > 0 {
+		c.members = slices.Clone(addresses)
+		c.updateNames()
 	}
+}
+
+// SetSeeds replaces the seeds of a client made by OpenDynamic. Other clients ignore it.
+func (c *Client) SetSeeds(addresses []string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for _, a := range addresses {
-		c.add(a, a)
+	if c.dynamic && len(addresses) > 0 {
+		c.seeds = slices.Clone(addresses)
+		c.updateNames()
 	}
-	c.names = slices.Clone(addresses)
+}
+
+// updateNames puts the members before the seeds. The mutex must be held.
+func (c *Client) updateNames() {
+	c.names = slices.Clone(c.members)
 	for _, s := range c.seeds {
 		if !slices.Contains(c.names, s) {
 			c.names = append(c.names, s)
 		}
 	}
+	for _, name := range c.names {
+		c.add(name, name)
+	}
+}
+
+// Seeds returns the keepers that the settings name.
+func (c *Client) Seeds() []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Clone(c.seeds)
+}
+
+// Learn takes what a member of the log told of the group.
+func (c *Client) Learn(g proto.Group) {
+	c.SetKeepers(g.Members)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if _, known := c.clients[g.Leader]; known && c.leader == "" && !c.isUnresponsive(g.Leader) {
+		c.leader = g.Leader
+	}
+}
+
+// Direct returns the keeper that one who looks for the leader should ask: the presumed leader,
+// or else the members in turn, of which some may be lost. It returns "" while none is known.
+func (c *Client) Direct() string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.leader != "" || len(c.members) == 0 {
+		return c.leader
+	}
+	c.turn++
+	return c.members[c.turn%len(c.members)]
+}
+
+// Group asks the leader for the members of the log, and tries these from then on.
+func (c *Client) Group(ctx context.Context) (proto.Group, error) {
+	g, err := callLeader[proto.GroupRequest, proto.Group](ctx, c, proto.KindGroup, proto.GroupRequest{})
+	if err == nil {
+		c.SetKeepers(g.Members)
+	}
+	return g, err
+}
+
+// Introduce tells a keeper, which needn't be a member of the log, of the group.
+func (c *Client) Introduce(ctx context.Context, address string, g proto.Group) error {
+	c.mutex.Lock()
+	c.add(address, address)
+	l := c.clients[address]
+	c.mutex.Unlock()
+	if _, err := link.Call[proto.Group, proto.GroupReply](ctx, l, proto.KindMembers, g); err != nil {
+		return fmt.Errorf("introduce members to %s: %w", address, err)
+	}
+	return nil
 }
 
 // SetLeaderSource sets a function that names the leader, or "" while it knows none. A process
@@ -184,15 +251,26 @@
 	defer cancel()
 	reply, err := link.Call[proto.WatchRequest, proto.WatchReply](ctx, c.client(name), proto.KindWatch, r)
 	if err != nil {
-		c.advance()
-		if c.dynamic {
-			c.markUnresponsive(name)
-		}
+		c.leaveWatched(name, err)
 		return reply, fmt.Errorf("watch %s: %w", name, err)
 	}
 	return reply, nil
 }
 
+// leaveWatched makes the next watch go to another keeper, if possible the one that the watched
+// one named.
+func (c *Client) leaveWatched(name string, err error) {
+	var remote *link.RemoteError
+	directed := errors.As(err, &remote) && remote.Code == link.CodeNotLeader
+	if directed && c.followHint(remote.Detail) {
+		return
+	}
+	c.advance()
+	if c.dynamic && !directed {
+		c.markUnresponsive(name)
+	}
+}
+
 // watchTarget returns the keeper for the next watch: the presumed leader if the
 // client is dynamic and presumes one, else the next keeper in turn.
 func (c *Client) watchTarget() string {
--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -23,8 +23,23 @@
 	KindRun       = "run"    // keepd to the leading keepd
 	KindPublish   = "post"   // keepd to the leading keepd
 	KindRouting   = "table"  // keepd to the leading keepd
+	KindGroup     = "group"  // keepd to the leading keepd
+	KindMembers   = "member" // keepd that is a member of the log to one that may not be
 )
 
+// GroupRequest asks for the members of the log.
+type GroupRequest struct{}
+
+// Group names members of the log by their link addresses. As a message of KindMembers it
+// introduces them to a keepd that may know none.
+type Group struct {
+	Members []string `cbor:"1,keyasint"`
+	Leader  string   `cbor:"2,keyasint,omitempty"` // "" if it isn't known
+}
+
+// GroupReply acknowledges a Group.
+type GroupReply struct{}
+
 // WatchRequest is a long poll for state newer than AfterVersion. The receiver
 // holds the request until it has a newer version or MaxWait has passed.
 type WatchRequest struct {
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -319,7 +319,7 @@
 			return
 		}
 		s.bound.SetGrace(next.Bounds.Grace)
-		s.keeper.SetKeepers(next.KeeperLinks())
+		s.keeper.SetSeeds(next.KeeperLinks())
 		s.fleet.SetRetryBudget(retryBudget(next))
 		s.relay.SetRevocation(revokeAfter(next), s.watch.SinceConfirmed)
 		s.log.Info("settings reloaded", "seeds", next.Seeds)
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -125,6 +125,15 @@
 	reply.KeeperAddresses = slices.Concat(status.Voters, status.Learners)
 }
 
+// Group names the members of the log.
+func (l *Leader) Group(context.Context, string, proto.GroupRequest) (proto.Group, error) {
+	if err := l.withLease(func(time.Duration, uint64) {}); err != nil {
+		return proto.Group{}, err
+	}
+	status := l.log.Status()
+	return proto.Group{Members: slices.Concat(status.Voters, status.Learners), Leader: status.Leader}, nil
+}
+
 // PublishRouting publishes a routing table unless the current one has the same or
 // a higher number, and replies with the number of the table that is then current.
 func (l *Leader) PublishRouting(ctx context.Context, _ string, q proto.PublishRequest) (proto.PublishReply, error) {
--- a/keepd/platform.go
+++ b/keepd/platform.go
@@ -29,6 +29,7 @@
 	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/core/version/store"
 	"verbenahaven.example/keepd/conf"
+	"verbenahaven.example/keepd/guide"
 	"verbenahaven.example/keepd/lead"
 	"verbenahaven.example/keepd/serve"
 	"verbenahaven.example/platform"
@@ -85,13 +86,10 @@
 	// operatorCallTimeout bounds an operator's call; operators wait for one
 	// second.
 	operatorCallTimeout = 900 * time.Millisecond
-	// learnInterval is the time between two updates of the client's keepers
-	// from the members of the log.
-	learnInterval = time.Second
 )
 
-// platformApp is a keeper on a platform. Without a disk it isn't a member of
-// the log and only forwards operators' calls.
+// platformApp is a keeper on a platform. Without a disk it isn't a member of the log; it
+// forwards operators' calls and directs other instances to the members.
 type platformApp struct {
 	settings *platform.Settings
 	metrics  string
@@ -234,12 +232,15 @@
 	defer cancel()
 	if s.node != nil {
 		serve.Register(s.links.server, s.lead)
-		_, closeLinks, err := s.links.server.Listen(s.settings.KeeperLink(), s.keys)
-		if err != nil {
-			return boot.WithExitCode(boot.ExitAddress, fmt.Errorf("serve links: %w", err))
-		}
-		s.links.close = closeLinks
+	} else {
+		guide.Redirect(s.links.server, s.client, s.meter)
+	}
+	guide.Listen(s.links.server, s.client)
+	_, closeLinks, err := s.links.server.Listen(s.settings.KeeperLink(), s.keys)
+	if err != nil {
+		return boot.WithExitCode(boot.ExitAddress, fmt.Errorf("serve links: %w", err))
 	}
+	s.links.close = closeLinks
 	operators := drain.New(&http.Server{
 		Handler:           platform.OperatorHandler(&routingTables{s.client, s.log}, operatorCallTimeout),
 		ReadHeaderTimeout: headerTimeout,
@@ -314,20 +315,12 @@
 // followKeepers keeps the client's list of keepers up to date. They are those
 // of the settings, which may change, and the members of the log.
 func (s *platformApp) followKeepers(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
 	if s.node != nil {
-		go func() {
-			ticker := time.NewTicker(learnInterval)
-			defer ticker.Stop()
-			for {
-				select {
-				case <-ctx.Done():
-					return
-				case <-ticker.C:
-					status := s.node.Status()
-					s.client.SetKeepers(append(status.Voters, status.Learners...))
-				}
-			}
-		}()
+		group.Go(func() { guide.RunMember(ctx, s.client, s.node) })
+	} else {
+		group.Go(func() { guide.RunOutsider(ctx, s.client) })
 	}
 	platform.WatchSettings(ctx, func(next *platform.Settings, err error) {
 		if err != nil {
@@ -335,7 +328,7 @@
 			return
 		}
 		s.bound.SetGrace(next.Bounds.Grace)
-		s.client.SetKeepers(next.KeeperLinks())
+		s.client.SetSeeds(next.KeeperLinks())
 		if s.node != nil {
 			s.node.SetSeeds(next.KeeperLinks())
 		}
@@ -343,7 +336,10 @@
 	})
 }
 
-// newForwardingApp returns a keeper without a disk, which only forwards calls.
-func newForwardingApp(s *platform.Settings, metrics metricsSetting, c *keeper.Client, m *meter.Registry, log *slog.Logger) *platformApp {
-	return &platformApp{settings: s, metrics: string(metrics), client: c, meter: m, log: log}
+// newForwardingApp returns a keeper without a disk, which forwards operators' calls and directs
+// other instances to the members of the log.
+func newForwardingApp(
+	s *platform.Settings, metrics metricsSetting, k *links, c *keeper.Client, t tlsConfig, m *meter.Registry, log *slog.Logger,
+) *platformApp {
+	return &platformApp{settings: s, metrics: string(metrics), links: k, client: c, keys: t, meter: m, log: log}
 }
--- a/keepd/serve/serve.go
+++ b/keepd/serve/serve.go
@@ -47,6 +47,7 @@
 	link.Handle(s, proto.KindStrike, l.Strike)
 	link.Handle(s, proto.KindScreen, l.Screen)
 	link.Handle(s, proto.KindRun, l.RunCommands)
+	link.Handle(s, proto.KindGroup, l.Group)
 }
 
 // API is the HTTP API for operators.
--- a/keepd/wire.go
+++ b/keepd/wire.go
@@ -50,6 +50,6 @@
 
 // buildForwardingApp makes a keeper without a disk.
 func buildForwardingApp(s *platform.Settings, m metricsSetting) (*platformApp, func(), error) {
-	wire.Build(meter.New, newLogger, newUnauthenticatedKeys, newKeeperClient, newForwardingApp)
+	wire.Build(meter.New, newLogger, newUnauthenticatedKeys, newKeeperClient, newLinks, newForwardingApp)
 	return nil, nil, nil
 }
--- a/keepd/wire_gen.go
+++ b/keepd/wire_gen.go
@@ -89,15 +89,18 @@
 // buildForwardingApp makes a keeper without a disk.
 func buildForwardingApp(s *platform.Settings, m metricsSetting) (*platformApp, func(), error) {
 	registry := meter.New()
-	logger, cleanup := newLogger(registry)
+	mainLinks, cleanup := newLinks(registry)
+	logger, cleanup2 := newLogger(registry)
 	config, err := newUnauthenticatedKeys(s, logger)
 	if err != nil {
+		cleanup2()
 		cleanup()
 		return nil, nil, err
 	}
-	client, cleanup2 := newKeeperClient(s, config)
-	mainPlatformApp := newForwardingApp(s, m, client, registry, logger)
+	client, cleanup3 := newKeeperClient(s, config)
+	mainPlatformApp := newForwardingApp(s, m, mainLinks, client, config, registry, logger)
 	return mainPlatformApp, func() {
+		cleanup3()
 		cleanup2()
 		cleanup()
 	}, nil
