keeper: one call of a process looks for the leader, the others wait for it

Callers saw: nothing yet; load on keepers that elect a leader grew with the calls that waited for one. Why it works: without a presumed leader a call takes the only place to look for one, for as long as it does; the others wait for the place, and find a leader presumed when it is passed on. A call that ends passes it on too. The error of a waiting call holds the last failure of the one that looked. Failed before: TestWaitingCallsAskForLeaderTogether, 50 calls asked 245 times in 1.5 s where one call asks 14 times at most. Result: the package five times with the race detector; both halves of the calls end as they should.

--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -24,8 +24,8 @@
 	attemptTimeout = time.Second
 	skipPeriod     = time.Second // how long an unresponsive keeper isn't tried
 	// minRetryPause is the mean pause after the first failed attempt of a call, and
-	// maxRetryPause the limit to which it grows: while there is no leader, 1,000 instances
-	// with one waiting call each ask 4,000 times a second together.
+	// maxRetryPause the limit to which it grows: while there is no leader, 1,000 instances ask
+	// 4,000 times a second together.
 	minRetryPause = 20 * time.Millisecond
 	maxRetryPause = 250 * time.Millisecond
 	// maxAsks is how often in a row a keeper is asked that knows no leader. It learns of a
@@ -58,6 +58,9 @@
 	known     func() string        // names the leader as far as this process knows, nil if it can't
 	deposed   string               // keeper that said so although known names it
 	backoff   pace.Backoff         // of the attempts of all calls
+	failure   error                // of the last failed attempt
+
+	search chan struct{} // holds the place of the call that looks for the leader
 }
 
 var _ proto.Keeper = (*Client)(nil)
@@ -91,6 +94,7 @@
 	return &Client{
 		config: config, clients: make(map[string]*link.Client), next: rand.IntN(math.MaxInt32),
 		skipUntil: make(map[string]time.Time), backoff: pace.NewBackoff(minRetryPause, maxRetryPause),
+		search: make(chan struct{}, 1),
 	}
 }
 
@@ -297,14 +301,8 @@
 func (c *Client) callTarget() string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.known != nil {
-		if name := c.known(); name != "" && name != c.deposed && !c.isUnresponsive(name) {
-			c.add(name, name)
-			return name
-		}
-	}
-	if c.leader != "" {
-		return c.leader
+	if name := c.presumedLeader(); name != "" {
+		return name
 	}
 	if c.asks >= maxAsks {
 		c.moveOn()
@@ -319,6 +317,48 @@
 	return c.names[c.next%len(c.names)]
 }
 
+// presumedLeader returns the presumed leader, "" if there is none. The mutex must be held.
+func (c *Client) presumedLeader() string {
+	if c.known != nil {
+		if name := c.known(); name != "" && name != c.deposed && !c.isUnresponsive(name) {
+			c.add(name, name)
+			return name
+		}
+	}
+	return c.leader
+}
+
+// joinSearch returns once a leader is presumed or, with true, the caller is the only one that
+// looks for it. A caller that is already looking goes on until a leader is presumed.
+func (c *Client) joinSearch(ctx context.Context, searching bool) (bool, error) {
+	if !searching {
+		if c.hasLeader() {
+			return false, nil
+		}
+		select {
+		case c.search <- struct{}{}:
+		case <-ctx.Done():
+			c.mutex.Lock()
+			defer c.mutex.Unlock()
+			return false, fmt.Errorf("another call looks for the leader: %w", errors.Join(c.failure, ctx.Err()))
+		}
+	}
+	if c.hasLeader() {
+		c.endSearch()
+		return false, nil
+	}
+	return true, nil
+}
+
+// endSearch lets the next call look for the leader, or call it.
+func (c *Client) endSearch() { <-c.search }
+
+func (c *Client) hasLeader() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.presumedLeader() != ""
+}
+
 func (c *Client) isUnresponsive(name string) bool {
 	return time.Now().Before(c.skipUntil[name])
 }
@@ -385,6 +425,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.backoff.Fail()
+	c.failure = err
 	soon := hinted && !c.hinted
 	c.hinted = hinted
 	if soon {
@@ -411,8 +452,17 @@
 
 // callLeader sends an idempotent call to the leader and retries until a leader
 // answers, the error is final or ctx ends.
-func callLeader[Req, Reply any](ctx context.Context, c *Client, kind string, request Req) (Reply, error) {
+func callLeader[Req, Reply any](ctx context.Context, c *Client, kind string, request Req) (reply Reply, err error) {
+	searching := false
+	defer func() {
+		if searching {
+			c.endSearch()
+		}
+	}()
 	for {
+		if searching, err = c.joinSearch(ctx, searching); err != nil {
+			return reply, fmt.Errorf("ask %s: %w: %w", kind, ErrNoLeader, err)
+		}
 		name := c.callTarget()
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 		reply, err := link.Call[Req, Reply](attempt, c.client(name), kind, request)
--- a/core/conn/keeper/keeper_test.go
+++ b/core/conn/keeper/keeper_test.go
@@ -184,3 +184,44 @@
 		g.cutOff.Store(&g.addresses[leader])
 	}
 }
+
+// Each waiting call of an instance asked for the leader by itself.
+func TestWaitingCallsAskForLeaderTogether(t *testing.T) {
+	const calls = 50
+	g := startGroup(t, 5)
+	config, err := keys.UnauthenticatedConfig("entry")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, cleanup := keeper.OpenDynamic(g.addresses, config)
+	t.Cleanup(cleanup)
+	ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+	defer cancel()
+	var group sync.WaitGroup
+	var served, givenUp atomic.Int64
+	for i := range calls {
+		group.Go(func() {
+			own := ctx
+			if i%2 == 0 { // also that of the call that asks
+				short, cancel := context.WithTimeout(ctx, time.Duration(i)*30*time.Millisecond)
+				defer cancel()
+				own = short
+			}
+			switch _, err := c.Heartbeat(own, proto.HeartbeatRequest{}); {
+			case err == nil:
+				served.Add(1)
+			case own.Err() != nil:
+				givenUp.Add(1)
+			}
+		})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if asks := g.asks.Load(); asks > 14 { // as one call
+		t.Errorf("%d calls asked %d times in 1.5 s", calls, asks)
+	}
+	g.leader.Store(&g.addresses[2])
+	group.Wait()
+	if served.Load() != calls/2 || givenUp.Load() != calls/2 {
+		t.Errorf("%d calls served and %d given up, want %d each", served.Load(), givenUp.Load(), calls/2)
+	}
+}
