quorum: heartbeats are answered while a write is slow

Callers saw: no change acknowledged while most disks write slowly. Cause: a follower answered a heartbeat once all that it had still to write was durable, so that writes longer than two election timeouts looked like silence and the leader stepped down. A leader whose write took as long as everybody's also handed over when it was the last by milliseconds. Why it works: a heartbeat carries no entries, and its answer says what is durable already, so it only needs the term to be durable; a rejection promises nothing either. A hand-over needs that the others took less than half an election timeout for the newest write that is older than this, or that they have what this leader is writing for ten election timeouts.

--- a/core/process/quorum/core.go
+++ b/core/process/quorum/core.go
@@ -50,6 +50,7 @@
 	number    uint64
 	lastIndex uint64 // last log index once this persist is durable
 	at        time.Duration
+	others    time.Duration // when it was seen to be durable on a majority without this leader, 0 before
 }
 
 // indexedConfig is a configuration and its log index.
--- a/core/process/quorum/elect.go
+++ b/core/process/quorum/elect.go
@@ -299,37 +299,58 @@
 	c.transfer = transfer{requested: true, expiresAt: c.now + c.settings.ElectionTimeout}
 }
 
-// stalledWriteTimeouts is the number of election timeouts after which a leader no longer
-// waits for a write.
-const stalledWriteTimeouts = 2
+const (
+	// stalledWriteTimeouts is the number of election timeouts after which a leader no longer
+	// waits for a write that the others make durable soon.
+	stalledWriteTimeouts = 2
+	// hungWriteTimeouts is the same if the others write slowly too, but sooner than this leader.
+	hungWriteTimeouts = 10
+)
 
 // handOverStalled begins a transfer of leadership if this leader's disk hangs: the others
 // commit entries, but a leader answers only for those that are durable here too.
 func (c *Core) handOverStalled() {
-	if c.transfer.requested || len(c.pendingPersists) == 0 || !c.hasSuccessor() || !c.othersWriteSoon() {
+	if len(c.pendingPersists) == 0 {
+		return
+	}
+	c.noteOthersWrites()
+	if c.transfer.requested || !c.hasSuccessor() {
 		return
 	}
-	if waited := c.now - c.pendingPersists[0].at; waited >= stalledWriteTimeouts*c.settings.ElectionTimeout {
+	waited := c.now - c.pendingPersists[0].at
+	soon := waited >= stalledWriteTimeouts*c.settings.ElectionTimeout && c.othersWriteSoon()
+	hung := waited >= hungWriteTimeouts*c.settings.ElectionTimeout && c.pendingPersists[0].others > 0
+	if soon || hung {
 		c.note("a write has taken %s so far, handing over leadership", waited.Round(time.Millisecond))
 		c.startTransfer()
 	}
 }
 
-// othersWriteSoon reports whether a majority without this leader has made entries durable soon
-// enough for an election: it needs their votes, and a candidate doesn't wait longer for them.
-func (c *Core) othersWriteSoon() bool {
-	due := uint64(0)
-	for _, p := range c.pendingPersists {
-		if c.now-p.at >= c.settings.ElectionTimeout/2 {
-			due = p.lastIndex
-		}
-	}
-	return due <= majorityValue(c.voterSets(), func(identity string) uint64 {
+// noteOthersWrites records when a majority without this leader made entries durable.
+func (c *Core) noteOthersWrites() {
+	index := majorityValue(c.voterSets(), func(identity string) uint64 {
 		if identity == c.settings.Identity {
 			return 0
 		}
 		return c.matchIndex(identity)
 	})
+	for i := range c.pendingPersists {
+		if p := &c.pendingPersists[i]; p.others == 0 && p.lastIndex <= index {
+			p.others = c.now
+		}
+	}
+}
+
+// othersWriteSoon reports whether a majority without this leader makes entries durable soon
+// enough for an election: it needs their votes, which are writes too.
+func (c *Core) othersWriteSoon() bool {
+	patience := c.settings.ElectionTimeout / 2
+	for _, p := range slices.Backward(c.pendingPersists) {
+		if c.now-p.at >= patience {
+			return p.others > 0 && p.others-p.at < patience
+		}
+	}
+	return false
 }
 
 // continueTransfer asks the first reachable voter with the complete log to take
--- a/core/process/quorum/follow.go
+++ b/core/process/quorum/follow.go
@@ -54,7 +54,14 @@
 	if commit := min(m.Commit, last); commit > c.commitIndex {
 		c.setCommit(commit)
 	}
-	c.reply(m, Message{Kind: MessageAppendReply, Index: last, SentAt: m.SentAt, Round: m.Round})
+	reply := Message{Kind: MessageAppendReply, Index: last, SentAt: m.SentAt, Round: m.Round}
+	if len(m.Entries) == 0 {
+		// A slow write isn't silence: the leader would step down.
+		reply.Index = min(last, c.durableIndex)
+		c.replyWith(m, reply, afterHardState)
+		return
+	}
+	c.reply(m, reply)
 }
 
 // rejectAppend rejects an append and hints at the last index where the logs may
@@ -66,7 +73,7 @@
 		hint--
 		term, _ = c.log.term(hint)
 	}
-	c.reply(m, Message{
+	c.replyWith(m, Message{
 		Kind:         MessageAppendReply,
 		Reject:       true,
 		RequestIndex: m.Index,
@@ -74,5 +81,5 @@
 		LogTerm:      term,
 		SentAt:       m.SentAt,
 		Round:        m.Round,
-	})
+	}, afterHardState)
 }
--- a/core/process/quorum/holdup.go
+++ b/core/process/quorum/holdup.go
@@ -32,6 +32,9 @@
 	for i := range c.pendingPersists {
 		p := &c.pendingPersists[i]
 		p.at = min(p.at+heldUp, c.now)
+		if p.others > 0 {
+			p.others = max(p.others, p.at)
+		}
 	}
 	if sent, ok := c.majorityAckTime(); c.resumedAt == c.electedAt || (ok && sent >= c.resumedAt) {
 		c.resumedAt = c.now
--- a/core/process/quorum/send.go
+++ b/core/process/quorum/send.go
@@ -21,9 +21,12 @@
 
 // reply queues a reply to the sender of a message. It is sent once the state
 // of this step is durable.
-func (c *Core) reply(to, m Message) {
+func (c *Core) reply(to, m Message) { c.replyWith(to, m, afterStep) }
+
+// replyWith queues a reply that is sent once a state is durable.
+func (c *Core) replyWith(to, m Message, after uint64) {
 	m.Term, m.Level = c.hardState.Term, c.settings.Level
-	c.send(Member{Name: to.From, Identity: to.FromIdentity}, m, afterStep)
+	c.send(Member{Name: to.From, Identity: to.FromIdentity}, m, after)
 }
 
 // handleMessage checks a message's address, form and group and dispatches it by
--- a/core/process/quorum/stall_test.go
+++ b/core/process/quorum/stall_test.go
@@ -59,3 +59,30 @@
 		}
 	}
 }
+
+// A leader stepped down since the others answered its heartbeats only once their writes were durable.
+func TestLeaderStaysWhileAllWriteSlowly(t *testing.T) {
+	for _, voters := range []int{3, 5} {
+		for seed := range uint64(10) {
+			o := defaultOptions(voters, 0)
+			o.lossRate, o.duplicateRate, o.delayRate, o.replaceAfter = 0, 0, 0, 0
+			s := newSim(o, seed)
+			s.after(0, s.runClient)
+			s.runUntil(func() bool { return s.now >= 3*time.Second })
+			leader, term := s.leader(), s.leader().core.hardState.Term
+			end := s.now + 20*time.Second
+			var slowDown func()
+			slowDown = func() {
+				for _, m := range s.members {
+					m.stallDisk(2 * majorityLossTimeouts * simElection)
+				}
+				s.after(simTick, slowDown)
+			}
+			s.after(0, slowDown)
+			s.runUntil(func() bool { return s.now >= end })
+			if s.leader() != leader || leader.core.hardState.Term != term {
+				t.Errorf("%d voters, seed %d: term %d became another one: %s", voters, seed, term, s.describe())
+			}
+		}
+	}
+}
