quorum: a candidate waits for votes that slow disks make durable

Cause: a candidate gave its term up after 0.5 to 1 election timeouts, also while its own vote wasn't durable, so that no request for a vote had left it. The next term needs new writes behind the ones that still wait. Why it works: a member whose term and vote aren't durable could make those of a later term durable no sooner, so it doesn't begin one and doesn't encourage others to; a candidate waits anew from when its own vote is durable, and takes votes of its term while it asks whether another term would succeed. Fast disks see no change, as their votes are durable by then.

--- a/core/process/quorum/core.go
+++ b/core/process/quorum/core.go
@@ -95,7 +95,8 @@
 	electionNoted    time.Duration     // latest note that there is no leader
 	heardFrom        string            // name of the latest message's sender
 	heardAt          time.Duration     // when it arrived
-	votes            map[string]bool   // identities that granted a vote or pre-vote
+	votes            map[string]bool   // identities that granted a vote
+	preVotes         map[string]bool   // identities that granted a pre-vote, nil unless it asks for these
 	ignoreLease      bool              // this campaign was requested by the leader to transfer leadership
 	founder          string            // identity of the instance that bootstraps the group, as last heard
 	otherGroup       bool              // one of the founders belongs to another group
@@ -277,7 +278,9 @@
 	if number <= c.durablePersist {
 		return
 	}
-	c.durablePersist = number
+	if c.role == RoleCandidate && c.hardStatePersist > c.durablePersist && c.hardStatePersist <= number {
+		c.awaitVotes()
+	}
 	durable := 0
 	for _, p := range c.pendingPersists {
 		if p.number > number {
@@ -286,6 +289,7 @@
 		c.durableIndex = p.lastIndex
 		durable++
 	}
+	c.durablePersist = number
 	c.pendingPersists = c.pendingPersists[durable:]
 }
 
--- a/core/process/quorum/elect.go
+++ b/core/process/quorum/elect.go
@@ -33,10 +33,14 @@
 	if c.leader != "" || c.now-c.electionNoted >= electionNoteInterval {
 		c.electionNoted = c.now
 		c.note("no leader for %s: %s in term %d, votes of %d members, voters %s, hello to %s, %s, last entry %d of term %d, %d writes pending",
-			(c.now - c.leaderContact).Round(time.Millisecond), c.role, c.hardState.Term, len(c.votes), c.config().voterNames(),
+			(c.now - c.leaderContact).Round(time.Millisecond), c.role, c.hardState.Term, len(c.ballot()), c.config().voterNames(),
 			strings.Join(c.knownInstances(), " "), c.lastSender(), c.log.last(), c.log.lastTerm(), len(c.pendingPersists))
 	}
 	c.leader = ""
+	if !c.termDurable() {
+		c.setElectionDeadline(c.settings.HeartbeatInterval + c.jitter(c.settings.HeartbeatInterval))
+		return
+	}
 	c.resetElectionDeadline()
 	if !c.mayCampaign() {
 		c.role = RoleFollower
@@ -49,6 +53,20 @@
 	c.startPreVote()
 }
 
+// termDurable reports whether this member's term and vote are durable. Until then it can't vote
+// in a later term any sooner, so it neither begins one nor encourages others to.
+func (c *Core) termDurable() bool {
+	return !c.hardStateChanged && c.hardStatePersist <= c.durablePersist
+}
+
+// ballot returns the votes or pre-votes that this member has.
+func (c *Core) ballot() map[string]bool {
+	if c.role == RolePreCandidate {
+		return c.preVotes
+	}
+	return c.votes
+}
+
 // lastSender describes the latest message.
 func (c *Core) lastSender() string {
 	if c.heardFrom == "" {
@@ -78,13 +96,15 @@
 
 // startPreVote asks whether an election could be won without starting a new
 // term, so that a member that was isolated doesn't depose the leader when it
-// returns.
+// returns. A candidate remains one meanwhile: votes may take longer than it waits.
 func (c *Core) startPreVote() {
-	c.role = RolePreCandidate
-	c.votes = map[string]bool{c.settings.Identity: true}
+	if c.role != RoleCandidate {
+		c.role = RolePreCandidate
+	}
+	c.preVotes = map[string]bool{c.settings.Identity: true}
 	// A refused pre-vote changes no state, so it is retried soon.
 	c.setElectionDeadline(c.settings.HeartbeatInterval + c.jitter(c.settings.HeartbeatInterval))
-	if c.hasVoteMajority() {
+	if c.hasMajority(c.preVotes) {
 		c.campaign(false)
 		return
 	}
@@ -96,15 +116,21 @@
 func (c *Core) campaign(ignoreLease bool) {
 	c.role, c.leader, c.ignoreLease = RoleCandidate, "", ignoreLease
 	c.setHardState(HardState{Group: c.group(), Term: c.hardState.Term + 1, Vote: c.settings.Identity})
-	c.votes = map[string]bool{c.settings.Identity: true}
-	c.setElectionDeadline(c.settings.ElectionTimeout/2 + c.jitter(c.settings.ElectionTimeout/2))
-	if c.hasVoteMajority() {
+	c.votes, c.preVotes = map[string]bool{c.settings.Identity: true}, nil
+	c.awaitVotes()
+	if c.hasMajority(c.votes) {
 		c.winElection()
 		return
 	}
 	c.requestVotes(MessageVote, c.hardState.Term)
 }
 
+// awaitVotes gives the voters time to answer a candidate's requests, which are sent once its own
+// vote is durable.
+func (c *Core) awaitVotes() {
+	c.setElectionDeadline(c.settings.ElectionTimeout/2 + c.jitter(c.settings.ElectionTimeout/2))
+}
+
 func (c *Core) requestVotes(kind MessageKind, term uint64) {
 	for _, m := range c.config().Members {
 		if (!m.Voter && !m.Outgoing) || m.Identity == c.settings.Identity {
@@ -120,9 +146,9 @@
 	}
 }
 
-// hasVoteMajority reports whether a majority of the voters granted the vote.
-func (c *Core) hasVoteMajority() bool {
-	return c.voterSets().hasMajority(func(identity string) bool { return c.votes[identity] })
+// hasMajority reports whether a majority of the voters granted a vote or pre-vote.
+func (c *Core) hasMajority(votes map[string]bool) bool {
+	return c.voterSets().hasMajority(func(identity string) bool { return votes[identity] })
 }
 
 // boundByLease reports whether this member must not vote because a leader may
@@ -156,7 +182,7 @@
 // handlePreVote replies whether this member would grant a vote. The reply isn't
 // binding.
 func (c *Core) handlePreVote(m Message) {
-	if c.boundByLease() || !c.mayFound() {
+	if c.boundByLease() || !c.mayFound() || !c.termDurable() {
 		return
 	}
 	if m.Term <= c.hardState.Term || !c.logUpToDate(m) {
@@ -177,6 +203,7 @@
 	if c.role == RolePreCandidate {
 		c.role = RoleFollower
 	}
+	c.preVotes = nil
 	c.electionDeadline = max(c.electionDeadline, c.now+2*c.settings.HeartbeatInterval)
 }
 
@@ -195,7 +222,7 @@
 		return
 	}
 	c.setHardState(HardState{Group: c.group(), Term: c.hardState.Term, Vote: m.FromIdentity})
-	c.role = RoleFollower
+	c.role, c.preVotes = RoleFollower, nil
 	c.resetElectionDeadline()
 	c.reply(m, Message{Kind: MessageVoteReply})
 }
@@ -210,14 +237,14 @@
 		return
 	}
 	switch {
-	case m.Kind == MessagePreVoteReply && c.role == RolePreCandidate && m.Round == c.hardState.Term+1:
-		c.votes[m.FromIdentity] = true
-		if c.hasVoteMajority() && !c.awaitsFounders() {
+	case m.Kind == MessagePreVoteReply && c.preVotes != nil && m.Round == c.hardState.Term+1:
+		c.preVotes[m.FromIdentity] = true
+		if c.hasMajority(c.preVotes) && !c.awaitsFounders() {
 			c.campaign(false)
 		}
 	case m.Kind == MessageVoteReply && c.role == RoleCandidate && m.Term == c.hardState.Term:
 		c.votes[m.FromIdentity] = true
-		if c.hasVoteMajority() {
+		if c.hasMajority(c.votes) {
 			c.winElection()
 		}
 	}
@@ -237,7 +264,7 @@
 }
 
 func (c *Core) becomeLeader() {
-	c.role, c.leader = RoleLeader, c.settings.Identity
+	c.role, c.leader, c.preVotes = RoleLeader, c.settings.Identity, nil
 	c.electedAt, c.resumedAt, c.nextHeartbeat = c.now, c.now, c.now
 	c.termStartIndex = c.log.last()
 	c.uncommittedBytes = dataBytes(c.log.slice(c.commitIndex, c.log.last()))
@@ -261,6 +288,7 @@
 		c.resetElectionDeadline()
 	}
 	c.role, c.leader, c.ignoreLease = RoleFollower, leader, false
+	c.preVotes = nil
 }
 
 // endLeadership clears the leader's state and rejects its pending reads.
--- a/core/process/quorum/found.go
+++ b/core/process/quorum/found.go
@@ -70,7 +70,7 @@
 // awaitsFounders reports whether a founder that could win an election waits for the answers
 // of the others, one of which may belong to another group.
 func (c *Core) awaitsFounders() bool {
-	return c.isFounding() && len(c.votes) < len(c.settings.Founding.Founders) && c.now-c.leaderContact < c.settings.ElectionTimeout
+	return c.isFounding() && len(c.preVotes) < len(c.settings.Founding.Founders) && c.now-c.leaderContact < c.settings.ElectionTimeout
 }
 
 // noteOtherGroup records that one of the founders belongs to another group.
@@ -95,7 +95,7 @@
 	c.setHardState(HardState{Group: group, Term: c.hardState.Term, Vote: c.hardState.Vote})
 	c.note("joined group %s", group)
 	if c.settings.Founding != nil {
-		c.role, c.votes = RoleFollower, nil
+		c.role, c.votes, c.preVotes = RoleFollower, nil, nil
 		c.configs = []indexedConfig{newIndexedConfig(0, c.firstConfig())}
 	}
 }
--- a/core/process/quorum/stall_test.go
+++ b/core/process/quorum/stall_test.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+// slowDisks makes each write of members take this long from now on.
+func (s *sim) slowDisks(write time.Duration, members ...*simMember) {
+	for _, m := range members {
+		m.stallDisk(write)
+	}
+	s.after(simTick, func() { s.slowDisks(write, members...) })
+}
+
 // A leader whose disk hung kept the lead, although it could answer for nothing.
 func TestLeaderWithStalledDiskIsReplaced(t *testing.T) {
 	for _, o := range []options{defaultOptions(3, 0), defaultOptions(5, 0), defaultOptions(5, 2)} {
@@ -42,14 +50,7 @@
 				}
 			}
 			end := s.now + 20*time.Second
-			var slowDown func()
-			slowDown = func() {
-				for _, m := range slow {
-					m.stallDisk(write)
-				}
-				s.after(simTick, slowDown)
-			}
-			s.after(0, slowDown)
+			s.slowDisks(write, slow...)
 			s.runUntil(func() bool { return s.now >= end-10*time.Second })
 			acked := s.invariants.ackCount
 			s.runUntil(func() bool { return s.now >= end })
@@ -71,14 +72,7 @@
 			s.runUntil(func() bool { return s.now >= 3*time.Second })
 			leader, term := s.leader(), s.leader().core.hardState.Term
 			end := s.now + 20*time.Second
-			var slowDown func()
-			slowDown = func() {
-				for _, m := range s.members {
-					m.stallDisk(2 * majorityLossTimeouts * simElection)
-				}
-				s.after(simTick, slowDown)
-			}
-			s.after(0, slowDown)
+			s.slowDisks(2*majorityLossTimeouts*simElection, s.members...)
 			s.runUntil(func() bool { return s.now >= end })
 			if s.leader() != leader || leader.core.hardState.Term != term {
 				t.Errorf("%d voters, seed %d: term %d became another one: %s", voters, seed, term, s.describe())
@@ -86,3 +80,26 @@
 		}
 	}
 }
+
+// Candidates gave a term up before votes were durable, so slow disks elected nobody.
+func TestSlowDisksElectLeader(t *testing.T) {
+	const limit = 15 * time.Second // the platform's for a recovery
+	for _, voters := range []int{3, 5} {
+		for _, write := range []time.Duration{500 * time.Millisecond, time.Second} {
+			for seed := range uint64(10) {
+				o := defaultOptions(voters, 0)
+				o.replaceAfter = 0
+				s := newSim(o, seed)
+				s.after(0, s.runClient)
+				s.runUntil(func() bool { return s.now >= 3*time.Second })
+				s.slowDisks(write, s.members...)
+				s.leader().crash()
+				start, acked := s.now, s.invariants.ackCount
+				s.runUntil(func() bool { return s.invariants.ackCount > acked || s.now >= start+limit })
+				if s.invariants.ackCount == acked {
+					t.Errorf("%d voters, writes of %v, seed %d: none acknowledged in %v: %s", voters, write, seed, limit, s.describe())
+				}
+			}
+		}
+	}
+}
