intake: bound connections and heads over all HTTP servers of a process

Callers saw: a process that ran out of memory, and ended, under clients that send requests of many short header lines, or heads without end. Cause: the standard library bounds the bytes of one head, but a field takes many times its bytes in memory and nothing bounds all heads together, nor open connections; ports beside the callers' allowed 1 MB a head. Why it works: what a head will take is taken from a part of the process's memory while it is read, before it is parsed, and held until the response is written; without room the caller gets 503, as not run. A new connection beyond the limit closes the one that has waited longest for a whole request, so slow and idle callers yield to those that send one.

--- a/core/conn/drain/drain.go
+++ b/core/conn/drain/drain.go
@@ -41,6 +41,7 @@
 	http     *http.Server
 	refuse   atomic.Pointer[http.Handler]
 	leaving  atomic.Bool
+	wrap     func(net.Listener) net.Listener // nil for none
 	mutex    sync.Mutex
 	listener *net.TCPListener
 	served   chan struct{} // closed when Serve has returned
@@ -65,13 +66,31 @@
 		if connState != nil {
 			connState(c, state)
 		}
-		if own, ok := c.(*conn); ok {
+		if own, ok := unwrap(c); ok {
 			d.setState(own, state)
 		}
 	}
 	return d
 }
 
+// Wrap makes the server accept connections through another listener around its own. Wrapped
+// connections need a method NetConn. It must be called before the server serves.
+func (s *Server) Wrap(wrap func(net.Listener) net.Listener) { s.wrap = wrap }
+
+// unwrap returns the server's own connection below others.
+func unwrap(c any) (own *conn, ok bool) {
+	for {
+		if own, ok = c.(*conn); ok {
+			return own, true
+		}
+		outer, wraps := c.(interface{ NetConn() net.Conn })
+		if !wraps {
+			return nil, false
+		}
+		c = outer.NetConn()
+	}
+}
+
 // Serve serves the connections of a TCP listener until Stop or Close is called. It then
 // returns http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
@@ -83,7 +102,11 @@
 	s.listener, s.served = tcp, make(chan struct{})
 	s.mutex.Unlock()
 	defer close(s.served)
-	err := s.http.Serve(&listener{tcp, s})
+	var accepting net.Listener = &listener{tcp, s}
+	if s.wrap != nil {
+		accepting = s.wrap(accepting)
+	}
+	err := s.http.Serve(accepting)
 	if s.leaving.Load() && errors.Is(err, net.ErrClosed) {
 		return http.ErrServerClosed
 	}
@@ -173,7 +196,7 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, next http.Handler) {
-	c, ok := r.Context().Value(connKey{}).(*conn)
+	c, ok := unwrap(r.Context().Value(connKey{}))
 	more := ok && c.begin(r.ContentLength)
 	if s.leaving.Load() && !more {
 		w.Header().Set("Connection", "close")
--- a/entryd/app.go
+++ b/entryd/app.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"verbenahaven.example/core/conn/drain"
+	"verbenahaven.example/core/conn/intake"
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/process/boot"
 	"verbenahaven.example/core/process/clock"
@@ -52,6 +53,7 @@
 	listed   *listed.Listed
 	link     *link.Server
 	bound    *exit.Bound
+	intake   *intake.Intake
 }
 
 // run serves until ctx ends, then shuts down gracefully.
@@ -76,7 +78,10 @@
 	}
 	calls, cut := context.WithCancelCause(background)
 	defer cut(nil)
-	server := drain.New(a.front.Server(calls))
+	callers := a.front.Server(calls)
+	a.intake.Install(callers)
+	server := drain.New(callers)
+	server.Wrap(a.intake.Listener)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(l) }()
 	klog.InfoS("serving", "name", a.settings.Name, "http", l.Addr().String())
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -51,6 +51,7 @@
 		return boot.ExitCode(err)
 	}
 	bound.SetGrace(time.Duration(s.Stop.Grace))
+	boot.LimitMemory(s.Memory.Bytes)
 	a, cleanup, err := build(s, bound)
 	if err != nil {
 		klog.ErrorS(err, "start")
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"verbenahaven.example/core/conn/httpc"
+	"verbenahaven.example/core/conn/intake"
 	"verbenahaven.example/core/conn/keeper"
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/conn/server"
@@ -88,6 +89,7 @@
 	keeper   *keeper.Client
 	broker   *broker.Conn
 	bound    *exit.Bound
+	intake   *intake.Intake
 }
 
 // leaving holds the shutdown state of the instance and counts its running
@@ -176,7 +178,7 @@
 	peers, cleanup := httpc.New(peerCounter{m})
 	r := relay.New(server.Codec(platform.Codec{}), p, peers, f, k, m, l, c, v.untilCut)
 	r.CountUsage(u)
-	r.SetMemory(int64(s.MemoryMB) << 20)
+	r.SetMemory(s.MemoryBytes())
 	return r, cleanup
 }
 
@@ -236,10 +238,10 @@
 	servers := map[string]httpServer{
 		s.settings.Listen.Callers: callers,
 		s.settings.EntryLink():    peers, // the links themselves use UDP
-		s.settings.Listen.Ready:   &http.Server{Handler: platform.ReadyHandler(s.ready), ReadHeaderTimeout: siteHeaderTimeout},
+		s.settings.Listen.Ready:   s.smallServer(platform.ReadyHandler(s.ready)),
 	}
 	if s.settings.Listen.Addresses != "" {
-		servers[s.settings.Listen.Addresses] = &http.Server{Handler: platform.AddressHandler(s.addresses), ReadHeaderTimeout: siteHeaderTimeout}
+		servers[s.settings.Listen.Addresses] = s.smallServer(platform.AddressHandler(s.addresses))
 	}
 	if s.metrics != "" {
 		address, path, err := s.settings.MetricsAddress(s.metrics)
@@ -248,7 +250,7 @@
 		}
 		mux := http.NewServeMux()
 		mux.Handle(path, s.meter)
-		servers[address] = &http.Server{Handler: mux, ReadHeaderTimeout: siteHeaderTimeout}
+		servers[address] = s.smallServer(mux)
 	}
 	failed := make(chan error, len(servers))
 	for address, h := range servers {
@@ -334,6 +336,7 @@
 		return boot.WithExitCode(boot.ExitSettings, err)
 	}
 	bound.SetGrace(settings.Bounds.Grace)
+	boot.LimitMemory(settings.MemoryBytes())
 	s, cleanup, err := buildSite(ctx, settings, metricsSetting(metrics))
 	if err != nil {
 		return err
@@ -351,10 +354,16 @@
 	b.ReportUsage(u)
 	return &site{
 		settings: settings, metrics: string(metrics), fleet: f, relay: r, watch: w, beat: b, screen: k, meter: m, log: l,
-		leaving: v, link: n, keeper: c, broker: o,
+		leaving: v, link: n, keeper: c, broker: o, intake: siteIntake(settings, m),
 	}
 }
 
+// siteIntake returns the bounds on what all servers of the instance hold for callers.
+func siteIntake(s *platform.Settings, m *meter.Registry) *intake.Intake {
+	memory := cmp.Or(s.MemoryBytes(), boot.MachineMemory())
+	return intake.New(intake.NewLimits(memory, cmp.Or(s.Descriptors, boot.Descriptors())), m)
+}
+
 func siteHolder() beat.Holder {
 	return beat.Holder("") // run-once calls of the platform need no ledger
 }
--- a/entryd/process_test.go
+++ b/entryd/process_test.go
@@ -266,9 +266,9 @@
 	return w
 }
 
-// startOnOwnInterface starts an entry instance that reaches no keeper. It returns its address
-// for callers.
-func startOnOwnInterface(t *testing.T, grace string, configure func(*exec.Cmd)) (p *process, address string) {
+// startOnOwnInterface starts an entry instance that reaches no keeper, with more lines of
+// settings. It returns its address for callers.
+func startOnOwnInterface(t *testing.T, grace, more string, configure func(*exec.Cmd)) (p *process, address string) {
 	t.Helper()
 	folder, from := t.TempDir(), time.Now().Add(-time.Hour)
 	if err := keys.CreateAuthority(folder, "test", from, 2*time.Hour); err != nil {
@@ -292,7 +292,7 @@
 k = "127.0.0.1:%d"
 [stop]
 grace = %q
-`, first, first+1, first+2, grace)
+%s`, first, first+1, first+2, grace, more)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -310,7 +310,7 @@
 
 // A process on the own interface outlived its grace while something hung, here its log.
 func TestInstanceThatHangsEndsWithinGrace(t *testing.T) {
-	p, _ := startOnOwnInterface(t, "1s", func(c *exec.Cmd) { c.Stderr = fullPipe(t) })
+	p, _ := startOnOwnInterface(t, "1s", "", func(c *exec.Cmd) { c.Stderr = fullPipe(t) })
 	p.terminate(t)
 	select {
 	case <-p.exited:
@@ -325,7 +325,7 @@
 // Address answers that live longer than the grace left no time to close connections: calls on
 // them ended with the process.
 func TestInstanceAnswersCallsUntilItsConnectionsClose(t *testing.T) {
-	p, address := startOnOwnInterface(t, "2s", func(*exec.Cmd) {})
+	p, address := startOnOwnInterface(t, "2s", "", func(*exec.Cmd) {})
 	p.terminate(t)
 	var group sync.WaitGroup
 	for range 32 {
--- a/entryd/provide.go
+++ b/entryd/provide.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"verbenahaven.example/core/conn/body"
+	"verbenahaven.example/core/conn/intake"
 	"verbenahaven.example/core/conn/keeper"
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/conn/proto"
@@ -63,6 +64,11 @@
 	return body.NewBudget(cmp.Or(s.Memory.Bytes, boot.MachineMemory()) / answerShare)
 }
 
+// provideIntake returns the bounds on what the instance holds for callers.
+func provideIntake(s *setup.Settings, m *meter.Registry) *intake.Intake {
+	return intake.New(intake.NewLimits(cmp.Or(s.Memory.Bytes, boot.MachineMemory()), boot.Descriptors()), m)
+}
+
 func provideInfer(s *setup.Settings, r retry.Policy, b *body.Budget) infer.Settings {
 	return infer.Settings{SilenceTimeout: time.Duration(s.Retry.Silence), Retry: r, Answers: b}
 }
--- a/entryd/stop.go
+++ b/entryd/stop.go
@@ -30,7 +30,17 @@
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
 	abort.Install(server)
-	return drain.New(server)
+	s.intake.Install(server)
+	d := drain.New(server)
+	d.Wrap(s.intake.Listener)
+	return d
+}
+
+// smallServer returns a server for calls that are answered at once.
+func (s *site) smallServer(h http.Handler) httpServer {
+	return s.intake.Guard(&http.Server{
+		Handler: h, ReadHeaderTimeout: siteHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: siteMaxHeaderBytes,
+	})
 }
 
 // refuseCalls returns the handler of calls that arrive too late in a shutdown to be
--- a/entryd/wire.go
+++ b/entryd/wire.go
@@ -34,7 +34,7 @@
 func build(s *setup.Settings, b *exit.Bound) (*app, func(), error) {
 	wire.Build(
 		clock.System, meter.New, view.New, trail.New, pool.New,
-		provideTLS, provideKeeper, provideBalancer, provideStrikes, provideRetry, provideAnswers, provideInfer, provideHolder, providePlain,
+		provideTLS, provideKeeper, provideBalancer, provideStrikes, provideRetry, provideAnswers, provideIntake, provideInfer, provideHolder, providePlain,
 		provideFront, provideWatch, providePoll, provideQuota, provideMember, provideLink, provideListed,
 		slog.Default, screen.New, infer.New, plain.New, watch.New, beat.New, poll.New, front.New,
 		wire.Bind(new(front.Lease), new(*beat.Beat)),
--- a/entryd/wire_gen.go
+++ b/entryd/wire_gen.go
@@ -69,6 +69,7 @@
 		cleanup()
 		return nil, nil, err
 	}
+	intake := provideIntake(s, registry)
 	mainApp := &app{
 		settings: s,
 		front:    api,
@@ -83,6 +84,7 @@
 		listed:   listed,
 		link:     server,
 		bound:    b,
+		intake:   intake,
 	}
 	return mainApp, func() {
 		cleanup5()
--- a/keepd/app.go
+++ b/keepd/app.go
@@ -19,6 +19,7 @@
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/boot"
 	"verbenahaven.example/core/process/exit"
+	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/process/node"
 	"verbenahaven.example/keepd/conf"
 	"verbenahaven.example/keepd/lead"
@@ -47,7 +48,7 @@
 
 // newApp registers the handlers and then opens the listeners: links must not be
 // served before all handlers are registered.
-func newApp(ctx context.Context, s *conf.Settings, k *links, l *lead.Leader, n *node.Node, api *serve.API, t tlsConfig) (*app, error) {
+func newApp(ctx context.Context, s *conf.Settings, k *links, l *lead.Leader, n *node.Node, api *serve.API, m *meter.Registry, t tlsConfig) (*app, error) {
 	serve.Register(k.server, l)
 	peers := slices.Sorted(maps.Keys(s.Peers))
 	k.server.Allow(proto.KindRaft, peers...)
@@ -63,7 +64,7 @@
 	}
 	return &app{
 		lead: l, node: n, listener: listener,
-		http: drain.New(&http.Server{Handler: api.Handler(), ReadHeaderTimeout: headerTimeout}),
+		http: newOperatorServer(api.Handler(), newIntake(s.Group.MemoryBytes, 0, m)),
 	}, nil
 }
 
@@ -103,7 +104,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(serve.RefuseWithoutDisk), ReadHeaderTimeout: headerTimeout}
+	server := newIntake(s.Group.MemoryBytes, 0, meter.New()).Guard(newHTTPServer(http.HandlerFunc(serve.RefuseWithoutDisk)))
 	var group sync.WaitGroup
 	group.Go(func() { _ = server.Serve(l) })
 	waitWritable(ctx, s.Folder)
--- a/keepd/folder.go
+++ b/keepd/folder.go
@@ -22,6 +22,7 @@
 	if err != nil {
 		return boot.WithExitCode(boot.ExitSettings, err)
 	}
+	boot.LimitMemory(settings.MemoryBytes())
 	onStart := func(*slog.Logger) {}
 	for {
 		bound.SetGrace(settings.Bounds.Grace)
--- a/keepd/main.go
+++ b/keepd/main.go
@@ -57,6 +57,7 @@
 		return err //nolint:wrapcheck // the error names the file and carries the exit code
 	}
 	bound.SetGrace(time.Duration(settings.Stop.Grace))
+	boot.LimitMemory(settings.Group.MemoryBytes)
 	for {
 		diskErr := buildAndRunApp(ctx, settings, bound)
 		if ctx.Err() != nil || !isWriteFailure(diskErr) {
--- a/keepd/platform.go
+++ b/keepd/platform.go
@@ -13,8 +13,8 @@
 
 	"k8s.io/klog/v2"
 
-	"verbenahaven.example/core/conn/drain"
 	"verbenahaven.example/core/conn/httpc"
+	"verbenahaven.example/core/conn/intake"
 	"verbenahaven.example/core/conn/keeper"
 	"verbenahaven.example/core/conn/link"
 	"verbenahaven.example/core/conn/proto"
@@ -101,6 +101,7 @@
 	meter    *meter.Registry
 	log      *slog.Logger
 	bound    *exit.Bound
+	intake   *intake.Intake
 }
 
 // metricsSetting is the address for metrics as "PORT/PATH", or empty for none.
@@ -189,7 +190,10 @@
 	l.UseDiscovery(e, lead.PollIntervals{List: platformListInterval, Report: platformReportInterval})
 	l.UseDuties(e)
 	c.SetLeaderSource(func() string { return n.Status().Leader })
-	return &platformApp{settings: s, metrics: string(metrics), lead: l, node: n, links: k, client: c, keys: t, meter: m, log: log}
+	return &platformApp{
+		settings: s, metrics: string(metrics), lead: l, node: n, links: k, client: c, keys: t, meter: m, log: log,
+		intake: newIntake(s.MemoryBytes(), s.Descriptors, m),
+	}
 }
 
 // routingTables publishes and reads routing tables through the leader.
@@ -241,10 +245,7 @@
 		return boot.WithExitCode(boot.ExitAddress, fmt.Errorf("serve links: %w", err))
 	}
 	s.links.close = closeLinks
-	operators := drain.New(&http.Server{
-		Handler:           platform.OperatorHandler(&routingTables{s.client, s.log}, operatorCallTimeout),
-		ReadHeaderTimeout: headerTimeout,
-	})
+	operators := newOperatorServer(platform.OperatorHandler(&routingTables{s.client, s.log}, operatorCallTimeout), s.intake)
 	l, err := boot.Listen(ctx, "platform", s.settings.Listen.Operators)
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
@@ -303,7 +304,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(path, s.meter)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := s.intake.Guard(newHTTPServer(mux))
 	group.Go(func() { _ = server.Serve(l) })
 	group.Go(func() {
 		<-ctx.Done()
@@ -341,5 +342,8 @@
 func newForwardingApp(
 	s *platform.Settings, metrics metricsSetting, k *links, c *keeper.Client, t tlsConfig, m *meter.Registry, log *slog.Logger,
 ) *platformApp {
-	return &platformApp{settings: s, metrics: string(metrics), links: k, client: c, keys: t, meter: m, log: log}
+	return &platformApp{
+		settings: s, metrics: string(metrics), links: k, client: c, keys: t, meter: m, log: log,
+		intake: newIntake(s.MemoryBytes(), s.Descriptors, m),
+	}
 }
--- a/keepd/wire_gen.go
+++ b/keepd/wire_gen.go
@@ -37,7 +37,7 @@
 	nativeClient := lead.NewNativeClient()
 	leader := lead.New(s, node, storeStore, clockClock, registry, nativeClient)
 	api, cleanup3 := newAPI(s, node, storeStore, leader, registry, config)
-	mainApp, err := newApp(ctx, s, mainLinks, leader, node, api, config)
+	mainApp, err := newApp(ctx, s, mainLinks, leader, node, api, registry, config)
 	if err != nil {
 		cleanup3()
 		cleanup2()
