keepd: documents that operators publish share a bounded part of the memory

Cause: each published document was read whole, up to 8 MB, and nothing bounded how many at once. Why it works: documents share a third of the keeper's memory, counted twice for their way to the leader; one without room gets 503 and is sent again. Failed before: TestDocumentsOfManyCallersFitMemory, 472 MB resident of 64 with 96 documents of 4 MB. Result: it passes, and a table is acknowledged afterwards.

--- a/keepd/http.go
+++ b/keepd/http.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/drain"
 	"verbenahaven.example/core/conn/intake"
 	"verbenahaven.example/core/process/boot"
@@ -14,6 +15,8 @@
 const (
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10 // of a request of an operator
+	// documentShare is the part of a keeper's memory for documents.
+	documentShare = 3
 )
 
 // newIntake returns the bounds on what the servers of a keeper hold for calls that haven't
@@ -22,6 +25,11 @@
 	return intake.New(intake.NewLimits(cmp.Or(memory, boot.MachineMemory()), cmp.Or(descriptors, boot.Descriptors())), m)
 }
 
+// newDocuments returns the memory for documents of operators, with a limit of 0 if it is unknown.
+func newDocuments(memory int64) *body.Budget {
+	return body.NewBudget(cmp.Or(memory, boot.MachineMemory()) / documentShare)
+}
+
 func newHTTPServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
--- a/keepd/platform.go
+++ b/keepd/platform.go
@@ -13,6 +13,7 @@
 
 	"k8s.io/klog/v2"
 
+	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/httpc"
 	"verbenahaven.example/core/conn/intake"
 	"verbenahaven.example/core/conn/keeper"
@@ -91,17 +92,18 @@
 // platformApp is a keeper on a platform. Without a disk it isn't a member of the log; it
 // forwards operators' calls and directs other instances to the members.
 type platformApp struct {
-	settings *platform.Settings
-	metrics  string
-	lead     *lead.Leader
-	node     *node.Node
-	links    *links
-	client   *keeper.Client
-	keys     tlsConfig
-	meter    *meter.Registry
-	log      *slog.Logger
-	bound    *exit.Bound
-	intake   *intake.Intake
+	settings  *platform.Settings
+	metrics   string
+	lead      *lead.Leader
+	node      *node.Node
+	links     *links
+	client    *keeper.Client
+	keys      tlsConfig
+	meter     *meter.Registry
+	log       *slog.Logger
+	bound     *exit.Bound
+	intake    *intake.Intake
+	documents *body.Budget // memory for tables that operators publish
 }
 
 // metricsSetting is the address for metrics as "PORT/PATH", or empty for none.
@@ -192,7 +194,7 @@
 	c.SetLeaderSource(func() string { return n.Status().Leader })
 	return &platformApp{
 		settings: s, metrics: string(metrics), lead: l, node: n, links: k, client: c, keys: t, meter: m, log: log,
-		intake: newIntake(s.MemoryBytes(), s.Descriptors, m),
+		intake: newIntake(s.MemoryBytes(), s.Descriptors, m), documents: newDocuments(s.MemoryBytes()),
 	}
 }
 
@@ -245,7 +247,7 @@
 		return boot.WithExitCode(boot.ExitAddress, fmt.Errorf("serve links: %w", err))
 	}
 	s.links.close = closeLinks
-	operators := newOperatorServer(platform.OperatorHandler(&routingTables{s.client, s.log}, operatorCallTimeout), s.intake)
+	operators := newOperatorServer(platform.OperatorHandler(&routingTables{s.client, s.log}, operatorCallTimeout, s.documents), s.intake)
 	l, err := boot.Listen(ctx, "platform", s.settings.Listen.Operators)
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
@@ -344,6 +346,6 @@
 ) *platformApp {
 	return &platformApp{
 		settings: s, metrics: string(metrics), links: k, client: c, keys: t, meter: m, log: log,
-		intake: newIntake(s.MemoryBytes(), s.Descriptors, m),
+		intake: newIntake(s.MemoryBytes(), s.Descriptors, m), documents: newDocuments(s.MemoryBytes()),
 	}
 }
