keeper: a process without seeds waits for them

Why it works: without a known keeper an attempt fails like one that isn't answered, and is repeated until settings or another keeper name one.

--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -38,6 +38,9 @@
 // idempotent.
 var ErrNoLeader = errors.New("no leader answered")
 
+// errNoKeepers reports that no keeper is known: the settings name none so far.
+var errNoKeepers = errors.New("no keeper is known")
+
 // Client implements proto.Keeper with calls to the leader.
 type Client struct {
 	config  *tls.Config
@@ -251,6 +254,9 @@
 // Watch long-polls a keeper, which needn't be the leader, for newer state.
 func (c *Client) Watch(ctx context.Context, r proto.WatchRequest) (proto.WatchReply, error) {
 	name := c.watchTarget()
+	if name == "" {
+		return proto.WatchReply{}, fmt.Errorf("watch: %w", errNoKeepers)
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.MaxWait+attemptTimeout)
 	defer cancel()
 	reply, err := link.Call[proto.WatchRequest, proto.WatchReply](ctx, c.client(name), proto.KindWatch, r)
@@ -283,6 +289,9 @@
 	if c.dynamic && c.leader != "" {
 		return c.leader
 	}
+	if len(c.names) == 0 {
+		return ""
+	}
 	return c.names[c.next%len(c.names)]
 }
 
@@ -297,13 +306,16 @@
 
 // callTarget returns the presumed leader, or else the keeper to ask for it: always the same
 // as long as it answers, since each other one costs both ends a connection. If all are
-// marked as unresponsive it returns one of them.
+// marked as unresponsive it returns one of them, and "" if none is known.
 func (c *Client) callTarget() string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if name := c.presumedLeader(); name != "" {
 		return name
 	}
+	if len(c.names) == 0 {
+		return ""
+	}
 	if c.asks >= maxAsks {
 		c.moveOn()
 	}
@@ -450,6 +462,16 @@
 	return code != link.CodeNotLeader && code != link.CodeInternal && code != link.CodeOverloaded && code != link.CodeStopping
 }
 
+// callKeeper makes one attempt of a call at a keeper, nil if none is known.
+func callKeeper[Req, Reply any](ctx context.Context, l *link.Client, kind string, request Req) (reply Reply, err error) {
+	if l == nil {
+		return reply, errNoKeepers
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return link.Call[Req, Reply](ctx, l, kind, request) //nolint:wrapcheck // wrapped by the caller
+}
+
 // callLeader sends an idempotent call to the leader and retries until a leader
 // answers, the error is final or ctx ends.
 func callLeader[Req, Reply any](ctx context.Context, c *Client, kind string, request Req) (reply Reply, err error) {
@@ -464,9 +486,7 @@
 			return reply, fmt.Errorf("ask %s: %w: %w", kind, ErrNoLeader, err)
 		}
 		name := c.callTarget()
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		reply, err := link.Call[Req, Reply](attempt, c.client(name), kind, request)
-		cancel()
+		reply, err := callKeeper[Req, Reply](ctx, c.client(name), kind, request)
 		if err == nil {
 			c.confirmLeader(name)
 			return reply, nil
--- a/core/conn/keeper/keeper_test.go
+++ b/core/conn/keeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -225,3 +226,34 @@
 		t.Errorf("%d calls served and %d given up, want %d each", served.Load(), givenUp.Load(), calls/2)
 	}
 }
+
+// Settings without seeds ended the process with a division by zero.
+func TestClientWithoutSeedsWaitsForThem(t *testing.T) {
+	g := startGroup(t, 3)
+	g.leader.Store(&g.addresses[1])
+	config, err := keys.UnauthenticatedConfig("entry")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, cleanup := keeper.OpenDynamic(nil, config)
+	t.Cleanup(cleanup)
+	short, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	if _, err := c.Heartbeat(short, proto.HeartbeatRequest{}); !errors.Is(err, keeper.ErrNoLeader) {
+		t.Errorf("heartbeat without seeds: %v", err)
+	}
+	if _, err := c.Watch(t.Context(), proto.WatchRequest{}); err == nil {
+		t.Error("watch without seeds")
+	}
+	done := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		_, err := c.Heartbeat(ctx, proto.HeartbeatRequest{})
+		done <- err
+	}()
+	c.SetSeeds(g.addresses[:1])
+	if err := <-done; err != nil {
+		t.Errorf("heartbeat after the settings have changed: %v", err)
+	}
+}
