guide: keepers without a disk ask for the leader each second

Callers saw: nothing; found on reading the fix again. A restarted instance whose seeds have no disk could be named a lost leader for up to 6 s. Cause: such a keeper asked for the group only every four rounds once it knew a leader, and a member's news of another leader was dropped. Why it works: it asks each second, 15 calls a second to the leader of a site with 200 instances, and takes the leader that a member names. Failed before: TestLatestLeaderIsNamed. Result: it passes, the package twice with the race detector.

--- a/core/conn/keeper/keeper.go
+++ b/core/conn/keeper/keeper.go
@@ -161,12 +161,13 @@
 	return slices.Clone(c.seeds)
 }
 
-// Learn takes what a member of the log told of the group.
+// Learn takes what a member of the log told of the group. Its leader may be newer than the one
+// that this client presumes.
 func (c *Client) Learn(g proto.Group) {
 	c.SetKeepers(g.Members)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if _, known := c.clients[g.Leader]; known && c.leader == "" && !c.isUnresponsive(g.Leader) {
+	if _, known := c.clients[g.Leader]; known && !c.isUnresponsive(g.Leader) {
 		c.leader = g.Leader
 	}
 }
--- a/core/conn/keeper/keeper_test.go
+++ b/core/conn/keeper/keeper_test.go
@@ -257,3 +257,27 @@
 		t.Errorf("heartbeat after the settings have changed: %v", err)
 	}
 }
+
+// A keeper without a disk named a lost leader although members had told it of another one.
+func TestLatestLeaderIsNamed(t *testing.T) {
+	config, err := keys.UnauthenticatedConfig("keep")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, cleanup := keeper.OpenDynamic([]string{"127.0.0.1:1"}, config)
+	t.Cleanup(cleanup)
+	members := []string{"127.0.0.1:2", "127.0.0.1:3"}
+	if name := c.Direct(); name != "" {
+		t.Errorf("%s named before a member is known", name)
+	}
+	c.Learn(proto.Group{Members: members})
+	if first, second := c.Direct(), c.Direct(); first == second {
+		t.Errorf("%s named twice, want the members in turn", first)
+	}
+	for _, leader := range members {
+		c.Learn(proto.Group{Members: members, Leader: leader})
+		if name := c.Direct(); name != leader {
+			t.Errorf("%s named, want %s", name, leader)
+		}
+	}
+}
--- a/keepd/guide/guide.go
+++ b/keepd/guide/guide.go
@@ -23,9 +23,6 @@
 	// interval is the mean time between two rounds of a keeper, and timeout bounds its calls.
 	interval = time.Second
 	timeout  = time.Second
-	// calmRounds is the number of rounds after which a keeper that has found the leader asks
-	// again: a thousand of them cost the leader little.
-	calmRounds = 4
 )
 
 // leaderKinds are the calls from other instances that only a member of the log serves.
@@ -57,12 +54,11 @@
 	})
 }
 
-// RunOutsider keeps the client of a keeper that isn't a member up to date until ctx ends.
+// RunOutsider keeps the client of a keeper that isn't a member up to date until ctx ends, also
+// about a leader that is lost.
 func RunOutsider(ctx context.Context, c *keeper.Client) {
-	for round := 0; ctx.Err() == nil; round++ {
-		if c.Direct() == "" || round%calmRounds == 0 {
-			_, _ = ask(ctx, c) // asked again in the next round
-		}
+	for ctx.Err() == nil {
+		_, _ = ask(ctx, c) // asked again in the next round
 		pause(ctx)
 	}
 }
