intake: an unknown memory leaves room for heads

Callers saw: nothing; found on reading the change again. Where neither the settings nor the system tell the memory, each head would get 503. Cause: the part of an unknown memory, 0, was taken as a budget of 0 bytes. Failed before: TestUnknownMemoryLeavesRoom (status 503). Result: it passes, the package twice with the race detector.

--- a/core/conn/intake/intake.go
+++ b/core/conn/intake/intake.go
@@ -29,6 +29,8 @@
 	connBytes = 20 << 10
 	// memoryShare is the part of a process's memory for connections, and again for heads.
 	memoryShare = 8
+	// defaultMemory is assumed if the process doesn't know its memory.
+	defaultMemory = memoryShare * body.DefaultSize
 	// reservedDescriptors aren't for connections of callers, nor is half of the others.
 	reservedDescriptors = 200
 	minConns            = 64
@@ -44,15 +46,18 @@
 // ErrNoRoom reports that a head was refused for lack of memory.
 var ErrNoRoom = errors.New("no memory for the head of a request")
 
-// Limits bound an intake. Zero means no limit.
+// Limits bound an intake.
 type Limits struct {
 	conns int
 	heads int64
 }
 
 // NewLimits returns the limits for a process with so much memory in bytes, and so many
-// descriptors, of which 0 stands for an unknown number.
+// descriptors. Zero stands for an unknown number.
 func NewLimits(memory int64, descriptors int) Limits {
+	if memory <= 0 {
+		memory = defaultMemory
+	}
 	l := Limits{conns: int(memory / memoryShare / connBytes), heads: memory / memoryShare}
 	if descriptors > 0 {
 		l.conns = min(l.conns, (descriptors-reservedDescriptors)/2)
--- a/core/conn/intake/intake_test.go
+++ b/core/conn/intake/intake_test.go
@@ -32,7 +32,12 @@
 
 func start(t *testing.T) *server {
 	t.Helper()
-	s := &server{meter: meter.New(), limits: intake.NewLimits(memory, 0), began: make(chan struct{}, 1), release: make(chan struct{})}
+	return startWith(t, intake.NewLimits(memory, 0))
+}
+
+func startWith(t *testing.T, limits intake.Limits) *server {
+	t.Helper()
+	s := &server{meter: meter.New(), limits: limits, began: make(chan struct{}, 1), release: make(chan struct{})}
 	l, err := boot.Listen(t.Context(), "test", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -186,3 +191,12 @@
 		t.Errorf("status %d of the running request", got)
 	}
 }
+
+// A process that doesn't know its memory refused all heads.
+func TestUnknownMemoryLeavesRoom(t *testing.T) {
+	s := startWith(t, intake.NewLimits(0, 0))
+	c, r := s.dial(t)
+	if got := send(c, r, headOf("/", 1500)); got != http.StatusOK {
+		t.Errorf("status %d", got)
+	}
+}
