keepd: the log of the process is set before its keepers are built

Cause: building a keeper replaced the logger of klog and slog. klog doesn't lock its logger. The test builds three keepers in one process, and a member that was built begins to log at its first election, 130 ms later or more; a machine that is slow to build the next one meets it. A process builds one keeper at a time, after the one before has ended, so the product has no such race by our reading.

Change: openLog sets the log, the constructors are given it.

--- a/keepd/folder.go
+++ b/keepd/folder.go
@@ -11,6 +11,7 @@
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/disk"
 	"verbenahaven.example/core/process/exit"
+	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/platform"
 )
 
@@ -59,21 +60,24 @@
 	}
 }
 
-type buildFunc func(*platform.Settings, metricsSetting) (*platformApp, func(), error)
+type buildFunc func(*platform.Settings, metricsSetting, *meter.Registry, *slog.Logger) (*platformApp, func(), error)
 
-// buildAndRun builds a keeper and runs it. It calls onStart with the keeper's
-// log, which is closed with the keeper.
+// buildAndRun builds a keeper and runs it. It calls onStart with the log, which is closed
+// after the keeper.
 func buildAndRun(ctx context.Context, s *platform.Settings, metrics string, bound *exit.Bound, build buildFunc, onStart func(*slog.Logger)) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	defer bound.Watch(ctx)() // if the disk fails and hangs, a new process may do better
-	k, cleanup, err := build(s, metricsSetting(metrics))
+	m := meter.New()
+	log, closeLog := openLog(m)
+	defer closeLog()
+	k, cleanup, err := build(s, metricsSetting(metrics), m, log)
 	if err != nil {
 		return err
 	}
 	defer cleanup()
 	k.bound = bound
-	onStart(k.log)
+	onStart(log)
 	return k.run(ctx, stop)
 }
 
--- a/keepd/handover_test.go
+++ b/keepd/handover_test.go
@@ -4,13 +4,18 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"verbenahaven.example/core/process/exit"
+	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/platform"
 )
 
@@ -27,7 +32,8 @@
 	return remaining > 0
 }
 
-func startKeepers(t *testing.T) []*keeperOnPlatform {
+// buildKeepers makes the three keepers of a group without running them.
+func buildKeepers(t *testing.T, log *slog.Logger) []*keeperOnPlatform {
 	t.Helper()
 	network, port := rand.IntN(100)+100, rand.IntN(8000)+21000
 	address := func(i, offset int) string { return fmt.Sprintf("127.%d.8.%d:%d", network, i+1, port+offset) }
@@ -51,14 +57,22 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		k, cleanup, err := buildPlatformApp(s, "")
+		k, cleanup, err := buildPlatformApp(s, "", meter.New(), log)
 		if err != nil {
 			t.Fatal(err)
 		}
 		k.bound = exit.NewBound("keepd")
 		list[i] = &keeperOnPlatform{platformApp: k, cleanup: cleanup, done: make(chan struct{})}
 	}
-	for _, k := range list { // once all have set the log of the process
+	return list
+}
+
+func startKeepers(t *testing.T) []*keeperOnPlatform {
+	t.Helper()
+	log, closeLog := openLog(meter.New())
+	t.Cleanup(closeLog)
+	list := buildKeepers(t, log)
+	for _, k := range list {
 		k.start(t)
 	}
 	return list
@@ -113,3 +127,15 @@
 		t.Errorf("the next one leads %v after the signal, operators' calls have %v", took, wait)
 	}
 }
+
+// With the race detector: each keeper replaced the log of the process while others wrote to it.
+func TestKeeperIsBuiltWhileAnotherLogs(t *testing.T) {
+	log, closeLog := openLog(meter.New())
+	defer closeLog()
+	var other sync.WaitGroup
+	other.Go(func() { klog.Info("another keeper logs") })
+	for _, k := range buildKeepers(t, log) {
+		defer k.cleanup()
+	}
+	other.Wait()
+}
--- a/keepd/platform.go
+++ b/keepd/platform.go
@@ -109,7 +109,9 @@
 // metricsSetting is the address for metrics as "PORT/PATH", or empty for none.
 type metricsSetting string
 
-func newLogger(m *meter.Registry) (*slog.Logger, func()) {
+// openLog makes the log of the process, also that of its libraries. No goroutine may log
+// meanwhile, since klog doesn't lock its logger.
+func openLog(m *meter.Registry) (*slog.Logger, func()) {
 	l, cleanup := logger.New(os.Stdout, m)
 	klog.SetSlogLogger(l)
 	slog.SetDefault(l) // for libraries that log through the standard library
--- a/keepd/wire.go
+++ b/keepd/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"github.com/google/wire"
 
@@ -36,10 +37,10 @@
 }
 
 // buildPlatformApp makes a keeper on a platform.
-func buildPlatformApp(s *platform.Settings, m metricsSetting) (*platformApp, func(), error) {
+func buildPlatformApp(s *platform.Settings, a metricsSetting, m *meter.Registry, l *slog.Logger) (*platformApp, func(), error) {
 	wire.Build(
-		meter.New, clock.System, store.New,
-		newLogger, newUnauthenticatedKeys, platformConf, newPlatformNode, newKeeperClient, newPlatformClient, newConnPool, newPlatformApp,
+		clock.System, store.New,
+		newUnauthenticatedKeys, platformConf, newPlatformNode, newKeeperClient, newPlatformClient, newConnPool, newPlatformApp,
 		newLinks, linkServer,
 		wire.Bind(new(node.Log), new(*node.Node)),
 		wire.Bind(new(lead.EngineClient), new(*platform.Client)),
@@ -49,7 +50,7 @@
 }
 
 // buildForwardingApp makes a keeper without a disk.
-func buildForwardingApp(s *platform.Settings, m metricsSetting) (*platformApp, func(), error) {
-	wire.Build(meter.New, newLogger, newUnauthenticatedKeys, newKeeperClient, newLinks, newForwardingApp)
+func buildForwardingApp(s *platform.Settings, a metricsSetting, m *meter.Registry, l *slog.Logger) (*platformApp, func(), error) {
+	wire.Build(newUnauthenticatedKeys, newKeeperClient, newLinks, newForwardingApp)
 	return nil, nil, nil
 }
--- a/keepd/wire_gen.go
+++ b/keepd/wire_gen.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/version/store"
@@ -52,33 +53,28 @@
 }
 
 // buildPlatformApp makes a keeper on a platform.
-func buildPlatformApp(s *platform.Settings, m metricsSetting) (*platformApp, func(), error) {
+func buildPlatformApp(s *platform.Settings, a metricsSetting, m *meter.Registry, l *slog.Logger) (*platformApp, func(), error) {
 	settings := platformConf(s)
 	storeStore := store.New()
-	registry := meter.New()
-	mainLinks, cleanup := newLinks(registry)
+	mainLinks, cleanup := newLinks(m)
 	server := linkServer(mainLinks)
-	logger, cleanup2 := newLogger(registry)
-	config, err := newUnauthenticatedKeys(s, logger)
+	config, err := newUnauthenticatedKeys(s, l)
 	if err != nil {
-		cleanup2()
 		cleanup()
 		return nil, nil, err
 	}
 	clockClock := clock.System()
-	node, cleanup3, err := newPlatformNode(s, settings, storeStore, server, config, clockClock, registry)
+	node, cleanup2, err := newPlatformNode(s, settings, storeStore, server, config, clockClock, m)
 	if err != nil {
-		cleanup2()
 		cleanup()
 		return nil, nil, err
 	}
-	pool, cleanup4 := newConnPool(registry)
+	pool, cleanup3 := newConnPool(m)
 	client := newPlatformClient(s, pool)
-	leader := lead.New(settings, node, storeStore, clockClock, registry, client)
-	keeperClient, cleanup5 := newKeeperClient(s, config)
-	mainPlatformApp := newPlatformApp(s, m, leader, node, mainLinks, keeperClient, client, config, registry, logger)
+	leader := lead.New(settings, node, storeStore, clockClock, m, client)
+	keeperClient, cleanup4 := newKeeperClient(s, config)
+	mainPlatformApp := newPlatformApp(s, a, leader, node, mainLinks, keeperClient, client, config, m, l)
 	return mainPlatformApp, func() {
-		cleanup5()
 		cleanup4()
 		cleanup3()
 		cleanup2()
@@ -87,20 +83,16 @@
 }
 
 // buildForwardingApp makes a keeper without a disk.
-func buildForwardingApp(s *platform.Settings, m metricsSetting) (*platformApp, func(), error) {
-	registry := meter.New()
-	mainLinks, cleanup := newLinks(registry)
-	logger, cleanup2 := newLogger(registry)
-	config, err := newUnauthenticatedKeys(s, logger)
+func buildForwardingApp(s *platform.Settings, a metricsSetting, m *meter.Registry, l *slog.Logger) (*platformApp, func(), error) {
+	mainLinks, cleanup := newLinks(m)
+	config, err := newUnauthenticatedKeys(s, l)
 	if err != nil {
-		cleanup2()
 		cleanup()
 		return nil, nil, err
 	}
-	client, cleanup3 := newKeeperClient(s, config)
-	mainPlatformApp := newForwardingApp(s, m, mainLinks, client, config, registry, logger)
+	client, cleanup2 := newKeeperClient(s, config)
+	mainPlatformApp := newForwardingApp(s, a, mainLinks, client, config, m, l)
 	return mainPlatformApp, func() {
-		cleanup3()
 		cleanup2()
 		cleanup()
 	}, nil
