keepd: the scripts' keeper on a platform has an address of its own

Six runs of the package side by side failed TestScripts/hang in 45 of 72 plays: the keeper on a platform had 127.0.0.1:1 in each, which two processes can't share and a user without privileges can't open. It has the free address that the script's own settings name for links.

--- a/keepd/script_test.go
+++ b/keepd/script_test.go
@@ -62,6 +62,7 @@
 	defer udp.Close()
 	sum := sha256.Sum256([]byte(operatorToken))
 	e.Setenv("HTTP", tcp.Addr().String())
+	e.Setenv("LINK", udp.LocalAddr().String())
 	text := fmt.Sprintf(`name = "keep1"
 centre = "north"
 folder = "data"
@@ -182,16 +183,18 @@
 // writePlatformSettings implements platform FILE: it writes the settings of a platform for
 // a keeper without a disk and a grace of 2 s.
 func writePlatformSettings(ts *testscript.TestScript, _ bool, args []string) {
+	link, err := net.ResolveUDPAddr("udp", ts.Getenv("LINK"))
+	ts.Check(err)
 	text := fmt.Sprintf(`node_name = "m"
-ip = "127.0.0.1"
+ip = %q
 zone = "z"
-internal_ports = [1,2]
-seeds = [%[1]q]
+internal_ports = [%d,%d]
+seeds = [%[4]q]
 [listen]
-control = %[1]q
+control = %[4]q
 [bounds]
 grace_s = 2
-`, ts.Getenv("HTTP"))
+`, link.IP, link.Port, link.Port+1, ts.Getenv("HTTP"))
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
 }
 
