platform: how often a document is held is for keepd to say

platform/ translates; the two copies of a document that is published, as read and as sent to the leader, are keepd's own. Its budget counts one of them and is half as large: the same documents fit.

--- a/keepd/http.go
+++ b/keepd/http.go
@@ -15,8 +15,10 @@
 const (
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10 // of a request of an operator
-	// documentShare is the part of a keeper's memory for documents.
-	documentShare = 3
+	// documentShare is the part of a keeper's memory for documents, and documentCopies how
+	// many times one is held: as it was read, and as it is sent to the leader.
+	documentShare  = 3
+	documentCopies = 2
 )
 
 // newIntake returns the bounds on what the servers of a keeper hold for calls that haven't
@@ -27,7 +29,7 @@
 
 // newDocuments returns the memory for documents of operators, with a limit of 0 if it is unknown.
 func newDocuments(memory int64) *body.Budget {
-	return body.NewBudget(cmp.Or(memory, boot.MachineMemory()) / documentShare)
+	return body.NewBudget(cmp.Or(memory, boot.MachineMemory()) / documentShare / documentCopies)
 }
 
 func newHTTPServer(h http.Handler) *http.Server {
