infer: an answer that has begun leaves a connection that stays silent

Cause: an engine crashed, its calls were resumed at another engine under a pledge, and 40 ms later all open connections to that engine fell silent for good, while new ones worked. A call with a pledge has no successor but the same engine, and a silent engine isn't left without a successor, since it may go on: so the call kept the dead connection. Its deadline doesn't end an answer that has begun.

Change: after ten times retry.silence without an event, an answer that has begun is left in any case. The attempts' rules decide the rest: it goes on over a new connection, at the same engine if there is no other, or its caller gets an error. Engines that pause for less are kept, as before (TestSilentEngineIsKeptWithoutAnotherAttempt).

TestBegunAnswerLeavesConnectionThatStaysSilent failed in all four cases before (no end within 30 s).

--- a/core/conn/pool/pool_test.go
+++ b/core/conn/pool/pool_test.go
@@ -87,7 +87,7 @@
 	defer close(stop)
 	p, cleanup := pool.New()
 	defer cleanup()
-	ctx, _, done := pool.WithStallTimer(t.Context(), 0, 50*time.Millisecond, func() bool { return true })
+	ctx, _, done := pool.WithStallTimer(t.Context(), 0, 50*time.Millisecond, func(time.Duration) bool { return true })
 	defer done()
 	_, err := p.Do(newRequest(ctx, t, s.URL))
 	if !errors.Is(err, pool.ErrStalled) || pool.RetryReason(err) != retry.ReasonStalled {
@@ -99,7 +99,7 @@
 // not lose its request.
 func TestStalledRequestIsKeptUntilCheckAllows(t *testing.T) {
 	began, verdicts := make(chan struct{}), make(chan bool)
-	ctx, timer, done := pool.WithStallTimer(t.Context(), 0, 20*time.Millisecond, func() bool {
+	ctx, timer, done := pool.WithStallTimer(t.Context(), 0, 20*time.Millisecond, func(time.Duration) bool {
 		began <- struct{}{}
 		return <-verdicts
 	})
--- a/core/conn/pool/stall.go
+++ b/core/conn/pool/stall.go
@@ -19,17 +19,18 @@
 // to the mean gap between the events of the stream, up to a fixed maximum. A
 // server that is silent may go on, so the request is only cancelled if the check
 // says that something is gained by it; otherwise the check is repeated after
-// each further timeout.
+// each further timeout. The check is told how long the wait for an event has taken.
 type StallTimer struct {
 	maxTimeout time.Duration
 	meanGap    time.Duration
 	lastEvent  time.Time
-	mayCancel  func() bool
+	mayCancel  func(waited time.Duration) bool
 	cancel     context.CancelCauseFunc
 
 	mutex   sync.Mutex
 	timer   *time.Timer
 	timeout time.Duration // of the current wait
+	since   time.Time     // start of the current wait
 	expiry  time.Time     // zero while no event is awaited
 	waits   uint64        // numbers the waits for an event
 }
@@ -39,13 +40,14 @@
 // reported to, and a clean-up that must be called. The first event may take the
 // longer of firstTimeout and maxTimeout. mayCancel may take its time; it runs
 // beside the request, and an event that arrives meanwhile is progress.
-func WithStallTimer(ctx context.Context, firstTimeout, maxTimeout time.Duration, mayCancel func() bool) (context.Context, *StallTimer, func()) {
+func WithStallTimer(ctx context.Context, firstTimeout, maxTimeout time.Duration, mayCancel func(waited time.Duration) bool) (context.Context, *StallTimer, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	p := &StallTimer{maxTimeout: maxTimeout, mayCancel: mayCancel, cancel: cancel}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.timeout = max(firstTimeout, maxTimeout)
-	p.expiry = time.Now().Add(p.timeout)
+	p.since = time.Now()
+	p.expiry = p.since.Add(p.timeout)
 	p.timer = time.AfterFunc(p.timeout, p.expire)
 	return ctx, p, func() {
 		p.pause()
@@ -76,10 +78,11 @@
 func (p *StallTimer) AwaitEvent() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.since = time.Now()
 	p.restart(StallTimeout(p.meanGap, p.maxTimeout))
 }
 
-// restart starts a wait. The caller holds the mutex.
+// restart sets the time of the next check. The caller holds the mutex.
 func (p *StallTimer) restart(timeout time.Duration) {
 	p.timeout = timeout
 	p.expiry = time.Now().Add(timeout)
@@ -89,12 +92,13 @@
 // expire cancels the request, or waits on if that isn't allowed.
 func (p *StallTimer) expire() {
 	p.mutex.Lock()
-	wait, stalled := p.waits, !p.expiry.IsZero() && !time.Now().Before(p.expiry)
+	wait, waited := p.waits, time.Since(p.since)
+	stalled := !p.expiry.IsZero() && !time.Now().Before(p.expiry)
 	p.mutex.Unlock()
 	if !stalled {
 		return // a timer of an earlier wait
 	}
-	allowed := p.mayCancel()
+	allowed := p.mayCancel(waited)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	switch {
--- a/entryd/infer/attempt.go
+++ b/entryd/infer/attempt.go
@@ -121,7 +121,7 @@
 func (c *completion) prefill(ctx context.Context, reservation *picker.Reservation, request *engine.Request) (engine.PrefillResult, *failure) {
 	server := reservation.Plan.Prefill
 	successor := c.newSuccessor(server)
-	ctx, _, stop := pool.WithStallTimer(ctx, firstTokenFactor*reservation.Plan.TTFT+c.settings.SilenceTimeout, c.settings.SilenceTimeout, successor.atHand)
+	ctx, _, stop := pool.WithStallTimer(ctx, firstTokenFactor*reservation.Plan.TTFT+c.settings.SilenceTimeout, c.settings.SilenceTimeout, successor.mayLeave)
 	defer stop()
 	var prefilled engine.PrefillResult
 	a, failed := c.post(ctx, server, engine.PathPrefill, request)
@@ -145,7 +145,7 @@
 func (c *completion) decode(ctx context.Context, reservation *picker.Reservation, request *engine.Request) *failure {
 	server := reservation.Plan.Decode
 	successor := c.newSuccessor(server)
-	ctx, progress, stop := pool.WithStallTimer(ctx, firstTokenFactor*reservation.Plan.TTFT+c.settings.SilenceTimeout, c.settings.SilenceTimeout, successor.atHand)
+	ctx, progress, stop := pool.WithStallTimer(ctx, firstTokenFactor*reservation.Plan.TTFT+c.settings.SilenceTimeout, c.settings.SilenceTimeout, successor.mayLeave)
 	defer stop()
 	a, failed := c.post(ctx, server, c.call.Path, request)
 	if failed != nil {
--- a/entryd/infer/silent_test.go
+++ b/entryd/infer/silent_test.go
@@ -37,6 +37,7 @@
 	pauseAt   int // token
 	pause     time.Duration
 	deaf      bool         // they answer no probe
+	comments  bool         // they send comments meanwhile
 	pausing   atomic.Int32 // engines that are silent
 	decodes   atomic.Int32 // requests for an answer
 	abandoned atomic.Int32 // answers that were cancelled
@@ -63,6 +64,7 @@
 	e.decodes.Add(1)
 	for i := request.DeliveredTokens; i < 4; i++ {
 		if i == e.pauseAt {
+			e.sendComments(w)
 			e.fallSilent(r.Context(), e.pause)
 		}
 		event := engine.Event{Attempt: request.Attempt, Token: i, Choices: []engine.Choice{{Text: "x"}}}
@@ -76,6 +78,15 @@
 	_, _ = w.Write(stream.AppendEvent(nil, []byte(engine.EndOfStream)))
 }
 
+// sendComments sends comments for as long as the engines fall silent.
+func (e *pausingEngines) sendComments(w http.ResponseWriter) {
+	for end := time.Now().Add(e.pause); e.comments && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if _, err := w.Write([]byte(":\n\n")); err != nil || http.NewResponseController(w).Flush() != nil {
+			return
+		}
+	}
+}
+
 func (e *pausingEngines) fallSilent(ctx context.Context, pause time.Duration) {
 	e.pausing.Add(1)
 	defer e.pausing.Add(-1)
@@ -197,6 +208,50 @@
 	}
 }
 
+// An answer that has begun must not wait without end for a connection that stays silent, even
+// if no other engine could go on with it.
+func TestBegunAnswerLeavesConnectionThatStaysSilent(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		silentDecodes int32 // that never go on
+		noTries       bool
+		comments      bool // bytes arrive that complete no event
+		whole         bool
+	}{
+		{name: "one silent connection", silentDecodes: 1, whole: true},
+		{name: "bytes without an event", silentDecodes: 1, comments: true, whole: true},
+		{name: "all connections silent", silentDecodes: maxAttempts + 1},
+		{name: "no tries left", silentDecodes: 1, noTries: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var decodes atomic.Int32
+			s := startEngines(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				e := &pausingEngines{pauseAt: -1}
+				if r.URL.Path == engine.PathChat && decodes.Add(1) <= c.silentDecodes {
+					e.pauseAt, e.pause, e.comments = 2, time.Minute, c.comments
+				}
+				e.ServeHTTP(w, r)
+			}), state.RoleMixed)
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			sink := &slowSink{tokens: 2}
+			run := s.begin(testCall(), sink)
+			if c.noTries {
+				run.attemptsSinceMove = maxAttempts - 1
+			}
+			err := run.run(ctx)
+			switch {
+			case ctx.Err() != nil:
+				t.Fatalf("%d tokens and no end: %v", sink.tokens-2, err)
+			case c.whole && (err != nil || sink.tokens != 6):
+				t.Fatalf("%d tokens of 4, error %v", sink.tokens-2, err)
+			case !c.whole && err == nil:
+				t.Fatalf("%d tokens and no error", sink.tokens-2)
+			}
+		})
+	}
+}
+
 // Calls of one silent engine hold a retry each while its budget lasts, and give it
 // back if they don't need it.
 func TestHeldRetriesStayWithinBudget(t *testing.T) {
--- a/entryd/infer/successor.go
+++ b/entryd/infer/successor.go
@@ -4,13 +4,18 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"verbenahaven.example/core/request/route"
 	"verbenahaven.example/core/version/state"
 )
 
+// maxSilences is how many silence timeouts an answer that has begun waits for its engine
+// without a successor. A connection may be silent for good while new ones work.
+const maxSilences = 10
+
 // successor reports whether another attempt could go on with a call whose engine
-// is silent. A silent engine may go on, so leaving it without a successor would
+// is silent. A silent engine may go on, so leaving it at once without a successor would
 // end an answer that it would have completed. It runs beside the attempt and
 // has its own copy of what changes during it.
 type successor struct {
@@ -48,9 +53,19 @@
 	s.progress = c.assembly.NextToken()-c.tokensBefore >= minProgressTokens && c.lostEngines+1 < maxLostEngines
 }
 
-// atHand reports whether the call may leave its engine now: a try, a permission
-// and another engine are left for it, and either a retry in the budget or the
-// certainty that it needs none, since its engine is lost.
+// mayLeave reports whether the call may leave its engine after a silence: a successor is at
+// hand, or the answer has begun and has waited for long.
+func (s *successor) mayLeave(silence time.Duration) bool {
+	if s.atHand() {
+		return true
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.begun && silence >= maxSilences*s.completion.settings.SilenceTimeout
+}
+
+// atHand reports whether a try, a permission and another engine are left for the call, and
+// either a retry in the budget or the certainty that it needs none, since its engine is lost.
 func (s *successor) atHand() bool {
 	s.mutex.Lock()
 	request, begun, progress := s.request, s.begun, s.progress
