keepd: a table that is known to be committed is acknowledged without the leader

Cause: the keepers' logs show the table committed after 5.9 s. The operator's calls end after 0.9 s; each repeat was a new command of the log, and the leader with too little processor time was late for each.

Change: a member of the log that has applied the table or one with a higher number acknowledges it at once; what is committed stays committed, so this needs neither the leader nor a lease.

TestPublishedTableIsAcknowledgedAgainWithoutLeader failed before: "no leader answered".

--- a/keepd/handover_test.go
+++ b/keepd/handover_test.go
@@ -16,6 +16,7 @@
 
 	"verbenahaven.example/core/process/exit"
 	"verbenahaven.example/core/process/meter"
+	"verbenahaven.example/core/version/state"
 	"verbenahaven.example/platform"
 )
 
@@ -128,6 +129,36 @@
 	}
 }
 
+// Operators repeat calls whose answers were late. That must not need the leader again, which is
+// late because it has too much to do.
+func TestPublishedTableIsAcknowledgedAgainWithoutLeader(t *testing.T) {
+	list := startKeepers(t)
+	awaitLeader(t, list, nil)
+	publish := func(k *keeperOnPlatform, number uint64) error {
+		ctx, cancel := context.WithTimeout(t.Context(), operatorCallTimeout)
+		defer cancel()
+		tables := &routingTables{k.lead, k.client, k.log}
+		return tables.Publish(ctx, state.RoutingTable{Number: number, Source: []byte("{}")})
+	}
+	for end := time.Now().Add(15 * time.Second); publish(list[0], 3) != nil; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not published")
+		}
+	}
+	for _, known := list[0].lead.Published(3); !known; _, known = list[0].lead.Published(3) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, k := range list[1:] {
+		k.stop()
+		<-k.done
+	}
+	for number, want := range map[uint64]bool{2: true, 3: true, 4: false} {
+		if err := publish(list[0], number); (err == nil) != want {
+			t.Errorf("table %d, without a majority after 3 was published: %v", number, err)
+		}
+	}
+}
+
 // With the race detector: each keeper replaced the log of the process while others wrote to it.
 func TestKeeperIsBuiltWhileAnotherLogs(t *testing.T) {
 	log, closeLog := openLog(meter.New())
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -137,6 +137,9 @@
 // PublishRouting publishes a routing table unless the current one has the same or
 // a higher number, and replies with the number of the table that is then current.
 func (l *Leader) PublishRouting(ctx context.Context, _ string, q proto.PublishRequest) (proto.PublishReply, error) {
+	if n, published := l.Published(q.Routing.Number); published {
+		return proto.PublishReply{Number: n}, nil
+	}
 	current, err := propose[uint64](ctx, l, store.Command{PublishRouting: &q.Routing})
 	if err != nil {
 		return proto.PublishReply{}, err
@@ -145,6 +148,18 @@
 	return proto.PublishReply{Number: current}, nil
 }
 
+// Published reports whether a routing table, or one with a higher number, is committed as far as
+// this member knows, and returns the number of that one. It needs no other member, so that
+// operators who repeat a call whose answer was lost or late add no load to the log.
+func (l *Leader) Published(number uint64) (current uint64, published bool) {
+	l.readState(func(s *state.State, _ *ledger.Ledger) {
+		if r := s.Routing(); r != nil && r.Number >= number {
+			current, published = r.Number, true
+		}
+	})
+	return current, published
+}
+
 // ReadRouting returns the current routing table with a linearizable read,
 // confirmed by a majority.
 func (l *Leader) ReadRouting(ctx context.Context, _ string, _ proto.RoutingRequest) (proto.RoutingReply, error) {
--- a/keepd/platform.go
+++ b/keepd/platform.go
@@ -202,6 +202,7 @@
 
 // routingTables publishes and reads routing tables through the leader.
 type routingTables struct {
+	lead   *lead.Leader // nil without a disk
 	client *keeper.Client
 	log    *slog.Logger
 }
@@ -212,6 +213,12 @@
 		t.log.Warn("routing table refused", "number", r.Number, "err", err)
 		return fmt.Errorf("%w: %w", platform.ErrInvalidTable, err)
 	}
+	if t.lead != nil {
+		if n, published := t.lead.Published(r.Number); published {
+			t.log.Info("routing table", "number", r.Number, "force", n, "known", true)
+			return nil
+		}
+	}
 	reply, err := t.client.Publish(ctx, proto.PublishRequest{Routing: r})
 	var refusal *link.RemoteError
 	if errors.As(err, &refusal) && refusal.Code == link.CodeTooLarge {
@@ -249,7 +256,7 @@
 		return boot.WithExitCode(boot.ExitAddress, fmt.Errorf("serve links: %w", err))
 	}
 	s.links.close = closeLinks
-	operators := newOperatorServer(platform.OperatorHandler(&routingTables{s.client, s.log}, operatorCallTimeout, s.documents), s.intake)
+	operators := newOperatorServer(platform.OperatorHandler(&routingTables{s.lead, s.client, s.log}, operatorCallTimeout, s.documents), s.intake)
 	l, err := boot.Listen(ctx, "platform", s.settings.Listen.Operators)
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
