conn/delta: replies to brokers carry the work at engines that changed

Cause: each heartbeat of a broker brought the work of all others at every engine that has some.

Change: a heartbeat names the revision of the work that its sender has. From 128 engines on the leader keeps what it sent to each of up to 16 instances and replies with what changed since, else with all of it. Revisions contain the term, as those of reports do; a reply that was lost or comes from another leader brings the whole list. Builds that name no revision get whole lists, and a leader that knows none sends them.

--- a/core/conn/proto/proto.go
+++ b/core/conn/proto/proto.go
@@ -141,6 +141,7 @@
 	TimeOfDay       int64             `cbor:"15,keyasint,omitempty"` // of the sender's clock, in Unix milliseconds
 	UsageTerm       uint64            `cbor:"20,keyasint,omitempty"` // term of the leader that knows all of the sender's counts with this heartbeat, 0 if none does
 	Notices         []ServerNotice    `cbor:"21,keyasint,omitempty"` // what servers told the sender since it last sent them
+	WorkRevision    uint64            `cbor:"22,keyasint,omitempty"` // revision of OtherWork that the sender has, 0 for none
 }
 
 // UsageCount is how many requests of a client account began to run in a window, as far
@@ -187,6 +188,9 @@
 	DeferredStreams int `cbor:"7,keyasint,omitempty"`
 }
 
+// WorkEngine returns the engine of a work.
+func WorkEngine(w EngineWork) string { return w.Engine }
+
 // Add adds the work of another EngineWork of the same engine, or subtracts it if
 // sign is -1.
 func (s *EngineWork) Add(other *EngineWork, sign int) {
@@ -204,7 +208,7 @@
 	Lease           time.Duration  `cbor:"2,keyasint"`            // how long the member is considered alive
 	Phase           state.Phase    `cbor:"3,keyasint"`            // phase of this member in the state
 	LeavingApplied  bool           `cbor:"4,keyasint"`            // all live members have applied the phase leaving
-	OtherWork       []EngineWork   `cbor:"5,keyasint,omitempty"`  // work of all other entry instances
+	OtherWork       []EngineWork   `cbor:"5,keyasint,omitempty"`  // work of all other entry instances; with WorkBase only what changed
 	Reports         []Report       `cbor:"6,keyasint,omitempty"`  // engine reports collected by the leader that are newer than the request's ReportsRevision
 	ReportsRevision uint64         `cbor:"10,keyasint,omitempty"` // revision of the reports including these
 	Delta           []byte         `cbor:"8,keyasint,omitempty"`  // packed state.View: delta since the version of the heartbeat
@@ -216,6 +220,9 @@
 	UsageTerm       uint64         `cbor:"20,keyasint,omitempty"` // term of the leader, which has taken the usage; 0 if it takes none yet
 	Notices         []ServerNotice `cbor:"21,keyasint,omitempty"` // the newest that servers told any instance
 	FormerBuilds    []FormerBuild  `cbor:"22,keyasint,omitempty"` // those of the last hour, as of Version
+	WorkBase        uint64         `cbor:"23,keyasint,omitempty"` // the request's WorkRevision, if OtherWork is a change
+	WorkRevision    uint64         `cbor:"24,keyasint,omitempty"` // of OtherWork including this change
+	WorkGone        []string       `cbor:"25,keyasint,omitempty"` // engines without work since then
 }
 
 // PublishRequest publishes a routing table.
--- a/core/request/rank/rank.go
+++ b/core/request/rank/rank.go
@@ -2,6 +2,7 @@
 package rank
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,3 +50,17 @@
 	}
 	return oldest
 }
+
+// Least returns the key of the value with the least rank, the zero key of an empty map. Equal
+// ranks make the choice arbitrary.
+func Least[K comparable, V any, R cmp.Ordered](m map[K]V, rankOf func(V) R) K {
+	var least K
+	var lowest R
+	found := false
+	for key, v := range m {
+		if r := rankOf(v); !found || r < lowest {
+			least, lowest, found = key, r, true
+		}
+	}
+	return least
+}
--- a/entryd/beat/beat.go
+++ b/entryd/beat/beat.go
@@ -59,8 +59,8 @@
 	// Delegates reports whether another instance schedules the generations, so
 	// that this one needs no loads.
 	Delegates() bool
-	// ReportsRevision returns the newest known revision of the reports.
-	ReportsRevision() uint64
+	// Revisions returns the newest known revisions of the reports and of others' work.
+	Revisions() (reports, work uint64)
 	// ApplyReply takes the leader's reply.
 	ApplyReply(now time.Time, r proto.HeartbeatReply)
 	// MarkCurrent records that a reply that was applied held all changes of the state,
@@ -227,7 +227,8 @@
 	r.Version, r.DrainedVersion = b.traffic.Versions()
 	r.InFlight = b.traffic.InFlight()
 	r.Demand, r.Reports = b.traffic.Digest(passed)
-	r.OwnWork, r.ReportsRevision = b.traffic.OwnWork(), b.traffic.ReportsRevision()
+	r.OwnWork = b.traffic.OwnWork()
+	r.ReportsRevision, r.WorkRevision = b.traffic.Revisions()
 	r.Speeds, r.Delegates = b.traffic.Speeds(now), b.traffic.Delegates()
 	r.Limits = b.traffic.Limits(now)
 	r.Notices = b.traffic.Notices(now)
--- a/entryd/picker/report.go
+++ b/entryd/picker/report.go
@@ -119,8 +119,8 @@
 // Speeds returns nothing: engines report their speed themselves.
 func (g *Balancer) Speeds(time.Time) []proto.EngineSpeed { return nil }
 
-// ReportsRevision returns 0: the reports come from this instance's own polls.
-func (g *Balancer) ReportsRevision() uint64 { return 0 }
+// Revisions returns 0: the reports come from this instance's own polls.
+func (g *Balancer) Revisions() (reports, work uint64) { return 0, 0 }
 
 // Limits returns none: the engines of the product's own interface name no limits.
 func (g *Balancer) Limits(time.Time) []proto.ServerLimit { return nil }
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"verbenahaven.example/core/conn/delta"
 	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
@@ -61,6 +62,7 @@
 	pickCount         uint64       // picks of plain servers, for round robin
 	lastReply         time.Time    // last heartbeat reply of the leader
 	confirmed         confirmations
+	otherWork         *delta.Receiver[proto.EngineWork]
 	reportRevision    uint64    // newest known revision of the load reports
 	refetchReports    bool      // reports of then unknown engines may have been dropped
 	speedsSent        time.Time // last call of Speeds that returned them
@@ -86,6 +88,7 @@
 		snapshot:          view.New().Current(),
 		newSnapshot:       make(chan struct{}),
 		local:             sched.New(centre),
+		otherWork:         delta.NewReceiver(proto.WorkEngine),
 		servers:           place.NewServers(centre),
 		origins:           origin.NewTable(),
 		builds:            origin.NewBuilds(),
@@ -252,7 +255,9 @@
 	for i := range reply.Reports {
 		reply.Reports[i].At = now.Add(-reply.Reports[i].Age)
 	}
-	f.local.ApplyReports(now, reply.Reports, reply.OtherWork)
+	f.local.ApplyReports(now, reply.Reports, f.otherWork.Apply(delta.Change[proto.EngineWork]{
+		Base: reply.WorkBase, Revision: reply.WorkRevision, Items: reply.OtherWork, Gone: reply.WorkGone,
+	}))
 	f.limits.Learn(now, reply.Limits)
 	f.learnNotices(now, reply.Notices)
 	f.builds.Learn(now, reply.Version, reply.FormerBuilds)
@@ -275,12 +280,12 @@
 	f.budget.ObserveFleet(f.clock.Elapsed(), member, len(live))
 }
 
-// ReportsRevision returns the newest revision of the load reports that is known
+// Revisions returns the newest revisions of the load reports and of others' work that are known
 // here, or 0 to request all of them.
-func (f *Fleet) ReportsRevision() uint64 {
+func (f *Fleet) Revisions() (reports, work uint64) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.reportRevision
+	return f.reportRevision, f.otherWork.Revision()
 }
 
 // reportAge returns the time since the leader's last reply, which carries the
--- a/keepd/lead/handle.go
+++ b/keepd/lead/handle.go
@@ -104,7 +104,8 @@
 			reply.Interval = max(delegatingInterval, time.Duration(live)*beatSpacing)
 			return
 		}
-		reply.OtherWork = l.roster.LoadsExcept(now, q.Member.Name)
+		c := l.work.Next(q.Member.Name, q.WorkRevision, l.roster.LoadsExcept(now, q.Member.Name))
+		reply.OtherWork, reply.WorkGone, reply.WorkBase, reply.WorkRevision = c.Items, c.Gone, c.Base, c.Revision
 		reply.Reports, reply.ReportsRevision = l.roster.ReportsSince(q.ReportsRevision)
 		reply.Interval = max(minBeatInterval, min(l.roster.PrefillTime()/beatsPerPrefill, maxBeatInterval), time.Duration(l.roster.PlacingCount(now))*beatSpacing)
 	})
--- a/keepd/lead/lead.go
+++ b/keepd/lead/lead.go
@@ -15,7 +15,9 @@
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
+	"verbenahaven.example/core/conn/delta"
 	"verbenahaven.example/core/conn/link"
+	"verbenahaven.example/core/conn/proto"
 	"verbenahaven.example/core/process/clock"
 	"verbenahaven.example/core/process/meter"
 	"verbenahaven.example/core/process/node"
@@ -54,11 +56,12 @@
 	termStart time.Duration
 	roster    *roster.Roster
 	allocator *quota.Allocator
-	limits    *pace.Board          // of backend servers
-	notices   *notice.Board        // the same
-	path      *path                // to the engines, of the term
-	usage     *usage.Collector     // of the term; nil without usage reports
-	heardAt   map[string]time.Time // latest report, by engine
+	work      *delta.Sender[proto.EngineWork] // to placing instances, of the term
+	limits    *pace.Board                     // of backend servers
+	notices   *notice.Board                   // the same
+	path      *path                           // to the engines, of the term
+	usage     *usage.Collector                // of the term; nil without usage reports
+	heardAt   map[string]time.Time            // latest report, by engine
 
 	handedOverAt time.Time // in any term
 
@@ -72,6 +75,16 @@
 	return &Leader{settings: s, log: l, store: st, clock: c, meter: m, engines: e, limits: pace.NewBoard(), notices: notice.NewBoard(), path: newPath(), dutyLimiter: newDutyLimiter(s.Duties.MaxRate)}
 }
 
+const (
+	// minWorkChange is the number of engines with work from which only changes are sent, and
+	// maxWorkReceivers that of instances for which the leader keeps what it sent.
+	minWorkChange    = 128
+	maxWorkReceivers = 16
+	// revisionBits is the number of low bits that count what is sent in a term; the term is in
+	// the bits above.
+	revisionBits = 32
+)
+
 // notLeaderError returns the error that redirects clients to the leader, or to
 // any other member while this one is stopping.
 func (l *Leader) notLeaderError() error {
@@ -112,6 +125,7 @@
 		HolderTimeout: time.Duration(l.settings.Ledger.HolderTimeout),
 		Term:          term,
 	})
+	l.work = delta.NewSender(proto.WorkEngine, minWorkChange, maxWorkReceivers, term<<revisionBits)
 	l.allocator = quota.New(now, time.Duration(l.settings.Member.Lease))
 	l.path = newPath()
 	l.startUsage(now, term)
