reach: the path is judged by servers with something pending or failed

Cause: each call that asks whether the own path is cut went through all known servers, as did the leader for each report that it read: a tenth of the processor time of a leader alone with 3,000 engines, and 5 microseconds for each question at an instance with 50.

Change: the detector keeps the servers that can be evidence, those with something pending or with a failure of the last two seconds, and counts among these. What it decides is unchanged; its properties hold as before.

--- a/core/request/reach/decide.go
+++ b/core/request/reach/decide.go
@@ -56,7 +56,7 @@
 			first = since
 		}
 	}
-	for _, s := range d.servers {
+	for s := range d.active {
 		note(d.refused(now, s), s.refused.first)
 		note(s.broken.counts(now, d.answers), s.broken.first)
 		note(s.unanswered.counts(now, d.answers), s.unanswered.first)
@@ -77,19 +77,23 @@
 	return first
 }
 
-// count returns the number of servers for which a condition holds.
-func (d *Detector) count(holds func(s *server) bool) int {
+// count returns the number of servers for which a condition holds, which implies that they
+// aren't idle.
+func (d *Detector) count(now time.Time, holds func(s *server) bool) int {
 	n := 0
-	for _, s := range d.servers {
-		if holds(s) {
+	for s := range d.active {
+		switch {
+		case holds(s):
 			n++
+		case s.idle(now):
+			delete(d.active, s)
 		}
 	}
 	return n
 }
 
 func (d *Detector) failures(now time.Time) int {
-	return d.count(func(s *server) bool { return d.failed(now, s) })
+	return d.count(now, func(s *server) bool { return d.failed(now, s) })
 }
 
 func (d *Detector) suspicious(now time.Time) bool {
@@ -114,8 +118,8 @@
 	if d.failures(now) < d.required() {
 		return false
 	}
-	confirmed := d.count(func(s *server) bool { return s.probed.counts(now, d.reaches) })
-	refused := d.count(func(s *server) bool { return d.refused(now, s) })
+	confirmed := d.count(now, func(s *server) bool { return s.probed.counts(now, d.reaches) })
+	refused := d.count(now, func(s *server) bool { return d.refused(now, s) })
 	return confirmed >= confirmations || refused == len(d.addresses)
 }
 
@@ -159,7 +163,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decide(now)
-	underWay := d.count(func(s *server) bool { return probing(now, s) })
+	underWay := d.count(now, func(s *server) bool { return probing(now, s) })
 	var s *server
 	switch {
 	case d.cut:
@@ -171,6 +175,7 @@
 		return "", false
 	}
 	s.probingSince, d.lastProbe = now, now
+	d.active[s] = struct{}{}
 	return s.address, true
 }
 
@@ -229,6 +234,7 @@
 	if !ok {
 		s.successes = 0 // other attempts may have begun long before
 		s.probed.record(now, d.reaches)
+		d.active[s] = struct{}{}
 	}
 	d.decide(now)
 }
--- a/core/request/reach/reach.go
+++ b/core/request/reach/reach.go
@@ -10,6 +10,7 @@
 package reach
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,7 +37,8 @@
 type Detector struct {
 	mu        sync.Mutex
 	servers   map[string]*server
-	addresses []string // sorted
+	active    map[*server]struct{} // all with something pending or a failure that may count
+	addresses []string             // sorted
 	// reaches and answers number the periods that end with a successful connection
 	// attempt and with a received byte. Failures of earlier periods are no evidence.
 	reaches, answers uint64
@@ -85,6 +87,16 @@
 	return f.period == period && now.Sub(f.at) < window
 }
 
+// idle reports whether nothing of the server can be evidence.
+func (s *server) idle(now time.Time) bool {
+	for _, f := range []*failure{&s.refused, &s.probed, &s.broken, &s.unanswered} {
+		if now.Sub(f.at) < window {
+			return false
+		}
+	}
+	return s.dialling.count == 0 && s.waiting.count == 0 && !probing(now, s)
+}
+
 // pending counts what has begun and not ended.
 type pending struct {
 	count int
@@ -115,7 +127,7 @@
 
 // New returns a detector that knows no servers.
 func New() *Detector {
-	return &Detector{servers: make(map[string]*server), reaches: 1, answers: 1}
+	return &Detector{servers: make(map[string]*server), active: make(map[*server]struct{}), reaches: 1, answers: 1}
 }
 
 // SetServers sets the addresses, host:port, of all known backend servers. Others
@@ -133,6 +145,7 @@
 		known[a] = s
 	}
 	d.servers = known
+	maps.DeleteFunc(d.active, func(s *server, _ struct{}) bool { return known[s.address] != s })
 }
 
 // Dialling records the begin of a connection attempt. A caller that leaves it out
@@ -142,6 +155,7 @@
 	defer d.mu.Unlock()
 	if s, found := d.servers[address]; found {
 		s.dialling.begin(now)
+		d.active[s] = struct{}{}
 	}
 }
 
@@ -163,6 +177,7 @@
 	s.down = !ok
 	if !ok {
 		s.refused.record(now, d.reaches)
+		d.active[s] = struct{}{}
 		return
 	}
 	s.reachedAt = now
@@ -178,6 +193,7 @@
 	defer d.mu.Unlock()
 	if s, found := d.servers[address]; found {
 		s.waiting.begin(now)
+		d.active[s] = struct{}{}
 	}
 }
 
@@ -210,6 +226,7 @@
 	if lost {
 		s.broken.record(now, d.answers)
 	}
+	d.active[s] = struct{}{}
 	if lost || unanswered {
 		d.decide(now)
 	}
@@ -234,7 +251,7 @@
 	if d.cut {
 		return true
 	}
-	n := d.count(func(s *server) bool { return s.broken.counts(now, d.answers) || d.unanswered(now, s) })
+	n := d.count(now, func(s *server) bool { return s.broken.counts(now, d.answers) || d.unanswered(now, s) })
 	return d.suspicious(now) && n >= minFailures
 }
 
