lead: the platform's list is compared with the state by name

Cause: for each listed engine the leader looked through the engines of the state, twice a second, to see whether the list changed: a fifth of the processor time of a leader alone with 3,000 engines.

Change: names are looked up in maps.

--- a/keepd/lead/discovery.go
+++ b/keepd/lead/discovery.go
@@ -194,12 +194,19 @@
 	if len(f.Engines) != len(v.Engines) || len(f.Servers) != len(v.Servers) {
 		return true
 	}
+	engines := make(map[string]state.Engine, len(v.Engines))
+	for _, e := range v.Engines {
+		engines[e.Name] = e
+	}
+	servers := make(map[string]state.Server, len(v.Servers))
+	for _, s := range v.Servers {
+		servers[s.Name] = s
+	}
 	for _, e := range f.Engines {
-		i := slices.IndexFunc(v.Engines, func(o state.Engine) bool { return o.Name == e.Name })
-		if i < 0 {
+		old, found := engines[e.Name]
+		if !found {
 			return true
 		}
-		old := v.Engines[i]
 		if old.Phase == state.PhaseChanging {
 			e.Phase, e.Role = old.Phase, old.Role
 		}
@@ -209,12 +216,12 @@
 		}
 	}
 	for _, s := range f.Servers {
-		i := slices.IndexFunc(v.Servers, func(o state.Server) bool { return o.Name == s.Name })
-		if i < 0 {
+		old, found := servers[s.Name]
+		if !found {
 			return true
 		}
-		s.Version = v.Servers[i].Version
-		if s != v.Servers[i] {
+		s.Version = old.Version
+		if s != old {
 			return true
 		}
 	}
