strict: an answer whose connection is reset under the upload is broken off

Callers got part of an answer as a complete one: an engine had answered a long upload at once, without length or chunks, and reset the connection while the request was still being written. The same happened to event streams after a whole event and to the engine's own failures.

Cause: the kernel reports the loss of a connection once, to whichever call asks first. If that is the concurrent write of the request, the read gets the end of the data, which is what ends a body without length or chunks. Both clients read while they write: core/conn/httpc, and net/http behind core/conn/pool and core/conn/guard.

Change: connections of all three clients are a strict.Conn. At the end of the data it waits for a write in progress and returns the write's error in place of io.EOF, unless the peer had finished sending: the socket is in CLOSE_WAIT, or the write failed with EPIPE, which Linux gives for a reset after that. So a server that answers early and only shuts down its sending side has still sent all of its answer, whether it reads on, reads nothing or closes. A write that never ends is ended by the close of its connection, as a call's context does.

--- a/core/conn/guard/guard.go
+++ b/core/conn/guard/guard.go
@@ -21,6 +21,7 @@
 	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/brief"
 	"verbenahaven.example/core/conn/pool"
+	"verbenahaven.example/core/conn/strict"
 )
 
 // ErrLeaseTooShort reports that too little of the lease remained to write.
@@ -141,7 +142,7 @@
 	}
 	g := &conn{TCPConn: tcp, writer: w, state: state}
 	g.timer = time.AfterFunc(lifetime, func() { _ = tcp.Close() })
-	return g, nil
+	return strict.NewConn(g), nil
 }
 
 // conn checks the lease immediately before each write.
--- a/core/conn/httpc/conn.go
+++ b/core/conn/httpc/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"verbenahaven.example/core/conn/strict"
 )
 
 // bufferSize is the size of a connection's read buffer in bytes. It fits the header
@@ -21,7 +23,8 @@
 	pool        *Pool
 	address     string
 	tcp         *net.TCPConn
-	source      *source       // of tcp
+	checked     *strict.Conn  // tcp, for reads and writes
+	source      *source       // of checked
 	reader      *bufio.Reader // of source
 	idleTimeout time.Duration // maximum time in the pool
 	idleUntil   time.Time     // deadline for reuse from the pool
@@ -31,7 +34,8 @@
 }
 
 func newConn(p *Pool, address string, tcp *net.TCPConn) *conn {
-	c := &conn{pool: p, address: address, tcp: tcp, source: &source{Reader: tcp}, idleTimeout: defaultIdleTimeout}
+	checked := strict.NewConn(tcp)
+	c := &conn{pool: p, address: address, tcp: tcp, checked: checked, source: &source{Reader: checked}, idleTimeout: defaultIdleTimeout}
 	c.reader = bufio.NewReaderSize(c.source, bufferSize)
 	if err := c.withSocket(func(fd int) error {
 		return unix.SetsockoptInt(fd, syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -203,7 +203,7 @@
 func (e *exchange) writeRequest(encoded []byte) {
 	defer close(e.written)
 	e.sent.Store(true) // a failed write may have sent some bytes
-	if _, err := e.conn.tcp.Write(encoded); err != nil {
+	if _, err := e.conn.checked.Write(encoded); err != nil {
 		e.writeErr = fmt.Errorf("write request: %w", err)
 	}
 }
--- a/core/conn/pool/pool.go
+++ b/core/conn/pool/pool.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"verbenahaven.example/core/conn/brief"
+	"verbenahaven.example/core/conn/strict"
 	"verbenahaven.example/core/request/retry"
 )
 
@@ -74,7 +75,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("dial: %w", err)
 			}
-			return &conn{Conn: c}, nil
+			return &conn{Conn: strict.NewConn(c)}, nil
 		},
 		DisableCompression:     true,
 		MaxIdleConns:           maxIdleConns,
@@ -117,7 +118,7 @@
 
 // conn records whether any byte was handed to the kernel for sending.
 type conn struct {
-	net.Conn
+	*strict.Conn
 	written   atomic.Bool
 	forbidden error // why the current request isn't sent, nil if it may be
 }
--- /dev/null
+++ b/core/conn/strict/conn.go
@@ -0,0 +1,82 @@
+// Package strict reads the answers of servers from connections more strictly than net/http
+// does.
+package strict
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// closeWait is the state of a TCP socket whose peer has finished sending and isn't lost.
+const closeWait = 8
+
+// Conn is a client's connection to a server. One goroutine may read and another write at a
+// time.
+type Conn struct {
+	net.Conn
+	writing  sync.Mutex // held during a write
+	writeErr error      // of the first failed write
+}
+
+// NewConn returns a Conn that reads from and writes to c.
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err //nolint:wrapcheck // net/http compares connection errors by value
+}
+
+// Read implements net.Conn. It returns io.EOF only after the peer has finished sending, and
+// the error of the write if the connection was lost during one.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.lossOr(err)
+	}
+	return n, err //nolint:wrapcheck // io.EOF must be returned as it is
+}
+
+// lossOr returns the error with which the connection was lost, or else err. The kernel reports
+// a loss once: if a write got the error, a concurrent read gets the end of the data. EPIPE
+// means that the peer had finished sending before that.
+func (c *Conn) lossOr(err error) error {
+	if c.peerFinished() {
+		return err
+	}
+	c.writing.Lock() // a write that got the error may not have returned yet
+	defer c.writing.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) {
+		return err
+	}
+	return c.writeErr
+}
+
+// peerFinished reports whether the peer is known to have finished sending, without a loss of
+// the connection since then. It doesn't wait for a write that the peer doesn't read.
+func (c *Conn) peerFinished() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	finished := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		finished = err == nil && info.State == closeWait
+	})
+	return err == nil && finished
+}
