strict: an answer whose status HTTP doesn't have fails the attempt

Callers got what follows a head with the status 000 on the same connection as a complete 200, and a status of 600 or more as the answer.

Cause: net/http takes any three digits for a status, also with a sign. On the platform's path core/conn/httpc went on to the next head after any status below 200, a 101 that no request asks for included; 600 to 999 were passed on by both clients. On the own interface 000 and 101 failed the attempt already (the tests stay), while an order was taken as accepted from an answer with 000, and the text of a failure quoted what came with it.

Change: a strict.Conn follows the bytes of the heads of an answer, interim ones too, and ends the read at a status that is none of 100, 102 to 199 and 200 to 599; what comes behind is never parsed. httpc, pool, guard, the list of service discovery, the probes of engines and the operators' client read through it. It replaces the check of pool for 101 and statuses below 100. Over TLS nothing is checked: no client of servers uses it today but the list and the operators'.

--- a/core/conn/guard/guard.go
+++ b/core/conn/guard/guard.go
@@ -86,14 +86,14 @@
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	var state writeState
-	transport := &http.Transport{
+	transport := strict.NewTransport(&http.Transport{
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: pool.MaxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			// The transport's dial context doesn't carry the deadline.
 			return w.dial(ctx, network, address, time.Until(deadline), &state)
 		},
-	}
+	})
 	defer transport.CloseIdleConnections()
 	status, respBody, err = roundTrip(transport, r.WithContext(ctx))
 	if state.rejected.Load() {
@@ -109,7 +109,7 @@
 }
 
 // roundTrip sends r and returns the status and body of the response.
-func roundTrip(transport *http.Transport, r *http.Request) (int, []byte, error) {
+func roundTrip(transport *strict.Transport, r *http.Request) (int, []byte, error) {
 	resp, err := transport.RoundTrip(r)
 	if err != nil {
 		return 0, nil, fmt.Errorf("send order: %w", brief.Error(err))
@@ -142,7 +142,7 @@
 	}
 	g := &conn{TCPConn: tcp, writer: w, state: state}
 	g.timer = time.AfterFunc(lifetime, func() { _ = tcp.Close() })
-	return strict.NewConn(g), nil
+	return g, nil
 }
 
 // conn checks the lease immediately before each write.
--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -14,6 +14,7 @@
 
 	"verbenahaven.example/core/conn/brief"
 	"verbenahaven.example/core/conn/stream"
+	"verbenahaven.example/core/conn/strict"
 )
 
 const (
@@ -241,6 +242,11 @@
 }
 
 func (e *exchange) readResponse(method string) (*http.Response, error) {
+	buffered, _ := e.conn.reader.Peek(e.conn.reader.Buffered())
+	if err := e.conn.checked.BeginAnswer(buffered); err != nil {
+		e.countHeadError(err)
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
 	e.conn.source.beginHead()
 	defer e.conn.source.endHead()
 	for {
@@ -252,9 +258,8 @@
 			err = ErrHeadTooLarge
 		}
 		if err != nil {
-			if errors.Is(err, ErrHeadTooLarge) {
-				e.conn.pool.counter.Count("conn", "head_too_large")
-			}
+			err = e.conn.checked.Cause(err)
+			e.countHeadError(err)
 			return nil, fmt.Errorf("read answer: %w", brief.Error(err))
 		}
 		if resp.StatusCode >= http.StatusOK {
@@ -263,6 +268,16 @@
 	}
 }
 
+// countHeadError counts a head that was refused.
+func (e *exchange) countHeadError(err error) {
+	switch {
+	case errors.Is(err, ErrHeadTooLarge):
+		e.conn.pool.counter.Count("conn", "head_too_large")
+	case errors.Is(err, strict.ErrStatus):
+		e.conn.pool.counter.Count("conn", "malformed_head")
+	}
+}
+
 // Framing is what marks the end of a response body.
 type Framing string
 
--- a/core/conn/list/fetch.go
+++ b/core/conn/list/fetch.go
@@ -10,6 +10,7 @@
 	"verbenahaven.example/core/conn/body"
 	"verbenahaven.example/core/conn/items"
 	"verbenahaven.example/core/conn/pool"
+	"verbenahaven.example/core/conn/strict"
 )
 
 // maxListBytes limits the size of the platform's response.
@@ -22,7 +23,7 @@
 func NewClient() *http.Client {
 	t := http.DefaultTransport.(*http.Transport).Clone() //nolint:forcetypeassert // unless a program replaces it
 	t.MaxResponseHeaderBytes = pool.MaxHeadBytes
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: strict.NewTransport(t)}
 }
 
 // Fetch returns the platform's list at a URL.
--- a/core/conn/pool/name.go
+++ b/core/conn/pool/name.go
@@ -38,10 +38,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkFinal(resp); err != nil {
-		p.Discard(r.URL.Host)
-		return nil, err
-	}
 	if resp.Header.Get(engine.HeaderExchange) != name {
 		p.setNames(r.URL.Host, false)
 		_ = resp.Body.Close()
@@ -68,7 +64,7 @@
 	if err != nil {
 		c := gotConn.Load()
 		unused = c != nil && c.forbidden == nil && !c.written.Load() && r.Context().Err() == nil
-		return nil, unused && rewind(r), fmt.Errorf("ask %s: %w", r.URL.Host, withCause(r.Context(), brief.Error(err)))
+		return nil, unused && rewind(r), fmt.Errorf("ask %s: %w", r.URL.Host, withCause(r.Context(), brief.Error(c.cause(err))))
 	}
 	return resp, false, nil
 }
--- a/core/conn/pool/pool.go
+++ b/core/conn/pool/pool.go
@@ -43,9 +43,6 @@
 // progress within its stall timeout.
 var ErrStalled = errors.New("no progress")
 
-// ErrNotFinal reports that a connection brought no final response.
-var ErrNotFinal = errors.New("the response isn't final")
-
 // Pool holds one connection pool for each backend server, and a transport that
 // opens a new connection for every request.
 type Pool struct {
@@ -131,10 +128,19 @@
 	return func() error { return nil }
 }
 
+// cause returns why an exchange failed. c is nil if there was no connection.
+func (c *conn) cause(err error) error {
+	if c == nil {
+		return err
+	}
+	return c.Cause(err) //nolint:wrapcheck // the caller adds the address
+}
+
 // begin prepares the connection for a request.
 func (c *conn) begin(check func() error) {
 	c.written.Store(false) // by an earlier request
 	c.forbidden = check()
+	_ = c.BeginAnswer(nil) // fails for buffered bytes only
 }
 
 // Write implements net.Conn. It sets written before the attempt because a
@@ -185,24 +191,11 @@
 	c := gotConn.Load()
 	written = c != nil && c.written.Load()
 	if err != nil {
-		return nil, written, fmt.Errorf("ask %s: %w", r.URL.Host, withCause(r.Context(), brief.Error(err)))
-	}
-	if err := checkFinal(resp); err != nil {
-		return nil, written, err
+		return nil, written, fmt.Errorf("ask %s: %w", r.URL.Host, withCause(r.Context(), brief.Error(c.cause(err))))
 	}
 	return resp, written, nil
 }
 
-// checkFinal closes a response that isn't the final one of its request: the transport
-// returns a 101, for which no request asks, and any status below 100.
-func checkFinal(resp *http.Response) error {
-	if resp.StatusCode >= http.StatusOK {
-		return nil
-	}
-	_ = resp.Body.Close()
-	return fmt.Errorf("ask %s: %w: %s", resp.Request.URL.Host, ErrNotFinal, resp.Status)
-}
-
 // Discard drops the connection pool of a backend server after one of its
 // connections stalled: the same network fault may have broken the others.
 // Requests in flight detect this by their own timeouts.
--- a/core/conn/strict/conn.go
+++ b/core/conn/strict/conn.go
@@ -21,6 +21,10 @@
 	net.Conn
 	writing  sync.Mutex // held during a write
 	writeErr error      // of the first failed write
+
+	mutex   sync.Mutex // guards the fields below
+	head    head
+	headErr error // why nothing more is read
 }
 
 // NewConn returns a Conn that reads from and writes to c.
@@ -37,13 +41,51 @@
 	return n, err //nolint:wrapcheck // net/http compares connection errors by value
 }
 
+// BeginAnswer makes the connection check the heads of the next answer. buffered is what the
+// caller has read and not parsed yet.
+func (c *Conn) BeginAnswer(buffered []byte) error {
+	c.mutex.Lock()
+	c.head = head{place: inVersion}
+	c.mutex.Unlock()
+	_, err := c.check(buffered)
+	return err
+}
+
+// Cause returns why an answer couldn't be read: the fault of its head, for which a parser may
+// return an error of its own, or else err.
+func (c *Conn) Cause(err error) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.headErr != nil {
+		return c.headErr
+	}
+	return err
+}
+
+// check returns how many of the bytes that follow may be parsed. The ones that are refused may
+// be parsed up to the first invalid byte, which shows that the server answered.
+func (c *Conn) check(b []byte) (int, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.headErr != nil {
+		return 0, c.headErr
+	}
+	n, err := c.head.advance(b)
+	c.headErr = err
+	return n, err
+}
+
 // Read implements net.Conn. It returns io.EOF only after the peer has finished sending, and
-// the error of the write if the connection was lost during one.
+// the error of the write if the connection was lost during one. From an invalid status
+// on it returns ErrStatus.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = c.lossOr(err)
 	}
+	if n, headErr := c.check(p[:n]); headErr != nil {
+		return n, headErr
+	}
 	return n, err //nolint:wrapcheck // io.EOF must be returned as it is
 }
 
--- a/entryd/relay/peer_test.go
+++ b/entryd/relay/peer_test.go
@@ -140,6 +140,22 @@
 	})
 }
 
+// Callers got what another instance seemed to have answered behind a head that isn't HTTP.
+func TestForwardedAnswerWithMalformedHeadReachesNoCaller(t *testing.T) {
+	const sound = "Request-Id: 7\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+	for _, answer := range []string{
+		"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n" + sound, "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK\r\n" + sound,
+	} {
+		i := newPeers(t, httptest.NewServer(nil), 1, 0)[0]
+		stub := stubPeer(t, func(c net.Conn, _ *http.Request) { endAfter(c, answer, "close") })
+		i.setState(t, 2, []string{closedAddress(t)}, []string{"", stub})
+		a := send(t, newCallTo(t, i, "7", "/safe/", ""))
+		if body, err := io.ReadAll(a.Body); err != nil || a.StatusCode != http.StatusBadGateway || !strings.Contains(string(body), reasonPeerLost) {
+			t.Errorf("%q: %d %q, %v", answer, a.StatusCode, body, err)
+		}
+	}
+}
+
 func TestCallerThatLeavesEndsForwardedCall(t *testing.T) {
 	begun, ended := make(chan struct{}), make(chan struct{})
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/haven/client/client.go
+++ b/haven/client/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"verbenahaven.example/core/conn/proto"
+	"verbenahaven.example/core/conn/strict"
 )
 
 // Errors of a text for which no instance returned a result.
@@ -81,10 +82,10 @@
 // New returns a client for the URLs of instances and a function that closes its
 // idle connections.
 func New(urls []string, token string) (*Client, func()) {
-	transport := &http.Transport{
+	transport := strict.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: attemptTimeout}).DialContext,
 		TLSHandshakeTimeout: attemptTimeout,
-	}
+	})
 	c := &Client{token: token, http: &http.Client{Transport: transport}}
 	for _, u := range urls {
 		c.urls = append(c.urls, strings.TrimSuffix(u, "/"))
--- a/keepd/lead/engines.go
+++ b/keepd/lead/engines.go
@@ -10,6 +10,7 @@
 	"verbenahaven.example/core/conn/engine"
 	"verbenahaven.example/core/conn/guard"
 	"verbenahaven.example/core/conn/pool"
+	"verbenahaven.example/core/conn/strict"
 	"verbenahaven.example/core/version/state"
 )
 
@@ -45,7 +46,7 @@
 	if err != nil {
 		return status, fmt.Errorf("create probe request: %w", err)
 	}
-	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: pool.MaxHeadBytes}
+	transport := strict.NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: pool.MaxHeadBytes})
 	defer transport.CloseIdleConnections()
 	response, err := transport.RoundTrip(r)
 	if err != nil {
--- a/trial/proof/broken_test.go
+++ b/trial/proof/broken_test.go
@@ -123,6 +123,11 @@
 	return a.StatusCode, string(b), err
 }
 
+const (
+	eventStream = "Content-Type: text/event-stream\r\n\r\nEVENTS"
+	soundLength = "Content-Length: 5\r\n\r\n" + brokenMark
+)
+
 // Callers got part of an answer as whole if its connection was reset while the request was
 // still being written.
 func TestAnswersResetDuringUploadDoNotLookWhole(t *testing.T) {
@@ -132,3 +137,13 @@
 		{name: "failure", early: true, answer: "HTTP/1.1 500 X\r\n\r\n" + brokenMark},
 	})
 }
+
+// Callers got answers whose status HTTP doesn't have, or what followed such a head.
+func TestAnswersWithoutValidStatusReachNoCaller(t *testing.T) {
+	testBrokenServers(t, []*brokenServer{
+		{name: "000", answer: "HTTP/1.1 000 X\r\n" + soundLength},
+		{name: "000 before an answer", answer: "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n" + eventStream},
+		{name: "600", answer: "HTTP/1.1 600 X\r\n" + soundLength},
+		{name: "600 with events", answer: "HTTP/1.1 600 X\r\n" + eventStream},
+	})
+}
