strict: an answer with a malformed name in its head fails the attempt

Callers got answers in whose head the name of a field held a blank. `X Odd: 2` had no effect; with `Content-Length : 2` they got all that followed as the body, with `Transfer-Encoding : chunked` the chunks' frame as part of it, and with a blank before `Content-Length` the same as without it. Lists, reports, probes of engines, accepted orders, delivered usage, operators' replies and the answers of other instances were taken from such heads too, and interim heads weren't looked at.

Cause: net/textproto accepts a blank in a name, on purpose, and leaves such a name as it is, so that the field that ends the body isn't found under its name. A line that begins with a blank continues the value before it. A tab elsewhere, or another control byte, failed the attempt already; the tests stay.

Change: strict.Conn also ends the read at a name that is no token, in any head of an answer. A line that begins with a blank and reads like a field is refused, as RFC 9112 (5.2) lets a gateway do with any such line; other continuations are still taken, which testdata/cut of httpc has.

--- a/core/conn/httpc/exchange.go
+++ b/core/conn/httpc/exchange.go
@@ -273,7 +273,7 @@
 	switch {
 	case errors.Is(err, ErrHeadTooLarge):
 		e.conn.pool.counter.Count("conn", "head_too_large")
-	case errors.Is(err, strict.ErrStatus):
+	case errors.Is(err, strict.ErrStatus), errors.Is(err, strict.ErrField):
 		e.conn.pool.counter.Count("conn", "malformed_head")
 	}
 }
--- a/core/conn/list/fetch_test.go
+++ b/core/conn/list/fetch_test.go
@@ -15,6 +15,7 @@
 
 	"verbenahaven.example/core/conn/list"
 	"verbenahaven.example/core/conn/pool"
+	"verbenahaven.example/core/conn/strict"
 )
 
 // An error response of the platform must not be read as an empty list.
@@ -54,6 +55,33 @@
 	}
 }
 
+// Lists were taken from answers whose heads aren't HTTP.
+func TestFetchRejectsMalformedHead(t *testing.T) {
+	text := ""
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(c, text+"\r\n\r\n[]")
+		_ = c.Close()
+	}))
+	defer s.Close()
+	c := list.NewClient()
+	defer c.CloseIdleConnections()
+	for _, text = range []string{
+		"HTTP/1.1 103 X\r\nX Odd: 2\r\n\r\nHTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nX Odd: 2", "HTTP/1.1 200 OK\r\nContent-Length : 2", "HTTP/1.1 200 OK\r\nA: b\r\n Odd: 2",
+	} {
+		if l, err := list.Fetch(t.Context(), c, s.URL); !errors.Is(err, strict.ErrField) {
+			t.Errorf("%q: list %v, error %v", text, l, err)
+		}
+	}
+	text = "HTTP/1.1 103 X\r\nOdd: 2\r\n\r\nHTTP/1.1 200 OK"
+	if _, err := list.Fetch(t.Context(), c, s.URL); err != nil {
+		t.Errorf("after an interim head: %v", err)
+	}
+}
+
 // A copy of an older list that arrives late on a connection must not be taken for the
 // next one.
 func TestFetchUsesNoConnectionTwice(t *testing.T) {
--- a/core/conn/strict/conn.go
+++ b/core/conn/strict/conn.go
@@ -76,8 +76,8 @@
 }
 
 // Read implements net.Conn. It returns io.EOF only after the peer has finished sending, and
-// the error of the write if the connection was lost during one. From an invalid status
-// on it returns ErrStatus.
+// the error of the write if the connection was lost during one. From the first invalid byte
+// of a head on it returns ErrStatus or ErrField.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
--- a/core/conn/strict/head.go
+++ b/core/conn/strict/head.go
@@ -1,11 +1,20 @@
 package strict
 
-import "errors"
+import (
+	"errors"
+
+	"golang.org/x/net/http/httpguts"
+)
 
 // ErrStatus reports a status that HTTP doesn't have, or that of a protocol switch, which no
 // request asks for.
 var ErrStatus = errors.New("the status of the answer is invalid")
 
+// ErrField reports a line of a head that is no field with a valid name. A line that begins
+// with a blank continues the one before, unless it reads like a field: its name may have been
+// damaged, and a gateway may refuse any such line.
+var ErrField = errors.New("the head of the answer has a malformed field")
+
 // place is a place in an answer.
 type place int
 
@@ -14,13 +23,16 @@
 	inVersion
 	beforeStatus
 	inStatus
-	inLine      // after the status, or in a field
+	inReason
 	atLine      // at the start of a line
 	afterReturn // after a carriage return at the start of a line
+	inName
+	inContinuation // as long as it reads like a field
+	inValue
 )
 
-// head follows the bytes of an answer's interim heads and of its final one. net/http takes
-// any three digits for a status.
+// head follows the bytes of an answer's interim heads and of its final one. net/http skips
+// any status below 100, drops some fields whose names are malformed, and passes on others.
 type head struct {
 	place  place
 	digits int // of the status so far
@@ -44,14 +56,14 @@
 	switch h.place {
 	case inVersion, beforeStatus, inStatus:
 		return h.stepStatus(c)
-	case inLine:
+	case inReason, inValue:
 		if c == '\n' {
 			h.place = atLine
 		}
+		return nil
 	default:
-		h.stepLine(c)
+		return h.stepField(c)
 	}
-	return nil
 }
 
 // stepStatus moves over a byte of a status line up to the reason.
@@ -77,7 +89,7 @@
 	case h.digits != 3 || !h.validStatus():
 		return ErrStatus
 	}
-	h.place = inLine
+	h.place = inReason
 	return h.step(c)
 }
 
@@ -86,16 +98,38 @@
 	return h.status >= 100 && h.status < 600 && h.status != switchingProtocols
 }
 
-// stepLine moves over a byte at the start of a line.
-func (h *head) stepLine(c byte) {
+// stepField moves over a byte of a field up to its value, or of the empty line.
+func (h *head) stepField(c byte) error {
+	isBlank, isToken := c == ' ' || c == '\t', httpguts.IsTokenRune(rune(c))
 	switch {
-	case c == '\n':
+	case h.place == inContinuation:
+		return h.stepContinuation(c, isBlank || isToken)
+	case c == '\n' && h.place != inName:
 		h.end()
 	case c == '\r' && h.place == atLine:
 		h.place = afterReturn
+	case c == ':' && h.place == inName:
+		h.place = inValue
+	case isBlank && h.place == atLine:
+		h.place = inContinuation
+	case isToken && h.place != afterReturn:
+		h.place = inName
 	default:
-		h.place = inLine
+		return ErrField
 	}
+	return nil
+}
+
+func (h *head) stepContinuation(c byte, inName bool) error {
+	switch {
+	case c == ':':
+		return ErrField
+	case c == '\n':
+		h.place = atLine
+	case !inName:
+		h.place = inValue
+	}
+	return nil
 }
 
 // end moves over the end of a head. An interim one is followed by another.
--- a/core/conn/strict/head_test.go
+++ b/core/conn/strict/head_test.go
@@ -48,6 +48,8 @@
 		switch {
 		case errors.Is(err, strict.ErrStatus):
 			return "invalid status"
+		case errors.Is(err, strict.ErrField):
+			return "malformed field"
 		case err != nil:
 			return "other error"
 		case a.StatusCode >= http.StatusOK:
@@ -121,4 +123,8 @@
 	if b, err := get(plain); !errors.Is(err, strict.ErrStatus) {
 		t.Errorf("%q, %v", b, err)
 	}
+	answer = "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nok"
+	if b, err := get(plain); !errors.Is(err, strict.ErrField) {
+		t.Errorf("%q, %v", b, err)
+	}
 }
--- a/entryd/relay/peer_test.go
+++ b/entryd/relay/peer_test.go
@@ -144,7 +144,7 @@
 func TestForwardedAnswerWithMalformedHeadReachesNoCaller(t *testing.T) {
 	const sound = "Request-Id: 7\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nok"
 	for _, answer := range []string{
-		"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n" + sound, "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK\r\n" + sound,
+		"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n" + sound, "HTTP/1.1 200 OK\r\nX Odd: 2\r\n" + sound, "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n" + sound,
 	} {
 		i := newPeers(t, httptest.NewServer(nil), 1, 0)[0]
 		stub := stubPeer(t, func(c net.Conn, _ *http.Request) { endAfter(c, answer, "close") })
--- a/haven/client/client_test.go
+++ b/haven/client/client_test.go
@@ -26,7 +26,7 @@
 	c, cleanup := client.New([]string{s.URL}, "")
 	defer cleanup()
 	for text, want := range map[string]error{
-		"HTTP/1.1 200 OK": nil, "HTTP/1.1 000 X": strict.ErrStatus,
+		"HTTP/1.1 200 OK": nil, "HTTP/1.1 200 OK\r\nX Odd: 2": strict.ErrField, "HTTP/1.1 000 X": strict.ErrStatus,
 	} {
 		var reply struct{}
 		head = text
--- a/keepd/lead/heads_test.go
+++ b/keepd/lead/heads_test.go
@@ -40,7 +40,8 @@
 		},
 	} {
 		for text, want := range map[string]error{
-			"HTTP/1.1 200 OK": nil, "HTTP/1.1 000 X": strict.ErrStatus,
+			"HTTP/1.1 200 OK": nil, "HTTP/1.1 200 OK\r\nX Odd: 2": strict.ErrField, "HTTP/1.1 200 OK\r\nContent-Length : 2": strict.ErrField,
+			"HTTP/1.1 200 OK\r\nA: b\r\n Odd: 2": strict.ErrField, "HTTP/1.1 000 X": strict.ErrStatus,
 		} {
 			if head = text; !errors.Is(call(), want) {
 				t.Errorf("%q: error %v, want %v", text, call(), want)
--- a/trial/proof/broken_test.go
+++ b/trial/proof/broken_test.go
@@ -147,3 +147,16 @@
 		{name: "600 with events", answer: "HTTP/1.1 600 X\r\n" + eventStream},
 	})
 }
+
+// Callers got answers with names of fields that HTTP doesn't allow, and bodies whose length
+// such a name hid.
+func TestAnswersWithMalformedNamesReachNoCaller(t *testing.T) {
+	testBrokenServers(t, []*brokenServer{
+		{name: "blank before the colon of the length", answer: "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n" + eventStream},
+		{name: "blank before the colon of the coding", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + eventStream},
+		{name: "blank inside", answer: "HTTP/1.1 200 OK\r\nX Odd: 2\r\n" + eventStream},
+		{name: "blank at the start", answer: "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n" + eventStream},
+		{name: "control byte", answer: "HTTP/1.1 200 OK\r\nX\x01Odd: 2\r\n" + eventStream},
+		{name: "blank in an interim head", answer: "HTTP/1.1 103 X\r\nX Odd: 2\r\n\r\nHTTP/1.1 200 OK\r\n" + eventStream},
+	})
+}
