--- a/core/conn/strict/head.go
+++ b/core/conn/strict/head.go
@@ -31,8 +31,8 @@
 	inValue
 )
 
-// head follows the bytes of an answer's interim heads and of its final one. net/http skips
-// any status below 100, drops some fields whose names are malformed, and passes on others.
+// head follows the bytes of an answer's interim heads and of its final one. net/http takes any
+// three digits for a status, and leaves a name that holds a blank as it is.
 type head struct {
 	place  place
 	digits int // of the status so far
