review: scripts exit with 2 if their disruption can't take place

Without an order to an engine (case 6), or with too few streams taken up (case 8), nothing is shown either way.

--- a/review/rig-2/builds.go
+++ b/review/rig-2/builds.go
@@ -204,5 +204,8 @@
 	}
 	group.Wait()
 	s.record.say("%d of %d streams were taken up at machines in touch, %d of these went on; %d of %d new streams began; %d streams complete", taken, streams, wentOn, begun, streams, complete)
+	if trouble && taken < 12 {
+		return false, fmt.Errorf("%d streams were taken up, which is too few for the rule", taken)
+	}
 	return taken >= 12 && 2*wentOn*streams < begun*taken, nil
 }
--- a/review/rig-2/reuse.go
+++ b/review/rig-2/reuse.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -73,6 +74,9 @@
 	case <-crashed:
 	case <-time.After(85 * time.Second):
 		s.record.say("no engine got an order")
+		if trouble {
+			return false, errors.New("no engine got an order, so that none crashed under one")
+		}
 	}
 	time.Sleep(8 * time.Second)
 	group.Wait()
