platform: the system's own requests name the server that they are meant for

An engine with an open order had crashed for good, another service had got its address, and the list still showed the engine.

Cause: the leader reads that status every 100 ms until the engine leaves the list. The read carries a request ID, by which late copies of its answer are recognized, and named no server. A plain server takes whatever has an ID for a request. Reports and probes have no ID and were turned away there, yet an engine of another pool at the address would have answered them, and would have taken releases of KV handles.

TestSuccessorAtAddressRunsNothing sends all that goes to backend servers to a plain server at an engine's address. On the status read ran ("GET /-/report"), and it, the report, both probes and the release named no server.

Change: newServerRequest makes all of the system's own requests and sets the expected server, so that any other one answers 421 and runs nothing. The ID of the status read stays. A release names the engine that made the handle. A path probe of an address that the list has no more isn't sent. TestServerRequestsAreComplete fails if a call is added without a row.

Tests that changed: the stand-in of TestEngineThatLeftDuringPrefillGetsNoRequest told requests from releases by the header that releases have now, too; it goes by the method. TestPauseIsHeardInAnyAnswer passes the server's name.

--- a/core/conn/server/server.go
+++ b/core/conn/server/server.go
@@ -91,16 +91,18 @@
 	// it was accepted.
 	EncodeCall(c *Call, timeLeft time.Duration, accepted uint64) *httpc.Request
 	// EncodeProbe returns a request that a backend server answers at once. healthPath
-	// is that of its pool, or empty for an engine.
-	EncodeProbe(address, healthPath string) *httpc.Request
+	// is that of its pool, or empty for an engine. Another server at its address refuses
+	// the request.
+	EncodeProbe(serverID, address, healthPath string) *httpc.Request
 	// ParseHead interprets the status and header of a response.
 	ParseHead(a *http.Response) ResponseHead
 	// EventFields returns the fields of servers' events that the format doesn't have.
 	EventFields() []string
 	// DecodePrefill decodes the response to a prefill.
 	DecodePrefill(body []byte) (PrefillResult, error)
-	// EncodeRelease returns the request that frees the KV cache of a handle.
-	EncodeRelease(address, handle string) *httpc.Request
+	// EncodeRelease returns the request that frees the KV cache of a handle at the engine
+	// that made it. Another server at its address refuses the request.
+	EncodeRelease(serverID, address, handle string) *httpc.Request
 	// CopyHeader copies the header of a server's response to the caller's response,
 	// without what only entry instances tell each other.
 	CopyHeader(to http.Header, a *http.Response)
--- a/entryd/relay/leaving_test.go
+++ b/entryd/relay/leaving_test.go
@@ -36,7 +36,7 @@
 			fmt.Fprint(w, `{"handle_id":"h","tokens":1}`)
 			return
 		}
-		if name := r.Header.Get("Expect-Instance"); name != "" {
+		if name := r.Header.Get("Expect-Instance"); r.Method != http.MethodDelete {
 			asked = append(asked, name)
 			w.Header().Set("Server-Signature", "s")
 			w.Header().Set("Content-Type", "text/event-stream")
--- a/entryd/relay/notice.go
+++ b/entryd/relay/notice.go
@@ -40,10 +40,10 @@
 }
 
 // beginOwn makes a request of the instance's own, a release of a KV cache or a probe of the
-// path, follow what the server at an address says of itself, and tell what it answers. It
-// returns a function that ends the request, or false if the server wants no requests.
-func (s *Proxy) beginOwn(address string, q *httpc.Request) (end func(), ok bool) {
-	name, ticket, err := s.fleet.sendOwn(s.clock.Now(), address)
+// path, follow what its server says of itself, and tell what that answers. It returns a
+// function that ends the request, or false if the server wants no requests.
+func (s *Proxy) beginOwn(name string, q *httpc.Request) (end func(), ok bool) {
+	ticket, err := s.fleet.sendOwn(s.clock.Now(), name)
 	if err != nil {
 		s.meter.Count("notice", "kept")
 		return nil, false
@@ -184,22 +184,28 @@
 	return found
 }
 
-// sendOwn counts a request of the instance's own to the server at an address.
-func (f *Fleet) sendOwn(now time.Time, address string) (name string, k *notice.Ticket, err error) {
+// serverAt returns the name of the server at an address, and false if there is none.
+func (f *Fleet) serverAt(address string) (name string, found bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, e := range f.snapshot.Engines() {
 		if server.HostPort(e.URL) == address {
-			name = e.Name
+			name, found = e.Name, true
 		}
 	}
 	for _, s := range f.snapshot.AllServers() {
 		if server.HostPort(s.URL) == address {
-			name = s.Name
+			name, found = s.Name, true
 		}
 	}
-	k, err = f.notices.Send(now, name)
-	return name, k, err //nolint:wrapcheck // one of two known errors
+	return name, found
+}
+
+// sendOwn counts a request of the instance's own to a server.
+func (f *Fleet) sendOwn(now time.Time, name string) (*notice.Ticket, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.notices.Send(now, name) //nolint:wrapcheck // one of two known errors
 }
 
 // quietFor returns how long all servers of a pool that could answer want no requests, and
--- a/entryd/relay/notice_test.go
+++ b/entryd/relay/notice_test.go
@@ -243,8 +243,11 @@
 			r.Header.Set("Deadline-Ms", "150")
 			_ = send(t, r)
 		},
-		"probe":   func(i *testInstance, _, address string) { i.probe(t.Context(), address) },
-		"release": func(i *testInstance, _, address string) { i.releaseKV(t.Context(), address, "h") },
+		"probe": func(i *testInstance, _, address string) { i.probe(t.Context(), address) },
+		"release": func(i *testInstance, _, address string) {
+			name, _ := i.fleet.serverAt(address)
+			i.releaseKV(t.Context(), name, address, "h")
+		},
 	} {
 		for _, path := range bothPaths {
 			t.Run(name+path, func(t *testing.T) {
--- a/entryd/relay/path.go
+++ b/entryd/relay/path.go
@@ -176,11 +176,15 @@
 }
 
 func (s *Proxy) probe(ctx context.Context, address string) {
-	q := s.codec.EncodeProbe(address, s.fleet.path.healthPath(address))
-	end, allowed := s.beginOwn(address, q)
-	if !allowed {
+	name, found := s.fleet.serverAt(address)
+	if !found {
 		return // the detector takes the probe for lost and asks another server
 	}
+	q := s.codec.EncodeProbe(name, address, s.fleet.path.healthPath(address))
+	end, allowed := s.beginOwn(name, q)
+	if !allowed {
+		return
+	}
 	defer end()
 	probeCtx, cancel := context.WithTimeout(ctx, reach.ProbeTimeout)
 	defer cancel()
--- a/entryd/relay/prefill.go
+++ b/entryd/relay/prefill.go
@@ -75,14 +75,14 @@
 // releasePrefill frees the KV cache that was computed for a run that didn't use it.
 func (f *inflightCall) releasePrefill(ctx context.Context, r *run) {
 	if r.request.KVHandle != "" {
-		go f.releaseKV(context.WithoutCancel(ctx), r.request.KVSource, r.request.KVHandle)
+		go f.releaseKV(context.WithoutCancel(ctx), r.ticket.Plan.Prefill.Name, r.request.KVSource, r.request.KVHandle)
 	}
 }
 
 // releaseKV frees a KV cache that no decode engine will fetch.
-func (s *Proxy) releaseKV(ctx context.Context, address, handle string) {
-	q := s.codec.EncodeRelease(address, handle)
-	end, allowed := s.beginOwn(address, q)
+func (s *Proxy) releaseKV(ctx context.Context, name, address, handle string) {
+	q := s.codec.EncodeRelease(name, address, handle)
+	end, allowed := s.beginOwn(name, q)
 	if !allowed {
 		s.meter.Count("handle", "not_released")
 		return
@@ -98,5 +98,9 @@
 	}
 	discard(a, cancel)
 	_ = a.Body.Close()
+	if s.codec.ParseHead(a).Misdirected {
+		s.meter.Count("handle", "not_released") // the engine is gone, and the handle with it
+		return
+	}
 	s.meter.Count("handle", "released")
 }
