relay: a leaving instance counts with one token an event

The streams were sent up to 5 s after the signal and should have been refused.

Cause: before a send, an instance that is leaving compares the time left with the most events that the answer may have times the longest gap. It took the declared maximum of tokens divided by MaxTokensPerEvent for the most events. That is the least: the field is the most that an event holds. With one token an event the bound was too short by up to that factor. It showed at the instance that schedules for its data centre, since only that one knows the gap.

Change: the most events are the declared tokens, as an event holds one at least. What earlier answers held is no bound, as an engine may send larger events before the signal than after it. tokensIn and isLong use the quantity too and stay: they steer placing, and nothing that can't be taken back.

TestLeavingInstanceCutsNoStreamOfOneTokenEvents fails on: a stream of 500 events is taken with 8 s left and cut after 387. TestLeavingInstanceCutsNoCallThatItTook declared ten tokens for each event of its stand-in by the same mistake. It declares one now; its rows and verdicts stay, and the bound has to hold for ten times as many events.

--- a/entryd/relay/leaving.go
+++ b/entryd/relay/leaving.go
@@ -82,8 +82,8 @@
 	}
 	c := leave.Call{TimeLeft: f.timeLeft(), Start: f.route.LatencyTarget}
 	if f.isGeneration() {
-		perEvent := max(1, f.targetPool.Spec.MaxTokensPerEvent)
-		c.Events = (f.call.Prompt.MaxOutput + perEvent - 1) / perEvent
+		// An event holds a token at least, and may hold fewer than earlier ones did.
+		c.Events = f.call.Prompt.MaxOutput
 		c.Gap = f.fleet.longestGap(f.targetPool.Name)
 	}
 	if t != nil {
--- a/entryd/relay/shutdown_test.go
+++ b/entryd/relay/shutdown_test.go
@@ -137,8 +137,8 @@
 	s.cutAt.Store(&at)
 }
 
-// call sends a call whose answer has n events, of at most as many as declared, and returns
-// what its caller gets.
+// call sends a call whose answer has n events, of at most as many tokens as declared, and
+// returns what its caller gets.
 func (s *leavingInstance) call(t *testing.T, kind string, n, most int, deadline time.Duration) string {
 	t.Helper()
 	s.ids++
@@ -150,7 +150,7 @@
 		f.route.Kind, f.route.Resumable = state.RouteIdempotent, false
 		f.targetPool = state.Pool{Name: "plain"}
 	} else {
-		f.call.Prompt = &server.Prompt{Tokens: s.promptTokens, MaxOutput: 10 * most, OutputHint: s.hint, Parts: []server.Part{{ID: "own", Tokens: s.promptTokens}}}
+		f.call.Prompt = &server.Prompt{Tokens: s.promptTokens, MaxOutput: most, OutputHint: s.hint, Parts: []server.Part{{ID: "own", Tokens: s.promptTokens}}}
 	}
 	f.call.LastEventID, f.call.Resumes = s.lastEventID, "begun"
 	f.start, f.route.Timeout = f.clock.Now(), deadline
@@ -234,6 +234,26 @@
 	}
 }
 
+// Answers were taken to have as few events as the pool's engines may make of their tokens, so
+// that streams whose events hold one token were cut.
+func TestLeavingInstanceCutsNoStreamOfOneTokenEvents(t *testing.T) {
+	s := newLeavingInstance(t)
+	for range 20 { // earlier events held more
+		if got := s.call(t, "stream", 2, 20, 20*time.Second); got != "200, 2 events" {
+			t.Fatalf("earlier answer: %s", got)
+		}
+	}
+	s.setGap(state.RoleDecode)
+	s.leave(8 * time.Second)
+	asked := s.engine.asked.Load()
+	if got := s.call(t, "stream", 500, 500, 20*time.Second); got != "503, 0 events" || s.engine.asked.Load() != asked {
+		t.Errorf("the caller gets %s, the engine %d calls", got, s.engine.asked.Load()-asked)
+	}
+	if got := s.call(t, "stream", 40, 40, 20*time.Second); got != "200, 40 events" {
+		t.Errorf("the caller of an answer that ends in time gets %s", got)
+	}
+}
+
 // Nothing is known of the engines' pace just after a start.
 func TestLeavingInstanceGoesByDeadlineWithoutPace(t *testing.T) {
 	s := newLeavingInstance(t)
