relay: holders are told of a stream before builds mix

Cause: the three holders of a stream's origin were told only while the stream's instance knew two builds. Until then the origin was in the memory of one process, which was to tell once it saw the second build. One that stands still, is killed or is cut off by then never does, and the others rightly refuse what may be of either build.

Change: an instance tells the holders as the first event arrives and before it relays it, whatever builds serve, outside the fleet's lock. When builds begin to mix it tells once more the streams that it relayed itself, as the holders may have changed; with those that it holds for others that would be four times as much. What a stream may go on at is decided as before, so none can get events of two builds by this.

The metric origin.told counts the messages.

--- a/core/request/origin/origin.go
+++ b/core/request/origin/origin.go
@@ -36,20 +36,30 @@
 type stream struct {
 	origin  proto.StreamOrigin
 	expires time.Time
+	own     bool // an event of it was relayed here
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{streams: make(map[string]stream)} }
 
-// Record adds a stream, and reports whether there was room for it.
+// Begin adds a stream of which this instance relays events, and reports whether there was
+// room for it.
+func (t *Table) Begin(now time.Time, o proto.StreamOrigin) bool { return t.add(now, o, true) }
+
+// Record adds a stream of which another instance tells, and reports whether there was room
+// for it.
 func (t *Table) Record(now time.Time, o proto.StreamOrigin) bool {
+	return t.add(now, o, t.streams[o.ID].own)
+}
+
+func (t *Table) add(now time.Time, o proto.StreamOrigin, own bool) bool {
 	if now.Sub(t.checked) >= expiryInterval {
 		t.expire(now)
 	}
 	if _, known := t.streams[o.ID]; !known && len(t.streams) >= maxStreams {
 		return false
 	}
-	t.streams[o.ID] = stream{origin: o, expires: now.Add(o.Left)}
+	t.streams[o.ID] = stream{origin: o, expires: now.Add(o.Left), own: own}
 	return true
 }
 
@@ -71,11 +81,12 @@
 	return s.at(now), true
 }
 
-// InPools returns the streams of some pools, sorted by ID.
-func (t *Table) InPools(now time.Time, pools []string) []proto.StreamOrigin {
+// Begun returns the streams of some pools of which this instance relays or relayed events,
+// sorted by ID.
+func (t *Table) Begun(now time.Time, pools []string) []proto.StreamOrigin {
 	var list []proto.StreamOrigin
 	for _, s := range t.streams {
-		if slices.Contains(pools, s.origin.Pool) && !now.After(s.expires) {
+		if s.own && slices.Contains(pools, s.origin.Pool) && !now.After(s.expires) {
 			list = append(list, s.at(now))
 		}
 	}
--- a/core/request/origin/origin_test.go
+++ b/core/request/origin/origin_test.go
@@ -31,18 +31,35 @@
 	now := start
 	for i := range 40_000 {
 		now = now.Add(125 * time.Microsecond)
-		if !table.Record(now, proto.StreamOrigin{ID: fmt.Sprint(i), Pool: "m", Build: "v1", Left: time.Second}) {
+		if !table.Begin(now, proto.StreamOrigin{ID: fmt.Sprint(i), Pool: "m", Build: "v1", Left: time.Second}) {
 			t.Fatalf("no room for stream %d", i)
 		}
 	}
-	if n := len(table.InPools(now, []string{"m"})); n > 8001 || n < 7900 {
+	if n := len(table.Begun(now, []string{"m"})); n > 8001 || n < 7900 {
 		t.Fatalf("%d streams known, want those of the last second", n)
 	}
-	if n := len(table.InPools(now, []string{"other"})); n != 0 {
+	if n := len(table.Begun(now, []string{"other"})); n != 0 {
 		t.Fatalf("%d streams in a pool without any", n)
 	}
 }
 
+// Each instance that was told of a stream told all others once more as builds began to mix.
+func TestOnlyOwnStreamsAreToldAgain(t *testing.T) {
+	table := origin.NewTable()
+	o := func(id string) proto.StreamOrigin {
+		return proto.StreamOrigin{ID: id, Pool: "m", Build: "v1", Left: time.Minute}
+	}
+	table.Record(start, o("told"))
+	table.Begin(start, o("own"))
+	table.Record(start, o("own")) // as another instance tells it
+	if list := table.Begun(start, []string{"m"}); len(list) != 1 || list[0].ID != "own" {
+		t.Errorf("begun here: %+v", list)
+	}
+	if _, known := table.Find(start, "told"); !known {
+		t.Error("a stream of another instance isn't known")
+	}
+}
+
 // A tenth of 200 instances is lost at once; an instance asks before or after it
 // hears of that.
 func TestStreamsAreFoundAfterInstancesAreLost(t *testing.T) {
--- a/entryd/relay/build_test.go
+++ b/entryd/relay/build_test.go
@@ -198,3 +198,26 @@
 		t.Fatalf("shared %+v", others.shared)
 	}
 }
+
+// An instance that stood still as a release began had told no other of its streams.
+func TestOriginIsToldWhileOneBuildServes(t *testing.T) {
+	f := newScriptedCall(t, &scriptedBackend{}, "resumable", "v1")
+	others := &knowingBroker{}
+	f.fleet.broker = others
+	store := view.New()
+	if err := store.Apply(state.View{
+		Version: 1, Engines: []state.Engine{{Name: "1", Pool: f.targetPool.Name, Build: "v1"}},
+		Members: []state.Member{{Name: "other", Kind: state.MemberEntry, LinkAddress: "10.0.0.9:1"}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	f.fleet.SetSnapshot(store.Current())
+	replyTo(f, "before the call")
+	if _, sole := f.fleet.soleBuild(f.targetPool.Name, time.Minute); !sole {
+		t.Fatal("v1 isn't the only build")
+	}
+	f.recordOrigin("v1")
+	if list := others.shared["10.0.0.9:1"]; len(list) != 1 || list[0].ID != f.call.ID || list[0].Build != "v1" {
+		t.Fatalf("told %+v", others.shared)
+	}
+}
--- a/entryd/relay/fleet.go
+++ b/entryd/relay/fleet.go
@@ -130,7 +130,7 @@
 	}
 	f.delegate.SetBroker(broker.LinkAddress)
 	if mixed := f.builds.Update(now, snapshot.Version(), snapshot.Engines(), snapshot.AllServers()); len(mixed) > 0 {
-		f.shareOrigins(f.origins.InPools(now, mixed))
+		f.tellOrigins(f.origins.Begun(now, mixed))
 	}
 }
 
--- a/entryd/relay/origin.go
+++ b/entryd/relay/origin.go
@@ -114,22 +114,25 @@
 	return build, sole && f.confirmed.recent(f.clock.Elapsed())
 }
 
-// recordOrigin keeps the origin of a stream, and shares it while streams of its
-// pool could go on at another build.
+// recordOrigin keeps the origin of a stream and tells its holders, also while one build
+// serves: another one may begin to at any moment, and this instance may be lost or stand
+// still before it hears of that.
 func (f *Fleet) recordOrigin(now time.Time, o proto.StreamOrigin) {
 	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if !f.origins.Record(now, o) {
+	if !f.origins.Begin(now, o) {
 		f.meter.Count("origin", "no_room")
 	}
-	if _, sole := f.soleBuild(o.Pool, o.Left); !sole {
-		f.shareOrigins([]proto.StreamOrigin{o})
+	links := f.holderLinks(o.ID)
+	f.mutex.Unlock()
+	for _, link := range links {
+		f.broker.Share(link, []proto.StreamOrigin{o})
 	}
+	f.meter.Add(int64(len(links)), "origin", "told")
 }
 
-// shareOrigins sends the origins of streams to their holders. The caller holds the
-// mutex.
-func (f *Fleet) shareOrigins(list []proto.StreamOrigin) {
+// tellOrigins tells the holders of streams their origins once more: they may be others than
+// when the streams began. The caller holds the mutex.
+func (f *Fleet) tellOrigins(list []proto.StreamOrigin) {
 	byLink := make(map[string][]proto.StreamOrigin)
 	for _, o := range list {
 		for _, link := range f.holderLinks(o.ID) {
@@ -138,6 +141,7 @@
 	}
 	for link, origins := range byLink {
 		f.broker.Share(link, origins)
+		f.meter.Add(int64(len(origins)), "origin", "told")
 	}
 }
 
